--- /dev/null
+++ b/hawthornhollow/base/base.h
@@ -0,0 +1,109 @@
+#ifndef HAWTHORNHOLLOW_BASE_BASE_H_
+#define HAWTHORNHOLLOW_BASE_BASE_H_
+
+// What every other library needs: errors that name their step and peer, one
+// log line per event, a clock that tests can replace, and hashing.
+//
+// Errors:
+//   return ErrorAt(absl::StatusCode::kUnavailable, "log.append",
+//                  "127.0.0.1:7001", "connection refused");
+//
+// Logs, one line of key=value pairs per event:
+//   LogEvent("bill.durable").Add("request", key).Add("tokens", 120);
+//
+// Clocks are template parameters that satisfy the `Clock` concept:
+//   template <Clock C> class RetryBudget { ... };
+
+#include <atomic>
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
+
+namespace hawthornhollow {
+
+// Returns a status whose message reads "step=STEP peer=PEER: DETAIL".
+// `peer` may be empty for a local step.
+absl::Status ErrorAt(absl::StatusCode code,
+                     std::string_view step,
+                     std::string_view peer,
+                     std::string_view detail);
+
+// Returns `status` unchanged if it is OK; else the same code with step and
+// peer put before its message.
+absl::Status Annotate(const absl::Status& status,
+                      std::string_view step,
+                      std::string_view peer);
+
+enum class LogSeverity { kDebug, kInfo, kWarning, kError };
+
+// Sets up easylogging++ once per process. `process` is added to every line.
+// Lines go to standard error.
+void InitLogging(std::string_view process, LogSeverity minimum);
+
+// Builds one log line and writes it when destroyed. Values that contain
+// spaces, quotes or '=' are quoted.
+class LogEvent {
+ public:
+  explicit LogEvent(std::string_view event,
+                    LogSeverity severity = LogSeverity::kInfo);
+  LogEvent(const LogEvent&) = delete;
+  LogEvent& operator=(const LogEvent&) = delete;
+  ~LogEvent();
+
+  LogEvent& Add(std::string_view key, std::string_view value);
+  LogEvent& Add(std::string_view key, const char* value) {
+    return Add(key, std::string_view(value));
+  }
+  template <std::integral T>
+  LogEvent& Add(std::string_view key, T value) {
+    return Add(key, std::string_view(std::to_string(value)));
+  }
+  LogEvent& Add(std::string_view key, double value);
+  LogEvent& Add(std::string_view key, const absl::Status& status);
+
+ private:
+  std::string line_;
+  LogSeverity severity_;
+};
+
+// A source of the present time. Decision code takes one as a template
+// parameter so that tests can run it against a fake.
+template <typename T>
+concept Clock = requires(const T& clock) {
+  { clock.Now() } -> std::same_as<absl::Time>;
+};
+
+// The machine's clock.
+class SystemClock {
+ public:
+  absl::Time Now() const { return absl::Now(); }
+};
+
+// A clock that moves only when told. Copies share nothing; pass by reference.
+class ManualClock {
+ public:
+  absl::Time Now() const { return now_; }
+  void Advance(absl::Duration by) { now_ += by; }
+
+ private:
+  absl::Time now_ = absl::UnixEpoch() + absl::Hours(24);
+};
+
+// A hash that is the same on every process and version.
+uint64_t StableHash(std::string_view data, uint64_t seed = 0);
+
+// The lower-case hexadecimal SHA-256 of `data`.
+std::string Sha256Hex(std::string_view data);
+
+// A random identifier of 16 hexadecimal digits.
+std::string RandomId();
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_BASE_BASE_H_
--- /dev/null
+++ b/hawthornhollow/http/http.h
@@ -0,0 +1,169 @@
+#ifndef HAWTHORNHOLLOW_HTTP_HTTP_H_
+#define HAWTHORNHOLLOW_HTTP_HTTP_H_
+
+// HTTP/1.1 server and client over Boost.Beast, for fibers of a Runtime. Beast
+// appears only in the sources.
+//
+//   auto server = HttpServer::Start(runtime, options,
+//       [](const HttpRequest& request, ResponseWriter& writer) {
+//         writer.Send({.status = 200, .body = "hello\n"});
+//       });
+//
+//   HttpClient client;
+//   auto response = client.Call(endpoint, {.method = "GET", .target = "/"},
+//                               absl::Seconds(1));
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+#include "hawthornhollow/runtime/runtime.h"
+
+namespace hawthornhollow {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+// The first header of that name, compared without case; empty if absent.
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
+
+struct HttpRequest {
+  std::string method = "GET";
+  std::string target = "/";
+  HttpHeaders headers;
+  std::string body;
+  // Set by the server: the client's address.
+  std::string peer;
+
+  std::string_view Header(std::string_view name) const {
+    return FindHeader(headers, name);
+  }
+  // `target` up to its '?'.
+  std::string_view Path() const;
+  // The value of a query parameter, undecoded; nullopt if absent.
+  std::optional<std::string> Query(std::string_view name) const;
+
+  friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
+};
+
+struct HttpResponse {
+  int status = 200;
+  HttpHeaders headers;
+  std::string body;
+
+  std::string_view Header(std::string_view name) const {
+    return FindHeader(headers, name);
+  }
+
+  friend bool operator==(const HttpResponse&, const HttpResponse&) = default;
+};
+
+// Answers one request: either Send() once, or StartStream(), Write()s and
+// Finish(). Every call returns UNAVAILABLE once the client has gone.
+class ResponseWriter {
+ public:
+  virtual ~ResponseWriter() = default;
+  virtual absl::Status Send(const HttpResponse& response) = 0;
+  // Sends the head of a chunked response.
+  virtual absl::Status StartStream(int status, const HttpHeaders& headers) = 0;
+  virtual absl::Status Write(std::string_view data) = 0;
+  virtual absl::Status Finish() = 0;
+  // Closes the connection without finishing the response, so that the client
+  // sees it as incomplete.
+  virtual void Abort() = 0;
+  // Sets what runs, once and from the connection's thread, when the client
+  // closes its connection before the response is complete. It must not block.
+  virtual void OnClientGone(std::function<void()> callback) = 0;
+};
+
+using HttpHandler = std::function<void(const HttpRequest&, ResponseWriter&)>;
+
+struct HttpServerOptions {
+  Endpoint local;
+  size_t max_header_bytes = 16 * 1024;
+  size_t max_body_bytes = 4 * 1024 * 1024;
+  size_t max_connections = 4096;
+  // For the whole of a request's head and body to arrive.
+  absl::Duration request_timeout = absl::Seconds(10);
+  // Between requests on a kept connection.
+  absl::Duration idle_timeout = absl::Seconds(60);
+  // For one write to be taken by the client.
+  absl::Duration write_timeout = absl::Seconds(30);
+};
+
+class HttpServer {
+ public:
+  // Listens with one acceptor per runtime thread (SO_REUSEPORT) and runs
+  // `handler` on a fiber per connection. Oversized, slow and malformed requests
+  // are answered 431, 413, 408 and 400 with a JSON error.
+  static absl::StatusOr<std::unique_ptr<HttpServer>> Start(
+      Runtime& runtime,
+      const HttpServerOptions& options,
+      HttpHandler handler);
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+  ~HttpServer();
+
+  const Endpoint& local() const;
+
+  // Accepts no more connections; kept connections close after the response in
+  // progress. Blocks the calling fiber until no request is in progress, or
+  // `timeout` has passed (DEADLINE_EXCEEDED).
+  absl::Status Drain(absl::Duration timeout);
+
+  class Impl;
+  explicit HttpServer(std::shared_ptr<Impl> impl);
+
+ private:
+  std::shared_ptr<Impl> impl_;
+};
+
+// Keeps idle connections per runtime thread and endpoint. Safe to use from
+// fibers of several threads.
+class HttpClient {
+ public:
+  struct Options {
+    absl::Duration connect_timeout = absl::Seconds(1);
+    size_t max_idle_per_endpoint = 64;
+    size_t max_body_bytes = 64 * 1024 * 1024;
+  };
+  // Called with each piece of a streamed body; false ends the call.
+  using OnHead = std::function<bool(int status, const HttpHeaders& headers)>;
+  using OnData = std::function<bool(std::string_view data)>;
+
+  HttpClient();
+  explicit HttpClient(const Options& options);
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+  ~HttpClient();
+
+  // A whole exchange within `timeout`. UNAVAILABLE if no connection could be
+  // made (the request was not sent); ABORTED if the connection broke after the
+  // request may have been sent; DEADLINE_EXCEEDED.
+  absl::StatusOr<HttpResponse> Call(const Endpoint& endpoint,
+                                    const HttpRequest& request,
+                                    absl::Duration timeout);
+
+  // As Call, but hands the body on as it arrives. `idle_timeout` bounds the
+  // wait for the head and for each piece. CANCELLED if a callback said false;
+  // the connection is then closed.
+  absl::Status Stream(const Endpoint& endpoint,
+                      const HttpRequest& request,
+                      absl::Duration idle_timeout,
+                      const OnHead& on_head,
+                      const OnData& on_data);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_HTTP_HTTP_H_
--- /dev/null
+++ b/hawthornhollow/ledger/ledger.h
@@ -0,0 +1,501 @@
+#ifndef HAWTHORNHOLLOW_LEDGER_LEDGER_H_
+#define HAWTHORNHOLLOW_LEDGER_LEDGER_H_
+
+// Records of the log's streams, and the deterministic folds that turn a stream
+// into state. Two processes that have folded the same prefix hold equal state.
+//
+//   BudgetFold fold;
+//   auto batch = DecodeBatch(bytes);
+//   std::vector<Verdict> verdicts = fold.Apply(offset, *batch);
+//
+// Rules common to every fold:
+// - Offsets are applied in order without a gap; Apply returns an error verdict
+//   for none, the caller (StreamFollower) guarantees it.
+// - A record whose (writer, sequence) is not above the highest applied from
+//   that writer is a repeat and changes nothing.
+// - A record that breaks a rule is void: it changes nothing but the verdict.
+//
+// Nothing here reads a clock, draws a random number or does I/O.
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+#include "hawthornhollow/config/config.h"
+
+namespace hawthornhollow {
+
+// ---------------------------------------------------------------------------
+// Records. Shapes and meaning as in wire/records.fbs.
+
+struct PublishRecord {
+  std::string id;
+  std::string operator_name;
+  int64_t base_version = 0;
+  std::vector<FileChange> changes;
+  friend auto operator<=>(const PublishRecord&, const PublishRecord&) = default;
+};
+struct RouterOpenRecord {
+  std::string incarnation;
+  std::string name;
+  std::string failure_domain;
+  friend auto operator<=>(const RouterOpenRecord&,
+                          const RouterOpenRecord&) = default;
+};
+struct RouterAliveRecord {
+  std::string incarnation;
+  friend auto operator<=>(const RouterAliveRecord&,
+                          const RouterAliveRecord&) = default;
+};
+struct RouterClosedRecord {
+  std::string incarnation;
+  friend auto operator<=>(const RouterClosedRecord&,
+                          const RouterClosedRecord&) = default;
+};
+struct RouterSuspectRecord {
+  std::string incarnation;
+  std::string reason;
+  friend auto operator<=>(const RouterSuspectRecord&,
+                          const RouterSuspectRecord&) = default;
+};
+struct GateOpenRecord {
+  std::string gate;
+  std::string incarnation;
+  std::string server;
+  friend auto operator<=>(const GateOpenRecord&,
+                          const GateOpenRecord&) = default;
+};
+struct GateClosedRecord {
+  std::string incarnation;
+  friend auto operator<=>(const GateClosedRecord&,
+                          const GateClosedRecord&) = default;
+};
+struct GateSealedRecord {
+  std::string incarnation;
+  std::string router;
+  friend auto operator<=>(const GateSealedRecord&,
+                          const GateSealedRecord&) = default;
+};
+struct GateSettledRecord {
+  std::string router;
+  std::string gate_incarnation;
+  friend auto operator<=>(const GateSettledRecord&,
+                          const GateSettledRecord&) = default;
+};
+struct BudgetVotedRecord {
+  std::string budget;
+  int64_t tokens = 0;
+  int64_t config_version = 0;
+  friend auto operator<=>(const BudgetVotedRecord&,
+                          const BudgetVotedRecord&) = default;
+};
+// Asks for up to `tokens`. The fold admits what the budget has free if that is
+// at least `minimum`; else the record is void, which tells every holder that
+// the budget is short.
+struct GrantRequestRecord {
+  std::string budget;
+  std::string incarnation;
+  int64_t tokens = 0;
+  int64_t minimum = 0;
+  friend auto operator<=>(const GrantRequestRecord&,
+                          const GrantRequestRecord&) = default;
+};
+struct GrantReturnRecord {
+  std::string budget;
+  std::string incarnation;
+  int64_t tokens = 0;
+  friend auto operator<=>(const GrantReturnRecord&,
+                          const GrantReturnRecord&) = default;
+};
+struct ClaimRecord {
+  std::string request;
+  std::string budget;
+  std::string incarnation;
+  std::string gate_incarnation;
+  std::string server;
+  friend auto operator<=>(const ClaimRecord&, const ClaimRecord&) = default;
+};
+struct ClaimReleasedRecord {
+  std::string request;
+  std::string incarnation;
+  friend auto operator<=>(const ClaimReleasedRecord&,
+                          const ClaimReleasedRecord&) = default;
+};
+enum class Outcome { kUnknown, kCompleted, kFailed, kCancelled };
+struct BillRecord {
+  std::string request;
+  std::string budget;
+  std::string caller;
+  std::string incarnation;
+  std::string server;
+  std::string witness;
+  int64_t prompt_tokens = 0;
+  int64_t output_tokens = 0;
+  int64_t charged_tokens = 0;
+  Outcome outcome = Outcome::kUnknown;
+  friend auto operator<=>(const BillRecord&, const BillRecord&) = default;
+};
+struct AccountClosedRecord {
+  std::string incarnation;
+  bool charge_remainder = false;
+  friend auto operator<=>(const AccountClosedRecord&,
+                          const AccountClosedRecord&) = default;
+};
+struct CheckpointRecord {
+  int64_t offset = 0;
+  std::string state;
+  friend auto operator<=>(const CheckpointRecord&,
+                          const CheckpointRecord&) = default;
+};
+
+using RecordBody = std::variant<PublishRecord,
+                                RouterOpenRecord,
+                                RouterAliveRecord,
+                                RouterClosedRecord,
+                                RouterSuspectRecord,
+                                GateOpenRecord,
+                                GateClosedRecord,
+                                GateSealedRecord,
+                                GateSettledRecord,
+                                BudgetVotedRecord,
+                                GrantRequestRecord,
+                                GrantReturnRecord,
+                                ClaimRecord,
+                                ClaimReleasedRecord,
+                                BillRecord,
+                                AccountClosedRecord,
+                                CheckpointRecord>;
+
+struct Record {
+  int64_t sequence = 0;
+  int64_t time_ms = 0;  // the writer's clock, for the audit trail only
+  RecordBody body;
+  friend auto operator<=>(const Record&, const Record&) = default;
+};
+
+struct Batch {
+  std::string writer;
+  std::vector<Record> records;
+  friend auto operator<=>(const Batch&, const Batch&) = default;
+};
+
+std::string EncodeBatch(const Batch& batch);
+// DATA_LOSS if the bytes are not a valid batch.
+absl::StatusOr<Batch> DecodeBatch(std::string_view bytes);
+
+// ---------------------------------------------------------------------------
+// Verdicts
+
+enum class VerdictKind {
+  kAccepted,
+  kVoid,    // broke a rule; `reason` says which
+  kRepeat,  // already applied from this writer
+};
+
+// What a fold made of one record. The audit trail prints these.
+struct Verdict {
+  int64_t offset = 0;
+  std::string writer;
+  Record record;
+  VerdictKind kind = VerdictKind::kAccepted;
+  std::string reason;
+  int64_t amount = 0;  // tokens granted, returned or charged
+  friend auto operator<=>(const Verdict&, const Verdict&) = default;
+};
+
+// One line of key=value pairs.
+std::string FormatVerdict(const Verdict& verdict);
+
+// Highest sequence applied from each writer. Part of every fold.
+using WriterSequences = std::map<std::string, int64_t>;
+
+// A fold over a stream. Serialize/Restore make checkpoints.
+template <typename T>
+concept Fold = requires(T fold, const T& const_fold, const Batch& batch) {
+  { fold.Apply(int64_t{}, batch) } -> std::same_as<std::vector<Verdict>>;
+  { const_fold.Serialize() } -> std::same_as<std::string>;
+  { T::Restore(std::string_view()) } -> std::same_as<absl::StatusOr<T>>;
+  { const_fold.applied_offset() } -> std::same_as<int64_t>;
+};
+
+// ---------------------------------------------------------------------------
+// Configuration
+
+// The "config" stream. A publish is accepted if each file that it changes is
+// the same at its base version as now (or changed to the very same text), and
+// the merged result passes Configuration::Merge. Versions rise by one per
+// accepted publish. A publish `id` seen before is a repeat.
+class ConfigFold {
+ public:
+  struct VersionInfo {
+    int64_t version = 0;
+    int64_t offset = 0;
+    std::string id;
+    std::string operator_name;
+    int64_t time_ms = 0;
+    std::vector<std::string> files;  // changed by it
+    friend auto operator<=>(const VersionInfo&, const VersionInfo&) = default;
+  };
+  // Kept versions, for stale bases and for going back.
+  static constexpr size_t kMaxHistory = 256;
+
+  std::vector<Verdict> Apply(int64_t offset, const Batch& batch);
+  std::string Serialize() const;
+  static absl::StatusOr<ConfigFold> Restore(std::string_view state);
+  int64_t applied_offset() const { return applied_offset_; }
+
+  // 0 and null before the first accepted publish.
+  int64_t version() const { return version_; }
+  std::shared_ptr<const Configuration> configuration() const {
+    return configuration_;
+  }
+  const std::vector<VersionInfo>& history() const { return history_; }
+  // The files of a kept version; NOT_FOUND if no longer kept.
+  absl::StatusOr<ConfigFiles> FilesAt(int64_t version) const;
+
+ private:
+  struct KeptChange;
+  int64_t applied_offset_ = -1;
+  int64_t version_ = 0;
+  std::shared_ptr<const Configuration> configuration_;
+  ConfigFiles files_;
+  std::vector<VersionInfo> history_;
+  // For each kept version, what its changes replaced (nullopt: absent before).
+  std::map<int64_t, std::map<std::string, std::optional<std::string>>> undo_;
+  std::map<std::string, int64_t> version_of_id_;
+  WriterSequences sequences_;
+};
+
+// ---------------------------------------------------------------------------
+// Membership
+
+enum class RouterState { kOpen, kSuspect, kClosed };
+
+// The "members" stream: which router and gate incarnations exist, and how far
+// a suspected router's sealing has come.
+//
+// A gate must seal a suspected router if it opened before the suspicion and is
+// not closed. A gate that opens later has read the suspicion before it serves.
+// A gate incarnation replaced by a newer one of the same gate name without
+// GateClosed is lost: it can no longer seal. A router that had settled it
+// (GateSettled) before loses nothing; one that had not is charged its
+// remainder.
+class MembershipFold {
+ public:
+  struct Router {
+    std::string incarnation;
+    std::string name;
+    std::string failure_domain;
+    RouterState state = RouterState::kOpen;
+    int64_t opened_offset = 0;
+    int64_t suspect_offset = 0;
+    int64_t last_alive_offset = 0;
+    std::set<std::string> sealed_by;      // gate incarnations
+    std::set<std::string> settled_gates;  // lost gates settled by it
+    friend auto operator<=>(const Router&, const Router&) = default;
+  };
+  struct Gate {
+    std::string gate;
+    std::string incarnation;
+    std::string server;
+    int64_t opened_offset = 0;
+    bool closed = false;
+    bool lost = false;
+    int64_t ended_offset = 0;
+    friend auto operator<=>(const Gate&, const Gate&) = default;
+  };
+  // Ended incarnations kept before the oldest is dropped.
+  static constexpr size_t kMaxEnded = 4096;
+
+  std::vector<Verdict> Apply(int64_t offset, const Batch& batch);
+  std::string Serialize() const;
+  static absl::StatusOr<MembershipFold> Restore(std::string_view state);
+  int64_t applied_offset() const { return applied_offset_; }
+
+  const std::map<std::string, Router>& routers() const { return routers_; }
+  const std::map<std::string, Gate>& gates() const { return gates_; }
+  bool IsSuspect(std::string_view router) const;
+
+  // Whether every gate that `router` could reach has sealed it or is gone.
+  bool SealingComplete(std::string_view router) const;
+  // Whether, at closing, a lost gate was left unsettled by `router`.
+  bool HasUnsettledLoss(std::string_view router) const;
+
+ private:
+  int64_t applied_offset_ = -1;
+  std::map<std::string, Router> routers_;
+  std::map<std::string, Gate> gates_;
+  WriterSequences sequences_;
+};
+
+// ---------------------------------------------------------------------------
+// Budgets
+
+// One "ledger-K" stream: votes, grants, claims and bills of the budgets in
+// shard K.
+//
+// Invariant, for each budget: spent + sum of held <= voted, except that a voted
+// cut below it admits no grant until returns and bills bring it back.
+class BudgetFold {
+ public:
+  // What one router incarnation holds of one budget.
+  struct Account {
+    int64_t granted = 0;
+    int64_t returned = 0;
+    int64_t billed = 0;
+    int64_t held() const { return granted - returned - billed; }
+    friend auto operator<=>(const Account&, const Account&) = default;
+  };
+  struct BudgetState {
+    int64_t voted = 0;
+    int64_t config_version = 0;
+    int64_t spent = 0;  // all bills and charged remainders
+    int64_t bills = 0;
+    // Rises with each void GrantRequest and each cut that left the budget
+    // overdrawn; holders answer a rise by returning what they do not need.
+    int64_t shortage_count = 0;
+    std::map<std::string, Account> accounts;  // by router incarnation
+
+    int64_t held() const;
+    int64_t free() const { return voted - spent - held(); }
+    friend auto operator<=>(const BudgetState&, const BudgetState&) = default;
+  };
+  struct ClaimState {
+    std::string incarnation;
+    std::string gate_incarnation;
+    std::string server;
+    int64_t offset = 0;  // the fence
+    friend auto operator<=>(const ClaimState&, const ClaimState&) = default;
+  };
+  struct BillState {
+    std::string server;
+    int64_t charged_tokens = 0;
+    Outcome outcome = Outcome::kUnknown;
+    int64_t offset = 0;
+    friend auto operator<=>(const BillState&, const BillState&) = default;
+  };
+  // Request keys whose bill or claim is remembered; the oldest goes first.
+  static constexpr size_t kMaxRequests = 200'000;
+
+  std::vector<Verdict> Apply(int64_t offset, const Batch& batch);
+  std::string Serialize() const;
+  static absl::StatusOr<BudgetFold> Restore(std::string_view state);
+  int64_t applied_offset() const { return applied_offset_; }
+
+  const std::map<std::string, BudgetState>& budgets() const { return budgets_; }
+  const BudgetState* FindBudget(std::string_view name) const;
+  const ClaimState* FindClaim(std::string_view request) const;
+  const BillState* FindBill(std::string_view request) const;
+  bool IsClosed(std::string_view incarnation) const;
+
+ private:
+  int64_t applied_offset_ = -1;
+  std::map<std::string, BudgetState> budgets_;
+  absl::flat_hash_map<std::string, ClaimState> claims_;
+  absl::flat_hash_map<std::string, BillState> bills_;
+  // Request keys by the offset and place of their first record, oldest first.
+  std::map<std::pair<int64_t, int64_t>, std::string> request_order_;
+  std::set<std::string> closed_;
+  WriterSequences sequences_;
+};
+
+// The shard of a budget.
+size_t ShardOfBudget(std::string_view budget, size_t shards);
+
+// ---------------------------------------------------------------------------
+// A router's holdings of one shard's budgets
+
+// How much to ask for, and when.
+struct GrantPolicyOptions {
+  // Ask when what is left lasts less than this many times the time that a
+  // grant takes to obtain.
+  double foresight = 2.0;
+  // A grant covers the present spend rate for this long.
+  absl::Duration grant_cover = absl::Seconds(5);
+  int64_t min_grant_tokens = 2'000;
+  // The most of a budget's free part that one request asks for.
+  double max_free_share = 0.34;
+  // Idle tokens above the cover are returned after this long unused.
+  absl::Duration idle_return = absl::Seconds(10);
+  absl::Duration rate_half_life = absl::Seconds(2);
+};
+
+// Decides on reservations against grants that have been read back, for one
+// router incarnation and one budget. Not thread-safe; one per budget, under its
+// shard's lock. Time is passed in; nothing here blocks.
+class GrantHolder {
+ public:
+  GrantHolder(std::string budget, const GrantPolicyOptions& options);
+
+  // Reserves the worst case of a request, if the held grants cover it.
+  bool Reserve(std::string_view request, int64_t tokens, absl::Time now);
+  // Ends a reservation with the tokens really used (0 if not run); they stay
+  // subtracted from what is held until the bill is seen in the fold.
+  void Settle(std::string_view request, int64_t used_tokens, absl::Time now);
+  // What the fold holds for this incarnation now, and the budget's state.
+  void OnFold(const BudgetFold::BudgetState& state,
+              std::string_view incarnation,
+              absl::Time now);
+  // The bill for a settled request has been folded (or was void).
+  void OnBillFolded(std::string_view request);
+
+  // Tokens wanted by requests that wait for a grant.
+  void SetWaiting(int64_t tokens, int64_t smallest_waiting);
+
+  // The next grant request to append, if one is due; at most one is in flight.
+  std::optional<GrantRequestRecord> NextGrantRequest(
+      std::string_view incarnation,
+      absl::Time now);
+  // The grant request was folded or void; `took` is the time since appended.
+  void OnGrantVerdict(bool accepted, absl::Duration took, absl::Time now);
+  // Tokens to give back now: idle, or asked for by a shortage elsewhere.
+  std::optional<GrantReturnRecord> NextReturn(std::string_view incarnation,
+                                              absl::Time now);
+
+  // Held by the fold, less reserved, less settled but not yet billed, less
+  // returns in flight.
+  int64_t available() const;
+  int64_t reserved() const { return reserved_; }
+  double tokens_per_second() const { return rate_; }
+  // Whether the fold shows that no grant can come: nothing free, and the last
+  // request was void after every other holder had time to return.
+  bool Exhausted(int64_t tokens, absl::Time now) const;
+
+ private:
+  std::string budget_;
+  GrantPolicyOptions options_;
+  int64_t held_ = 0;  // by the fold
+  int64_t reserved_ = 0;
+  int64_t unbilled_ = 0;  // settled, bill not folded
+  int64_t returning_ = 0;
+  int64_t waiting_ = 0;
+  int64_t smallest_waiting_ = 0;
+  int64_t free_ = 0;
+  int64_t voted_ = 0;
+  int64_t others_held_ = 0;
+  int64_t shortage_seen_ = 0;
+  double rate_ = 0;
+  absl::Time rate_at_ = absl::InfinitePast();
+  absl::Time last_use_ = absl::InfinitePast();
+  absl::Duration grant_time_ = absl::Milliseconds(50);
+  bool request_in_flight_ = false;
+  int void_in_a_row_ = 0;
+  absl::Time last_void_ = absl::InfinitePast();
+  std::map<std::string, int64_t, std::less<>> reservations_;
+  std::map<std::string, int64_t, std::less<>> unbilled_requests_;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_LEDGER_LEDGER_H_
--- /dev/null
+++ b/hawthornhollow/runtime/runtime.h
@@ -0,0 +1,138 @@
+#ifndef HAWTHORNHOLLOW_RUNTIME_RUNTIME_H_
+#define HAWTHORNHOLLOW_RUNTIME_RUNTIME_H_
+
+// Several threads, each running an Asio context under a Boost.Fiber scheduler,
+// and blocking-style TCP for the fibers on them.
+//
+//   auto runtime = Runtime::Create({.threads = 2});
+//   (*runtime)->Spawn([&] {
+//     auto stream = TcpStream::Connect(endpoint, absl::Seconds(1));
+//     ...
+//   });
+//   (*runtime)->Run();  // until Stop()
+//
+// Every blocking call here blocks the calling fiber only, and must be made on a
+// fiber of a Runtime thread. A socket stays on the thread that made it.
+// Boost.Fiber's mutex and condition_variable work across the threads.
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+
+namespace hawthornhollow {
+
+// An IP number and a TCP port.
+struct Endpoint {
+  std::string address;
+  uint16_t port = 0;
+
+  // Parses "ADDRESS:PORT"; the address must be an IP number.
+  static absl::StatusOr<Endpoint> Parse(std::string_view text);
+  std::string ToString() const;
+
+  friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+struct RuntimeOptions {
+  size_t threads = 1;
+  // Bytes of stack for each fiber.
+  size_t fiber_stack_bytes = 128 * 1024;
+};
+
+class Runtime {
+ public:
+  static absl::StatusOr<std::unique_ptr<Runtime>> Create(
+      const RuntimeOptions& options);
+  Runtime(const Runtime&) = delete;
+  Runtime& operator=(const Runtime&) = delete;
+  // Stops and joins the threads. Fibers still blocked are abandoned.
+  ~Runtime();
+
+  // Starts a fiber on the given thread, or on the threads in turn. Callable
+  // from any thread, a runtime's own or not.
+  void Spawn(std::function<void()> task);
+  void SpawnOn(size_t thread, std::function<void()> task);
+
+  size_t thread_count() const;
+
+  // Blocks the calling (plain) thread until Stop() is called or, when
+  // `stop_on_signals` is set, SIGTERM or SIGINT has been handled:
+  // `on_signal` runs on a fiber and the runtime stops when it returns.
+  void Run(std::function<void()> on_signal);
+  void Run() { Run(nullptr); }
+  void Stop();
+
+ private:
+  class Impl;
+  explicit Runtime(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> impl_;
+};
+
+// Blocks the calling fiber.
+void SleepFor(absl::Duration duration);
+
+// A TCP connection used by one reading and one writing fiber at a time, both on
+// the thread that made it.
+class TcpStream {
+ public:
+  // DEADLINE_EXCEEDED after `timeout`, UNAVAILABLE if refused.
+  static absl::StatusOr<std::unique_ptr<TcpStream>> Connect(
+      const Endpoint& peer,
+      absl::Duration timeout);
+  TcpStream(const TcpStream&) = delete;
+  TcpStream& operator=(const TcpStream&) = delete;
+  ~TcpStream();
+
+  // Fills `size` bytes. OUT_OF_RANGE at a clean end before the first byte,
+  // DATA_LOSS at an end within them, DEADLINE_EXCEEDED after `timeout`.
+  absl::Status ReadFull(char* data, size_t size, absl::Duration timeout);
+  absl::Status Write(std::string_view data, absl::Duration timeout);
+  // Fails reads and writes in progress. Callable from any thread.
+  void Close();
+
+  const Endpoint& peer() const;
+
+  class Impl;
+  explicit TcpStream(std::unique_ptr<Impl> impl);
+
+ private:
+  std::unique_ptr<Impl> impl_;
+};
+
+// Accepts connections on one runtime thread.
+class TcpListener {
+ public:
+  using Handler = std::function<void(std::unique_ptr<TcpStream>)>;
+
+  // Listens on `local` (port 0 takes a free one) and runs `handler` on a new
+  // fiber of the accepting thread for each connection. Callable from a plain
+  // thread or a fiber.
+  static absl::StatusOr<std::unique_ptr<TcpListener>> Start(
+      Runtime& runtime,
+      size_t thread,
+      const Endpoint& local,
+      Handler handler);
+  TcpListener(const TcpListener&) = delete;
+  TcpListener& operator=(const TcpListener&) = delete;
+  ~TcpListener();
+
+  const Endpoint& local() const;
+  void Stop();
+
+  class Impl;
+  explicit TcpListener(std::shared_ptr<Impl> impl);
+
+ private:
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_RUNTIME_RUNTIME_H_
--- /dev/null
+++ b/hawthornhollow/scheduling/scheduling.h
@@ -0,0 +1,256 @@
+#ifndef HAWTHORNHOLLOW_SCHEDULING_SCHEDULING_H_
+#define HAWTHORNHOLLOW_SCHEDULING_SCHEDULING_H_
+
+// Which request runs next, where, and which is refused. Pure decisions: time is
+// passed in, nothing blocks, nothing is locked (the caller holds the shard's
+// lock).
+//
+//   RankQueue queue(RankQueueOptions{...});
+//   if (auto refused = queue.Offer(request, now)) Refuse(*refused);
+//   while (auto id = queue.Take(now)) Dispatch(*id, chooser.Choose(...));
+//   for (const Refusal& r : queue.Expire(now)) Refuse(r);
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/random/bit_gen_ref.h"
+#include "absl/time/time.h"
+
+namespace hawthornhollow {
+
+// ---------------------------------------------------------------------------
+// Queueing by rank, with floors, fair within a rank
+
+struct RankPolicy {
+  std::string name;
+  int32_t order = 0;                         // served in ascending order
+  absl::Duration target = absl::Seconds(2);  // for the first token
+  double floor = 0;  // share of dispatched tokens kept under a flood
+  friend auto operator<=>(const RankPolicy&, const RankPolicy&) = default;
+};
+
+struct RankQueueOptions {
+  std::vector<RankPolicy> ranks;
+  // Window over which floors are accounted.
+  absl::Duration floor_window = absl::Seconds(2);
+  // Tokens by which deficit round robin advances a flow per turn.
+  int64_t quantum_tokens = 512;
+  size_t max_waiting = 20'000;
+  // A request is refused when its predicted wait passes this share of its
+  // target.
+  double admit_share = 0.8;
+  absl::Duration retry_after_min = absl::Seconds(1);
+  absl::Duration retry_after_max = absl::Seconds(60);
+};
+
+struct QueuedRequest {
+  uint64_t id = 0;
+  std::string rank;
+  std::string member;
+  std::string caller;
+  int64_t cost_tokens = 0;  // estimated prompt plus output
+  absl::Time arrived;
+  absl::Time deadline = absl::InfiniteFuture();  // the caller's own
+  friend bool operator==(const QueuedRequest&, const QueuedRequest&) = default;
+};
+
+enum class RefusalCause { kOverload, kDeadline, kQueueFull };
+
+struct Refusal {
+  uint64_t id = 0;
+  RefusalCause cause = RefusalCause::kOverload;
+  absl::Duration retry_after;
+  friend bool operator==(const Refusal&, const Refusal&) = default;
+};
+
+// The waiting requests of one model or service. Ranks in order, each with its
+// floor; within a rank deficit round robin over members, and within a member
+// over callers, in tokens.
+class RankQueue {
+ public:
+  explicit RankQueue(const RankQueueOptions& options);
+
+  // Takes the request in, or says why not. A request that is to be given up is
+  // given up here or by Expire, at once.
+  std::optional<Refusal> Offer(const QueuedRequest& request, absl::Time now);
+  // The next request to dispatch; the caller has room for one.
+  std::optional<QueuedRequest> Take(absl::Time now);
+  // Puts back a request that could not be dispatched, at the head of its flow.
+  void PutBack(const QueuedRequest& request);
+  // Takes out a request whose caller has gone. False if it is not here.
+  bool Remove(uint64_t id);
+  // Gives up what can no longer meet its target or deadline.
+  std::vector<Refusal> Expire(absl::Time now);
+  // Observed service, for the predicted wait: tokens finished.
+  void OnServed(int64_t tokens, absl::Time now);
+  // Replaces ranks' targets and floors; waiting requests keep their place.
+  void SetRanks(const std::vector<RankPolicy>& ranks);
+
+  size_t waiting() const { return waiting_; }
+  int64_t waiting_tokens(std::string_view rank) const;
+  absl::Duration PredictedWait(std::string_view rank, absl::Time now) const;
+
+ private:
+  struct CallerFlow {
+    std::deque<QueuedRequest> requests;
+    int64_t deficit = 0;
+  };
+  struct MemberFlow {
+    std::map<std::string, CallerFlow> callers;
+    std::deque<std::string> turn;  // callers with requests, next first
+    int64_t deficit = 0;
+  };
+  struct RankState {
+    RankPolicy policy;
+    std::map<std::string, MemberFlow> members;
+    std::deque<std::string> turn;
+    int64_t waiting_tokens = 0;
+    double served_window = 0;  // decayed tokens dispatched
+  };
+
+  RankQueueOptions options_;
+  std::vector<RankState> ranks_;  // by order
+  size_t waiting_ = 0;
+  double served_total_ = 0;
+  double service_rate_ = 0;  // tokens per second, decayed
+  absl::Time decayed_at_ = absl::InfinitePast();
+};
+
+// ---------------------------------------------------------------------------
+// Choice of backend server
+
+struct ServerView {
+  std::string name;
+  int64_t slots = 0;
+  int64_t reported_running = 0;  // by the last, lagging report
+  bool connected = false;
+  bool leaving = false;
+  friend bool operator==(const ServerView&, const ServerView&) = default;
+};
+
+struct ServerChooserOptions {
+  // A favoured server is passed over when its in-flight count is above this
+  // many times the mean.
+  double bounded_load = 1.25;
+  // Ejection: a server whose smoothed time to first token is above this many
+  // times the median, or whose failures pass `failure_share`, gets fewer
+  // requests, down to `probe_share` of its slots.
+  double slow_ratio = 3.0;
+  double failure_share = 0.5;
+  double probe_share = 0.05;
+  // At most this share of the servers is ejected at once.
+  double max_ejected = 0.34;
+  absl::Duration ejection = absl::Seconds(5);
+  absl::Duration warm_up = absl::Seconds(5);
+  absl::Duration half_life = absl::Seconds(3);
+};
+
+// Chooses among the servers of one model or service. In-flight counts are this
+// router's own; reports of the whole load correct them.
+class ServerChooser {
+ public:
+  explicit ServerChooser(const ServerChooserOptions& options);
+
+  // Adds, changes or removes servers. A server new here is warmed up.
+  void SetServers(const std::vector<ServerView>& servers, absl::Time now);
+  void OnReport(std::string_view server, int64_t running, absl::Time now);
+  void SetConnected(std::string_view server, bool connected, absl::Time now);
+  void SetLeaving(std::string_view server, bool leaving);
+
+  // The server for a request with this affinity key (empty: none), leaving out
+  // those in `avoid`; nullopt if none has room. Counts it as in flight.
+  std::optional<std::string> Choose(std::string_view affinity,
+                                    const std::set<std::string>& avoid,
+                                    absl::Time now);
+  // Whether Choose would find one.
+  bool HasRoom(absl::Time now) const;
+  // Ends what Choose began.
+  void OnFirstToken(std::string_view server,
+                    absl::Duration took,
+                    absl::Time now);
+  void OnFinished(std::string_view server, bool failed, absl::Time now);
+
+  int64_t InFlight(std::string_view server) const;
+  bool IsEjected(std::string_view server, absl::Time now) const;
+  // Slots of servers that may be used, less what is in flight.
+  int64_t FreeSlots(absl::Time now) const;
+
+ private:
+  struct State {
+    ServerView view;
+    int64_t in_flight = 0;
+    double first_token_s = 0;
+    double failures = 0;
+    double samples = 0;
+    absl::Time sampled_at = absl::InfinitePast();
+    absl::Time joined_at = absl::InfinitePast();
+    absl::Time ejected_until = absl::InfinitePast();
+    absl::Time reported_at = absl::InfinitePast();
+    int64_t sent_since_report = 0;
+  };
+
+  int64_t RoomOf(const State& state, absl::Time now) const;
+  ServerChooserOptions options_;
+  std::map<std::string, State, std::less<>> servers_;
+};
+
+// ---------------------------------------------------------------------------
+// Retries and limits
+
+// Allows retries in proportion to first attempts, so that retries never
+// multiply the load.
+class RetryBudget {
+ public:
+  // `ratio` retries per attempt, with a reserve of `burst` retries.
+  RetryBudget(double ratio, double burst);
+  void OnAttempt();
+  bool TryRetry();
+  double tokens() const { return tokens_; }
+
+ private:
+  double ratio_;
+  double burst_;
+  double tokens_;
+};
+
+struct CallerLimit {
+  int64_t max_concurrent = 0;      // 0: none
+  double requests_per_second = 0;  // 0: none
+  int64_t tokens_per_minute = 0;   // 0: none
+  friend auto operator<=>(const CallerLimit&, const CallerLimit&) = default;
+};
+
+// One caller's rate and concurrency on this router. `share` is this router's
+// part of the limit, by the demand that routers report to one another.
+class CallerLimiter {
+ public:
+  explicit CallerLimiter(const CallerLimit& limit);
+  void SetLimit(const CallerLimit& limit, double share);
+  // nullopt if admitted (and counted); else when to come back.
+  std::optional<absl::Duration> Admit(int64_t tokens, absl::Time now);
+  void OnFinished();
+  int64_t concurrent() const { return concurrent_; }
+
+ private:
+  CallerLimit limit_;
+  double share_ = 1;
+  int64_t concurrent_ = 0;
+  double request_tokens_ = 0;
+  double token_tokens_ = 0;
+  absl::Time refilled_at_ = absl::InfinitePast();
+};
+
+// A Retry-After spread over [base, 2 * base), so that clients do not return
+// together.
+absl::Duration SpreadRetryAfter(absl::Duration base, absl::BitGenRef random);
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_SCHEDULING_SCHEDULING_H_
