--- a/hawthornhollow/base/base.h
+++ b/hawthornhollow/base/base.h
@@ -17,6 +17,7 @@
 #include <atomic>
 #include <concepts>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -98,6 +99,23 @@
 // A hash that is the same on every process and version.
 uint64_t StableHash(std::string_view data, uint64_t seed = 0);
 
+// StableHash of data that arrives in pieces.
+class StableHasher {
+ public:
+  StableHasher();
+  StableHasher(const StableHasher&) = delete;
+  StableHasher& operator=(const StableHasher&) = delete;
+  ~StableHasher();
+
+  void Update(std::string_view data);
+  // The hash of all that was given so far.
+  uint64_t digest() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
 // The lower-case hexadecimal SHA-256 of `data`.
 std::string Sha256Hex(std::string_view data);
 
--- a/hawthornhollow/base/hash.cc
+++ b/hawthornhollow/base/hash.cc
@@ -12,6 +12,24 @@
   return XXH3_64bits_withSeed(data.data(), data.size(), seed);
 }
 
+struct StableHasher::State {
+  XXH3_state_t xxh;
+};
+
+StableHasher::StableHasher() : state_(std::make_unique<State>()) {
+  XXH3_64bits_reset(&state_->xxh);
+}
+
+StableHasher::~StableHasher() = default;
+
+void StableHasher::Update(std::string_view data) {
+  XXH3_64bits_update(&state_->xxh, data.data(), data.size());
+}
+
+uint64_t StableHasher::digest() const {
+  return XXH3_64bits_digest(&state_->xxh);
+}
+
 std::string Sha256Hex(std::string_view data) {
   unsigned char digest[EVP_MAX_MD_SIZE];
   unsigned int size = 0;
