--- a/hawthornhollow/base/hash.cc
+++ b/hawthornhollow/base/hash.cc
@@ -13,21 +13,24 @@
 }
 
 struct StableHasher::State {
-  XXH3_state_t xxh;
+  State() : xxh(XXH3_createState()) { XXH3_64bits_reset(xxh); }
+  ~State() { XXH3_freeState(xxh); }
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
+  XXH3_state_t* xxh;
 };
 
-StableHasher::StableHasher() : state_(std::make_unique<State>()) {
-  XXH3_64bits_reset(&state_->xxh);
-}
+StableHasher::StableHasher() : state_(std::make_unique<State>()) {}
 
 StableHasher::~StableHasher() = default;
 
 void StableHasher::Update(std::string_view data) {
-  XXH3_64bits_update(&state_->xxh, data.data(), data.size());
+  XXH3_64bits_update(state_->xxh, data.data(), data.size());
 }
 
 uint64_t StableHasher::digest() const {
-  return XXH3_64bits_digest(&state_->xxh);
+  return XXH3_64bits_digest(state_->xxh);
 }
 
 std::string Sha256Hex(std::string_view data) {
