Router: links, scheduler, controllers, filters and runner (not built yet)

Cause: the thin path needs the router's parts. Ruled out: a std::mutex around calls that may suspend a fiber (deadlock).

--- /dev/null
+++ b/hawthornhollow/router/config_controller.h
@@ -0,0 +1,124 @@
+#ifndef HAWTHORNHOLLOW_ROUTER_CONFIG_CONTROLLER_H_
+#define HAWTHORNHOLLOW_ROUTER_CONFIG_CONTROLLER_H_
+
+// The configuration in force on this router: read from the log, pushed to and
+// from the other routers, and served only while it is known to be current.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+#include "hawthornhollow/config/config.h"
+#include "hawthornhollow/ledger/ledger.h"
+#include "hawthornhollow/platform/platform.h"
+#include "hawthornhollow/router/fiber_group.h"
+#include "hawthornhollow/wire/wire.h"
+
+namespace hawthornhollow {
+
+// One version in force. Immutable.
+struct ConfigSnapshot {
+  int64_t version = 0;
+  int64_t offset = -1;
+  std::string id;
+  absl::Time since;
+  std::shared_ptr<const Configuration> configuration;
+};
+
+struct ConfigControllerOptions {
+  std::string name;
+  std::string incarnation;
+  Endpoint peer_listen;
+  std::vector<Endpoint> peers;
+  // A configuration is current while the log's end, or a peer's notice, was
+  // read less than this long ago.
+  absl::Duration current_for = absl::Seconds(5);
+  absl::Duration notice_interval = absl::Seconds(1);
+};
+
+struct ConfigTraffic {
+  int64_t notices_sent = 0;
+  int64_t notice_bytes_sent = 0;
+  friend bool operator==(const ConfigTraffic&, const ConfigTraffic&) = default;
+};
+
+// Thread-safe.
+class ConfigController {
+ public:
+  using OnChange = std::function<void(std::shared_ptr<const ConfigSnapshot>)>;
+
+  // Listens for peers. `on_change` runs on a fiber for each new version, in
+  // ascending order.
+  static absl::StatusOr<std::unique_ptr<ConfigController>> Create(
+      Runtime& runtime,
+      HttpLogClient& log,
+      FiberGroup& fibers,
+      const ConfigControllerOptions& options,
+      OnChange on_change);
+  ConfigController(const ConfigController&) = delete;
+  ConfigController& operator=(const ConfigController&) = delete;
+  ~ConfigController();
+
+  void Start();
+  // Closes the links to peers, so that the fibers can end.
+  void Stop();
+  // Blocks until the log has been read to its end once.
+  absl::Status WaitCaughtUp(absl::Duration timeout);
+
+  // Null before the first version.
+  std::shared_ptr<const ConfigSnapshot> snapshot() const;
+  // Whether the snapshot is known to be the newest.
+  bool IsCurrent() const;
+  ConfigTraffic traffic() const;
+
+ private:
+  struct PeerHeard {
+    absl::Time heard_at;
+    int64_t offset = -1;
+    bool log_read = false;
+  };
+
+  ConfigController(Runtime& runtime,
+                   HttpLogClient& log,
+                   FiberGroup& fibers,
+                   const ConfigControllerOptions& options,
+                   OnChange on_change);
+
+  void OnVerdicts(int64_t offset, const std::vector<Verdict>& verdicts);
+  void TakeUpFold();
+  void ServePeer(std::unique_ptr<TcpStream> stream);
+  void RunPeerLink(const Endpoint& peer);
+  void OnNotice(const std::string& peer, const fb::ConfigNoticeT& notice);
+  void SendMissing(int64_t peer_offset);
+  bool ReadsLog() const;
+  void Notify(const fb::ConfigNoticeT& notice);
+  void NoticeLoop();
+
+  Runtime& runtime_;
+  FiberGroup& fibers_;
+  const ConfigControllerOptions options_;
+  const OnChange on_change_;
+  std::unique_ptr<StreamWriter<HttpLogClient>> writer_;
+  std::unique_ptr<StreamFollower<ConfigFold, HttpLogClient>> follower_;
+  std::unique_ptr<TcpListener> listener_;
+
+  mutable std::mutex mutex_;
+  std::shared_ptr<const ConfigSnapshot> snapshot_;
+  std::map<std::string, PeerHeard> peers_heard_;  // by router name
+  std::map<std::string, std::shared_ptr<FrameLink>> outgoing_;
+  std::vector<std::weak_ptr<FrameLink>> incoming_;
+  // Recently applied entries, for peers that are behind.
+  std::map<int64_t, std::string> recent_;
+  ConfigTraffic traffic_;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_ROUTER_CONFIG_CONTROLLER_H_
--- /dev/null
+++ b/hawthornhollow/router/membership_controller.h
@@ -0,0 +1,106 @@
+#ifndef HAWTHORNHOLLOW_ROUTER_MEMBERSHIP_CONTROLLER_H_
+#define HAWTHORNHOLLOW_ROUTER_MEMBERSHIP_CONTROLLER_H_
+
+// This router's incarnation in the "members" stream, and its watch over the
+// others: heartbeats, suspicion, and closing the accounts of the sealed.
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "absl/status/status.h"
+#include "absl/time/time.h"
+#include "hawthornhollow/ledger/ledger.h"
+#include "hawthornhollow/platform/platform.h"
+#include "hawthornhollow/router/fiber_group.h"
+
+namespace hawthornhollow {
+
+struct MembershipOptions {
+  std::string name;
+  std::string failure_domain;
+  std::string incarnation;
+  absl::Duration alive_interval = absl::Seconds(2);
+  // Without a heartbeat for this long, while the log could be read, a router is
+  // suspected.
+  absl::Duration suspect_after = absl::Seconds(8);
+};
+
+// What the controller needs of the rest of the router. None may block long.
+struct MembershipHooks {
+  // This incarnation is suspected: it must serve no longer.
+  std::function<void()> on_fenced;
+  std::function<bool(const std::string& gate)> has_calls_through;
+  std::function<absl::Status(absl::Duration timeout)> flush_bills;
+  std::function<bool(const std::string& incarnation)> is_account_closed;
+  std::function<void(const std::string& incarnation, bool charge_remainder)>
+      close_accounts;
+};
+
+// Thread-safe.
+class MembershipController {
+ public:
+  MembershipController(HttpLogClient& log,
+                       FiberGroup& fibers,
+                       const MembershipOptions& options,
+                       MembershipHooks hooks);
+  MembershipController(const MembershipController&) = delete;
+  MembershipController& operator=(const MembershipController&) = delete;
+  ~MembershipController();
+
+  void Start();
+  // Blocks until this incarnation's opening has been read back.
+  absl::Status Open(absl::Duration timeout);
+  // Records the graceful end, after everything was billed and returned.
+  absl::Status Close(absl::Duration timeout);
+
+  // Names of VMs that the platform lists as live or leaving. A router that was
+  // listed and is no longer is suspected at once.
+  void OnVmList(const std::set<std::string>& names);
+
+  bool fenced() const { return fenced_.load(); }
+  MembershipFold Snapshot() const;
+
+ private:
+  struct Watch {
+    int64_t alive_offset = -1;
+    absl::Time seen_at;
+  };
+
+  void OnVerdicts(const std::vector<Verdict>& verdicts);
+  void Tick();
+  void SendHeartbeat(absl::Time now);
+  void WatchRouters(const MembershipFold& fold, absl::Time now);
+  void Suspect(const std::string& incarnation, const std::string& reason);
+  void SettleLostGates(const MembershipFold& fold);
+  void CloseSealed(const MembershipFold& fold);
+
+  HttpLogClient& log_;
+  FiberGroup& fibers_;
+  const MembershipOptions options_;
+  const MembershipHooks hooks_;
+  std::unique_ptr<StreamWriter<HttpLogClient>> writer_;
+  std::unique_ptr<StreamFollower<MembershipFold, HttpLogClient>> follower_;
+  std::atomic<bool> fenced_{false};
+  std::atomic<bool> open_{false};
+
+  // Used by the tick's fiber only.
+  absl::Time last_alive_ = absl::InfinitePast();
+  absl::Time last_tick_ = absl::InfinitePast();
+  std::map<std::string, Watch> watched_;
+  std::map<std::string, absl::Time> suspected_at_;
+  std::map<std::string, absl::Time> closing_at_;
+  std::set<std::string> settled_gates_;
+
+  std::mutex vm_mutex_;
+  std::set<std::string> vm_names_;
+  std::set<std::string> gone_vms_;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_ROUTER_MEMBERSHIP_CONTROLLER_H_
--- /dev/null
+++ b/hawthornhollow/router/request_context.h
@@ -0,0 +1,97 @@
+#ifndef HAWTHORNHOLLOW_ROUTER_REQUEST_CONTEXT_H_
+#define HAWTHORNHOLLOW_ROUTER_REQUEST_CONTEXT_H_
+
+// One caller's request on its way through the filter chain.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "hawthornhollow/config/config.h"
+#include "hawthornhollow/http/http.h"
+#include "hawthornhollow/router/chat_request.h"
+#include "hawthornhollow/router/config_controller.h"
+
+namespace hawthornhollow {
+
+// Whether the caller is still there, and what to do when it is not. The hook
+// runs once, at once if the caller has gone already. Thread-safe.
+class CallerPresence {
+ public:
+  void MarkGone() {
+    std::function<void()> hook;
+    {
+      std::lock_guard lock(mutex_);
+      gone_ = true;
+      hook = std::exchange(hook_, nullptr);
+    }
+    if (hook)
+      hook();
+  }
+
+  // Replaces the hook; nullptr takes it away.
+  void SetHook(std::function<void()> hook) {
+    {
+      std::lock_guard lock(mutex_);
+      if (!gone_) {
+        hook_ = std::move(hook);
+        return;
+      }
+    }
+    if (hook)
+      hook();
+  }
+
+  bool gone() const {
+    std::lock_guard lock(mutex_);
+    return gone_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  bool gone_ = false;
+  std::function<void()> hook_;
+};
+
+struct RequestContext {
+  explicit RequestContext(const HttpRequest& request)
+      : http(request), arrived(absl::Now()) {}
+  RequestContext(const RequestContext&) = delete;
+  RequestContext& operator=(const RequestContext&) = delete;
+  // Undoes what the filters took, last first.
+  ~RequestContext() {
+    for (auto it = on_end.rbegin(); it != on_end.rend(); ++it)
+      (*it)();
+  }
+
+  bool is_chat() const { return model != nullptr; }
+
+  const HttpRequest& http;
+  const absl::Time arrived;
+  std::shared_ptr<const ConfigSnapshot> config;
+  std::shared_ptr<CallerPresence> presence = std::make_shared<CallerPresence>();
+
+  // Set by the filters, in their order. Pointers lead into `config`.
+  const Caller* caller = nullptr;
+  const Rank* rank = nullptr;
+  const Model* model = nullptr;      // null for a service
+  const Service* service = nullptr;  // null for a model
+  ChatRequest chat;
+  std::string service_target;  // path and query for the plain service
+  std::string request_key;     // also the request id told to the caller
+  bool keyed = false;          // the caller gave an Idempotency-Key
+  int64_t prompt_tokens = 0;   // upper bound
+  int64_t max_output_tokens = 0;
+  int64_t reserved_tokens = 0;
+  absl::Time deadline = absl::InfiniteFuture();  // the caller's own
+  std::vector<std::function<void()>> on_end;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_ROUTER_REQUEST_CONTEXT_H_
--- /dev/null
+++ b/hawthornhollow/router/request_runner.h
@@ -0,0 +1,182 @@
+#ifndef HAWTHORNHOLLOW_ROUTER_REQUEST_RUNNER_H_
+#define HAWTHORNHOLLOW_ROUTER_REQUEST_RUNNER_H_
+
+// Runs a request that has passed the filters: waits for a backend server,
+// claims where needed, dispatches, carries the answer, retries, and bills.
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "hawthornhollow/metrics/metrics.h"
+#include "hawthornhollow/router/budget_controller.h"
+#include "hawthornhollow/router/filter_chain.h"
+#include "hawthornhollow/router/gate_controller.h"
+#include "hawthornhollow/router/reply_relay.h"
+#include "hawthornhollow/router/scheduler.h"
+#include "hawthornhollow/scheduling/scheduling.h"
+
+namespace hawthornhollow {
+
+// Where keyed requests of this router run or ran, until their bills are folded:
+// a second request with the same key attaches there instead of running again.
+// Thread-safe.
+class LocalKeys {
+ public:
+  // The server is set once known; empty if the request ended without a run.
+  using Location = std::shared_ptr<OneShot<std::string>>;
+
+  // Null if the key is new (and is now registered).
+  Location FindOrAdd(const std::string& key);
+  void SetServer(const std::string& key, const std::string& server);
+  // The request certainly never ran, or its bill is folded.
+  void Remove(const std::string& key);
+  // The request ended; the key goes unless a server was set.
+  void RemoveUnlessRun(const std::string& key);
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, Location> locations_;
+};
+
+// What the runner works with. All outlive it.
+struct RunnerParts {
+  BudgetController& budgets;
+  GateController& gates;
+  Scheduler& scheduler;
+  MetricRegistry& metrics;
+  LocalKeys& keys;
+  std::string incarnation;
+};
+
+// The counter behind attempt numbers, unique on this router.
+class AttemptNumbers {
+ public:
+  int32_t Next() { return next_.fetch_add(1); }
+
+ private:
+  std::atomic<int32_t> next_{1};
+};
+
+// Answers a keyed request that was run, or is running, from its first outcome.
+class ReplayFilter {
+ public:
+  static constexpr std::string_view kName = "replay";
+  ReplayFilter(const RunnerParts& parts, AttemptNumbers& attempts)
+      : parts_(parts), attempts_(attempts) {}
+  FilterResult Apply(RequestContext& context, ResponseWriter& writer);
+
+ private:
+  struct Prior {
+    std::string server;
+    std::string gate_incarnation;  // empty if not known
+    std::optional<BudgetFold::ClaimState> claim;
+    bool billed = false;
+  };
+  FilterResult Register(RequestContext& context, ResponseWriter& writer);
+  std::optional<Prior> FindPrior(const RequestContext& context) const;
+  FilterResult Attach(RequestContext& context,
+                      ResponseWriter& writer,
+                      const Prior& prior);
+  FilterResult OnUnknownAtGate(const RequestContext& context,
+                               const Prior& prior,
+                               const std::string& gate_incarnation);
+  FilterResult OnUnreachable(const RequestContext& context, const Prior& prior);
+
+  const RunnerParts parts_;
+  AttemptNumbers& attempts_;
+};
+
+class RequestRunner {
+ public:
+  RequestRunner(const RunnerParts& parts, AttemptNumbers& attempts)
+      : parts_(parts), attempts_(attempts), retries_(0.1, 20) {}
+
+  // Answers the caller. `context` holds a reservation, which ends here.
+  void Run(RequestContext& context, ResponseWriter& writer);
+
+ private:
+  // The state of one request over its attempts.
+  struct Progress {
+    std::set<std::string> avoid;
+    int attempts = 0;
+    bool may_have_run = false;
+    int64_t tokens_seen = 0;
+  };
+  enum class Next { kDone, kRetry };
+
+  std::optional<std::string> WaitForServer(RequestContext& context,
+                                           const Progress& progress,
+                                           std::shared_ptr<Ticket>* ticket,
+                                           std::optional<ApiError>* error);
+  Next Attempt(RequestContext& context,
+               ResponseWriter& writer,
+               Progress& progress);
+  Next DispatchTo(RequestContext& context,
+                  ResponseWriter& writer,
+                  Progress& progress,
+                  const std::string& server,
+                  const Ticket& ticket);
+  std::optional<ApiError> ClaimFor(RequestContext& context,
+                                   const std::string& server,
+                                   const std::string& gate,
+                                   int64_t* fence);
+  Next Finish(RequestContext& context,
+              ResponseWriter& writer,
+              Progress& progress,
+              const std::string& server,
+              RelayEnd& end);
+  Next FinishEnded(RequestContext& context,
+                   ResponseWriter& writer,
+                   Progress& progress,
+                   const std::string& server,
+                   const RelayEnd& end,
+                   const fb::EndT& last);
+  Next FinishRefused(RequestContext& context,
+                     ResponseWriter& writer,
+                     Progress& progress,
+                     const std::string& server,
+                     const fb::RefusedT& refused);
+  Next FinishLost(RequestContext& context,
+                  ResponseWriter& writer,
+                  Progress& progress,
+                  const std::string& server,
+                  const RelayEnd& end,
+                  const std::string& reason);
+  // The gate confirmed that the claimed attempt never ran.
+  void ReleaseOwnClaim(const RequestContext& context);
+  bool MayRetry(const Progress& progress);
+  void Bill(const RequestContext& context,
+            const std::string& server,
+            int64_t prompt_tokens,
+            int64_t output_tokens,
+            int64_t charged_tokens,
+            Outcome outcome);
+  void GiveUp(RequestContext& context,
+              ResponseWriter& writer,
+              const Progress& progress,
+              const ApiError& error);
+  fb::DispatchT DispatchFrame(const RequestContext& context,
+                              const Call& call,
+                              int64_t fence) const;
+
+  const RunnerParts parts_;
+  AttemptNumbers& attempts_;
+  std::mutex retries_mutex_;
+  RetryBudget retries_;
+};
+
+// Tells the caller of a failure, as an answer or, in a stream that has begun,
+// as its last event before the connection is closed.
+void SendFailure(ResponseWriter& writer,
+                 const ApiError& error,
+                 const std::string& request_id,
+                 bool head_sent);
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_ROUTER_REQUEST_RUNNER_H_
--- /dev/null
+++ b/hawthornhollow/router/router_instance.cc
@@ -0,0 +1,423 @@
+#include "hawthornhollow/router/router_instance.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "hawthornhollow/base/base.h"
+
+namespace hawthornhollow {
+namespace {
+
+namespace json = boost::json;
+
+constexpr absl::Duration kTick = absl::Milliseconds(10);
+constexpr absl::Duration kVmPoll = absl::Seconds(1);
+// The balancer is told of a shutdown this long before connections are refused.
+constexpr absl::Duration kDrainNotice = absl::Seconds(1);
+constexpr absl::Duration kFlushTimeout = absl::Seconds(10);
+constexpr absl::Duration kAbandonTimeout = absl::Seconds(5);
+
+HttpResponse JsonResponse(const json::value& body) {
+  HttpResponse response;
+  response.headers = {{"Content-Type", "application/json"}};
+  response.body = json::serialize(body) + "\n";
+  return response;
+}
+
+json::object BudgetJson(const BudgetStatus& status) {
+  json::object budget;
+  budget["budget"] = status.budget;
+  budget["voted"] = status.voted;
+  budget["spent"] = status.spent;
+  budget["held"] = status.held_by_all;
+  budget["held_here"] = status.held_here;
+  budget["bills"] = status.bills;
+  return budget;
+}
+
+}  // namespace
+
+RouterInstance::RouterInstance(Runtime& runtime, const RouterSettings& settings)
+    : runtime_(runtime),
+      settings_(settings),
+      incarnation_(settings.name + "-" + RandomId()),
+      fibers_(runtime),
+      classify_(incarnation_) {}
+
+RouterInstance::~RouterInstance() = default;
+
+absl::StatusOr<std::unique_ptr<RouterInstance>> RouterInstance::Create(
+    Runtime& runtime,
+    const RouterSettings& settings) {
+  std::unique_ptr<RouterInstance> instance(
+      new RouterInstance(runtime, settings));
+  if (absl::Status status = instance->Init(); !status.ok()) {
+    instance->StopFibers();
+    return status;
+  }
+  return instance;
+}
+
+absl::Status RouterInstance::Init() {
+  auto log_endpoint = Endpoint::Parse(settings_.log_service);
+  if (!log_endpoint.ok())
+    return log_endpoint.status();
+  log_ = std::make_unique<HttpLogClient>(*log_endpoint);
+  if (!settings_.vm_list.empty()) {
+    auto endpoint = Endpoint::Parse(settings_.vm_list);
+    if (!endpoint.ok())
+      return endpoint.status();
+    vm_list_ = std::make_unique<HttpVmListClient>(*endpoint);
+  }
+
+  BudgetControllerOptions budget_options;
+  budget_options.shards = static_cast<size_t>(settings_.ledger_shards);
+  budgets_ = std::make_unique<BudgetController>(
+      *log_, fibers_, metrics_, incarnation_, budget_options,
+      [this](const std::string& request, const std::string& server) {
+        keys_.Remove(request);
+        gates_->SendSettled(server, request);
+      });
+
+  fb::HelloT self;
+  self.name = settings_.name;
+  self.incarnation = incarnation_;
+  self.protocol = kFrameProtocol;
+  gates_ = std::make_unique<GateController>(fibers_, self, LinkEvents());
+
+  MembershipOptions membership;
+  membership.name = settings_.name;
+  membership.failure_domain = settings_.failure_domain;
+  membership.incarnation = incarnation_;
+  membership_ = std::make_unique<MembershipController>(*log_, fibers_,
+                                                       membership, Hooks());
+
+  ConfigControllerOptions config;
+  config.name = settings_.name;
+  config.incarnation = incarnation_;
+  auto peer_listen = Endpoint::Parse(settings_.peer_listen);
+  if (!peer_listen.ok())
+    return peer_listen.status();
+  config.peer_listen = *peer_listen;
+  for (const std::string& peer : settings_.peers) {
+    auto endpoint = Endpoint::Parse(peer);
+    if (!endpoint.ok())
+      return endpoint.status();
+    if (*endpoint != *peer_listen)
+      config.peers.push_back(*endpoint);
+  }
+  caller_limit_.SetRouterCount(config.peers.size() + 1);
+  auto controller = ConfigController::Create(
+      runtime_, *log_, fibers_, config,
+      [this](std::shared_ptr<const ConfigSnapshot> s) { OnConfig(s); });
+  if (!controller.ok())
+    return controller.status();
+  config_ = std::move(*controller);
+
+  RunnerParts parts{*budgets_, *gates_, scheduler_,
+                    metrics_,  keys_,   incarnation_};
+  authenticate_ = std::make_unique<AuthenticateFilter>(*config_);
+  replay_ = std::make_unique<ReplayFilter>(parts, attempts_);
+  budget_ = std::make_unique<BudgetFilter>(*budgets_);
+  runner_ = std::make_unique<RequestRunner>(parts, attempts_);
+
+  HttpServerOptions http;
+  auto listen = Endpoint::Parse(settings_.listen);
+  if (!listen.ok())
+    return listen.status();
+  http.local = *listen;
+  http.max_connections = static_cast<size_t>(settings_.max_connections);
+  auto server = HttpServer::Start(
+      runtime_, http, [this](const HttpRequest& request, ResponseWriter& w) {
+        Handle(request, w);
+      });
+  if (!server.ok())
+    return server.status();
+  server_ = std::move(*server);
+
+  budgets_->Start();
+  membership_->Start();
+  config_->Start();
+  fibers_.Spawn([this] { TickLoop(); });
+  if (vm_list_)
+    fibers_.Spawn([this] { PollVms(); });
+  return absl::OkStatus();
+}
+
+GateLinkEvents RouterInstance::LinkEvents() {
+  GateLinkEvents events;
+  events.on_connected = [this](const std::string& server, bool connected) {
+    scheduler_.SetConnected(server, connected);
+  };
+  events.on_load = [this](const std::string& server, const fb::LoadT& load) {
+    scheduler_.OnLoad(server, load.running, load.leaving);
+  };
+  return events;
+}
+
+MembershipHooks RouterInstance::Hooks() {
+  MembershipHooks hooks;
+  hooks.on_fenced = [this] { ready_ = false; };
+  hooks.has_calls_through = [this](const std::string& gate) {
+    return gates_->HasCallsThrough(gate);
+  };
+  hooks.flush_bills = [this](absl::Duration timeout) {
+    return budgets_->Flush(timeout);
+  };
+  hooks.is_account_closed = [this](const std::string& incarnation) {
+    return budgets_->IsAccountClosed(incarnation);
+  };
+  hooks.close_accounts = [this](const std::string& incarnation, bool charge) {
+    budgets_->CloseAccounts(incarnation, charge);
+  };
+  return hooks;
+}
+
+absl::Status RouterInstance::Open(absl::Duration timeout) {
+  if (absl::Status s = config_->WaitCaughtUp(timeout); !s.ok())
+    return s;
+  if (absl::Status s = budgets_->WaitCaughtUp(timeout); !s.ok())
+    return s;
+  if (absl::Status s = membership_->Open(timeout); !s.ok())
+    return s;
+  ready_ = !fenced();
+  LogEvent("router.ready")
+      .Add("incarnation", incarnation_)
+      .Add("failure_domain", settings_.failure_domain)
+      .Add("listen", server_->local().ToString());
+  return absl::OkStatus();
+}
+
+// ---------------------------------------------------------------------------
+// Requests
+
+void RouterInstance::Handle(const HttpRequest& request,
+                            ResponseWriter& writer) {
+  std::string path(request.Path());
+  if (path == "/healthz")
+    writer.Send(Health()).IgnoreError();
+  else if (path == "/metrics")
+    writer.Send(Metrics()).IgnoreError();
+  else if (path == "/status")
+    writer.Send(StatusPage()).IgnoreError();
+  else if (path == "/v1/models")
+    writer.Send(ModelsPage()).IgnoreError();
+  else
+    HandleCall(request, writer);
+}
+
+void RouterInstance::HandleCall(const HttpRequest& request,
+                                ResponseWriter& writer) {
+  RequestContext context(request);
+  if (!ready_) {
+    writer
+        .Send(RenderError({503, "not_ready", "this router is not serving yet",
+                           RunState::kNotRun, absl::Seconds(1)},
+                          ""))
+        .IgnoreError();
+    return;
+  }
+  auto presence = context.presence;
+  writer.OnClientGone([presence] { presence->MarkGone(); });
+  FilterChain chain(*authenticate_, classify_, caller_limit_, *replay_,
+                    *budget_);
+  auto [result, filter] = chain.Apply(context, writer);
+  CountResult(context, filter, result);
+  if (const auto* error = std::get_if<ApiError>(&result)) {
+    writer.Send(RenderError(*error, context.request_key)).IgnoreError();
+    return;
+  }
+  if (std::holds_alternative<Answered>(result))
+    return;
+  runner_->Run(context, writer);
+  metrics_.Observe("request_seconds", {{"rank", context.rank->name}},
+                   absl::ToDoubleSeconds(absl::Now() - context.arrived));
+}
+
+void RouterInstance::CountResult(const RequestContext& context,
+                                 std::string_view filter,
+                                 const FilterResult& result) {
+  std::string outcome = "passed";
+  if (const auto* error = std::get_if<ApiError>(&result))
+    outcome = error->code;
+  else if (std::holds_alternative<Answered>(result))
+    outcome = "replayed";
+  std::string rank = context.rank ? context.rank->name : "none";
+  metrics_.Count("requests_total", {{"rank", rank}, {"outcome", outcome}});
+  if (outcome == "passed")
+    return;
+  LogEvent("request.ended_in_filter")
+      .Add("filter", filter)
+      .Add("outcome", outcome)
+      .Add("request", context.request_key);
+}
+
+// ---------------------------------------------------------------------------
+// Controllers
+
+void RouterInstance::OnConfig(
+    const std::shared_ptr<const ConfigSnapshot>& snapshot) {
+  scheduler_.SetConfig(*snapshot->configuration, absl::Now());
+  gates_->SetServers(snapshot->configuration->servers());
+  budgets_->SetConfig(snapshot->configuration, snapshot->version);
+}
+
+void RouterInstance::TickLoop() {
+  absl::Time tidied = absl::Now();
+  while (!fibers_.stopped()) {
+    scheduler_.Tick();
+    if (absl::Now() - tidied > absl::Seconds(1)) {
+      tidied = absl::Now();
+      gates_->Tidy();
+    }
+    SleepFor(kTick);
+  }
+}
+
+void RouterInstance::PollVms() {
+  while (!fibers_.stopped()) {
+    auto vms = vm_list_->List();
+    if (vms.ok()) {
+      std::set<std::string> names;
+      std::set<std::string> leaving;
+      for (const VmEntry& vm : *vms) {
+        names.insert(vm.name);
+        if (vm.leaving)
+          leaving.insert(vm.name);
+      }
+      membership_->OnVmList(names);
+      scheduler_.SetLeavingVms(leaving);
+    }
+    SleepFor(kVmPoll);
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Ending
+
+void RouterInstance::ShutDown() {
+  draining_ = true;
+  LogEvent("router.draining").Add("incarnation", incarnation_);
+  SleepFor(kDrainNotice);
+  absl::Status drained = server_->Drain(absl::Seconds(settings_.drain_seconds));
+  if (!drained.ok())
+    LogEvent("router.drain_incomplete", LogSeverity::kWarning)
+        .Add("reason", drained);
+  if (drained.ok() && budgets_->Flush(kFlushTimeout).ok()) {
+    budgets_->CloseAccounts(incarnation_, false);
+    if (budgets_->Flush(kFlushTimeout).ok())
+      membership_->Close(kFlushTimeout).IgnoreError();
+  }
+  StopFibers();
+  LogEvent("router.stopped").Add("incarnation", incarnation_);
+}
+
+void RouterInstance::Abandon() {
+  draining_ = true;
+  if (gates_)
+    gates_->Stop();
+  server_->Drain(kAbandonTimeout).IgnoreError();
+  StopFibers();
+}
+
+void RouterInstance::StopFibers() {
+  if (gates_)
+    gates_->Stop();
+  if (config_)
+    config_->Stop();
+  fibers_.StopAndWait();
+}
+
+// ---------------------------------------------------------------------------
+// Pages
+
+HttpResponse RouterInstance::Health() const {
+  json::object body;
+  std::string state = "ready";
+  if (draining_)
+    state = "draining";
+  else if (!ready_)
+    state = "starting";
+  else if (!config_->IsCurrent() || !config_->snapshot())
+    state = "configuration not current";
+  body["state"] = state;
+  HttpResponse response = JsonResponse(body);
+  response.status = state == "ready" ? 200 : 503;
+  return response;
+}
+
+HttpResponse RouterInstance::Metrics() {
+  StreamWriterStats stats = budgets_->WriterStats();
+  metrics_.Set("log_appends", {}, static_cast<double>(stats.appends));
+  metrics_.Set("log_append_retries", {}, static_cast<double>(stats.retries));
+  metrics_.Set("log_records", {}, static_cast<double>(stats.records));
+  metrics_.Set("log_bytes", {}, static_cast<double>(stats.bytes));
+  ConfigTraffic traffic = config_->traffic();
+  metrics_.Set("config_notices", {}, static_cast<double>(traffic.notices_sent));
+  metrics_.Set("config_notice_bytes", {},
+               static_cast<double>(traffic.notice_bytes_sent));
+  for (const PoolStatus& pool : scheduler_.Status()) {
+    metrics_.Set("pool_waiting", {{"pool", pool.pool}},
+                 static_cast<double>(pool.waiting));
+    metrics_.Set("pool_free_slots", {{"pool", pool.pool}},
+                 static_cast<double>(pool.free_slots));
+  }
+  HttpResponse response;
+  response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+  response.body = metrics_.Render();
+  return response;
+}
+
+HttpResponse RouterInstance::StatusPage() const {
+  json::object body;
+  body["name"] = settings_.name;
+  body["incarnation"] = incarnation_;
+  body["failure_domain"] = settings_.failure_domain;
+  body["ready"] = ready_.load();
+  body["draining"] = draining_.load();
+  body["current"] = config_->IsCurrent();
+  body["log_reachable"] = budgets_->LogReachable();
+  json::object version;
+  if (auto snapshot = config_->snapshot()) {
+    version["version"] = snapshot->version;
+    version["id"] = snapshot->id;
+    version["since_ms"] = absl::ToUnixMillis(snapshot->since);
+  } else {
+    version["version"] = 0;
+  }
+  body["config"] = std::move(version);
+  json::array budgets;
+  for (const BudgetStatus& status : budgets_->Status())
+    budgets.push_back(BudgetJson(status));
+  body["budgets"] = std::move(budgets);
+  json::array pools;
+  for (const PoolStatus& pool : scheduler_.Status()) {
+    json::object item;
+    item["pool"] = pool.pool;
+    item["waiting"] = pool.waiting;
+    item["free_slots"] = pool.free_slots;
+    pools.push_back(std::move(item));
+  }
+  body["pools"] = std::move(pools);
+  return JsonResponse(body);
+}
+
+HttpResponse RouterInstance::ModelsPage() const {
+  json::array data;
+  if (auto snapshot = config_->snapshot()) {
+    for (const Model& model : snapshot->configuration->models()) {
+      json::object item;
+      item["id"] = model.name;
+      item["object"] = "model";
+      data.push_back(std::move(item));
+    }
+  }
+  json::object body;
+  body["object"] = "list";
+  body["data"] = std::move(data);
+  return JsonResponse(body);
+}
+
+}  // namespace hawthornhollow
--- /dev/null
+++ b/hawthornhollow/router/router_instance.h
@@ -0,0 +1,97 @@
+#ifndef HAWTHORNHOLLOW_ROUTER_ROUTER_INSTANCE_H_
+#define HAWTHORNHOLLOW_ROUTER_ROUTER_INSTANCE_H_
+
+// One incarnation of a router: its controllers, its filters, and its HTTP
+// server. A router that was fenced ends its instance and begins another.
+
+#include <atomic>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "hawthornhollow/config/config.h"
+#include "hawthornhollow/http/http.h"
+#include "hawthornhollow/metrics/metrics.h"
+#include "hawthornhollow/router/budget_controller.h"
+#include "hawthornhollow/router/config_controller.h"
+#include "hawthornhollow/router/filters.h"
+#include "hawthornhollow/router/gate_controller.h"
+#include "hawthornhollow/router/membership_controller.h"
+#include "hawthornhollow/router/request_runner.h"
+#include "hawthornhollow/router/scheduler.h"
+
+namespace hawthornhollow {
+
+class RouterInstance {
+ public:
+  // Listens; /healthz says 503 until Open has succeeded.
+  static absl::StatusOr<std::unique_ptr<RouterInstance>> Create(
+      Runtime& runtime,
+      const RouterSettings& settings);
+  RouterInstance(const RouterInstance&) = delete;
+  RouterInstance& operator=(const RouterInstance&) = delete;
+  ~RouterInstance();
+
+  // Reads the log to its end and opens this incarnation in it. Blocks the
+  // calling fiber; may be called again after a failure.
+  absl::Status Open(absl::Duration timeout);
+
+  bool fenced() const { return membership_->fenced(); }
+
+  // Finishes what is in flight, gives back grants, flushes bills and ends the
+  // incarnation. Blocks the calling fiber.
+  void ShutDown();
+  // Ends at once what is in flight, for a fenced incarnation.
+  void Abandon();
+
+ private:
+  RouterInstance(Runtime& runtime, const RouterSettings& settings);
+  absl::Status Init();
+  MembershipHooks Hooks();
+  GateLinkEvents LinkEvents();
+  void Handle(const HttpRequest& request, ResponseWriter& writer);
+  void HandleCall(const HttpRequest& request, ResponseWriter& writer);
+  void CountResult(const RequestContext& context,
+                   std::string_view filter,
+                   const FilterResult& result);
+  void OnConfig(const std::shared_ptr<const ConfigSnapshot>& snapshot);
+  void PollVms();
+  void TickLoop();
+  void StopFibers();
+  HttpResponse Health() const;
+  HttpResponse Metrics();
+  HttpResponse StatusPage() const;
+  HttpResponse ModelsPage() const;
+
+  Runtime& runtime_;
+  const RouterSettings settings_;
+  const std::string incarnation_;
+  std::atomic<bool> ready_{false};
+  std::atomic<bool> draining_{false};
+
+  std::unique_ptr<HttpLogClient> log_;
+  std::unique_ptr<HttpVmListClient> vm_list_;
+  MetricRegistry metrics_;
+  FiberGroup fibers_;
+  LocalKeys keys_;
+  AttemptNumbers attempts_;
+  Scheduler scheduler_;
+  std::unique_ptr<BudgetController> budgets_;
+  std::unique_ptr<GateController> gates_;
+  std::unique_ptr<MembershipController> membership_;
+  std::unique_ptr<ConfigController> config_;
+
+  std::unique_ptr<AuthenticateFilter> authenticate_;
+  ClassifyFilter classify_;
+  CallerLimitFilter caller_limit_;
+  std::unique_ptr<ReplayFilter> replay_;
+  std::unique_ptr<BudgetFilter> budget_;
+  std::unique_ptr<RequestRunner> runner_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_ROUTER_ROUTER_INSTANCE_H_
--- /dev/null
+++ b/hawthornhollow/router/scheduler.cc
@@ -0,0 +1,257 @@
+#include "hawthornhollow/router/scheduler.h"
+
+#include <utility>
+
+namespace hawthornhollow {
+
+std::string ModelPool(std::string_view model) {
+  return "model:" + std::string(model);
+}
+
+std::string ServicePool(std::string_view service) {
+  return "service:" + std::string(service);
+}
+
+struct Scheduler::Pool {
+  Pool(std::string pool_name, const RankQueueOptions& options)
+      : name(std::move(pool_name)),
+        queue(options),
+        chooser(ServerChooserOptions()) {}
+
+  const std::string name;
+  std::mutex mutex;
+  RankQueue queue;
+  ServerChooser chooser;
+  std::map<std::string, ServerView> views;
+  std::set<std::string> leaving_vms;
+  std::map<uint64_t, std::shared_ptr<Ticket>> tickets;  // waiting
+
+  // Takes a waiting ticket out; null if it is not here.
+  std::shared_ptr<Ticket> TakeTicket(uint64_t id) {
+    auto found = tickets.find(id);
+    if (found == tickets.end())
+      return nullptr;
+    auto ticket = std::move(found->second);
+    tickets.erase(found);
+    return ticket;
+  }
+};
+
+namespace {
+
+std::vector<RankPolicy> PoliciesOf(const Configuration& config) {
+  std::vector<RankPolicy> policies;
+  for (const Rank& rank : config.ranks()) {
+    RankPolicy policy;
+    policy.name = rank.name;
+    policy.order = rank.order;
+    policy.target = absl::Milliseconds(rank.target_ms);
+    policy.floor = rank.floor;
+    policies.push_back(policy);
+  }
+  return policies;
+}
+
+std::string PoolOf(const Server& server) {
+  return server.model.empty() ? ServicePool(server.service)
+                              : ModelPool(server.model);
+}
+
+}  // namespace
+
+Scheduler::Scheduler() = default;
+
+void Scheduler::SetConfig(const Configuration& config, absl::Time now) {
+  std::vector<RankPolicy> policies = PoliciesOf(config);
+  std::map<std::string, std::vector<ServerView>> views;
+  std::map<std::string, std::string> pool_of_server;
+  for (const Model& model : config.models())
+    views[ModelPool(model.name)];
+  for (const Service& service : config.services())
+    views[ServicePool(service.name)];
+  for (const Server& server : config.servers()) {
+    ServerView view;
+    view.name = server.name;
+    view.slots = server.slots;
+    view.leaving = server.state == ServerState::kLeaving;
+    views[PoolOf(server)].push_back(view);
+    pool_of_server[server.name] = PoolOf(server);
+  }
+  std::unique_lock lock(mutex_);
+  pool_of_server_ = std::move(pool_of_server);
+  for (auto& [name, servers] : views) {
+    auto& pool = pools_[name];
+    if (!pool) {
+      RankQueueOptions options;
+      options.ranks = policies;
+      pool = std::make_shared<Pool>(name, options);
+    }
+    std::lock_guard pool_lock(pool->mutex);
+    pool->queue.SetRanks(policies);
+    std::map<std::string, ServerView> next;
+    for (ServerView& view : servers) {
+      auto before = pool->views.find(view.name);
+      if (before != pool->views.end())
+        view.connected = before->second.connected;
+      next[view.name] = view;
+      view.leaving = view.leaving || pool->leaving_vms.contains(view.name);
+    }
+    pool->views = std::move(next);
+    pool->chooser.SetServers(servers, now);
+  }
+}
+
+std::shared_ptr<Scheduler::Pool> Scheduler::FindPool(
+    const std::string& name) const {
+  std::shared_lock lock(mutex_);
+  auto found = pools_.find(name);
+  return found == pools_.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<Scheduler::Pool> Scheduler::PoolOfServer(
+    const std::string& server) const {
+  std::shared_lock lock(mutex_);
+  auto found = pool_of_server_.find(server);
+  if (found == pool_of_server_.end())
+    return nullptr;
+  auto pool = pools_.find(found->second);
+  return pool == pools_.end() ? nullptr : pool->second;
+}
+
+std::vector<std::shared_ptr<Scheduler::Pool>> Scheduler::Pools() const {
+  std::shared_lock lock(mutex_);
+  std::vector<std::shared_ptr<Pool>> pools;
+  for (const auto& [name, pool] : pools_)
+    pools.push_back(pool);
+  return pools;
+}
+
+void Scheduler::SetConnected(const std::string& server, bool connected) {
+  auto pool = PoolOfServer(server);
+  if (!pool)
+    return;
+  std::lock_guard lock(pool->mutex);
+  pool->views[server].connected = connected;
+  pool->chooser.SetConnected(server, connected, absl::Now());
+  Pump(*pool, absl::Now());
+}
+
+void Scheduler::OnLoad(const std::string& server,
+                       int64_t running,
+                       bool leaving) {
+  auto pool = PoolOfServer(server);
+  if (!pool)
+    return;
+  std::lock_guard lock(pool->mutex);
+  pool->chooser.OnReport(server, running, absl::Now());
+  bool was_marked =
+      pool->views[server].leaving || pool->leaving_vms.contains(server);
+  pool->chooser.SetLeaving(server, leaving || was_marked);
+  Pump(*pool, absl::Now());
+}
+
+void Scheduler::SetLeavingVms(const std::set<std::string>& servers) {
+  for (const auto& pool : Pools()) {
+    std::lock_guard lock(pool->mutex);
+    pool->leaving_vms = servers;
+    for (const auto& [name, view] : pool->views) {
+      if (servers.contains(name))
+        pool->chooser.SetLeaving(name, true);
+    }
+  }
+}
+
+void Scheduler::Enqueue(const std::shared_ptr<Ticket>& ticket) {
+  absl::Time now = absl::Now();
+  ticket->request.id = next_id_++;
+  auto pool = FindPool(ticket->pool);
+  if (!pool) {
+    ticket->result.Set(
+        Refusal{ticket->request.id, RefusalCause::kOverload, absl::Seconds(1)});
+    return;
+  }
+  std::lock_guard lock(pool->mutex);
+  if (auto refusal = pool->queue.Offer(ticket->request, now)) {
+    ticket->result.Set(*refusal);
+    return;
+  }
+  pool->tickets[ticket->request.id] = ticket;
+  Pump(*pool, now);
+}
+
+void Scheduler::Abandon(const std::shared_ptr<Ticket>& ticket) {
+  auto pool = FindPool(ticket->pool);
+  if (!pool)
+    return;
+  std::lock_guard lock(pool->mutex);
+  if (!pool->TakeTicket(ticket->request.id))
+    return;
+  pool->queue.Remove(ticket->request.id);
+  ticket->result.Set(CallerLeft{});
+}
+
+void Scheduler::Pump(Pool& pool, absl::Time now) {
+  while (pool.chooser.HasRoom(now)) {
+    auto request = pool.queue.Take(now);
+    if (!request)
+      return;
+    auto found = pool.tickets.find(request->id);
+    if (found == pool.tickets.end())
+      continue;
+    const Ticket& ticket = *found->second;
+    auto server = pool.chooser.Choose(ticket.affinity, ticket.avoid, now);
+    if (!server) {
+      pool.queue.PutBack(*request);
+      return;
+    }
+    pool.TakeTicket(request->id)->result.Set(Assignment{*server});
+  }
+}
+
+void Scheduler::OnFirstToken(const Ticket& ticket,
+                             const std::string& server,
+                             absl::Duration took) {
+  auto pool = FindPool(ticket.pool);
+  if (!pool)
+    return;
+  std::lock_guard lock(pool->mutex);
+  pool->chooser.OnFirstToken(server, took, absl::Now());
+}
+
+void Scheduler::OnFinished(const Ticket& ticket,
+                           const std::string& server,
+                           int64_t tokens,
+                           bool failed) {
+  auto pool = FindPool(ticket.pool);
+  if (!pool)
+    return;
+  std::lock_guard lock(pool->mutex);
+  absl::Time now = absl::Now();
+  pool->chooser.OnFinished(server, failed, now);
+  pool->queue.OnServed(tokens, now);
+  Pump(*pool, now);
+}
+
+void Scheduler::Tick() {
+  for (const auto& pool : Pools()) {
+    std::lock_guard lock(pool->mutex);
+    absl::Time now = absl::Now();
+    for (const Refusal& refusal : pool->queue.Expire(now)) {
+      if (auto ticket = pool->TakeTicket(refusal.id))
+        ticket->result.Set(refusal);
+    }
+    Pump(*pool, now);
+  }
+}
+
+std::vector<PoolStatus> Scheduler::Status() const {
+  std::vector<PoolStatus> status;
+  for (const auto& pool : Pools()) {
+    std::lock_guard lock(pool->mutex);
+    status.push_back({pool->name, pool->queue.waiting(),
+                      pool->chooser.FreeSlots(absl::Now())});
+  }
+  return status;
+}
+
+}  // namespace hawthornhollow
--- a/hawthornhollow/wire/frames_generated.h
+++ b/hawthornhollow/wire/frames_generated.h
@@ -2068,6 +2068,7 @@
   int64_t version = 0;
   int64_t offset = 0;
   std::vector<uint8_t> batch{};
+  bool log_read = false;
 };
 
 struct ConfigNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2077,7 +2078,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VERSION = 4,
     VT_OFFSET = 6,
-    VT_BATCH = 8
+    VT_BATCH = 8,
+    VT_LOG_READ = 10
   };
   int64_t version() const {
     return GetField<int64_t>(VT_VERSION, 0);
@@ -2088,12 +2090,16 @@
   const flatbuffers::Vector<uint8_t> *batch() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BATCH);
   }
+  bool log_read() const {
+    return GetField<uint8_t>(VT_LOG_READ, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<int64_t>(verifier, VT_OFFSET, 8) &&
            VerifyOffset(verifier, VT_BATCH) &&
            verifier.VerifyVector(batch()) &&
+           VerifyField<uint8_t>(verifier, VT_LOG_READ, 1) &&
            verifier.EndTable();
   }
   ConfigNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2114,6 +2120,9 @@
   void add_batch(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> batch) {
     fbb_.AddOffset(ConfigNotice::VT_BATCH, batch);
   }
+  void add_log_read(bool log_read) {
+    fbb_.AddElement<uint8_t>(ConfigNotice::VT_LOG_READ, static_cast<uint8_t>(log_read), 0);
+  }
   explicit ConfigNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2129,11 +2138,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t version = 0,
     int64_t offset = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> batch = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> batch = 0,
+    bool log_read = false) {
   ConfigNoticeBuilder builder_(_fbb);
   builder_.add_offset(offset);
   builder_.add_version(version);
   builder_.add_batch(batch);
+  builder_.add_log_read(log_read);
   return builder_.Finish();
 }
 
@@ -2146,13 +2157,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t version = 0,
     int64_t offset = 0,
-    const std::vector<uint8_t> *batch = nullptr) {
+    const std::vector<uint8_t> *batch = nullptr,
+    bool log_read = false) {
   auto batch__ = batch ? _fbb.CreateVector<uint8_t>(*batch) : 0;
   return hawthornhollow::fb::CreateConfigNotice(
       _fbb,
       version,
       offset,
-      batch__);
+      batch__,
+      log_read);
 }
 
 flatbuffers::Offset<ConfigNotice> CreateConfigNotice(flatbuffers::FlatBufferBuilder &_fbb, const ConfigNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2983,7 +2996,8 @@
   return
       (lhs.version == rhs.version) &&
       (lhs.offset == rhs.offset) &&
-      (lhs.batch == rhs.batch);
+      (lhs.batch == rhs.batch) &&
+      (lhs.log_read == rhs.log_read);
 }
 
 inline bool operator!=(const ConfigNoticeT &lhs, const ConfigNoticeT &rhs) {
@@ -3003,6 +3017,7 @@
   { auto _e = version(); _o->version = _e; }
   { auto _e = offset(); _o->offset = _e; }
   { auto _e = batch(); if (_e) { _o->batch.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->batch.begin()); } }
+  { auto _e = log_read(); _o->log_read = _e; }
 }
 
 inline flatbuffers::Offset<ConfigNotice> ConfigNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3016,11 +3031,13 @@
   auto _version = _o->version;
   auto _offset = _o->offset;
   auto _batch = _o->batch.size() ? _fbb.CreateVector(_o->batch) : 0;
+  auto _log_read = _o->log_read;
   return hawthornhollow::fb::CreateConfigNotice(
       _fbb,
       _version,
       _offset,
-      _batch);
+      _batch,
+      _log_read);
 }
 
 
