--- a/hawthornhollow/runtime/runtime.h
+++ b/hawthornhollow/runtime/runtime.h
@@ -62,20 +62,24 @@
 
   size_t thread_count() const;
 
-  // Blocks the calling (plain) thread until Stop() is called or, when
-  // `stop_on_signals` is set, SIGTERM or SIGINT has been handled:
-  // `on_signal` runs on a fiber and the runtime stops when it returns.
+  // Blocks the calling (plain) thread until Stop() is called or SIGTERM or
+  // SIGINT has been handled: `on_signal`, if any, runs on a fiber of thread 0
+  // and the runtime stops when it returns. Further signals change nothing. No
+  // fiber runs any more when Run returns.
   void Run(std::function<void()> on_signal);
   void Run() { Run(nullptr); }
+  // Callable from any thread. Fibers get a short grace to end.
   void Stop();
 
  private:
+  friend class RuntimeAccess;  // asio_internal.h
   class Impl;
   explicit Runtime(std::unique_ptr<Impl> impl);
   std::unique_ptr<Impl> impl_;
 };
 
-// Blocks the calling fiber.
+// Blocks the calling fiber. Written with its namespace, as argument-dependent
+// lookup also finds absl::SleepFor, which blocks the thread.
 void SleepFor(absl::Duration duration);
 
 // A TCP connection used by one reading and one writing fiber at a time, both on
@@ -91,7 +95,8 @@
   ~TcpStream();
 
   // Fills `size` bytes. OUT_OF_RANGE at a clean end before the first byte,
-  // DATA_LOSS at an end within them, DEADLINE_EXCEEDED after `timeout`.
+  // DATA_LOSS at an end within them, DEADLINE_EXCEEDED after `timeout`. A read
+  // or write that timed out leaves the stream closed.
   absl::Status ReadFull(char* data, size_t size, absl::Duration timeout);
   absl::Status Write(std::string_view data, absl::Duration timeout);
   // Fails reads and writes in progress. Callable from any thread.
