HTTP server and client over Beast; stop listening with the backlog served

Cause: callers, engines, operators and the platform speak HTTP. Change: http.h implemented; Acceptor shared by runtime and http. Ruled out: Beast's timeout for requests (it closes before a 408 can go out). Conclusion: others can link against it.

--- /dev/null
+++ b/hawthornhollow/http/beast_internal.h
@@ -0,0 +1,32 @@
+#ifndef HAWTHORNHOLLOW_HTTP_BEAST_INTERNAL_H_
+#define HAWTHORNHOLLOW_HTTP_BEAST_INTERNAL_H_
+
+// Conversions between Beast's messages and this library's. Private to http.
+
+#include <boost/beast/http/fields.hpp>
+
+#include "hawthornhollow/http/http.h"
+
+namespace hawthornhollow {
+
+// What can be learned of a socket without reading from it.
+enum class SocketState {
+  kQuiet,   // open, nothing to read
+  kData,    // bytes are waiting
+  kClosed,  // ended by the peer or broken
+};
+
+// Looks at a socket without blocking or taking bytes from it.
+SocketState PeekSocket(int file_descriptor);
+
+HttpHeaders CopyHeaders(const boost::beast::http::fields& fields);
+
+// Adds `headers` but those that frame the message (Content-Length,
+// Transfer-Encoding, Connection) and those with control characters, which
+// could split the message.
+void AppendHeaders(const HttpHeaders& headers,
+                   boost::beast::http::fields* fields);
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_HTTP_BEAST_INTERNAL_H_
--- /dev/null
+++ b/hawthornhollow/http/client_watch.cc
@@ -0,0 +1,57 @@
+#include "hawthornhollow/http/client_watch_internal.h"
+
+#include "hawthornhollow/http/beast_internal.h"
+
+namespace hawthornhollow {
+
+void ClientWatch::Start(std::function<void()> callback) {
+  if (stopping_)
+    return;
+  callback_ = std::move(callback);
+  if (!pending_)
+    Arm();
+}
+
+void ClientWatch::Arm() {
+  pending_ = true;
+  socket_->async_wait(
+      Socket::wait_read,
+      [this](const boost::system::error_code& error) { OnReadable(error); });
+}
+
+void ClientWatch::OnReadable(const boost::system::error_code& error) {
+  pending_ = false;
+  if (error || stopping_) {
+    ended_.Done();
+    return;
+  }
+  switch (PeekSocket(socket_->native_handle())) {
+    case SocketState::kQuiet:
+      Arm();
+      break;
+    case SocketState::kData:
+      break;
+    case SocketState::kClosed:
+      ReportGone();
+      break;
+  }
+}
+
+void ClientWatch::ReportGone() {
+  gone_ = true;
+  const std::function<void()> callback = std::exchange(callback_, nullptr);
+  if (callback)
+    callback();
+}
+
+void ClientWatch::Stop() {
+  stopping_ = true;
+  callback_ = nullptr;
+  if (!pending_)
+    return;
+  boost::system::error_code ignored;
+  socket_->cancel(ignored);
+  ended_.Wait();
+}
+
+}  // namespace hawthornhollow
--- a/hawthornhollow/runtime/acceptor.cc
+++ b/hawthornhollow/runtime/acceptor.cc
@@ -83,15 +83,13 @@
 }
 
 void Acceptor::Close() {
-  if (thread_->halted()) {
+  thread_->DispatchOrRun([self = shared_from_this()] {
     error_code ignored;
-    acceptor_.close(ignored);
-    return;
-  }
-  thread_->Dispatch([self = shared_from_this()] { self->CloseOnThread(); });
+    self->acceptor_.close(ignored);
+  });
 }
 
-void Acceptor::CloseOnThread() {
+void Acceptor::CloseAfterBacklog() {
   error_code error;
   while (acceptor_.is_open() && handler_) {
     Socket socket(thread_->context());
--- a/hawthornhollow/runtime/asio_internal.h
+++ b/hawthornhollow/runtime/asio_internal.h
@@ -18,6 +18,7 @@
 #include <boost/beast/core/rate_policy.hpp>
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -39,10 +40,10 @@
 using SocketAcceptor =
     boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, IoExecutor>;
 // A socket with timeouts.
-using TimedStream = boost::beast::basic_stream<boost::asio::ip::tcp,
-                                               IoExecutor,
-                                               boost::beast::
-                                                   unlimited_rate_policy>;
+using TimedStream =
+    boost::beast::basic_stream<boost::asio::ip::tcp,
+                               IoExecutor,
+                               boost::beast::unlimited_rate_policy>;
 
 // Blocks one fiber until a handler of the same thread says that it is done.
 class FiberWait {
@@ -112,6 +113,8 @@
   // Runs `task` on this thread as a handler, which must not block; at once if
   // called on it. Callable from any thread.
   void Dispatch(std::function<void()> task);
+  // As Dispatch, but runs `task` on the caller's thread if this one has halted.
+  void DispatchOrRun(std::function<void()> task);
 
   // The body of the thread. Returns after Stop().
   void Run();
@@ -165,15 +168,16 @@
   // Runs `handler` on the thread for each connection; it must not block.
   // Callable from any thread, once.
   void Start(Handler handler);
-  // Hands over the connections that the kernel has already accepted and stops
-  // listening. Callable from any thread.
+  // Stops listening. Callable from any thread.
   void Close();
+  // As Close, but first hands over the connections that the kernel has already
+  // accepted. On the acceptor's thread.
+  void CloseAfterBacklog();
 
  private:
   absl::Status Listen(bool share_port);
   void AcceptLoop();
   bool AcceptOne();
-  void CloseOnThread();
 
   std::shared_ptr<IoThread> thread_;
   SocketAcceptor acceptor_;
@@ -189,6 +193,10 @@
 boost::asio::ip::tcp::endpoint ToAsio(const Endpoint& endpoint);
 Endpoint FromAsio(const boost::asio::ip::tcp::endpoint& endpoint);
 
+// As a clock's duration from now: at least zero, and cut to a year so that it
+// can be added to any point of time.
+std::chrono::nanoseconds ToBoundedNanoseconds(absl::Duration duration);
+
 // Bounds the next operations of `stream`; an infinite duration is no bound.
 void SetTimeout(TimedStream* stream, absl::Duration timeout);
 
--- a/hawthornhollow/runtime/endpoint.cc
+++ b/hawthornhollow/runtime/endpoint.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/core/error.hpp>
 
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr uint32_t kMaxPort = 65535;
+constexpr absl::Duration kLongestWait = absl::Hours(24 * 365);
 
 absl::Status InvalidEndpoint(std::string_view text) {
   return ErrorAt(absl::StatusCode::kInvalidArgument, "endpoint.parse", text,
@@ -68,11 +70,16 @@
   return ErrorAt(code, step, peer, error.message());
 }
 
+std::chrono::nanoseconds ToBoundedNanoseconds(absl::Duration duration) {
+  return absl::ToChronoNanoseconds(
+      std::clamp(duration, absl::ZeroDuration(), kLongestWait));
+}
+
 void SetTimeout(TimedStream* stream, absl::Duration timeout) {
   if (timeout == absl::InfiniteDuration())
     stream->expires_never();
   else
-    stream->expires_after(absl::ToChronoNanoseconds(timeout));
+    stream->expires_after(ToBoundedNanoseconds(timeout));
 }
 
 absl::Status ConnectStream(TimedStream* stream,
--- a/hawthornhollow/runtime/io_thread.cc
+++ b/hawthornhollow/runtime/io_thread.cc
@@ -70,6 +70,13 @@
   boost::asio::post(context_, std::move(task));
 }
 
+void IoThread::DispatchOrRun(std::function<void()> task) {
+  if (halted())
+    task();
+  else
+    Dispatch(std::move(task));
+}
+
 void IoThread::Launch(std::function<void()> task) {
   ++live_fibers_;
   boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, stacks_,
--- a/hawthornhollow/runtime/runtime.cc
+++ b/hawthornhollow/runtime/runtime.cc
@@ -98,9 +98,8 @@
 }
 
 void Runtime::Impl::Run(std::function<void()> on_signal) {
-  threads_.front()->Dispatch([this, on_signal = std::move(on_signal)] {
-    WatchSignals(on_signal);
-  });
+  threads_.front()->Dispatch(
+      [this, on_signal = std::move(on_signal)] { WatchSignals(on_signal); });
   AwaitHalt();
 }
 
@@ -112,22 +111,22 @@
 }
 
 void Runtime::Impl::AwaitSignal(std::function<void()> on_signal) {
-  signals_->async_wait([this, on_signal](const boost::system::error_code& error,
-                                         int signal) {
-    if (error)
-      return;
-    LogEvent("runtime.signal")
-        .Add("signal", signal)
-        .Add("repeated", signalled_ ? 1 : 0);
-    if (!std::exchange(signalled_, true)) {
-      threads_.front()->Spawn([this, on_signal] {
-        if (on_signal)
-          on_signal();
-        Stop();
+  signals_->async_wait(
+      [this, on_signal](const boost::system::error_code& error, int signal) {
+        if (error)
+          return;
+        LogEvent("runtime.signal")
+            .Add("signal", signal)
+            .Add("repeated", signalled_ ? 1 : 0);
+        if (!std::exchange(signalled_, true)) {
+          threads_.front()->Spawn([this, on_signal] {
+            if (on_signal)
+              on_signal();
+            Stop();
+          });
+        }
+        AwaitSignal(nullptr);
       });
-    }
-    AwaitSignal(nullptr);
-  });
 }
 
 void Runtime::Impl::Stop() {
@@ -198,7 +197,7 @@
 }
 
 void SleepFor(absl::Duration duration) {
-  boost::this_fiber::sleep_for(absl::ToChronoNanoseconds(duration));
+  boost::this_fiber::sleep_for(ToBoundedNanoseconds(duration));
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/runtime/tcp_stream.cc
+++ b/hawthornhollow/runtime/tcp_stream.cc
@@ -122,9 +122,7 @@
 }
 
 void TcpStream::Impl::Close() {
-  if (state_->thread->halted())
-    return;
-  state_->thread->Dispatch([state = state_] { state->stream.close(); });
+  state_->thread->DispatchOrRun([state = state_] { state->stream.close(); });
 }
 
 absl::StatusOr<std::unique_ptr<TcpStream>> TcpStream::Connect(
