platform: declare StreamWriter and StreamFollower

Cause: the router and the gate are coded against these declarations. Change: both classes, their options, states and callbacks in platform.h; the definitions follow in stream_writer.h and stream_follower.h. Ruled out: calling on_verdicts with the fold's lock held, since a callback that calls WithFold would then block itself.

--- a/hawthornhollow/platform/platform.h
+++ b/hawthornhollow/platform/platform.h
@@ -5,20 +5,48 @@
 // and writes the log's streams.
 //
 //   HttpLogClient log(endpoint);
-//   auto writer = StreamWriter<HttpLogClient>::Create(...);
-//   writer->Append(record);               // group commit, idempotent retries
-//   StreamFollower<BudgetFold, HttpLogClient> follower(...);
-//   follower.Run(stop);                   // folds, checkpoints, gap recovery
+//   auto writer = StreamWriter<HttpLogClient>::Create(
+//       log, "budget-0", RandomId(), StreamWriterOptions());
+//   auto follower = StreamFollower<BudgetFold, HttpLogClient>::Create(
+//       log, "budget-0", StreamFollowerOptions(), {.on_verdicts = ...});
+//   follower->RegisterWriter(*writer);
+//   runtime.Spawn([&] { writer->Run(stop); });    // group commit, retries
+//   runtime.Spawn([&] { follower->Run(stop); });  // folds, gap recovery
+//
+//   // A verdict is learnt by reading one's own record back.
+//   auto sequence = writer->Append(GrantRequestRecord{...}, Urgency::kUrgent);
+//   auto verdict = follower->WaitApplied(writer->incarnation(), *sequence,
+//                                        absl::Seconds(1));
+//
+//   // Now and then, so that retention never outruns the fold.
+//   follower->MaybeCheckpoint(*writer);
+//
+// A `stop` flag is read at least every kStopPoll while a loop waits; a call of
+// the log in progress is waited for.
 
+#include <atomic>
+#include <chrono>
+#include <compare>
 #include <concepts>
 #include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
+#include "absl/random/random.h"
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
+#include "boost/fiber/condition_variable.hpp"
+#include "boost/fiber/mutex.hpp"
 #include "hawthornhollow/http/http.h"
 #include "hawthornhollow/ledger/ledger.h"
 
@@ -100,6 +128,318 @@
   HttpClient http_;
 };
 
+// ---------------------------------------------------------------------------
+// Writing a stream
+
+// The longest that a loop of this library waits before it reads its stop flag.
+inline constexpr absl::Duration kStopPoll = absl::Milliseconds(50);
+
+// How soon a record has to be appended.
+enum class Urgency {
+  kUrgent,  // StreamWriterOptions::urgent_gap after the append before it began
+  kLazy,    // within StreamWriterOptions::lazy_delay
+};
+
+struct StreamWriterOptions {
+  // The least time between the beginnings of two appends.
+  absl::Duration urgent_gap = absl::Milliseconds(10);
+  absl::Duration lazy_delay = absl::Milliseconds(200);
+  // One append's bounds. A larger record goes alone.
+  size_t max_batch_bytes = 256 * 1024;
+  size_t max_batch_records = 2'000;
+  // Records queued or in flight; Append fails above it.
+  size_t max_backlog_bytes = 16 * 1024 * 1024;
+  // Exponential backoff between tries of one append, with jitter.
+  absl::Duration retry_min = absl::Milliseconds(50);
+  absl::Duration retry_max = absl::Seconds(2);
+  friend auto operator<=>(const StreamWriterOptions&,
+                          const StreamWriterOptions&) = default;
+};
+
+struct StreamWriterStats {
+  int64_t appends = 0;  // calls of the log, tries again included
+  int64_t retries = 0;
+  int64_t records = 0;  // in appends that took effect
+  int64_t bytes = 0;    // of those appends
+  int64_t refused = 0;  // checkpoints that the log would not take
+  friend auto operator<=>(const StreamWriterStats&,
+                          const StreamWriterStats&) = default;
+};
+
+// Appends one process's records to one stream: one per (process, stream).
+// Thread-safe; blocking calls block the calling fiber only. stream_writer.h
+// says why records take effect once and in the order of their sequences.
+template <LogClient Log>
+class StreamWriter {
+ public:
+  // `incarnation` must never have written to the stream before: take a new one
+  // in each process. `log` must outlive the writer.
+  static std::unique_ptr<StreamWriter> Create(
+      Log& log,
+      std::string stream,
+      std::string incarnation,
+      const StreamWriterOptions& options);
+  StreamWriter(const StreamWriter&) = delete;
+  StreamWriter& operator=(const StreamWriter&) = delete;
+
+  const std::string& stream() const { return stream_; }
+  const std::string& incarnation() const { return incarnation_; }
+
+  // Queues a record, stamped with the wall clock, and returns its sequence
+  // (from 1) at once. RESOURCE_EXHAUSTED above the backlog's bound.
+  absl::StatusOr<int64_t> Append(RecordBody body, Urgency urgency);
+
+  // Appends what is queued until `stop`, which abandons what is not durable
+  // yet (see Flush). One fiber runs this, once.
+  void Run(const std::atomic<bool>& stop);
+
+  // OK once the record is in the log: an append that held it was acknowledged,
+  // or it was read back. DEADLINE_EXCEEDED: not known. FAILED_PRECONDITION: a
+  // checkpoint that the log would not take.
+  absl::Status WaitDurable(int64_t sequence, absl::Duration timeout);
+  // Appends lazy records too without delay, and waits until all are durable.
+  absl::Status Flush(absl::Duration timeout);
+
+  // A follower has read a record of `writer` in the log; others' are ignored.
+  void OnReadBack(std::string_view writer, int64_t sequence);
+
+  // Whether nothing more will happen to a record: durable or refused.
+  bool IsSettled(int64_t sequence) const;
+  size_t backlog_bytes() const;
+  StreamWriterStats stats() const;
+
+ private:
+  using SteadyTime = std::chrono::steady_clock::time_point;
+  struct Queued {
+    Record record;
+    size_t bytes = 0;
+  };
+  // One append's content. The bytes are the same in every try.
+  struct Pending {
+    std::string encoded;
+    int64_t last_sequence = 0;
+    int64_t records = 0;
+    size_t backlog_bytes = 0;
+    bool checkpoint = false;
+  };
+
+  StreamWriter(Log& log,
+               std::string stream,
+               std::string incarnation,
+               const StreamWriterOptions& options);
+  std::optional<Pending> NextPending(const std::atomic<bool>& stop);
+  std::vector<Record> TakeBatch(Pending* pending);
+  void AppendUntilSettled(const Pending& pending,
+                          const std::atomic<bool>& stop);
+  bool OnAppendFailed(const Pending& pending, const absl::Status& status);
+  bool WaitBeforeRetry(const Pending& pending,
+                       absl::Duration delay,
+                       const std::atomic<bool>& stop);
+  void Settle(const Pending& pending, bool refused);
+  void CountAppend(bool retry);
+
+  Log& log_;
+  const std::string stream_;
+  const std::string incarnation_;
+  const StreamWriterOptions options_;
+  absl::BitGen random_;  // used by Run's fiber only
+
+  mutable boost::fibers::mutex mutex_;
+  boost::fibers::condition_variable changed_;
+  std::deque<Queued> queue_;
+  SteadyTime due_ = SteadyTime::max();  // of the queue's next append
+  SteadyTime last_append_ = SteadyTime::min();
+  int64_t next_sequence_ = 1;
+  int64_t durable_sequence_ = 0;
+  std::set<int64_t> refused_;
+  size_t backlog_bytes_ = 0;
+  StreamWriterStats stats_;
+};
+
+// ---------------------------------------------------------------------------
+// Following a stream
+
+struct StreamFollowerOptions {
+  // How long the log may hold a read that finds nothing new.
+  absl::Duration read_wait = absl::Milliseconds(500);
+  size_t max_read_entries = 500;
+  // Without a read that reached the stream's end for this long the state is
+  // stale.
+  absl::Duration stale_after = absl::Seconds(3);
+  absl::Duration retry_min = absl::Milliseconds(50);
+  absl::Duration retry_max = absl::Seconds(1);
+  // A checkpoint is due this many entries after the last one...
+  int64_t checkpoint_every = 2'000;
+  // ...or this long after it, since retention is by time...
+  absl::Duration checkpoint_max_age = absl::Minutes(5);
+  // ...and is written after a random delay of up to this, so that the first
+  // process to write one spares the others theirs.
+  absl::Duration checkpoint_max_delay = absl::Seconds(5);
+  // Kept verdicts on one's own records.
+  size_t max_kept_verdicts = 20'000;
+  absl::Duration max_verdict_age = absl::Minutes(1);
+  friend auto operator<=>(const StreamFollowerOptions&,
+                          const StreamFollowerOptions&) = default;
+};
+
+// Called in the order of offsets, by whoever applies entries, without the
+// fold's lock: WithFold sees the state just after `offset` exactly, and no
+// other entry is applied before the callback returns. WaitApplied returns only
+// after it. A callback must not call Push.
+struct StreamFollowerCallbacks {
+  // An entry was applied; no verdicts if it could not be decoded.
+  std::function<void(int64_t offset, const std::vector<Verdict>& verdicts)>
+      on_verdicts;
+  // The fold was replaced by the checkpoint at `offset`; entries up to it were
+  // not seen one by one, so derived state has to be taken from the fold.
+  std::function<void(int64_t offset)> on_restored;
+};
+
+enum class FollowerState {
+  kStarting,   // nothing read yet
+  kFollowing,  // each entry so far was applied
+  kGap,  // retention passed what was applied, and no checkpoint covers it yet
+};
+
+// Reads one stream in order into one fold. Thread-safe; blocking calls block
+// the calling fiber only. stream_follower.h says how gaps are met.
+template <Fold FoldT, LogClient Log>
+class StreamFollower {
+ public:
+  // `log` must outlive the follower.
+  static std::unique_ptr<StreamFollower> Create(
+      Log& log,
+      std::string stream,
+      const StreamFollowerOptions& options,
+      StreamFollowerCallbacks callbacks);
+  StreamFollower(const StreamFollower&) = delete;
+  StreamFollower& operator=(const StreamFollower&) = delete;
+
+  // Keeps the verdicts on the writer's records for WaitApplied and tells the
+  // writer of them (OnReadBack). Before Run; the writer must outlive it.
+  void RegisterWriter(StreamWriter<Log>& writer);
+
+  // Reads and applies until `stop`. One fiber runs this.
+  void Run(const std::atomic<bool>& stop);
+
+  // Calls `function(const FoldT&)` under the fold's lock and returns what it
+  // returns, which must not refer into the fold. It must not block.
+  template <typename F>
+  auto WithFold(F&& function) const {
+    std::lock_guard lock(mutex_);
+    return std::forward<F>(function)(fold_);
+  }
+
+  // The last applied offset; -1 before the first.
+  int64_t applied_offset() const;
+  FollowerState state() const;
+  // OK while following; else what the last read or recovery met.
+  absl::Status status() const;
+  // When the last read succeeded; InfinitePast before the first.
+  absl::Time last_read_ok() const;
+  // Whether a read sent less than `stale_after` ago reached the stream's end.
+  bool caught_up() const;
+  // Whether any read ever did.
+  bool ever_caught_up() const;
+  absl::Status WaitCaughtUp(absl::Duration timeout);
+
+  // The verdict on a registered writer's record, once it has been applied.
+  // kRepeat: applied, but its first verdict is not known here. NOT_FOUND: no
+  // longer kept. DEADLINE_EXCEEDED: not applied here yet.
+  absl::StatusOr<Verdict> WaitApplied(std::string_view writer,
+                                      int64_t sequence,
+                                      absl::Duration timeout);
+
+  // Appends a checkpoint through `writer` if one is due. Call it every second
+  // or so. Returns whether one was queued.
+  bool MaybeCheckpoint(StreamWriter<Log>& writer);
+
+  // Takes an entry learnt from a peer process in place of the log. Applied only
+  // if `offset` is the next one exactly; returns whether it was. The peer is
+  // trusted as the log is: it must be a process of this fleet which itself read
+  // these bytes at this offset, since a forged entry would part this process's
+  // state from everyone else's. A pushed entry is no read of the log: it makes
+  // nobody caught up.
+  bool Push(int64_t offset, std::string_view bytes);
+
+ private:
+  struct KeptVerdict {
+    Verdict verdict;
+    absl::Time at;
+  };
+  // The verdicts on one registered writer's records, by sequence.
+  struct OwnWriter {
+    StreamWriter<Log>* writer = nullptr;
+    std::map<int64_t, KeptVerdict> kept;
+    int64_t highest_dropped = 0;
+  };
+  // A checkpoint met by a scan.
+  struct Candidate {
+    FoldT fold;
+    int64_t offset = -1;
+    int64_t time_ms = 0;
+  };
+
+  StreamFollower(Log& log,
+                 std::string stream,
+                 const StreamFollowerOptions& options,
+                 StreamFollowerCallbacks callbacks);
+
+  // Reading, on Run's fiber.
+  absl::Status ReadOnce(const std::atomic<bool>& stop);
+  absl::Status ApplyRead(int64_t from, const LogRead& read);
+  absl::Status RecoverFromGap(int64_t oldest, const std::atomic<bool>& stop);
+  absl::Status ScanForCheckpoint(const std::atomic<bool>& stop,
+                                 std::optional<Candidate>* best);
+  void ConsiderEntry(const LogEntry& entry,
+                     int64_t oldest,
+                     std::optional<Candidate>* best);
+  void Install(Candidate candidate);
+  void ReportStatus(const absl::Status& status);
+  void WaitBeforeRetry(absl::Duration delay, const std::atomic<bool>& stop);
+
+  // Applying, under apply_mutex_.
+  void ApplyEntry(int64_t offset, std::string_view bytes);
+  void NoteCheckpoints(int64_t offset, const Batch& batch);
+  void KeepVerdicts(const std::vector<Verdict>& verdicts);
+  void KeepVerdict(OwnWriter* own, const Verdict& verdict);
+
+  // Under mutex_.
+  bool CaughtUpLocked() const;
+  bool CheckpointDueLocked(absl::Time now) const;
+
+  Log& log_;
+  const std::string stream_;
+  const StreamFollowerOptions options_;
+  const StreamFollowerCallbacks callbacks_;
+
+  // Held over one entry's application and its callback. Taken before mutex_.
+  boost::fibers::mutex apply_mutex_;
+
+  mutable boost::fibers::mutex mutex_;
+  boost::fibers::condition_variable changed_;
+  absl::BitGen random_;
+  FoldT fold_;
+  int64_t applied_ = -1;
+  FollowerState state_ = FollowerState::kStarting;
+  absl::Status status_;
+  absl::Time last_read_ok_ = absl::InfinitePast();
+  absl::Time reached_end_ = absl::InfinitePast();  // of a read sent then
+  int64_t oldest_ = 0;
+  int64_t scan_from_ = 0;  // entries before it hold no better checkpoint
+  std::map<std::string, OwnWriter, std::less<>> own_writers_;
+
+  // Checkpoints.
+  int64_t checkpoint_offset_ = -1;  // of the newest in the stream
+  absl::Time checkpoint_time_ = absl::InfiniteFuture();
+  absl::Time checkpoint_at_ = absl::InfiniteFuture();  // when to write one
+  int64_t own_checkpoint_sequence_ = 0;                // 0: none yet
+  absl::Time own_checkpoint_time_ = absl::InfinitePast();
+};
+
 }  // namespace hawthornhollow
 
+#include "hawthornhollow/platform/stream_follower.h"
+#include "hawthornhollow/platform/stream_writer.h"
+
 #endif  // HAWTHORNHOLLOW_PLATFORM_PLATFORM_H_
