platform: clients of the log and VM list, StreamWriter, StreamFollower

Cause: shared state needs ordered, idempotent appends and gap-free folds. Ruled out: checkpoints by count alone, since retention is by time and a quiet stream would lose its last one. Dropping refused records, but for checkpoints. Conclusion: compiles with -Wall -Wextra; tests follow, none run yet.

--- a/hawthornhollow/platform/platform.h
+++ b/hawthornhollow/platform/platform.h
@@ -39,6 +39,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "absl/random/random.h"
@@ -136,17 +137,20 @@
 
 // How soon a record has to be appended.
 enum class Urgency {
-  kUrgent,  // StreamWriterOptions::urgent_gap after the append before it began
+  kUrgent,  // StreamWriterOptions::urgent_gap after the batch before it began
   kLazy,    // within StreamWriterOptions::lazy_delay
 };
 
 struct StreamWriterOptions {
-  // The least time between the beginnings of two appends.
+  // The least time between the beginnings of two batches.
   absl::Duration urgent_gap = absl::Milliseconds(10);
   absl::Duration lazy_delay = absl::Milliseconds(200);
   // One append's bounds. A larger record goes alone.
   size_t max_batch_bytes = 256 * 1024;
   size_t max_batch_records = 2'000;
+  // One record's bound, but for checkpoints: a record that the log never takes
+  // would hold up all later ones.
+  size_t max_record_bytes = 3 * 1024 * 1024;
   // Records queued or in flight; Append fails above it.
   size_t max_backlog_bytes = 16 * 1024 * 1024;
   // Exponential backoff between tries of one append, with jitter.
@@ -186,7 +190,8 @@
   const std::string& incarnation() const { return incarnation_; }
 
   // Queues a record, stamped with the wall clock, and returns its sequence
-  // (from 1) at once. RESOURCE_EXHAUSTED above the backlog's bound.
+  // (from 1) at once. RESOURCE_EXHAUSTED above the backlog's bound,
+  // INVALID_ARGUMENT for a record above max_record_bytes.
   absl::StatusOr<int64_t> Append(RecordBody body, Urgency urgency);
 
   // Appends what is queued until `stop`, which abandons what is not durable
@@ -227,16 +232,22 @@
                std::string stream,
                std::string incarnation,
                const StreamWriterOptions& options);
+  SteadyTime DueTime(Urgency urgency) const;
   std::optional<Pending> NextPending(const std::atomic<bool>& stop);
-  std::vector<Record> TakeBatch(Pending* pending);
+  std::vector<Record> TakeRecords(Pending* pending);
+  bool FitsPending(const Queued& queued, const Pending& pending) const;
   void AppendUntilSettled(const Pending& pending,
                           const std::atomic<bool>& stop);
-  bool OnAppendFailed(const Pending& pending, const absl::Status& status);
+  bool Refused(const Pending& pending, const absl::Status& status);
   bool WaitBeforeRetry(const Pending& pending,
                        absl::Duration delay,
                        const std::atomic<bool>& stop);
-  void Settle(const Pending& pending, bool refused);
+  void Settle(const Pending& pending);
+  void SettleLocked(const Pending& pending);
   void CountAppend(bool retry);
+  static bool IsCheckpoint(const Record& record) {
+    return std::holds_alternative<CheckpointRecord>(record.body);
+  }
 
   Log& log_;
   const std::string stream_;
@@ -247,10 +258,10 @@
   mutable boost::fibers::mutex mutex_;
   boost::fibers::condition_variable changed_;
   std::deque<Queued> queue_;
-  SteadyTime due_ = SteadyTime::max();  // of the queue's next append
-  SteadyTime last_append_ = SteadyTime::min();
+  SteadyTime due_ = SteadyTime::max();          // of the queue's next append
+  SteadyTime next_append_ = SteadyTime::min();  // urgent_gap after the last
   int64_t next_sequence_ = 1;
-  int64_t durable_sequence_ = 0;
+  int64_t durable_sequence_ = 0;  // the highest durable or refused
   std::set<int64_t> refused_;
   size_t backlog_bytes_ = 0;
   StreamWriterStats stats_;
@@ -285,7 +296,7 @@
 // Called in the order of offsets, by whoever applies entries, without the
 // fold's lock: WithFold sees the state just after `offset` exactly, and no
 // other entry is applied before the callback returns. WaitApplied returns only
-// after it. A callback must not call Push.
+// after it, so a callback must neither wait for one nor call Push.
 struct StreamFollowerCallbacks {
   // An entry was applied; no verdicts if it could not be decoded.
   std::function<void(int64_t offset, const std::vector<Verdict>& verdicts)>
@@ -363,6 +374,7 @@
   bool Push(int64_t offset, std::string_view bytes);
 
  private:
+  using SteadyTime = std::chrono::steady_clock::time_point;
   struct KeptVerdict {
     Verdict verdict;
     absl::Time at;
@@ -371,12 +383,12 @@
   struct OwnWriter {
     StreamWriter<Log>* writer = nullptr;
     std::map<int64_t, KeptVerdict> kept;
-    int64_t highest_dropped = 0;
+    int64_t highest_seen = 0;
   };
   // A checkpoint met by a scan.
   struct Candidate {
-    FoldT fold;
-    int64_t offset = -1;
+    CheckpointRecord checkpoint{.offset = -1, .state = ""};
+    int64_t entry_offset = -1;
     int64_t time_ms = 0;
   };
 
@@ -387,49 +399,56 @@
 
   // Reading, on Run's fiber.
   absl::Status ReadOnce(const std::atomic<bool>& stop);
-  absl::Status ApplyRead(int64_t from, const LogRead& read);
-  absl::Status RecoverFromGap(int64_t oldest, const std::atomic<bool>& stop);
-  absl::Status ScanForCheckpoint(const std::atomic<bool>& stop,
-                                 std::optional<Candidate>* best);
-  void ConsiderEntry(const LogEntry& entry,
-                     int64_t oldest,
-                     std::optional<Candidate>* best);
-  void Install(Candidate candidate);
+  void NoteRead(const LogRead& read);
+  absl::Status ApplyRead(const LogRead& read);
   void ReportStatus(const absl::Status& status);
-  void WaitBeforeRetry(absl::Duration delay, const std::atomic<bool>& stop);
 
-  // Applying, under apply_mutex_.
+  // Recovery, on Run's fiber.
+  absl::Status RecoverFromGap(const LogRead& read,
+                              const std::atomic<bool>& stop);
+  absl::StatusOr<Candidate> ScanForCheckpoint(int64_t oldest,
+                                              const std::atomic<bool>& stop);
+  void ConsiderEntry(const LogEntry& entry, int64_t oldest, Candidate* best);
+  void Install(const Candidate& candidate, FoldT fold);
+
+  // Applying.
   void ApplyEntry(int64_t offset, std::string_view bytes);
   void NoteCheckpoints(int64_t offset, const Batch& batch);
-  void KeepVerdicts(const std::vector<Verdict>& verdicts);
-  void KeepVerdict(OwnWriter* own, const Verdict& verdict);
+  StreamWriter<Log>* KeepVerdicts(const std::string& writer,
+                                  const std::vector<Verdict>& verdicts);
+  void KeepVerdict(const Verdict& verdict, OwnWriter* own);
 
-  // Under mutex_.
-  bool CaughtUpLocked() const;
-  bool CheckpointDueLocked(absl::Time now) const;
+  bool CaughtUp() const;
+  bool CheckpointDue(absl::Time now) const;
 
   Log& log_;
   const std::string stream_;
   const StreamFollowerOptions options_;
   const StreamFollowerCallbacks callbacks_;
 
+  // Used by Run's fiber only.
+  absl::BitGen random_;
+  int64_t scan_from_ = 0;  // entries before it hold no better checkpoint
+  std::set<int64_t> bad_checkpoints_;  // offsets of entries
+
   // Held over one entry's application and its callback. Taken before mutex_.
   boost::fibers::mutex apply_mutex_;
 
+  // Guards everything below.
   mutable boost::fibers::mutex mutex_;
   boost::fibers::condition_variable changed_;
-  absl::BitGen random_;
   FoldT fold_;
-  int64_t applied_ = -1;
   FollowerState state_ = FollowerState::kStarting;
   absl::Status status_;
   absl::Time last_read_ok_ = absl::InfinitePast();
-  absl::Time reached_end_ = absl::InfinitePast();  // of a read sent then
+  // When the last read was sent that reached the stream's end; empty in a gap.
+  std::optional<SteadyTime> reached_end_;
+  bool ever_caught_up_ = false;
   int64_t oldest_ = 0;
-  int64_t scan_from_ = 0;  // entries before it hold no better checkpoint
   std::map<std::string, OwnWriter, std::less<>> own_writers_;
 
   // Checkpoints.
+  absl::BitGen checkpoint_random_;
   int64_t checkpoint_offset_ = -1;  // of the newest in the stream
   absl::Time checkpoint_time_ = absl::InfiniteFuture();
   absl::Time checkpoint_at_ = absl::InfiniteFuture();  // when to write one
