--- a/hawthornhollow/platform/platform.h
+++ b/hawthornhollow/platform/platform.h
@@ -300,10 +300,10 @@
 struct StreamFollowerCallbacks {
   // An entry was applied; no verdicts if it could not be decoded.
   std::function<void(int64_t offset, const std::vector<Verdict>& verdicts)>
-      on_verdicts;
+      on_verdicts = nullptr;
   // The fold was replaced by the checkpoint at `offset`; entries up to it were
   // not seen one by one, so derived state has to be taken from the fold.
-  std::function<void(int64_t offset)> on_restored;
+  std::function<void(int64_t offset)> on_restored = nullptr;
 };
 
 enum class FollowerState {
--- a/hawthornhollow/platform/stream_follower.h
+++ b/hawthornhollow/platform/stream_follower.h
@@ -401,7 +401,7 @@
   }
   const int64_t offset = checkpoint.offset;
   const size_t bytes = checkpoint.state.size();
-  auto sequence = writer.Append(std::move(checkpoint), Urgency::kLazy);
+  auto sequence = writer.Append(std::move(checkpoint), Urgency::kUrgent);
   LogEvent("stream.checkpoint")
       .Add("stream", stream_)
       .Add("offset", offset)
