Records codec, verdicts and the three folds

Cause: the other parts wait for the ledger's records and folds. Change: batches through FlatBuffers with a verifier and limits; ConfigFold, MembershipFold and BudgetFold with canonical checkpoints (state.fbs); WriterSequences bounded to 65,536 writers; claims have a bound of their own; refused publish ids keep their ruling; MembershipFold::IsOpen. Ruled out: one memory for bills and claims, since a flood of ordinary bills would shorten the memory of claims.

--- a/hawthornhollow/ledger/ledger.h
+++ b/hawthornhollow/ledger/ledger.h
@@ -19,6 +19,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -190,6 +191,11 @@
   friend auto operator<=>(const Batch&, const Batch&) = default;
 };
 
+// Limits of one encoded batch; DecodeBatch refuses what exceeds them.
+inline constexpr size_t kMaxBatchBytes = 64 * 1024 * 1024;
+inline constexpr size_t kMaxBatchRecords = 16'384;
+inline constexpr size_t kMaxWriterBytes = 256;
+
 std::string EncodeBatch(const Batch& batch);
 // DATA_LOSS if the bytes are not a valid batch.
 absl::StatusOr<Batch> DecodeBatch(std::string_view bytes);
@@ -217,8 +223,56 @@
 // One line of key=value pairs.
 std::string FormatVerdict(const Verdict& verdict);
 
+// What a fold decided about one record; the part of a Verdict that depends on
+// the fold's rules.
+struct Ruling {
+  VerdictKind kind = VerdictKind::kAccepted;
+  std::string reason;
+  int64_t amount = 0;
+  friend auto operator<=>(const Ruling&, const Ruling&) = default;
+};
+
+// Where a record stands in its stream, and when its writer wrote it.
+struct RecordPosition {
+  int64_t offset = 0;
+  int64_t place = 0;  // index within the batch
+  int64_t time_ms = 0;
+  friend auto operator<=>(const RecordPosition&,
+                          const RecordPosition&) = default;
+};
+
 // Highest sequence applied from each writer. Part of every fold.
-using WriterSequences = std::map<std::string, int64_t>;
+//
+// Bounded: beyond kMaxWriters, the writer whose last record lies furthest back
+// is forgotten. A record of a forgotten writer that lands again is not
+// recognised as a repeat; the rules of the folds keep it harmless, because an
+// incarnation that old is closed (BudgetFold, MembershipFold) or its base
+// version is no longer kept (ConfigFold).
+class WriterSequences {
+ public:
+  struct Entry {
+    int64_t sequence = 0;
+    int64_t offset = 0;  // of the writer's last applied record
+    friend auto operator<=>(const Entry&, const Entry&) = default;
+  };
+  static constexpr size_t kMaxWriters = 65'536;
+
+  // Takes `sequence` as applied. False, and no change, if it is not above the
+  // highest from `writer`.
+  bool Advance(const std::string& writer, int64_t sequence, int64_t offset);
+  // Puts back an entry of a checkpoint.
+  void Put(const std::string& writer, const Entry& entry);
+
+  const std::map<std::string, Entry>& entries() const { return entries_; }
+
+  friend bool operator==(const WriterSequences& a, const WriterSequences& b) {
+    return a.entries_ == b.entries_;
+  }
+
+ private:
+  std::map<std::string, Entry> entries_;
+  std::set<std::pair<int64_t, std::string>> by_offset_;
+};
 
 // A fold over a stream. Serialize/Restore make checkpoints.
 template <typename T>
@@ -235,7 +289,8 @@
 // The "config" stream. A publish is accepted if each file that it changes is
 // the same at its base version as now (or changed to the very same text), and
 // the merged result passes Configuration::Merge. Versions rise by one per
-// accepted publish. A publish `id` seen before is a repeat.
+// accepted publish. A publish `id` seen before is a repeat: its verdict carries
+// the version in `amount`, or 0 and the reason if it was refused.
 class ConfigFold {
  public:
   struct VersionInfo {
@@ -249,6 +304,8 @@
   };
   // Kept versions, for stale bases and for going back.
   static constexpr size_t kMaxHistory = 256;
+  // Ids of refused publishes that are recognised when they come again.
+  static constexpr size_t kMaxRefused = 256;
 
   std::vector<Verdict> Apply(int64_t offset, const Batch& batch);
   std::string Serialize() const;
@@ -265,15 +322,33 @@
   absl::StatusOr<ConfigFiles> FilesAt(int64_t version) const;
 
  private:
-  struct KeptChange;
+  struct Refused {
+    std::string id;
+    std::string reason;
+  };
+  using Replaced = std::map<std::string, std::optional<std::string>>;
+
+  Ruling Decide(const PublishRecord& publish, const RecordPosition& at);
+  std::optional<Ruling> RulingOfId(const std::string& id) const;
+  // The reason why `publish` cannot be accepted, or empty.
+  std::string Refusal(const PublishRecord& publish) const;
+  std::string Conflict(const FileChange& change, int64_t base_version) const;
+  bool IsInForce(const FileChange& change) const;
+  int64_t OldestBase() const;
+  void Accept(const PublishRecord& publish,
+              const RecordPosition& at,
+              std::shared_ptr<const Configuration> merged);
+  void Refuse(const PublishRecord& publish, const std::string& reason);
+
   int64_t applied_offset_ = -1;
   int64_t version_ = 0;
   std::shared_ptr<const Configuration> configuration_;
   ConfigFiles files_;
   std::vector<VersionInfo> history_;
   // For each kept version, what its changes replaced (nullopt: absent before).
-  std::map<int64_t, std::map<std::string, std::optional<std::string>>> undo_;
+  std::map<int64_t, Replaced> undo_;
   std::map<std::string, int64_t> version_of_id_;
+  std::deque<Refused> refused_;
   WriterSequences sequences_;
 };
 
@@ -301,6 +376,7 @@
     int64_t opened_offset = 0;
     int64_t suspect_offset = 0;
     int64_t last_alive_offset = 0;
+    int64_t closed_offset = 0;
     std::set<std::string> sealed_by;      // gate incarnations
     std::set<std::string> settled_gates;  // lost gates settled by it
     friend auto operator<=>(const Router&, const Router&) = default;
@@ -315,7 +391,9 @@
     int64_t ended_offset = 0;
     friend auto operator<=>(const Gate&, const Gate&) = default;
   };
-  // Ended incarnations kept before the oldest is dropped.
+  // Ended incarnations (closed routers, and closed or lost gates) kept before
+  // the oldest is dropped. A lost gate that an unclosed router has still to
+  // settle is never dropped.
   static constexpr size_t kMaxEnded = 4096;
 
   std::vector<Verdict> Apply(int64_t offset, const Batch& batch);
@@ -326,6 +404,9 @@
   const std::map<std::string, Router>& routers() const { return routers_; }
   const std::map<std::string, Gate>& gates() const { return gates_; }
   bool IsSuspect(std::string_view router) const;
+  // Whether `router` is known and neither suspect nor closed. A gate serves
+  // these only, so that it refuses an incarnation dropped from the fold.
+  bool IsOpen(std::string_view router) const;
 
   // Whether every gate that `router` could reach has sealed it or is gone.
   bool SealingComplete(std::string_view router) const;
@@ -333,6 +414,23 @@
   bool HasUnsettledLoss(std::string_view router) const;
 
  private:
+  Ruling Decide(const RouterOpenRecord& open, const RecordPosition& at);
+  Ruling Decide(const RouterAliveRecord& alive, const RecordPosition& at);
+  Ruling Decide(const RouterClosedRecord& closed, const RecordPosition& at);
+  Ruling Decide(const RouterSuspectRecord& suspect, const RecordPosition& at);
+  Ruling Decide(const GateOpenRecord& open, const RecordPosition& at);
+  Ruling Decide(const GateClosedRecord& closed, const RecordPosition& at);
+  Ruling Decide(const GateSealedRecord& sealed, const RecordPosition& at);
+  Ruling Decide(const GateSettledRecord& settled, const RecordPosition& at);
+  // Marks the open incarnation of `gate` as lost.
+  void LoseGate(const std::string& gate, int64_t offset);
+  // Whether `router` could have sent work through `gate`.
+  static bool CouldReach(const Router& router, const Gate& gate);
+  static bool IsUnsettledLoss(const Router& router, const Gate& gate);
+  bool IsNeeded(const Gate& gate) const;
+  size_t CountEnded() const;
+  void DropOldest();
+
   int64_t applied_offset_ = -1;
   std::map<std::string, Router> routers_;
   std::map<std::string, Gate> gates_;
@@ -385,8 +483,16 @@
     int64_t offset = 0;
     friend auto operator<=>(const BillState&, const BillState&) = default;
   };
-  // Request keys whose bill or claim is remembered; the oldest goes first.
+  // Request keys whose bill is remembered, and claims that are; of each the
+  // oldest goes first. Claims have a bound of their own, so that a flood of
+  // ordinary requests does not shorten the memory of those that may run only
+  // once. The bill of a claimed request goes with its claim.
   static constexpr size_t kMaxRequests = 200'000;
+  static constexpr size_t kMaxClaims = 200'000;
+  // Closed incarnations that are remembered.
+  static constexpr size_t kMaxClosed = 65'536;
+  // The most tokens that one record may name.
+  static constexpr int64_t kMaxTokens = 1'000'000'000'000;
 
   std::vector<Verdict> Apply(int64_t offset, const Batch& batch);
   std::string Serialize() const;
@@ -394,19 +500,41 @@
   int64_t applied_offset() const { return applied_offset_; }
 
   const std::map<std::string, BudgetState>& budgets() const { return budgets_; }
+  // These return null if there is none. The pointers last until the next Apply.
   const BudgetState* FindBudget(std::string_view name) const;
   const ClaimState* FindClaim(std::string_view request) const;
   const BillState* FindBill(std::string_view request) const;
   bool IsClosed(std::string_view incarnation) const;
 
  private:
+  // Request keys by the offset and place of their record, oldest first.
+  using RequestOrder = std::map<std::pair<int64_t, int64_t>, std::string>;
+
+  Ruling Decide(const BudgetVotedRecord& vote, const RecordPosition& at);
+  Ruling Decide(const GrantRequestRecord& request, const RecordPosition& at);
+  Ruling Decide(const GrantReturnRecord& given, const RecordPosition& at);
+  Ruling Decide(const ClaimRecord& claim, const RecordPosition& at);
+  Ruling Decide(const ClaimReleasedRecord& released, const RecordPosition& at);
+  Ruling Decide(const BillRecord& bill, const RecordPosition& at);
+  Ruling Decide(const AccountClosedRecord& closed, const RecordPosition& at);
+  // Why no record of `incarnation` on `budget` can count, or empty.
+  std::string AccountRefusal(const std::string& budget,
+                             const std::string& incarnation) const;
+  void RememberBill(const BillRecord& bill,
+                    int64_t charged,
+                    const RecordPosition& at);
+  void DropOldestBills();
+  void DropOldestClaims();
+  void RememberClosed(const std::string& incarnation, int64_t offset);
+
   int64_t applied_offset_ = -1;
   std::map<std::string, BudgetState> budgets_;
   absl::flat_hash_map<std::string, ClaimState> claims_;
   absl::flat_hash_map<std::string, BillState> bills_;
-  // Request keys by the offset and place of their first record, oldest first.
-  std::map<std::pair<int64_t, int64_t>, std::string> request_order_;
-  std::set<std::string> closed_;
+  RequestOrder bill_order_;  // of unclaimed requests
+  RequestOrder claim_order_;
+  std::map<std::string, int64_t, std::less<>> closed_;  // to the offset
+  std::set<std::pair<int64_t, std::string>> closed_order_;
   WriterSequences sequences_;
 };
 
--- /dev/null
+++ b/hawthornhollow/ledger/state.h
@@ -0,0 +1,51 @@
+#ifndef HAWTHORNHOLLOW_LEDGER_STATE_H_
+#define HAWTHORNHOLLOW_LEDGER_STATE_H_
+
+// Reading and writing of checkpointed states. Private to the ledger library.
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "flatbuffers/flatbuffers.h"
+#include "hawthornhollow/base/base.h"
+#include "hawthornhollow/ledger/ledger.h"
+#include "hawthornhollow/ledger/state_generated.h"
+
+namespace hawthornhollow {
+
+// The bytes of a state of the object API. Equal states give equal bytes.
+template <typename TableT>
+std::string PackState(const TableT& state) {
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(TableT::TableType::Pack(builder, &state));
+  return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                     builder.GetSize());
+}
+
+// DATA_LOSS if `bytes` do not hold a TableT.
+template <typename TableT>
+absl::StatusOr<std::unique_ptr<TableT>> UnpackState(std::string_view bytes) {
+  using Table = typename TableT::TableType;
+  constexpr flatbuffers::uoffset_t kMaxDepth = 16;
+  constexpr flatbuffers::uoffset_t kMaxTables = 16'000'000;
+  flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()),
+                                 bytes.size(), kMaxDepth, kMaxTables);
+  if (!verifier.VerifyBuffer<Table>(nullptr)) {
+    return ErrorAt(absl::StatusCode::kDataLoss, "ledger.restore", "",
+                   "checkpoint is not a valid state");
+  }
+  const Table* table = flatbuffers::GetRoot<Table>(bytes.data());
+  return std::unique_ptr<TableT>(table->UnPack());
+}
+
+std::vector<std::unique_ptr<fb::WriterSequenceT>> PackWriters(
+    const WriterSequences& sequences);
+WriterSequences UnpackWriters(
+    const std::vector<std::unique_ptr<fb::WriterSequenceT>>& rows);
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_LEDGER_STATE_H_
