GrantHolder: the escrow policy of one router and budget

Cause: routers need to know when to ask for grants, return them and refuse. Change: fill horizon against measured grant time, exact requests near the end, returns on shortage, cuts and disuse, refusal only without room or after the budget has not moved for the patience. Ruled out: partial grants for a waiting request; two routers that each hold a part would block each other.

--- a/hawthornhollow/ledger/ledger.h
+++ b/hawthornhollow/ledger/ledger.h
@@ -17,6 +17,7 @@
 //
 // Nothing here reads a clock, draws a random number or does I/O.
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <deque>
@@ -549,6 +550,8 @@
   // Ask when what is left lasts less than this many times the time that a
   // grant takes to obtain.
   double foresight = 2.0;
+  // If above 0, used in place of foresight: ask when fewer tokens are left.
+  int64_t fixed_watermark_tokens = 0;
   // A grant covers the present spend rate for this long.
   absl::Duration grant_cover = absl::Seconds(5);
   int64_t min_grant_tokens = 2'000;
@@ -557,11 +560,21 @@
   // Idle tokens above the cover are returned after this long unused.
   absl::Duration idle_return = absl::Seconds(10);
   absl::Duration rate_half_life = absl::Seconds(2);
+  // A waiting request is refused only after the budget has not moved for this
+  // long (or some grant times, if longer), so that requests in flight
+  // elsewhere can settle and give back what they did not use.
+  absl::Duration settle_patience = absl::Seconds(2);
 };
 
 // Decides on reservations against grants that have been read back, for one
 // router incarnation and one budget. Not thread-safe; one per budget, under its
-// shard's lock. Time is passed in; nothing here blocks.
+// shard's lock. Time is passed in; nothing here blocks. It asks for nothing
+// before the first OnFold.
+//
+// For each applied batch that concerns the budget, the caller calls OnFold
+// first, then OnBillFolded and OnGrantVerdict for the verdicts, so that no
+// token counts as available twice. After that, NextReturn and NextGrantRequest,
+// and both again from time to time.
 class GrantHolder {
  public:
   GrantHolder(std::string budget, const GrantPolicyOptions& options);
@@ -575,10 +588,11 @@
   void OnFold(const BudgetFold::BudgetState& state,
               std::string_view incarnation,
               absl::Time now);
-  // The bill for a settled request has been folded (or was void).
+  // The bill for a request has been folded (or was void). It may come before
+  // Settle if another witness was faster.
   void OnBillFolded(std::string_view request);
 
-  // Tokens wanted by requests that wait for a grant.
+  // Tokens wanted by requests that wait for a grant; 0 and 0 if none does.
   void SetWaiting(int64_t tokens, int64_t smallest_waiting);
 
   // The next grant request to append, if one is due; at most one is in flight.
@@ -595,15 +609,36 @@
   // returns in flight.
   int64_t available() const;
   int64_t reserved() const { return reserved_; }
-  double tokens_per_second() const { return rate_; }
-  // Whether the fold shows that no grant can come: nothing free, and the last
-  // request was void after every other holder had time to return.
+  // The rate at which tokens are drawn, as of the last reservation or
+  // settlement.
+  double tokens_per_second() const { return std::max(rate_, 0.0); }
+  // Whether a request for `tokens` must be refused: the budget has no room for
+  // it even if nothing reserved were used; or requests for grants were void
+  // while every other holder had time to return what it does not need.
   bool Exhausted(int64_t tokens, absl::Time now) const;
 
  private:
+  void CountDraw(int64_t tokens, absl::Time now);
+  double RateAt(absl::Time now) const;
+  int64_t TokensFor(absl::Duration time, absl::Time now) const;
+  int64_t MinGrant() const;
+  int64_t FreeShare() const;
+  int64_t RoomAtMost() const;
+  bool IsShort() const;
+  int64_t Watermark(absl::Time now) const;
+  int64_t Cover(absl::Time now) const;
+  absl::Duration Patience() const;
+  bool MayAskAgain(int64_t need, absl::Time now) const;
+  int64_t WaitingRequest(int64_t need, absl::Time now) const;
+  int64_t AheadRequest(absl::Time now) const;
+  int64_t NeededInShortage(absl::Time now) const;
+  int64_t TakeUnused(absl::Time now);
+  int64_t ReturnAmount(absl::Time now);
+
   std::string budget_;
   GrantPolicyOptions options_;
-  int64_t held_ = 0;  // by the fold
+  bool known_ = false;  // OnFold was called
+  int64_t held_ = 0;    // by the fold
   int64_t reserved_ = 0;
   int64_t unbilled_ = 0;  // settled, bill not folded
   int64_t returning_ = 0;
@@ -612,15 +647,26 @@
   int64_t free_ = 0;
   int64_t voted_ = 0;
   int64_t others_held_ = 0;
+  int64_t returned_seen_ = 0;
   int64_t shortage_seen_ = 0;
+  bool shortage_pending_ = false;  // rose, not yet answered by NextReturn
+  absl::Time hold_off_until_ = absl::InfinitePast();
+  absl::Time moved_at_ = absl::InfinitePast();
+  int64_t largest_ = 0;  // recent reservation
+  // The least that was available since the window began.
+  absl::Time window_start_ = absl::InfinitePast();
+  int64_t window_low_ = 0;
   double rate_ = 0;
   absl::Time rate_at_ = absl::InfinitePast();
   absl::Time last_use_ = absl::InfinitePast();
   absl::Duration grant_time_ = absl::Milliseconds(50);
   bool request_in_flight_ = false;
   int void_in_a_row_ = 0;
+  absl::Time first_void_ = absl::InfinitePast();  // of those in a row
   absl::Time last_void_ = absl::InfinitePast();
   std::map<std::string, int64_t, std::less<>> reservations_;
+  // Reservations whose bill was folded before Settle.
+  std::map<std::string, int64_t, std::less<>> billed_early_;
   std::map<std::string, int64_t, std::less<>> unbilled_requests_;
 };
 
