--- /dev/null
+++ b/testing/processes.h
@@ -0,0 +1,84 @@
+#ifndef TESTING_PROCESSES_H_
+#define TESTING_PROCESSES_H_
+
+// For tests that run the project's programs as processes: starting and ending
+// them, and talking HTTP to them from a plain thread.
+//
+//   auto log = ChildProcess::Start({STANDINS, "log"}, "log.err");
+//   auto ready = (*log)->ReadLine(absl::Seconds(5));  // "ready listen=..."
+//   auto response = PlainHttp(endpoint, {.target = "/control"},
+//                             absl::Seconds(1));
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+#include "hawthornhollow/http/http.h"
+#include "hawthornhollow/runtime/runtime.h"
+
+namespace hawthornhollow {
+
+// A process that this one started; killed and reaped at the latest when it is
+// destroyed. Used from one thread.
+class ChildProcess {
+ public:
+  // Runs the program `argv[0]` with its standard error appended to
+  // `stderr_path`.
+  static absl::StatusOr<std::unique_ptr<ChildProcess>> Start(
+      const std::vector<std::string>& argv,
+      const std::string& stderr_path);
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+  ~ChildProcess();
+
+  pid_t Pid() const { return pid_; }
+
+  // FAILED_PRECONDITION if the process has been reaped.
+  absl::Status Signal(int signal_number);
+
+  // The exit code, or the negative number of the signal that ended the process.
+  // DEADLINE_EXCEEDED if it still runs after `timeout`.
+  absl::StatusOr<int> Wait(absl::Duration timeout);
+
+  // The next line of standard output, without its end. DEADLINE_EXCEEDED, or
+  // OUT_OF_RANGE at the end of the output.
+  absl::StatusOr<std::string> ReadLine(absl::Duration timeout);
+
+ private:
+  ChildProcess(pid_t pid, int stdout_fd) : pid_(pid), stdout_fd_(stdout_fd) {}
+
+  pid_t pid_;
+  int stdout_fd_;
+  bool reaped_ = false;
+  int exit_ = 0;
+  std::string unread_;
+};
+
+// Starts a program that prints "ready listen=IP:PORT", and waits for that line.
+struct ReadyProcess {
+  std::unique_ptr<ChildProcess> process;
+  Endpoint endpoint;
+
+  static absl::StatusOr<ReadyProcess> Start(
+      const std::vector<std::string>& argv,
+      const std::string& stderr_path,
+      absl::Duration timeout = absl::Seconds(10));
+};
+
+// A TCP port on 127.0.0.1 that was free a moment ago; 0 if there is none.
+uint16_t FreePort();
+
+// One HTTP exchange from a plain thread.
+absl::StatusOr<HttpResponse> PlainHttp(const Endpoint& endpoint,
+                                       const HttpRequest& request,
+                                       absl::Duration timeout);
+
+}  // namespace hawthornhollow
+
+#endif  // TESTING_PROCESSES_H_
