Stand-ins: flags parsed by plain functions

Cause: a class per kind held little but its flags. Change: one parse function per kind returns where to listen and how to make the handler. Conclusion: shorter, same flags.

--- a/testing/standins_main.cc
+++ b/testing/standins_main.cc
@@ -3,14 +3,17 @@
 
 #include <popt.h>
 
-#include <array>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
+#include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/http/http.h"
@@ -36,8 +39,8 @@
     "tells "
     "the paths.\n";
 
-int Fail(int exit_code, std::string_view detail) {
-  std::fprintf(stderr, "standins: %s\n", std::string(detail).c_str());
+int Fail(int exit_code, const absl::Status& status) {
+  std::fprintf(stderr, "standins: %s\n", status.ToString().c_str());
   return exit_code;
 }
 
@@ -45,21 +48,6 @@
   void operator()(poptContext context) const { poptFreeContext(context); }
 };
 
-// Where to listen, as given on the command line.
-class ListenFlag {
- public:
-  poptOption Option() {
-    return {"listen", 'l', POPT_ARG_STRING,
-            &text_,   0,   "address to listen on (default 127.0.0.1:0)",
-            "IP:PORT"};
-  }
-  std::string text() const { return text_ == nullptr ? "127.0.0.1:0" : text_; }
-  ~ListenFlag() { std::free(text_); }
-
- private:
-  char* text_ = nullptr;
-};
-
 poptOption IntOption(const char* name, int64_t* value, const char* help) {
   return {name, 0,  POPT_ARG_LONG | POPT_ARGFLAG_SHOW_DEFAULT, value, 0,
           help, "N"};
@@ -70,13 +58,17 @@
           help, "P"};
 }
 
-poptOption HelpOptions() {
-  return {nullptr,         0,      POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0,
-          "Help options:", nullptr};
+poptOption StringOption(const char* name,
+                        char** value,
+                        const char* help,
+                        const char* form) {
+  return {name, 0, POPT_ARG_STRING, value, 0, help, form};
 }
 
-poptOption EndOfOptions() {
-  return {nullptr, 0, 0, nullptr, 0, nullptr, nullptr};
+// The value of a string option, which popt has allocated.
+std::string TakeString(char* value, const char* fallback) {
+  const std::unique_ptr<char, decltype(&std::free)> owned(value, &std::free);
+  return value == nullptr ? fallback : value;
 }
 
 absl::Status UsageError(std::string_view detail) {
@@ -84,38 +76,45 @@
                  detail);
 }
 
-// Sets the variables that `options` point to. `argv[0]` is skipped.
-absl::Status ParseFlags(const char* name,
-                        int argc,
-                        const char** argv,
-                        const poptOption* options) {
-  std::unique_ptr<poptContext_s, PoptFree> context(
-      poptGetContext(name, argc, argv, options, 0));
+// Sets the variables that `options` point to, and returns where to listen.
+// Prints the help and exits if asked for it. `argv[0]` is skipped.
+absl::StatusOr<std::string> ParseFlags(int argc,
+                                       const char** argv,
+                                       std::vector<poptOption> options) {
+  char* listen = nullptr;
+  options.push_back(StringOption("listen", &listen,
+                                 "address to listen on (default 127.0.0.1:0)",
+                                 "IP:PORT"));
+  options.push_back({nullptr, 0, POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0,
+                     "Help options:", nullptr});
+  options.push_back({nullptr, 0, 0, nullptr, 0, nullptr, nullptr});
+  const std::unique_ptr<poptContext_s, PoptFree> context(
+      poptGetContext("standins", argc, argv, options.data(), 0));
   const int code = poptGetNextOpt(context.get());
+  const std::string local = TakeString(listen, "127.0.0.1:0");
   if (code < -1) {
-    return UsageError(
-        std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) +
-        ": " + poptStrerror(code));
+    const char* option = poptBadOption(context.get(), POPT_BADOPTION_NOALIAS);
+    return UsageError(std::string(option) + ": " + poptStrerror(code));
   }
   const char* extra = poptGetArg(context.get());
   if (extra != nullptr) {
     return UsageError(std::string("unexpected argument: ") + extra);
   }
-  return absl::OkStatus();
+  return local;
 }
 
 // Serves `handler` until SIGTERM or SIGINT.
 int Serve(Runtime& runtime, const std::string& listen, HttpHandler handler) {
   absl::StatusOr<Endpoint> local = Endpoint::Parse(listen);
   if (!local.ok()) {
-    return Fail(kExitUsage, "--listen: " + local.status().ToString());
+    return Fail(kExitUsage, local.status());
   }
   HttpServerOptions options;
   options.local = *local;
   absl::StatusOr<std::unique_ptr<HttpServer>> server =
       HttpServer::Start(runtime, options, std::move(handler));
   if (!server.ok()) {
-    return Fail(kExitFailed, server.status().ToString());
+    return Fail(kExitFailed, server.status());
   }
   std::printf("ready listen=%s\n", (*server)->local().ToString().c_str());
   std::fflush(stdout);
@@ -125,167 +124,131 @@
   std::_Exit(EXIT_SUCCESS);
 }
 
-// A kind's options and the handler that they make.
-class Kind {
- public:
-  virtual ~Kind() = default;
-  virtual absl::Status Parse(int argc, const char** argv) = 0;
-  virtual absl::StatusOr<HttpHandler> Make(Runtime& runtime) = 0;
-
-  std::string listen() const { return listen_.text(); }
-
- protected:
-  ListenFlag listen_;
+// What the command line asks for.
+struct Command {
+  std::string listen;
+  std::function<absl::StatusOr<HttpHandler>(Runtime&)> make_handler;
 };
 
-class LogKind : public Kind {
- public:
-  absl::Status Parse(int argc, const char** argv) override {
-    const std::array options = {
-        listen_.Option(),
-        IntOption("rate", &options_.rate, "appends per second, 0: no limit"),
-        IntOption("retention", &options_.retention, "entries kept per stream"),
-        IntOption("append-delay-ms", &options_.append_delay_ms,
-                  "time of an append"),
-        IntOption("read-delay-ms", &options_.read_delay_ms, "time of a read"),
-        DoubleOption("lose-replies", &options_.lose_replies,
-                     "probability that an append's reply is lost"),
-        IntOption("seed", &options_.seed, "seed of random faults"),
-        HelpOptions(),
-        EndOfOptions()};
-    return ParseFlags("standins log", argc, argv, options.data());
+absl::StatusOr<Command> ParseLog(int argc, const char** argv) {
+  LogStandinOptions options;
+  absl::StatusOr<std::string> listen = ParseFlags(
+      argc, argv,
+      {IntOption("rate", &options.rate, "appends per second, 0: no limit"),
+       IntOption("retention", &options.retention, "entries kept per stream"),
+       IntOption("append-delay-ms", &options.append_delay_ms,
+                 "time of an append"),
+       IntOption("read-delay-ms", &options.read_delay_ms, "time of a read"),
+       DoubleOption("lose-replies", &options.lose_replies,
+                    "probability that an append's reply is lost"),
+       IntOption("seed", &options.seed, "seed of random faults")});
+  if (!listen.ok()) {
+    return listen.status();
   }
-  absl::StatusOr<HttpHandler> Make(Runtime& runtime) override {
-    return MakeLogStandin(options_);
-  }
-
- private:
-  LogStandinOptions options_;
-};
-
-class EngineKind : public Kind {
- public:
-  ~EngineKind() override { std::free(fencing_); }
+  return Command{*listen,
+                 [options](Runtime&) { return MakeLogStandin(options); }};
+}
 
-  absl::Status Parse(int argc, const char** argv) override {
-    int keep_on_disconnect = 0;
-    const std::array options = {
-        listen_.Option(),
-        IntOption("slots", &options_.slots, "requests run at once"),
-        IntOption("token-ms", &options_.token_ms, "time between tokens"),
-        IntOption("prefill-ms-per-1k", &options_.prefill_ms_per_1k,
-                  "prefill time per 1000 prompt tokens"),
-        IntOption("cache-prefixes", &options_.cache_prefixes,
-                  "prompt prefixes cached"),
-        IntOption("load-lag-ms", &options_.load_lag_ms, "age of /load"),
-        IntOption("event-lag-ms", &options_.event_lag_ms, "age of /events"),
-        DoubleOption("event-drop", &options_.event_drop,
-                     "probability that a cache event is never shown"),
-        poptOption{"keep-on-disconnect", 0, POPT_ARG_NONE, &keep_on_disconnect,
-                   0, "run on when the client has gone", nullptr},
-        poptOption{"fencing", 0, POPT_ARG_STRING, &fencing_, 0,
-                   "what to do with an order's old fence (default check)",
-                   "check|ignore"},
-        IntOption("seed", &options_.seed, "seed of random faults"),
-        HelpOptions(),
-        EndOfOptions()};
-    absl::Status status =
-        ParseFlags("standins engine", argc, argv, options.data());
-    const std::string fencing = fencing_ == nullptr ? "check" : fencing_;
-    if (fencing != "check" && fencing != "ignore") {
-      status.Update(UsageError("--fencing: must be check or ignore"));
-    }
-    options_.keep_on_disconnect = keep_on_disconnect != 0;
-    options_.check_fences = fencing == "check";
-    return status;
+absl::StatusOr<Command> ParseEngine(int argc, const char** argv) {
+  EngineStandinOptions options;
+  int keep_on_disconnect = 0;
+  char* fencing_flag = nullptr;
+  absl::StatusOr<std::string> listen = ParseFlags(
+      argc, argv,
+      {IntOption("slots", &options.slots, "requests run at once"),
+       IntOption("token-ms", &options.token_ms, "time between tokens"),
+       IntOption("prefill-ms-per-1k", &options.prefill_ms_per_1k,
+                 "prefill time per 1000 prompt tokens"),
+       IntOption("cache-prefixes", &options.cache_prefixes,
+                 "prompt prefixes cached"),
+       IntOption("load-lag-ms", &options.load_lag_ms, "age of /load"),
+       IntOption("event-lag-ms", &options.event_lag_ms, "age of /events"),
+       DoubleOption("event-drop", &options.event_drop,
+                    "probability that a cache event is never shown"),
+       {"keep-on-disconnect", 0, POPT_ARG_NONE, &keep_on_disconnect, 0,
+        "run on when the client has gone", nullptr},
+       StringOption("fencing", &fencing_flag,
+                    "what to do with an order's old fence (default check)",
+                    "check|ignore"),
+       IntOption("seed", &options.seed, "seed of random faults")});
+  const std::string fencing = TakeString(fencing_flag, "check");
+  if (!listen.ok()) {
+    return listen.status();
   }
-  absl::StatusOr<HttpHandler> Make(Runtime& runtime) override {
-    return MakeEngineStandin(runtime, options_);
+  if (fencing != "check" && fencing != "ignore") {
+    return UsageError("--fencing: must be check or ignore");
   }
+  options.keep_on_disconnect = keep_on_disconnect != 0;
+  options.check_fences = fencing == "check";
+  return Command{*listen, [options](Runtime& runtime) {
+                   return MakeEngineStandin(runtime, options);
+                 }};
+}
 
- private:
-  EngineStandinOptions options_;
-  char* fencing_ = nullptr;
-};
-
-class ServiceKind : public Kind {
- public:
-  absl::Status Parse(int argc, const char** argv) override {
-    const std::array options = {
-        listen_.Option(),
-        IntOption("work-ms", &options_.work_ms, "time of an order"),
-        IntOption("seed", &options_.seed, "seed of random faults"),
-        HelpOptions(), EndOfOptions()};
-    return ParseFlags("standins service", argc, argv, options.data());
-  }
-  absl::StatusOr<HttpHandler> Make(Runtime& runtime) override {
-    return MakeServiceStandin(options_);
+absl::StatusOr<Command> ParseService(int argc, const char** argv) {
+  ServiceStandinOptions options;
+  absl::StatusOr<std::string> listen =
+      ParseFlags(argc, argv,
+                 {IntOption("work-ms", &options.work_ms, "time of an order"),
+                  IntOption("seed", &options.seed, "seed of random faults")});
+  if (!listen.ok()) {
+    return listen.status();
   }
+  return Command{*listen,
+                 [options](Runtime&) { return MakeServiceStandin(options); }};
+}
 
- private:
-  ServiceStandinOptions options_;
-};
-
-class VmsKind : public Kind {
- public:
-  absl::Status Parse(int argc, const char** argv) override {
-    const std::array options = {
-        listen_.Option(),
-        IntOption("lag-ms", &options_.lag_ms, "age of the list"), HelpOptions(),
-        EndOfOptions()};
-    return ParseFlags("standins vms", argc, argv, options.data());
+absl::StatusOr<Command> ParseVms(int argc, const char** argv) {
+  VmListStandinOptions options;
+  absl::StatusOr<std::string> listen = ParseFlags(
+      argc, argv, {IntOption("lag-ms", &options.lag_ms, "age of the list")});
+  if (!listen.ok()) {
+    return listen.status();
   }
-  absl::StatusOr<HttpHandler> Make(Runtime& runtime) override {
-    return MakeVmListStandin(options_);
-  }
-
- private:
-  VmListStandinOptions options_;
-};
+  return Command{*listen,
+                 [options](Runtime&) { return MakeVmListStandin(options); }};
+}
 
-std::unique_ptr<Kind> MakeKind(std::string_view name) {
-  if (name == "log") {
-    return std::make_unique<LogKind>();
+absl::StatusOr<Command> ParseCommand(std::string_view kind,
+                                     int argc,
+                                     const char** argv) {
+  if (kind == "log") {
+    return ParseLog(argc, argv);
   }
-  if (name == "engine") {
-    return std::make_unique<EngineKind>();
+  if (kind == "engine") {
+    return ParseEngine(argc, argv);
   }
-  if (name == "service") {
-    return std::make_unique<ServiceKind>();
+  if (kind == "service") {
+    return ParseService(argc, argv);
   }
-  if (name == "vms") {
-    return std::make_unique<VmsKind>();
+  if (kind == "vms") {
+    return ParseVms(argc, argv);
   }
-  return nullptr;
+  return UsageError(
+      "the first argument must be log, engine, service or vms; see --help");
 }
 
 int Main(int argc, const char** argv) {
-  const std::string_view name = argc < 2 ? "" : argv[1];
-  if (name == "--help" || name == "-?") {
+  const std::string_view kind = argc < 2 ? "" : argv[1];
+  if (kind == "--help" || kind == "-?") {
     std::fputs(kUsage, stdout);
     return EXIT_SUCCESS;
   }
-  const std::unique_ptr<Kind> kind = MakeKind(name);
-  if (kind == nullptr) {
-    return Fail(kExitUsage,
-                "the first argument must be log, engine, service or vms; see "
-                "--help");
-  }
-  const absl::Status parsed = kind->Parse(argc - 1, argv + 1);
-  if (!parsed.ok()) {
-    return Fail(kExitUsage, parsed.ToString());
+  absl::StatusOr<Command> command = ParseCommand(kind, argc - 1, argv + 1);
+  if (!command.ok()) {
+    return Fail(kExitUsage, command.status());
   }
   InitLogging("standins", LogSeverity::kWarning);
   absl::StatusOr<std::unique_ptr<Runtime>> runtime =
       Runtime::Create({.threads = 1});
   if (!runtime.ok()) {
-    return Fail(kExitFailed, runtime.status().ToString());
+    return Fail(kExitFailed, runtime.status());
   }
-  absl::StatusOr<HttpHandler> handler = kind->Make(**runtime);
+  absl::StatusOr<HttpHandler> handler = command->make_handler(**runtime);
   if (!handler.ok()) {
-    return Fail(kExitUsage, handler.status().ToString());
+    return Fail(kExitUsage, handler.status());
   }
-  return Serve(**runtime, kind->listen(), *std::move(handler));
+  return Serve(**runtime, command->listen, *std::move(handler));
 }
 
 }  // namespace
