Stand-ins: JSON errors are reported once, by Finish

Cause: each handler checked a body twice, when parsed and when read. Change: JsonFields keeps its first error until Finish. Conclusion: shorter handlers, same answers but for the wording of the error.

--- a/testing/engine_standin.cc
+++ b/testing/engine_standin.cc
@@ -145,15 +145,12 @@
   }
 
   void Resume(const HttpRequest& request, ResponseWriter& writer) {
-    absl::StatusOr<JsonFields> fields = JsonFields::Parse(request.body);
-    if (!fields.ok()) {
-      return SendError(writer, 400, fields.status().ToString());
-    }
+    JsonFields fields = JsonFields::Parse(request.body);
     std::string id;
     int64_t from = 0;
-    fields->String("request_id", &id);
-    fields->Int("from_token", &from);
-    const absl::Status status = fields->Finish();
+    fields.String("request_id", &id);
+    fields.Int("from_token", &from);
+    const absl::Status status = fields.Finish();
     if (!status.ok() || from < 0) {
       return SendError(writer, 400, "needs request_id and from_token");
     }
@@ -214,13 +211,10 @@
   }
 
   void CancelById(const HttpRequest& request, ResponseWriter& writer) {
-    absl::StatusOr<JsonFields> fields = JsonFields::Parse(request.body);
-    if (!fields.ok()) {
-      return SendError(writer, 400, fields.status().ToString());
-    }
+    JsonFields fields = JsonFields::Parse(request.body);
     std::string id;
-    fields->String("request_id", &id);
-    if (!fields->Finish().ok()) {
+    fields.String("request_id", &id);
+    if (!fields.Finish().ok()) {
       return SendError(writer, 400, "needs request_id");
     }
     const auto found = latest_.find(id);
@@ -425,17 +419,14 @@
     if (name != "load_model" && name != "role") {
       return SendError(writer, 404, "no such order");
     }
-    absl::StatusOr<JsonFields> fields = JsonFields::Parse(request.body);
-    if (!fields.ok()) {
-      return SendError(writer, 400, fields.status().ToString());
-    }
+    JsonFields fields = JsonFields::Parse(request.body);
     int64_t fence = -1;
     std::string model;
     std::string role;
-    fields->Int("fence", &fence);
-    fields->String("model", &model);
-    fields->String("role", &role);
-    if (!fields->Finish().ok() || fence < 0) {
+    fields.Int("fence", &fence);
+    fields.String("model", &model);
+    fields.String("role", &role);
+    if (!fields.Finish().ok() || fence < 0) {
       return SendError(writer, 400, "needs fence, a whole number from 0 on");
     }
     if (options_.check_fences && fence < highest_fence_) {
@@ -447,16 +438,13 @@
   }
 
   void Control(const HttpRequest& request, ResponseWriter& writer) {
-    absl::StatusOr<JsonFields> fields = JsonFields::Parse(request.body);
-    if (!fields.ok()) {
-      return SendError(writer, 400, fields.status().ToString());
-    }
+    JsonFields fields = JsonFields::Parse(request.body);
     Faults faults = faults_;
-    fields->Double("slow_factor", &faults.slow_factor);
-    fields->Double("fail_share", &faults.fail_share);
-    fields->Bool("freeze", &faults.freeze);
-    fields->Bool("outage", &faults.outage);
-    const absl::Status status = fields->Finish();
+    fields.Double("slow_factor", &faults.slow_factor);
+    fields.Double("fail_share", &faults.fail_share);
+    fields.Bool("freeze", &faults.freeze);
+    fields.Bool("outage", &faults.outage);
+    const absl::Status status = fields.Finish();
     if (!status.ok()) {
       return SendError(writer, 400, status.ToString());
     }
--- a/testing/log_standin.cc
+++ b/testing/log_standin.cc
@@ -185,23 +185,20 @@
   }
 
   void Control(const HttpRequest& request, ResponseWriter& writer) {
-    absl::StatusOr<JsonFields> fields = JsonFields::Parse(request.body);
-    if (!fields.ok()) {
-      return SendError(writer, 400, fields.status().ToString());
-    }
+    JsonFields fields = JsonFields::Parse(request.body);
     LogStandinOptions options = options_;
     bool outage = outage_;
     bool hold_appends = hold_appends_;
     bool release = false;
-    fields->Bool("outage", &outage);
-    fields->Int("append_delay_ms", &options.append_delay_ms);
-    fields->Int("read_delay_ms", &options.read_delay_ms);
-    fields->Double("lose_replies", &options.lose_replies);
-    fields->Int("rate", &options.rate);
-    fields->Int("retention", &options.retention);
-    fields->Bool("hold_appends", &hold_appends);
-    fields->Bool("release", &release);
-    absl::Status status = fields->Finish();
+    fields.Bool("outage", &outage);
+    fields.Int("append_delay_ms", &options.append_delay_ms);
+    fields.Int("read_delay_ms", &options.read_delay_ms);
+    fields.Double("lose_replies", &options.lose_replies);
+    fields.Int("rate", &options.rate);
+    fields.Int("retention", &options.retention);
+    fields.Bool("hold_appends", &hold_appends);
+    fields.Bool("release", &release);
+    absl::Status status = fields.Finish();
     status.Update(Check(options));
     if (!status.ok()) {
       return SendError(writer, 400, status.ToString());
--- a/testing/service_standin.cc
+++ b/testing/service_standin.cc
@@ -76,16 +76,13 @@
   }
 
   void Control(const HttpRequest& request, ResponseWriter& writer) {
-    absl::StatusOr<JsonFields> fields = JsonFields::Parse(request.body);
-    if (!fields.ok()) {
-      return SendError(writer, 400, fields.status().ToString());
-    }
+    JsonFields fields = JsonFields::Parse(request.body);
     Faults faults = faults_;
-    fields->Int("delay_ms", &faults.delay_ms);
-    fields->Double("fail_before_run", &faults.fail_before_run);
-    fields->Double("fail_after_run", &faults.fail_after_run);
-    fields->Bool("outage", &faults.outage);
-    const absl::Status status = fields->Finish();
+    fields.Int("delay_ms", &faults.delay_ms);
+    fields.Double("fail_before_run", &faults.fail_before_run);
+    fields.Double("fail_after_run", &faults.fail_after_run);
+    fields.Bool("outage", &faults.outage);
+    const absl::Status status = fields.Finish();
     if (!status.ok()) {
       return SendError(writer, 400, status.ToString());
     }
--- a/testing/standin_support.cc
+++ b/testing/standin_support.cc
@@ -17,22 +17,22 @@
 
 }  // namespace
 
-absl::StatusOr<JsonFields> JsonFields::Parse(std::string_view text) {
+JsonFields JsonFields::Parse(std::string_view text) {
+  auto object = std::make_unique<boost::json::object>();
   boost::json::error_code error;
   boost::json::value value =
       boost::json::parse({text.data(), text.size()}, error);
-  if (error) {
-    return InvalidBody("body is not JSON: " + error.message());
+  if (error || !value.is_object()) {
+    return JsonFields(std::move(object),
+                      InvalidBody("body is not a JSON object"));
   }
-  if (!value.is_object()) {
-    return InvalidBody("body is not a JSON object");
-  }
-  return JsonFields(
-      std::make_unique<boost::json::object>(std::move(value.as_object())));
+  *object = std::move(value.as_object());
+  return JsonFields(std::move(object), absl::OkStatus());
 }
 
-JsonFields::JsonFields(std::unique_ptr<boost::json::object> object)
-    : object_(std::move(object)) {}
+JsonFields::JsonFields(std::unique_ptr<boost::json::object> object,
+                       absl::Status status)
+    : object_(std::move(object)), status_(std::move(status)) {}
 JsonFields::JsonFields(JsonFields&&) = default;
 JsonFields::~JsonFields() = default;
 
--- a/testing/standin_support.h
+++ b/testing/standin_support.h
@@ -19,7 +19,6 @@
 #include <string_view>
 
 #include "absl/status/status.h"
-#include "absl/status/statusor.h"
 #include "absl/time/time.h"
 #include "hawthornhollow/http/http.h"
 
@@ -28,12 +27,13 @@
 // Reads the fields of a JSON object into variables, which keep their values
 // where a field is absent.
 //
-//   auto fields = JsonFields::Parse(body);
-//   fields->Bool("outage", &outage);
-//   absl::Status status = fields->Finish();
+//   JsonFields fields = JsonFields::Parse(body);
+//   fields.Bool("outage", &outage);
+//   absl::Status status = fields.Finish();
 class JsonFields {
  public:
-  static absl::StatusOr<JsonFields> Parse(std::string_view text);
+  // A body that is no JSON object is reported by Finish.
+  static JsonFields Parse(std::string_view text);
   JsonFields(JsonFields&&);
   ~JsonFields();
 
@@ -41,11 +41,11 @@
   void Int(std::string_view name, int64_t* value);
   void Double(std::string_view name, double* value);
   void String(std::string_view name, std::string* value);
-  // INVALID_ARGUMENT that names the first field that is unknown or mistyped.
+  // INVALID_ARGUMENT that names the first mistyped or unknown field.
   absl::Status Finish() const;
 
  private:
-  explicit JsonFields(std::unique_ptr<boost::json::object> object);
+  JsonFields(std::unique_ptr<boost::json::object> object, absl::Status status);
   const boost::json::value* Take(std::string_view name);
   void Mistyped(std::string_view name, std::string_view expected);
 
--- a/testing/vm_list_standin.cc
+++ b/testing/vm_list_standin.cc
@@ -38,15 +38,12 @@
 
  private:
   void Change(const HttpRequest& request, ResponseWriter& writer) {
-    absl::StatusOr<JsonFields> fields = JsonFields::Parse(request.body);
-    if (!fields.ok()) {
-      return SendError(writer, 400, fields.status().ToString());
-    }
+    JsonFields fields = JsonFields::Parse(request.body);
     VmChange change;
     change.shown = absl::Now() + lag_;
-    fields->String("name", &change.name);
-    fields->String("state", &change.state);
-    const absl::Status status = fields->Finish();
+    fields.String("name", &change.name);
+    fields.String("state", &change.state);
+    const absl::Status status = fields.Finish();
     if (!status.ok()) {
       return SendError(writer, 400, status.ToString());
     }
