Scheduling: rank queue, server chooser, retry budget, caller limiter

Cause: the router needs its decisions behind scheduling.h. Change: rank queue with floors, two-level deficit round robin in O(log n), admission by predicted wait; server chooser with bounded-load affinity, ejection and ramps; limits and budgets for retries. Additive to the contract: RankQueue::Take(now, free_slots, slots), RankQueue::OnFirstToken, two ServerChooserOptions; OnServed takes the finished request's cost_tokens, so that rate and backlog have one unit. Ruled out: playing each round of deficit round robin, since a request of many quanta makes Take linear in flows times quanta.

--- a/hawthornhollow/scheduling/scheduling.h
+++ b/hawthornhollow/scheduling/scheduling.h
@@ -12,9 +12,10 @@
 
 #include <compare>
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -72,55 +73,51 @@
 
 // The waiting requests of one model or service. Ranks in order, each with its
 // floor; within a rank deficit round robin over members, and within a member
-// over callers, in tokens.
+// over callers, in tokens. Ids are unique among the waiting requests. Call
+// Expire after every Offer and on a timer: what one request displaces is
+// refused there.
 class RankQueue {
  public:
   explicit RankQueue(const RankQueueOptions& options);
+  RankQueue(RankQueue&&) noexcept;
+  RankQueue& operator=(RankQueue&&) noexcept;
+  ~RankQueue();
 
   // Takes the request in, or says why not. A request that is to be given up is
-  // given up here or by Expire, at once.
+  // given up here or by Expire, at once. A request of an unknown rank joins the
+  // last one.
   std::optional<Refusal> Offer(const QueuedRequest& request, absl::Time now);
   // The next request to dispatch; the caller has room for one.
   std::optional<QueuedRequest> Take(absl::Time now);
+  // As above, when `free_slots` of `slots` are free: a few of them are kept for
+  // ranks that go first, if these have been seen of late.
+  std::optional<QueuedRequest> Take(absl::Time now,
+                                    int64_t free_slots,
+                                    int64_t slots);
   // Puts back a request that could not be dispatched, at the head of its flow.
   void PutBack(const QueuedRequest& request);
   // Takes out a request whose caller has gone. False if it is not here.
   bool Remove(uint64_t id);
   // Gives up what can no longer meet its target or deadline.
   std::vector<Refusal> Expire(absl::Time now);
-  // Observed service, for the predicted wait: tokens finished.
+  // Observed service, for the predicted wait: the `cost_tokens` of a request
+  // that has finished and freed its slot.
   void OnServed(int64_t tokens, absl::Time now);
+  // Observed time from dispatch to first token, which a request's wait must
+  // leave of its target.
+  void OnFirstToken(absl::Duration took);
   // Replaces ranks' targets and floors; waiting requests keep their place.
   void SetRanks(const std::vector<RankPolicy>& ranks);
 
-  size_t waiting() const { return waiting_; }
+  size_t waiting() const;
   int64_t waiting_tokens(std::string_view rank) const;
+  // The wait that a new caller's request would have now; zero while the service
+  // rate is unknown.
   absl::Duration PredictedWait(std::string_view rank, absl::Time now) const;
 
  private:
-  struct CallerFlow {
-    std::deque<QueuedRequest> requests;
-    int64_t deficit = 0;
-  };
-  struct MemberFlow {
-    std::map<std::string, CallerFlow> callers;
-    std::deque<std::string> turn;  // callers with requests, next first
-    int64_t deficit = 0;
-  };
-  struct RankState {
-    RankPolicy policy;
-    std::map<std::string, MemberFlow> members;
-    std::deque<std::string> turn;
-    int64_t waiting_tokens = 0;
-    double served_window = 0;  // decayed tokens dispatched
-  };
-
-  RankQueueOptions options_;
-  std::vector<RankState> ranks_;  // by order
-  size_t waiting_ = 0;
-  double served_total_ = 0;
-  double service_rate_ = 0;  // tokens per second, decayed
-  absl::Time decayed_at_ = absl::InfinitePast();
+  class Impl;
+  std::unique_ptr<Impl> impl_;
 };
 
 // ---------------------------------------------------------------------------
@@ -150,6 +147,12 @@
   absl::Duration ejection = absl::Seconds(5);
   absl::Duration warm_up = absl::Seconds(5);
   absl::Duration half_life = absl::Seconds(3);
+  // A favoured server is never passed over while less than this share of its
+  // slots is in use.
+  double affinity_free_share = 0.25;
+  // The share of each server's slots that other routers' load cannot take from
+  // this router; at least one slot.
+  double own_share = 0.2;
 };
 
 // Chooses among the servers of one model or service. In-flight counts are this
@@ -186,19 +189,46 @@
   struct State {
     ServerView view;
     int64_t in_flight = 0;
-    double first_token_s = 0;
-    double failures = 0;
-    double samples = 0;
-    absl::Time sampled_at = absl::InfinitePast();
-    absl::Time joined_at = absl::InfinitePast();
-    absl::Time ejected_until = absl::InfinitePast();
+    double others = 0;  // in flight from other routers, as of the last report
+    double first_token_s = 0;  // smoothed
+    double failures = 0;       // share of recent requests, smoothed
+    int64_t first_tokens = 0;  // samples
+    int64_t outcomes = 0;      // samples
+    absl::Time first_token_at = absl::InfinitePast();
+    absl::Time outcome_at = absl::InfinitePast();
     absl::Time reported_at = absl::InfinitePast();
-    int64_t sent_since_report = 0;
+    // When the server joined or came back; it then gets its slots gradually.
+    absl::Time ramp_from = absl::InfinitePast();
+    absl::Time disconnected_at = absl::InfinitePast();
+    absl::Time ejected_until = absl::InfinitePast();
   };
+  using Servers = std::map<std::string, State, std::less<>>;
+
+  bool IsUsable(const State& state) const;
+  bool IsRamping(const State& state, absl::Time now) const;
+  bool AnySettled(absl::Time now) const;
+  double SlotsOf(const State& state, bool ramps, absl::Time now) const;
+  double OthersOf(const State& state, absl::Time now) const;
+  double RoomOf(const State& state, bool ramps, absl::Time now) const;
+  double LoadOf(const State& state, absl::Time now) const;
+  double Weight(const State& state, absl::Time now) const;
+  Servers::iterator Favoured(std::string_view affinity,
+                             const std::vector<Servers::iterator>& candidates,
+                             absl::Time now);
+  Servers::iterator LeastLoaded(
+      const std::vector<Servers::iterator>& candidates,
+      absl::Time now);
+  double MedianFirstToken() const;
+  bool IsSick(const State& state) const;
+  void EjectIfSick(State& state, absl::Time now);
+  double Smoothed(double old_value,
+                  double sample,
+                  absl::Time sampled_at,
+                  absl::Time now) const;
 
-  int64_t RoomOf(const State& state, absl::Time now) const;
   ServerChooserOptions options_;
-  std::map<std::string, State, std::less<>> servers_;
+  Servers servers_;
+  std::mt19937_64 random_;
 };
 
 // ---------------------------------------------------------------------------
@@ -239,6 +269,8 @@
   int64_t concurrent() const { return concurrent_; }
 
  private:
+  void Refill(absl::Time now);
+
   CallerLimit limit_;
   double share_ = 1;
   int64_t concurrent_ = 0;
--- /dev/null
+++ b/hawthornhollow/scheduling/service_rate.cc
@@ -0,0 +1,86 @@
+#include "hawthornhollow/scheduling/service_rate.h"
+
+// Requests finish at the fleet's full rate exactly while others wait, because a
+// free slot is filled at once. Over the time with backlog, finished tokens
+// divided by that time is therefore an unbiased measurement, also when the
+// backlog comes in many short stretches that each end with a finished request.
+// Both sums decay by time with backlog, not by wall time, so that evidence
+// outlives quiet stretches, up to kEvidenceLifetime.
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornhollow {
+namespace {
+
+constexpr absl::Duration kRateWindow = absl::Seconds(5);
+constexpr absl::Duration kEvidenceLifetime = absl::Seconds(60);
+constexpr double kMinRequests = 3;
+constexpr double kMinBusySeconds = 0.05;
+
+double Remaining(absl::Duration elapsed, absl::Duration window) {
+  return std::exp(-absl::FDivDuration(elapsed, window));
+}
+
+}  // namespace
+
+void DecayedSum::Add(double amount, absl::Time now) {
+  value_ = Value(now) + amount;
+  at_ = std::max(at_, now);
+}
+
+void DecayedSum::Subtract(double amount) {
+  value_ = std::max(0.0, value_ - amount);
+}
+
+double DecayedSum::Value(absl::Time now) const {
+  if (value_ == 0 || now <= at_) {
+    return value_;
+  }
+  return value_ * Remaining(now - at_, window_);
+}
+
+double DecayedSum::PerSecond(absl::Time now) const {
+  return Value(now) / absl::ToDoubleSeconds(window_);
+}
+
+void ServiceRate::SetBacklogged(bool backlogged, absl::Time now) {
+  Advance(now);
+  backlogged_ = backlogged;
+}
+
+void ServiceRate::OnServed(int64_t tokens, absl::Time now) {
+  Advance(now);
+  if (!backlogged_) {
+    return;
+  }
+  tokens_ += static_cast<double>(tokens);
+  requests_ += 1;
+  last_served_at_ = now;
+}
+
+bool ServiceRate::Known(absl::Time now) const {
+  const bool recent = backlogged_ || now - last_served_at_ < kEvidenceLifetime;
+  return recent && requests_ >= kMinRequests &&
+         busy_seconds_ >= kMinBusySeconds;
+}
+
+double ServiceRate::PerSecond(absl::Time now) const {
+  const double margin = 1 + 1 / std::sqrt(std::max(requests_, 1.0));
+  return margin * tokens_ / std::max(busy_seconds_, kMinBusySeconds);
+}
+
+void ServiceRate::Advance(absl::Time now) {
+  const absl::Time since = advanced_at_;
+  advanced_at_ = std::max(advanced_at_, now);
+  if (!backlogged_ || now <= since) {
+    return;
+  }
+  const double remaining = Remaining(now - since, kRateWindow);
+  const double window_seconds = absl::ToDoubleSeconds(kRateWindow);
+  busy_seconds_ = busy_seconds_ * remaining + window_seconds * (1 - remaining);
+  tokens_ *= remaining;
+  requests_ *= remaining;
+}
+
+}  // namespace hawthornhollow
--- /dev/null
+++ b/hawthornhollow/scheduling/service_rate.h
@@ -0,0 +1,56 @@
+#ifndef HAWTHORNHOLLOW_SCHEDULING_SERVICE_RATE_H_
+#define HAWTHORNHOLLOW_SCHEDULING_SERVICE_RATE_H_
+
+// Internal to the scheduling library.
+
+#include <cstdint>
+
+#include "absl/time/time.h"
+
+namespace hawthornhollow {
+
+// A sum whose terms lose weight exponentially with their age.
+class DecayedSum {
+ public:
+  explicit DecayedSum(absl::Duration window) : window_(window) {}
+  void Add(double amount, absl::Time now);
+  // Takes back part of what was added, as of the last call.
+  void Subtract(double amount);
+  double Value(absl::Time now) const;
+  // The sum as a rate over the window.
+  double PerSecond(absl::Time now) const;
+
+ private:
+  absl::Duration window_;
+  double value_ = 0;
+  absl::Time at_ = absl::InfinitePast();
+};
+
+// Tokens per second that the servers finish while work is waiting for them.
+// Time without waiting work is left out, so that an idle fleet does not look
+// slow.
+class ServiceRate {
+ public:
+  // Says whether work waits from `now` on.
+  void SetBacklogged(bool backlogged, absl::Time now);
+  void OnServed(int64_t tokens, absl::Time now);
+  // False until enough has been seen, and when it is too long ago.
+  bool Known(absl::Time now) const;
+  // Tokens per second, taken high by the standard error of the measurement, so
+  // that scarce evidence does not refuse. Meaningful only if Known.
+  double PerSecond(absl::Time now) const;
+
+ private:
+  void Advance(absl::Time now);
+
+  bool backlogged_ = false;
+  absl::Time advanced_at_ = absl::InfinitePast();
+  absl::Time last_served_at_ = absl::InfinitePast();
+  double busy_seconds_ = 0;  // decayed, as are the two below
+  double tokens_ = 0;
+  double requests_ = 0;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_SCHEDULING_SERVICE_RATE_H_
