Run the link tests against the runtime

Change: qualify SleepFor, which is ambiguous with absl's by lookup on its argument. Ruled out: nothing.

--- a/hawthornhollow/wire/frame_link_test.cc
+++ b/hawthornhollow/wire/frame_link_test.cc
@@ -107,7 +107,7 @@
   RunFiber([&] {
     auto link = FrameLink::Create(Connect(), FastOptions());
     runtime_->SpawnOn(1, [link] {
-      SleepFor(4 * FastOptions().silence);
+      hawthornhollow::SleepFor(4 * FastOptions().silence);
       EXPECT_FALSE(link->closed());
       link->Close();
     });
@@ -118,7 +118,8 @@
 
 TEST_F(FrameLinkTest, SilentPeerEndsTheLinkWithDeadlineExceeded) {
   Listen([&](std::unique_ptr<TcpStream> stream) {
-    SleepFor(absl::Seconds(3));  // reads nothing, writes nothing
+    hawthornhollow::SleepFor(
+        absl::Seconds(3));  // reads nothing, writes nothing
   });
   RunFiber([&] {
     auto link = FrameLink::Create(Connect(), FastOptions());
@@ -133,7 +134,7 @@
   Listen([&](std::unique_ptr<TcpStream> stream) {
     const std::string header("\xff\xff\xff\x7f", 4);
     EXPECT_TRUE(stream->Write(header, kConnectTimeout).ok());
-    SleepFor(absl::Milliseconds(100));
+    hawthornhollow::SleepFor(absl::Milliseconds(100));
   });
   RunFiber([&] {
     auto link = FrameLink::Create(Connect(), FastOptions());
@@ -144,7 +145,7 @@
 
 TEST_F(FrameLinkTest, SendBeyondItsBoundsIsRefused) {
   Listen([&](std::unique_ptr<TcpStream> stream) {
-    SleepFor(absl::Milliseconds(100));
+    hawthornhollow::SleepFor(absl::Milliseconds(100));
   });
   RunFiber([&] {
     FrameLinkOptions options = FastOptions();
