--- a/hawthornhollow/router/budget_controller.cc
+++ b/hawthornhollow/router/budget_controller.cc
@@ -96,13 +96,13 @@
     fibers_.Spawn([this, shard] {
       while (!fibers_.stopped()) {
         Tick(*shard);
-        SleepFor(kTick);
+        hawthornhollow::SleepFor(kTick);
       }
     });
     fibers_.Spawn([this, shard] {
       while (!fibers_.stopped()) {
         shard->follower->MaybeCheckpoint(*shard->writer);
-        SleepFor(kCheckpointPoll);
+        hawthornhollow::SleepFor(kCheckpointPoll);
       }
     });
   }
--- a/hawthornhollow/router/config_controller.cc
+++ b/hawthornhollow/router/config_controller.cc
@@ -217,7 +217,7 @@
     notice.log_read = ReadsLog();
     if (follower_->ever_caught_up())
       Notify(notice);
-    SleepFor(options_.notice_interval);
+    hawthornhollow::SleepFor(options_.notice_interval);
   }
 }
 
@@ -241,7 +241,7 @@
       outgoing_.erase(peer.ToString());
     }
     if (!fibers_.stopped())
-      SleepFor(kPeerReconnect);
+      hawthornhollow::SleepFor(kPeerReconnect);
   }
 }
 
--- a/hawthornhollow/router/gate_link.cc
+++ b/hawthornhollow/router/gate_link.cc
@@ -48,7 +48,7 @@
       backoff = options_.reconnect_min;
     for (absl::Duration waited; waited < backoff && !stop && !stopped_;
          waited += kReconnectSlice) {
-      SleepFor(std::min(kReconnectSlice, backoff - waited));
+      hawthornhollow::SleepFor(std::min(kReconnectSlice, backoff - waited));
       LoseCallsIfOverdue();
     }
     backoff = std::min(backoff * 2, options_.reconnect_max);
--- a/hawthornhollow/router/membership_controller.cc
+++ b/hawthornhollow/router/membership_controller.cc
@@ -65,7 +65,7 @@
   fibers_.Spawn([this] {
     while (!fibers_.stopped()) {
       Tick();
-      SleepFor(kTick);
+      hawthornhollow::SleepFor(kTick);
     }
   });
 }
--- a/hawthornhollow/router/router.cc
+++ b/hawthornhollow/router/router.cc
@@ -33,7 +33,7 @@
       }
       OpenInstance(**instance);
       while (!shutdown_ && !(*instance)->fenced())
-        SleepFor(kPoll);
+        hawthornhollow::SleepFor(kPoll);
       if ((*instance)->fenced())
         (*instance)->Abandon();
       else
--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -272,7 +272,7 @@
       tidied = absl::Now();
       gates_->Tidy();
     }
-    SleepFor(kTick);
+    hawthornhollow::SleepFor(kTick);
   }
 }
 
@@ -290,7 +290,7 @@
       membership_->OnVmList(names);
       scheduler_.SetLeavingVms(leaving);
     }
-    SleepFor(kVmPoll);
+    hawthornhollow::SleepFor(kVmPoll);
   }
 }
 
@@ -300,7 +300,7 @@
 void RouterInstance::ShutDown() {
   draining_ = true;
   LogEvent("router.draining").Add("incarnation", incarnation_);
-  SleepFor(kDrainNotice);
+  hawthornhollow::SleepFor(kDrainNotice);
   absl::Status drained = server_->Drain(absl::Seconds(settings_.drain_seconds));
   if (!drained.ok())
     LogEvent("router.drain_incomplete", LogSeverity::kWarning)
