platform: test fold keeps its own map of sequences

Change: the test fold uses a plain map; WaitApplied's comment names the repeats that a fold's own rules yield.

--- a/hawthornhollow/platform/platform.h
+++ b/hawthornhollow/platform/platform.h
@@ -355,8 +355,9 @@
   absl::Status WaitCaughtUp(absl::Duration timeout);
 
   // The verdict on a registered writer's record, once it has been applied.
-  // kRepeat: applied, but its first verdict is not known here. NOT_FOUND: no
-  // longer kept. DEADLINE_EXCEEDED: not applied here yet.
+  // kRepeat: applied before, and the first verdict is not known here (or the
+  // fold's own rules call it a repeat). NOT_FOUND: applied, but the verdict is
+  // not kept. DEADLINE_EXCEEDED: not applied here yet.
   absl::StatusOr<Verdict> WaitApplied(std::string_view writer,
                                       int64_t sequence,
                                       absl::Duration timeout);
--- a/hawthornhollow/platform/stream_test.cc
+++ b/hawthornhollow/platform/stream_test.cc
@@ -1,4 +1,7 @@
 #include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <sstream>
@@ -170,7 +173,7 @@
   }
 
   int64_t applied_offset_ = -1;
-  WriterSequences sequences_;
+  std::map<std::string, int64_t> sequences_;
   std::vector<std::string> names_;
 };
 
