--- a/hawthornhollow/ledger/ledger.h
+++ b/hawthornhollow/ledger/ledger.h
@@ -375,7 +375,7 @@
     std::string failure_domain;
     RouterState state = RouterState::kOpen;
     int64_t opened_offset = 0;
-    int64_t suspect_offset = 0;
+    int64_t suspect_offset = -1;  // -1: never suspected
     int64_t last_alive_offset = 0;
     int64_t closed_offset = 0;
     std::set<std::string> sealed_by;      // gate incarnations
--- a/hawthornhollow/ledger/membership_fold.cc
+++ b/hawthornhollow/ledger/membership_fold.cc
@@ -44,6 +44,8 @@
 // opened, marks the newer one as lost. That one reads it, stops serving, and
 // opens again; what it let through meanwhile counts as lost, which is safe.
 //
+// Before and after are by offset: the records of one batch are read together.
+//
 // Bounds: kMaxEnded closed routers, closed gates and lost gates. The oldest is
 // dropped first, but never a lost gate that an unclosed router could have
 // reached and has neither sealed nor settled. Suspects stay until closed.
@@ -118,7 +120,7 @@
 bool MembershipFold::CouldReach(const Router& router, const Gate& gate) {
   if (IsEnded(gate) && gate.ended_offset < router.opened_offset)
     return false;
-  const bool suspected = router.suspect_offset > 0;
+  const bool suspected = router.suspect_offset >= 0;
   return !suspected || gate.opened_offset < router.suspect_offset;
 }
 
