Rank queue: displacement, late requests, flood tests

Change: a request that fits by its own share displaces the newest of the longest flow, only if that leaves backlogs more equal; a late request whose flow is not in debt goes first in its rank; the share left to a rank follows what is offered above it, which shows a flood sooner than what is served.

--- a/hawthornhollow/scheduling/deficit_round_robin.h
+++ b/hawthornhollow/scheduling/deficit_round_robin.h
@@ -66,22 +66,32 @@
     Attach(flow, backlog, head_cost);
   }
 
-  // Charges the flow whose turn it is. The caller then calls Update.
+  // Charges an active flow for a request served, in its turn or not. The caller
+  // then calls Update.
   void Charge(FlowT* flow, int64_t cost) {
     FlowShare& share = flow->share;
-    round_ = std::max(round_, share.eligible_round);
-    share.deficit += (round_ - share.credited_round) * quantum_ - cost;
+    if (flow == Next()) {
+      round_ = std::max(round_, share.eligible_round);
+    }
+    share.deficit = Accrued(share) - cost;
     share.credited_round = round_;
   }
 
+  // Whether an active flow was served over a quantum more than its rounds have
+  // credited.
+  bool InDebt(const FlowT& flow) const {
+    return Accrued(flow.share) < -quantum_;
+  }
+
   // Gives back what was charged for a request that is put back. The caller has
   // called Update with the request included, and calls it again.
   void Refund(FlowT* flow, int64_t cost) { flow->share.deficit += cost; }
 
-  // Tokens of other flows that are served until a flow of backlog `own` (0: a
-  // new flow) has been served `through` tokens.
-  int64_t TokensAhead(int64_t through, int64_t own) const {
-    return histogram_.SumOfMin(Rounds(through) * quantum_, own);
+  // Tokens of other flows that are served before a flow has been served
+  // `through` tokens of its own. FlowShare() stands for a new flow.
+  int64_t TokensAhead(const FlowShare& share, int64_t through) const {
+    const int64_t rounds = Rounds(through - Accrued(share));
+    return histogram_.SumOfMin(rounds * quantum_, share.backlog);
   }
 
  private:
@@ -108,6 +118,14 @@
     return tokens <= 0 ? 0 : (tokens - 1) / quantum_ + 1;
   }
 
+  // The deficit as of this round.
+  int64_t Accrued(const FlowShare& share) const {
+    if (!share.active) {
+      return 0;
+    }
+    return share.deficit + (round_ - share.credited_round) * quantum_;
+  }
+
   void Detach(FlowT* flow) {
     const FlowShare& share = flow->share;
     if (!share.active) {
--- /dev/null
+++ b/hawthornhollow/scheduling/flood_test.cc
@@ -0,0 +1,432 @@
+// Floods against RankQueue with ServerChooser, and against two plain baselines:
+// one FIFO queue, and least-loaded servers with a queue each. A discrete-event
+// simulation with fixed seeds; figures are printed and recorded as properties.
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <queue>
+#include <random>
+
+#include "gtest/gtest.h"
+#include "hawthornhollow/scheduling/scheduling.h"
+
+namespace hawthornhollow {
+namespace {
+
+constexpr int kServers = 10;
+constexpr int kSlots = 5;
+constexpr double kMeanServiceSeconds = 1;
+constexpr double kFirstTokenSeconds = 0.15;
+constexpr double kTokensPerSecond = 800;  // of one slot
+constexpr double kCapacity = kServers * kSlots / kMeanServiceSeconds;  // 1/s
+constexpr double kFloodStart = 10;
+constexpr double kEnd = 50;
+const absl::Time kEpoch = absl::UnixEpoch();
+
+absl::Time At(double seconds) {
+  return kEpoch + absl::Seconds(seconds);
+}
+
+std::vector<RankPolicy> Ranks() {
+  return {{"urgent", 0, absl::Milliseconds(1800), 0.1},
+          {"middling", 1, absl::Seconds(5), 0.1},
+          {"can-wait", 2, absl::Seconds(20), 0.05}};
+}
+
+// Poisson arrivals of one caller, from `start` on.
+struct Load {
+  std::string rank;
+  std::string caller;
+  double per_second = 0;
+  double start = 0;
+};
+
+struct Job {
+  QueuedRequest request;
+  double arrived = 0;
+  double service = 0;
+  double first_token = -1;  // latency; -1: never
+  double refused = -1;      // delay until refused; -1: never
+  double finished = -1;     // time
+};
+
+struct Assignment {
+  uint64_t id = 0;
+  std::string server;
+};
+
+std::string ServerName(int i) {
+  return "engine-" + std::to_string(i);
+}
+
+class RankedPolicy {
+ public:
+  RankedPolicy() : queue_({.ranks = Ranks()}), chooser_({}) {
+    std::vector<ServerView> servers;
+    for (int i = 0; i < kServers; ++i) {
+      servers.push_back({ServerName(i), kSlots, 0, true, false});
+    }
+    chooser_.SetServers(servers, At(-10));
+  }
+  void Offer(const QueuedRequest& request, absl::Time now) {
+    if (auto refusal = queue_.Offer(request, now)) {
+      refused_.push_back(refusal->id);
+    }
+  }
+  std::vector<uint64_t> Refused(absl::Time now) {
+    for (const Refusal& refusal : queue_.Expire(now)) {
+      refused_.push_back(refusal.id);
+    }
+    return std::exchange(refused_, {});
+  }
+  std::optional<Assignment> Next(absl::Time now) {
+    const int64_t free = chooser_.FreeSlots(now);
+    if (free == 0) {
+      return std::nullopt;
+    }
+    auto request = queue_.Take(now, free, kServers * kSlots);
+    if (!request.has_value()) {
+      return std::nullopt;
+    }
+    return Assignment{request->id, *chooser_.Choose("", {}, now)};
+  }
+  void OnFirstToken(const std::string& server, double took, absl::Time now) {
+    queue_.OnFirstToken(absl::Seconds(took));
+    chooser_.OnFirstToken(server, absl::Seconds(took), now);
+  }
+  void OnFinished(const std::string& server, int64_t cost, absl::Time now) {
+    chooser_.OnFinished(server, /*failed=*/false, now);
+    queue_.OnServed(cost, now);
+  }
+
+ private:
+  RankQueue queue_;
+  ServerChooser chooser_;
+  std::vector<uint64_t> refused_;
+};
+
+// Each request joins the shortest of `Queues` FIFO queues on arrival. Nothing
+// is refused.
+template <int Queues>
+class FifoPolicy {
+ public:
+  FifoPolicy() : queues_(Queues), free_(Queues, kServers * kSlots / Queues) {}
+  void Offer(const QueuedRequest& request, absl::Time now) {
+    int best = 0;
+    for (int i = 1; i < Queues; ++i) {
+      if (Length(i) < Length(best)) {
+        best = i;
+      }
+    }
+    queues_[best].push(request.id);
+  }
+  std::vector<uint64_t> Refused(absl::Time now) { return {}; }
+  std::optional<Assignment> Next(absl::Time now) {
+    for (int i = 0; i < Queues; ++i) {
+      if (free_[i] == 0 || queues_[i].empty()) {
+        continue;
+      }
+      --free_[i];
+      const uint64_t id = queues_[i].front();
+      queues_[i].pop();
+      return Assignment{id, std::to_string(i)};
+    }
+    return std::nullopt;
+  }
+  void OnFirstToken(const std::string& server, double took, absl::Time now) {}
+  void OnFinished(const std::string& server, int64_t cost, absl::Time now) {
+    ++free_[std::stoi(server)];
+  }
+
+ private:
+  int64_t Length(int i) const {
+    return static_cast<int64_t>(queues_[i].size()) - free_[i];
+  }
+  std::vector<std::queue<uint64_t>> queues_;
+  std::vector<int64_t> free_;
+};
+
+std::vector<Job> Arrivals(const std::vector<Load>& loads) {
+  std::mt19937_64 random(7);
+  std::uniform_real_distribution<double> service(0.5 * kMeanServiceSeconds,
+                                                 1.5 * kMeanServiceSeconds);
+  std::vector<Job> jobs;
+  for (const Load& load : loads) {
+    std::exponential_distribution<double> gap(load.per_second);
+    for (double t = load.start + gap(random); t < kEnd; t += gap(random)) {
+      Job job;
+      job.arrived = t;
+      job.service = service(random);
+      job.request.rank = load.rank;
+      job.request.member = "lantern-works";
+      job.request.caller = load.caller;
+      job.request.cost_tokens =
+          static_cast<int64_t>(job.service * kTokensPerSecond);
+      job.request.arrived = At(t);
+      jobs.push_back(job);
+    }
+  }
+  std::sort(jobs.begin(), jobs.end(),
+            [](const Job& a, const Job& b) { return a.arrived < b.arrived; });
+  for (size_t i = 0; i < jobs.size(); ++i) {
+    jobs[i].request.id = i;
+  }
+  return jobs;
+}
+
+// Plays `jobs` until kEnd. `slow_server` takes ten times as long.
+template <typename PolicyT>
+std::vector<Job> Play(std::vector<Job> jobs,
+                      const std::string& slow_server = "") {
+  enum class Kind { kArrival, kFirstToken, kFinish, kTick };
+  struct Event {
+    double time;
+    Kind kind;
+    uint64_t id;
+    std::string server;
+    double took;
+    bool operator<(const Event& other) const { return time > other.time; }
+  };
+  std::priority_queue<Event> events;
+  for (const Job& job : jobs) {
+    events.push({job.arrived, Kind::kArrival, job.request.id, "", 0});
+  }
+  for (double t = 0; t < kEnd; t += 0.01) {
+    events.push({t, Kind::kTick, 0, "", 0});
+  }
+  PolicyT policy;
+  while (!events.empty() && events.top().time < kEnd) {
+    const Event event = events.top();
+    events.pop();
+    const absl::Time now = At(event.time);
+    Job& job = jobs[event.id];
+    if (event.kind == Kind::kArrival) {
+      policy.Offer(job.request, now);
+    } else if (event.kind == Kind::kFirstToken) {
+      job.first_token = event.time - job.arrived;
+      policy.OnFirstToken(event.server, event.took, now);
+    } else if (event.kind == Kind::kFinish) {
+      job.finished = event.time;
+      policy.OnFinished(event.server, job.request.cost_tokens, now);
+    }
+    for (uint64_t id : policy.Refused(now)) {
+      jobs[id].refused = event.time - jobs[id].arrived;
+    }
+    while (auto next = policy.Next(now)) {
+      const double pace = next->server == slow_server ? 10 : 1;
+      const double first = kFirstTokenSeconds * pace;
+      const double finish = jobs[next->id].service * pace;
+      events.push({event.time + first, Kind::kFirstToken, next->id,
+                   next->server, first});
+      events.push(
+          {event.time + finish, Kind::kFinish, next->id, next->server, 0});
+    }
+  }
+  return jobs;
+}
+
+struct RankFigures {
+  double offered = 0;
+  double attained = 0;  // share of offered, first token within the target
+  double attained_of_dispatched = 0;
+  double p95 = 0;       // first token, seconds
+  double given_up = 0;  // share of offered, refused after it was admitted
+  double goodput = 0;   // share of capacity, finished and within the target
+};
+
+bool Attained(const Job& job) {
+  for (const RankPolicy& rank : Ranks()) {
+    if (rank.name == job.request.rank) {
+      return job.first_token >= 0 &&
+             At(job.first_token) <= kEpoch + rank.target;
+    }
+  }
+  return false;
+}
+
+// Over the flood, but for its last two seconds' arrivals, which the end cuts
+// off.
+RankFigures Measure(const std::vector<Job>& jobs, const std::string& rank) {
+  RankFigures figures;
+  std::vector<double> first_tokens;
+  const double from = kFloodStart + 5;
+  for (const Job& job : jobs) {
+    if (job.request.rank != rank) {
+      continue;
+    }
+    if (job.finished >= from && Attained(job)) {
+      figures.goodput += job.service;
+    }
+    if (job.arrived < from || job.arrived > kEnd - 2) {
+      continue;
+    }
+    ++figures.offered;
+    figures.attained += Attained(job) ? 1 : 0;
+    figures.given_up += job.refused > 0 ? 1 : 0;
+    if (job.first_token >= 0) {
+      first_tokens.push_back(job.first_token);
+    }
+  }
+  figures.attained_of_dispatched =
+      figures.attained / std::max<double>(1, first_tokens.size());
+  figures.attained /= figures.offered;
+  figures.given_up /= figures.offered;
+  figures.goodput /= (kEnd - from) * kServers * kSlots;
+  std::sort(first_tokens.begin(), first_tokens.end());
+  if (!first_tokens.empty()) {
+    figures.p95 = first_tokens[first_tokens.size() * 95 / 100];
+  }
+  return figures;
+}
+
+void Print(const char* policy, const std::vector<Job>& jobs) {
+  for (const RankPolicy& rank : Ranks()) {
+    const RankFigures f = Measure(jobs, rank.name);
+    std::printf(
+        "%-12s %-9s attained=%.3f p95=%.3fs goodput=%.3f given_up=%.3f\n",
+        policy, rank.name.c_str(), f.attained, f.p95, f.goodput, f.given_up);
+  }
+}
+
+// A fifth of capacity of each rank, by ten callers each, and a flood of ten
+// times the capacity by ten callers of `flood`.
+std::vector<Load> LoadsWithFlood(const std::string& flood) {
+  std::vector<Load> loads;
+  for (const RankPolicy& rank : Ranks()) {
+    for (int i = 0; i < 10; ++i) {
+      const std::string caller = "ward-" + std::to_string(i);
+      loads.push_back({rank.name, caller, kCapacity * 0.02, 0});
+      if (rank.name == flood) {
+        loads.push_back({rank.name, caller, kCapacity, kFloodStart});
+      }
+    }
+  }
+  return loads;
+}
+
+class FloodTest : public testing::Test {};
+
+TEST_F(FloodTest, CanWaitFlood_UrgentAttainsTargetNearUnloadedLatency) {
+  const auto unloaded = Play<RankedPolicy>(Arrivals(LoadsWithFlood("")));
+  const auto arrivals = Arrivals(LoadsWithFlood("can-wait"));
+  const auto flooded = Play<RankedPolicy>(arrivals);
+  Print("unloaded", unloaded);
+  Print("ranked", flooded);
+  Print("fifo", Play<FifoPolicy<1>>(arrivals));
+  Print("least-loaded", Play<FifoPolicy<kServers>>(arrivals));
+  const RankFigures urgent = Measure(flooded, "urgent");
+  EXPECT_GE(urgent.attained, 0.99);
+  EXPECT_LE(urgent.p95, 1.2 * Measure(unloaded, "urgent").p95);
+  EXPECT_GE(Measure(flooded, "middling").attained, 0.99);
+}
+
+TEST_F(FloodTest, UrgentFlood_GoodputAndFloorsKept) {
+  const auto arrivals = Arrivals(LoadsWithFlood("urgent"));
+  const auto jobs = Play<RankedPolicy>(arrivals);
+  Print("ranked", jobs);
+  Print("fifo", Play<FifoPolicy<1>>(arrivals));
+  Print("least-loaded", Play<FifoPolicy<kServers>>(arrivals));
+  double goodput = 0;
+  for (const RankPolicy& rank : Ranks()) {
+    const RankFigures figures = Measure(jobs, rank.name);
+    goodput += figures.goodput;
+    EXPECT_GE(figures.goodput, 0.95 * rank.floor) << rank.name;
+  }
+  std::printf("goodput=%.3f\n", goodput);
+  EXPECT_GE(goodput, 0.95);
+  EXPECT_GE(Measure(jobs, "urgent").attained_of_dispatched, 0.99);
+}
+
+TEST_F(FloodTest, UrgentFlood_RefusalsAreGivenLongBeforeTheTarget) {
+  const auto jobs = Play<RankedPolicy>(Arrivals(LoadsWithFlood("urgent")));
+  for (const RankPolicy& rank : Ranks()) {
+    std::vector<double> delays;
+    for (const Job& job : jobs) {
+      if (job.refused >= 0 && job.request.rank == rank.name) {
+        delays.push_back(job.refused);
+      }
+    }
+    ASSERT_FALSE(delays.empty());
+    std::sort(delays.begin(), delays.end());
+    const double p50 = delays[delays.size() / 2];
+    const double p90 = delays[delays.size() * 9 / 10];
+    std::printf("%s refused=%zu p50=%.3fs p90=%.3fs max=%.3fs\n",
+                rank.name.c_str(), delays.size(), p50, p90, delays.back());
+    const double target = absl::ToDoubleSeconds(rank.target);
+    EXPECT_EQ(p50, 0);
+    EXPECT_LE(p90, 0.1 * target);
+    EXPECT_LE(delays.back(), 0.5 * target);
+  }
+}
+
+struct FloodingCaller {
+  double others_demand;  // of each other caller, in shares
+};
+
+class FloodingCallerTest : public testing::TestWithParam<FloodingCaller> {};
+
+TEST_P(FloodingCallerTest, HundredTimesItsShare_OthersKeepTheirs) {
+  constexpr int kCallers = 20;
+  const double share = kCapacity / kCallers;
+  const double demand = GetParam().others_demand;
+  std::vector<Load> loads = {{"middling", "flooder", 100 * share, kFloodStart}};
+  for (int i = 1; i < kCallers; ++i) {
+    loads.push_back(
+        {"middling", "ward-" + std::to_string(i), demand * share, 0});
+  }
+  std::map<std::string, double> attained;
+  std::map<std::string, double> offered;
+  for (const Job& job : Play<RankedPolicy>(Arrivals(loads))) {
+    if (job.arrived > kFloodStart && job.arrived < kEnd - 6) {
+      attained[job.request.caller] += Attained(job) ? job.service : 0;
+      offered[job.request.caller] += job.service;
+    }
+  }
+  const double seconds = kEnd - 6 - kFloodStart;
+  const double fair = share * seconds * kMeanServiceSeconds;
+  // Whatever the others leave goes to the flooder.
+  const double left =
+      (kCallers - (kCallers - 1) * std::min(demand, 1.0)) * fair;
+  double sum = 0;
+  double squares = 0;
+  double worst = 1;
+  for (const auto& [caller, got] : attained) {
+    const bool flooder = caller == "flooder";
+    const double kept =
+        got / (flooder ? left : std::min(offered[caller], fair));
+    sum += kept;
+    squares += kept * kept;
+    worst = flooder ? worst : std::min(worst, kept);
+  }
+  const double jain = sum * sum / (kCallers * squares);
+  std::printf("others_demand=%.1f worst=%.3f jain=%.3f\n", demand, worst, jain);
+  EXPECT_GE(worst, 0.95);
+  EXPECT_GE(jain, 0.95);
+}
+
+INSTANTIATE_TEST_SUITE_P(Demands,
+                         FloodingCallerTest,
+                         testing::Values(FloodingCaller{0.5},
+                                         FloodingCaller{0.9},
+                                         FloodingCaller{1.5}));
+
+TEST_F(FloodTest, OneSlowServerOfTen_CostsItsShareAndFivePercentAtMost) {
+  const auto arrivals = Arrivals(LoadsWithFlood("middling"));
+  const auto even = Play<RankedPolicy>(arrivals);
+  const auto slowed = Play<RankedPolicy>(arrivals, ServerName(3));
+  Print("even", even);
+  Print("one slow", slowed);
+  double ratio = 0;
+  double base = 0;
+  for (const RankPolicy& rank : Ranks()) {
+    ratio += Measure(slowed, rank.name).goodput;
+    base += Measure(even, rank.name).goodput;
+  }
+  std::printf("kept=%.3f\n", ratio / base);
+  EXPECT_GE(ratio / base, 0.85);
+  EXPECT_GE(Measure(slowed, "urgent").attained, 0.99);
+}
+
+}  // namespace
+}  // namespace hawthornhollow
--- /dev/null
+++ b/hawthornhollow/scheduling/limits_test.cc
@@ -0,0 +1,127 @@
+// RetryBudget, CallerLimiter and SpreadRetryAfter.
+
+#include <random>
+
+#include "gtest/gtest.h"
+#include "hawthornhollow/scheduling/scheduling.h"
+
+namespace hawthornhollow {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch();
+
+TEST(RetryBudgetTest, EveryAttemptFails_RetriesStayWithinRatioAndBurst) {
+  RetryBudget budget(0.1, 5);
+  int retries = 0;
+  for (int attempt = 0; attempt < 1000; ++attempt) {
+    budget.OnAttempt();
+    while (budget.TryRetry()) {
+      ++retries;
+    }
+  }
+  EXPECT_LE(retries, 105);
+  EXPECT_GE(retries, 99);
+}
+
+TEST(RetryBudgetTest, LongHealthyStretch_ReserveIsCapped) {
+  RetryBudget budget(0.1, 5);
+  for (int attempt = 0; attempt < 1000; ++attempt) {
+    budget.OnAttempt();
+  }
+  EXPECT_EQ(budget.tokens(), 5);
+}
+
+TEST(SpreadRetryAfterTest, ManyDraws_SpreadOverWholeInterval) {
+  std::mt19937_64 random(1);
+  absl::Duration least = absl::InfiniteDuration();
+  absl::Duration most = absl::ZeroDuration();
+  for (int i = 0; i < 1000; ++i) {
+    const absl::Duration after = SpreadRetryAfter(absl::Seconds(2), random);
+    least = std::min(least, after);
+    most = std::max(most, after);
+  }
+  EXPECT_GE(least, absl::Seconds(2));
+  EXPECT_LT(least, absl::Seconds(2.1));
+  EXPECT_LT(most, absl::Seconds(4));
+  EXPECT_GT(most, absl::Seconds(3.9));
+}
+
+class CallerLimiterTest : public testing::Test {
+ protected:
+  // Requests admitted when `per_second` are tried over `seconds`.
+  static int Admitted(CallerLimiter& limiter,
+                      int64_t tokens,
+                      int per_second,
+                      int seconds) {
+    int admitted = 0;
+    for (int i = 0; i < per_second * seconds; ++i) {
+      const absl::Time now = kStart + absl::Seconds(1) * i / per_second;
+      if (!limiter.Admit(tokens, now).has_value()) {
+        ++admitted;
+        limiter.OnFinished();
+      }
+    }
+    return admitted;
+  }
+};
+
+struct RateCase {
+  CallerLimit limit;
+  double share;
+  int64_t tokens;
+  int expected;  // over ten seconds, plus the first burst
+  int burst;
+};
+
+class CallerRateTest : public CallerLimiterTest,
+                       public testing::WithParamInterface<RateCase> {};
+
+TEST_P(CallerRateTest, DemandBeyondLimit_AdmitsLimitAndOneBurst) {
+  const RateCase& param = GetParam();
+  CallerLimiter limiter(param.limit);
+  limiter.SetLimit(param.limit, param.share);
+  const int admitted = Admitted(limiter, param.tokens, 200, 10);
+  EXPECT_GE(admitted, param.expected - 1);
+  EXPECT_LE(admitted, param.expected + param.burst);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Limits,
+    CallerRateTest,
+    testing::Values(RateCase{{0, 20, 0}, 1, 100, 200, 20},
+                    RateCase{{0, 20, 0}, 0.5, 100, 100, 10},
+                    RateCase{{0, 0.5, 0}, 1, 100, 5, 1},
+                    RateCase{{0, 0, 60'000}, 1, 100, 100, 10},
+                    // A request larger than the bucket.
+                    RateCase{{0, 0, 60'000}, 1, 2500, 4, 1},
+                    RateCase{{0, 20, 60'000}, 1, 100, 100, 10},
+                    RateCase{{0, 0, 0}, 1, 100, 2000, 0}));
+
+TEST_F(CallerLimiterTest, TooManyOpen_RefusedUntilOneFinishes) {
+  CallerLimiter limiter({.max_concurrent = 2});
+  EXPECT_FALSE(limiter.Admit(10, kStart).has_value());
+  EXPECT_FALSE(limiter.Admit(10, kStart).has_value());
+  EXPECT_TRUE(limiter.Admit(10, kStart).has_value());
+  EXPECT_EQ(limiter.concurrent(), 2);
+  limiter.OnFinished();
+  EXPECT_FALSE(limiter.Admit(10, kStart).has_value());
+}
+
+TEST_F(CallerLimiterTest, Refused_AdmittedAtTheTimeTold) {
+  CallerLimiter limiter({.requests_per_second = 0.5});
+  EXPECT_FALSE(limiter.Admit(10, kStart).has_value());
+  const auto after = limiter.Admit(10, kStart);
+  ASSERT_TRUE(after.has_value());
+  EXPECT_EQ(*after, absl::Seconds(2));
+  EXPECT_FALSE(limiter.Admit(10, kStart + *after).has_value());
+}
+
+TEST_F(CallerLimiterTest, LimitSetAfterUnlimitedUse_StartsWithoutDebt) {
+  CallerLimiter limiter(CallerLimit{});
+  Admitted(limiter, 1000, 200, 10);
+  limiter.SetLimit({.requests_per_second = 10}, 1);
+  EXPECT_FALSE(limiter.Admit(10, kStart + absl::Seconds(11)).has_value());
+}
+
+}  // namespace
+}  // namespace hawthornhollow
--- a/hawthornhollow/scheduling/rank_queue.cc
+++ b/hawthornhollow/scheduling/rank_queue.cc
@@ -1,7 +1,10 @@
 // Order of service. Ranks are served strictly in order, with one exception: a
 // rank with work waiting whose share of the recently dispatched tokens is below
 // its floor goes first; among several the one furthest below. Within a rank,
-// deficit round robin over members and, in each member, over callers.
+// deficit round robin over members and, in each member, over callers; but a
+// request that has waited beyond what admission allows goes first and leaves
+// its flow in debt, so that flows which become active meanwhile cannot push it
+// past its target.
 //
 // Admission. A request is refused at once when its predicted wait does not fit
 // its target. The prediction counts
@@ -12,11 +15,12 @@
 //     and never less than the rank's own floor.
 // Nothing is refused for its predicted wait before a service rate is known.
 //
-// Giving up. What was admitted can still lose its place in time to later
-// arrivals of other flows or of ranks above. As soon as a rank's backlog takes
-// longer to drain than its target allows, the newest request of its longest
-// flow is given up, until the rest fits. Requests whose time has passed are
-// found by an index ordered by that time.
+// Giving up. A request that fits by its own fair share, though its rank's
+// backlog as a whole no longer does, displaces the newest request of the
+// longest flow. Arrivals in ranks above, or slower service, can also make a
+// backlog too long; then the newest requests of the longest flows are given up
+// until it fits. Requests whose time has passed are found by an index ordered
+// by that time.
 //
 // Bounds, with n requests waiting: Offer and Take O(log n); Expire O(log n) per
 // request given up plus O(ranks); Remove O(length of the caller's flow).
@@ -45,6 +49,8 @@
 // deviations above it are allowed for.
 constexpr double kFirstTokenWeight = 0.1;
 constexpr double kFirstTokenDeviations = 2;
+// Late requests that are looked at for one that may go out of turn.
+constexpr int kMaxLateLookedAt = 16;
 // Free slots kept for ranks above: enough that they are all taken at once with
 // at most this probability, but no more than this share of all slots.
 constexpr double kReserveMiss = 0.02;
@@ -97,9 +103,9 @@
   DeficitRoundRobin<MemberFlow> turns;
   std::map<std::string, std::unique_ptr<MemberFlow>> members;
   std::set<std::pair<absl::Time, uint64_t>> give_ups;  // time, id
+  std::set<std::pair<absl::Time, uint64_t>> arrivals;  // time, id
   int64_t tokens = 0;
   DecayedSum floor_tokens;  // dispatched, for the floor
-  DecayedSum dispatched{kDemandWindow};
   DecayedSum offered{kDemandWindow};
 };
 
@@ -131,11 +137,15 @@
   RankState* FindRank(std::string_view name) const;
   RankState* RankToServe(absl::Time now, int64_t free_slots, int64_t slots);
   RankState* RankBelowFloor(absl::Time now) const;
+  CallerFlow* FlowToServe(const RankState& rank, absl::Time now) const;
   int64_t ReservedSlots(const RankState& rank,
                         absl::Time now,
                         int64_t slots) const;
 
   // Predictions.
+  // The share of a target after which a waiting request is late: between what
+  // admission allows and the whole.
+  double LateShare() const { return (1 + options_.admit_share) / 2; }
   absl::Duration WaitAllowed(const RankPolicy& policy, double share) const;
   absl::Time GiveUpAt(const QueuedRequest& request,
                       const RankPolicy& policy) const;
@@ -160,7 +170,8 @@
   void RenewGiveUps(RankState* rank);
 
   // Giving up.
-  bool MakeRoom(const RankState& rank, const QueuedRequest& request);
+  bool MakeRoom(RankState* rank, const QueuedRequest& request);
+  bool Displace(RankState* rank, const QueuedRequest& request);
   void GiveUpNewest(RankState* rank);
   void GiveUpOverdue(RankState* rank, absl::Time now);
   void GiveUpExcess(RankState* rank, absl::Time now);
@@ -198,12 +209,18 @@
   if (request.deadline <= now || now + wait > request.deadline) {
     return refuse(RefusalCause::kDeadline);
   }
+  const absl::Duration allowed =
+      WaitAllowed(rank->policy, options_.admit_share);
   const absl::Duration waited = now - request.arrived;
-  if (wait > absl::ZeroDuration() &&
-      waited + wait > WaitAllowed(rank->policy, options_.admit_share)) {
+  if (wait > absl::ZeroDuration() && waited + wait > allowed) {
     return refuse(RefusalCause::kOverload);
   }
-  if (waiting() >= options_.max_waiting && !MakeRoom(*rank, request)) {
+  const absl::Duration drain =
+      WaitBehind(*rank, rank->tokens, request.cost_tokens, now);
+  if (rank->tokens > 0 && drain > allowed && !Displace(rank, request)) {
+    return refuse(RefusalCause::kOverload);
+  }
+  if (waiting() >= options_.max_waiting && !MakeRoom(rank, request)) {
     return refuse(RefusalCause::kQueueFull);
   }
   CallerFlow* flow = FlowOf(rank, request);
@@ -223,13 +240,12 @@
   if (rank == nullptr) {
     return std::nullopt;
   }
-  MemberFlow* member = rank->turns.Next();
-  CallerFlow* flow = member->turns.Next();
+  CallerFlow* flow = FlowToServe(*rank, now);
+  MemberFlow* member = flow->member;
   const int64_t cost = flow->HeadCost();
   rank->turns.Charge(member, cost);
   member->turns.Charge(flow, cost);
   rank->floor_tokens.Add(static_cast<double>(cost), now);
-  rank->dispatched.Add(static_cast<double>(cost), now);
   return Unlink(flow, flow->requests.begin()).request;
 }
 
@@ -243,7 +259,6 @@
   rank->turns.Refund(flow->member, request.cost_tokens);
   UpdateTurns(flow);
   rank->floor_tokens.Subtract(static_cast<double>(request.cost_tokens));
-  rank->dispatched.Subtract(static_cast<double>(request.cost_tokens));
 }
 
 bool RankQueue::Impl::Remove(uint64_t id) {
@@ -338,7 +353,8 @@
 absl::Duration RankQueue::Impl::PredictedWait(std::string_view rank,
                                               absl::Time now) const {
   const RankState& state = *FindRank(rank);
-  const int64_t ahead = state.turns.TokensAhead(options_.quantum_tokens, 0);
+  const int64_t ahead =
+      state.turns.TokensAhead(FlowShare(), options_.quantum_tokens);
   return WaitBehind(state, ahead, 0, now);
 }
 
@@ -391,6 +407,26 @@
   return lowest;
 }
 
+// The flow whose turn it is; or that of one of the oldest requests, if this is
+// late and its flow and member are not in debt. Serving out of turn is charged
+// like any service, so a flow borrows at most a quantum and one request.
+CallerFlow* RankQueue::Impl::FlowToServe(const RankState& rank,
+                                         absl::Time now) const {
+  const absl::Time late = now - WaitAllowed(rank.policy, LateShare());
+  int looked_at = 0;
+  for (const auto& [arrived, id] : rank.arrivals) {
+    if (arrived > late || ++looked_at > kMaxLateLookedAt) {
+      break;
+    }
+    CallerFlow* flow = flow_by_id_.at(id);
+    if (!flow->member->turns.InDebt(*flow) &&
+        !rank.turns.InDebt(*flow->member)) {
+      return flow;
+    }
+  }
+  return rank.turns.Next()->turns.Next();
+}
+
 // With arrivals of the ranks above at a share `load` of the service rate, and
 // kept slots refilled at the service rate, all of k kept slots are in use with
 // a probability of about load^k.
@@ -401,7 +437,7 @@
   if (most <= 0 || !rate_.Known(now)) {
     return 0;
   }
-  const double load = DemandAbove(rank, now) / rate_.PerSecond(now);
+  const double load = DemandAbove(rank, now) / rate_.Optimistic();
   if (!(load > 0)) {
     return 0;
   }
@@ -432,22 +468,21 @@
 // Tokens of the request's own rank that are served before it.
 int64_t RankQueue::Impl::TokensAhead(const RankState& rank,
                                      const QueuedRequest& request) const {
-  int64_t own_member = 0;
-  int64_t before = 0;  // in its member
+  const int64_t cost = request.cost_tokens;
   auto member = rank.members.find(request.member);
-  if (member != rank.members.end()) {
-    const MemberFlow& flow = *member->second;
-    own_member = flow.tokens;
-    auto caller = flow.callers.find(request.caller);
-    const int64_t own =
-        caller == flow.callers.end() ? 0 : caller->second->tokens;
-    before = own + flow.turns.TokensAhead(own + request.cost_tokens, own);
+  if (member == rank.members.end()) {
+    return rank.turns.TokensAhead(FlowShare(), cost);
   }
-  return before +
-         rank.turns.TokensAhead(before + request.cost_tokens, own_member);
+  const MemberFlow& flow = *member->second;
+  auto caller = flow.callers.find(request.caller);
+  const FlowShare own =
+      caller == flow.callers.end() ? FlowShare() : caller->second->share;
+  const int64_t in_member = flow.turns.TokensAhead(own, cost) + own.backlog;
+  return in_member + rank.turns.TokensAhead(flow.share, in_member + cost);
 }
 
-// Tokens per second that the ranks above were given of late.
+// Tokens per second that were asked of the ranks above of late, admitted or
+// not: it shows a flood sooner than what was served.
 double RankQueue::Impl::DemandAbove(const RankState& rank,
                                     absl::Time now) const {
   double demand = 0;
@@ -455,15 +490,14 @@
     if (above.get() == &rank) {
       break;
     }
-    demand += above->dispatched.PerSecond(now);
+    demand += above->offered.PerSecond(now);
   }
   return demand;
 }
 
 // The share of the service rate that is left to a rank. Needs a known rate.
 double RankQueue::Impl::RateShare(const RankState& rank, absl::Time now) const {
-  const double rate = std::max(rate_.PerSecond(now), 1.0);
-  double share = 1 - DemandAbove(rank, now) / rate;
+  double share = 1 - DemandAbove(rank, now) / std::max(rate_.Measured(), 1.0);
   bool below = false;
   for (const auto& other : ranks_) {
     if (below && other->tokens > 0) {
@@ -484,7 +518,7 @@
   if (!rate_.Known(now)) {
     return absl::ZeroDuration();
   }
-  const double rate = std::max(rate_.PerSecond(now), 1.0);
+  const double rate = std::max(rate_.Optimistic(), 1.0);
   double above = 0;
   for (const auto& other : ranks_) {
     if (other.get() == &rank) {
@@ -509,7 +543,7 @@
   double overload = 1;
   if (rate_.Known(now)) {
     const double rate =
-        std::max(rate_.PerSecond(now), 1.0) * RateShare(rank, now);
+        std::max(rate_.Optimistic(), 1.0) * RateShare(rank, now);
     overload = std::max(1.0, rank.offered.PerSecond(now) / rate);
   }
   const absl::Duration most =
@@ -549,6 +583,7 @@
   member->tokens += request.cost_tokens;
   rank->tokens += request.cost_tokens;
   rank->give_ups.insert({give_up, request.id});
+  rank->arrivals.insert({request.arrived, request.id});
   flow_by_id_[request.id] = flow;
   UpdateTurns(flow);
   rate_.SetBacklogged(true, now_);
@@ -566,6 +601,7 @@
   member->tokens -= cost;
   rank->tokens -= cost;
   rank->give_ups.erase({taken.give_up, taken.request.id});
+  rank->arrivals.erase({taken.request.arrived, taken.request.id});
   flow_by_id_.erase(taken.request.id);
   UpdateTurns(flow);
   EraseIfEmpty(flow);
@@ -595,34 +631,44 @@
 // ---------------------------------------------------------------------------
 // Giving up
 
-// Displaces a request of a rank below, or of a longer flow of the same rank.
-bool RankQueue::Impl::MakeRoom(const RankState& rank,
-                               const QueuedRequest& request) {
-  for (auto lowest = ranks_.rbegin(); lowest != ranks_.rend(); ++lowest) {
-    if (lowest->get() == &rank) {
-      break;
-    }
+// Gives up a request of a rank below, or of a longer flow of the same rank.
+bool RankQueue::Impl::MakeRoom(RankState* rank, const QueuedRequest& request) {
+  for (auto lowest = ranks_.rbegin(); lowest->get() != rank; ++lowest) {
     if ((*lowest)->tokens > 0) {
       GiveUpNewest(lowest->get());
       return true;
     }
   }
-  const MemberFlow* longest_member = rank.turns.Longest();
-  if (longest_member == nullptr) {
+  return Displace(rank, request);
+}
+
+// Gives up the newest request of the rank's longest flow, if that flow is then
+// still as long as the flow of `request` with it. The condition makes backlogs
+// more equal each time, so that two flows never displace each other in turn.
+bool RankQueue::Impl::Displace(RankState* rank, const QueuedRequest& request) {
+  if (rank->tokens == 0) {
     return false;
   }
+  const MemberFlow* longest_member = rank->turns.Longest();
   const CallerFlow* longest = longest_member->turns.Longest();
-  int64_t own = request.cost_tokens;
-  auto member = rank.members.find(request.member);
-  if (member != rank.members.end()) {
+  const int64_t cost = request.cost_tokens;
+  const int64_t freed = longest->requests.back().request.cost_tokens;
+  int64_t own_member = 0;
+  int64_t own = 0;
+  auto member = rank->members.find(request.member);
+  if (member != rank->members.end()) {
+    own_member = member->second->tokens;
     auto caller = member->second->callers.find(request.caller);
-    own += caller == member->second->callers.end() ? 0 : caller->second->tokens;
+    own = caller == member->second->callers.end() ? 0 : caller->second->tokens;
   }
-  if (longest->tokens <= own) {
-    return false;
+  const bool same_member = longest_member->name == request.member;
+  const bool yields = same_member
+                          ? own + cost <= longest->tokens - freed
+                          : own_member + cost <= longest_member->tokens - freed;
+  if (yields) {
+    GiveUpNewest(rank);
   }
-  GiveUpNewest(longest_member->rank);
-  return true;
+  return yields;
 }
 
 void RankQueue::Impl::GiveUpNewest(RankState* rank) {
@@ -650,7 +696,7 @@
   if (!rate_.Known(now)) {
     return;
   }
-  const absl::Duration allowed = WaitAllowed(rank->policy, 1);
+  const absl::Duration allowed = WaitAllowed(rank->policy, LateShare());
   while (rank->tokens > 0) {
     const CallerFlow* flow = rank->turns.Longest()->turns.Longest();
     const int64_t last = flow->requests.back().request.cost_tokens;
--- a/hawthornhollow/scheduling/service_rate.cc
+++ b/hawthornhollow/scheduling/service_rate.cc
@@ -65,9 +65,12 @@
          busy_seconds_ >= kMinBusySeconds;
 }
 
-double ServiceRate::PerSecond(absl::Time now) const {
-  const double margin = 1 + 1 / std::sqrt(std::max(requests_, 1.0));
-  return margin * tokens_ / std::max(busy_seconds_, kMinBusySeconds);
+double ServiceRate::Measured() const {
+  return tokens_ / std::max(busy_seconds_, kMinBusySeconds);
+}
+
+double ServiceRate::Optimistic() const {
+  return Measured() * (1 + 1 / std::sqrt(std::max(requests_, 1.0)));
 }
 
 void ServiceRate::Advance(absl::Time now) {
--- a/hawthornhollow/scheduling/service_rate.h
+++ b/hawthornhollow/scheduling/service_rate.h
@@ -36,9 +36,11 @@
   void OnServed(int64_t tokens, absl::Time now);
   // False until enough has been seen, and when it is too long ago.
   bool Known(absl::Time now) const;
-  // Tokens per second, taken high by the standard error of the measurement, so
-  // that scarce evidence does not refuse. Meaningful only if Known.
-  double PerSecond(absl::Time now) const;
+  // Tokens per second. Meaningful only if Known.
+  double Measured() const;
+  // As above, taken high by the standard error of the measurement, so that
+  // scarce evidence does not refuse.
+  double Optimistic() const;
 
  private:
   void Advance(absl::Time now);
