--- a/hawthornhollow/gate/usage_meter.cc
+++ b/hawthornhollow/gate/usage_meter.cc
@@ -17,6 +17,7 @@
 constexpr size_t kMaxJsonBytes = 16 * 1024 * 1024;
 constexpr std::string_view kDataField = "data:";
 constexpr std::string_view kEndMark = "[DONE]";
+constexpr std::string_view kCancelledReason = "cancelled";
 
 // The member as a token count; nullopt if absent, mistyped or negative.
 std::optional<int64_t> TokenCount(const boost::json::object& usage,
@@ -46,13 +47,23 @@
          HasText(delta->get_object(), "content");
 }
 
-bool ChunkHasContent(const boost::json::object& chunk) {
+bool ChoiceIsCancelled(const boost::json::value& choice) {
+  const boost::json::object* object = choice.if_object();
+  const boost::json::value* reason =
+      object == nullptr ? nullptr : object->if_contains("finish_reason");
+  return reason != nullptr && reason->is_string() &&
+         reason->get_string() == kCancelledReason;
+}
+
+// Whether `predicate` holds for any of the chunk's choices.
+template <typename Predicate>
+bool AnyChoice(const boost::json::object& chunk, Predicate predicate) {
   const boost::json::value* choices = chunk.if_contains("choices");
   if (choices == nullptr || !choices->is_array()) {
     return false;
   }
   const boost::json::array& array = choices->get_array();
-  return std::any_of(array.begin(), array.end(), ChoiceHasContent);
+  return std::any_of(array.begin(), array.end(), predicate);
 }
 
 std::string_view Trim(std::string_view text) {
@@ -126,7 +137,8 @@
     return;
   }
   complete_ |= format_ == Format::kJson;
-  content_chunks_ += ChunkHasContent(*object) ? 1 : 0;
+  content_chunks_ += AnyChoice(*object, ChoiceHasContent) ? 1 : 0;
+  cancelled_ |= AnyChoice(*object, ChoiceIsCancelled);
   const boost::json::value* usage = object->if_contains("usage");
   if (usage == nullptr || !usage->is_object()) {
     return;
--- a/hawthornhollow/gate/usage_meter.h
+++ b/hawthornhollow/gate/usage_meter.h
@@ -30,8 +30,9 @@
   // No more bytes come.
   void Finish();
 
-  // Whether the answer reached its end: the stream's end mark, or a JSON value.
-  bool complete() const { return complete_; }
+  // Whether the answer reached its end (the stream's end mark, or a JSON value)
+  // and the engine did not cut it off by a cancel.
+  bool complete() const { return complete_ && !cancelled_; }
   int64_t content_chunks() const { return content_chunks_; }
   // From the engine's `usage`.
   std::optional<int64_t> prompt_tokens() const { return prompt_tokens_; }
@@ -48,6 +49,7 @@
   std::string buffer_;
   bool overflow_ = false;
   bool complete_ = false;
+  bool cancelled_ = false;
   int64_t content_chunks_ = 0;
   std::optional<int64_t> prompt_tokens_;
   std::optional<int64_t> output_tokens_;
