--- a/testing/engine_standin.cc
+++ b/testing/engine_standin.cc
@@ -1,5 +1,6 @@
 #include "testing/engine_standin.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <deque>
 #include <map>
@@ -45,6 +46,37 @@
   int64_t kv_used = 0;  // tokens
 };
 
+// The engine's load, seen with a lag.
+class LoadHistory {
+ public:
+  explicit LoadHistory(absl::Duration lag) : lag_(lag) {}
+
+  void Add(const LoadSample& sample) {
+    samples_.push_back(sample);
+    DropOld(sample.at - lag_);
+  }
+
+  // The sample that was valid one lag ago.
+  LoadSample Shown(absl::Time now) {
+    DropOld(now - lag_);
+    if (samples_.empty() || samples_.front().at > now - lag_) {
+      return LoadSample();
+    }
+    return samples_.front();
+  }
+
+ private:
+  // Leaves the sample that was valid at `time` as the first.
+  void DropOld(absl::Time time) {
+    while (samples_.size() > 1 && samples_[1].at <= time) {
+      samples_.pop_front();
+    }
+  }
+
+  absl::Duration lag_;
+  std::deque<LoadSample> samples_;
+};
+
 struct TakenOrder {
   std::string name;
   int64_t fence = 0;
@@ -69,7 +101,8 @@
         cache_({.capacity = static_cast<size_t>(options.cache_prefixes),
                 .event_lag = absl::Milliseconds(options.event_lag_ms),
                 .event_drop = options.event_drop},
-               &chance_) {}
+               &chance_),
+        load_(absl::Milliseconds(options.load_lag_ms)) {}
 
   void Handle(const HttpRequest& request, ResponseWriter& writer) {
     const std::string path(request.Path());
@@ -264,8 +297,7 @@
 
   void Execute(const std::shared_ptr<Run>& run) {
     run->changed.Wait([&] { return run->state != RunState::kWaiting; });
-    const bool started = run->state == RunState::kRunning || run->tokens > 0;
-    if (started) {
+    if (run->state == RunState::kRunning) {
       Generate(*run);
     }
     End(run);
@@ -347,30 +379,14 @@
   // -- Reports ----------------------------------------------------------------
 
   void SampleLoad() {
-    const absl::Time now = absl::Now();
-    load_.push_back({.at = now,
-                     .running = running_,
-                     .waiting = static_cast<int64_t>(waiting_.size()),
-                     .kv_used = kv_used_});
-    DropOldLoad(now);
-  }
-
-  // Leaves the sample that was valid one lag ago as the first.
-  void DropOldLoad(absl::Time now) {
-    const absl::Time shown = now - absl::Milliseconds(options_.load_lag_ms);
-    while (load_.size() > 1 && load_[1].at <= shown) {
-      load_.pop_front();
-    }
+    load_.Add({.at = absl::Now(),
+               .running = running_,
+               .waiting = static_cast<int64_t>(waiting_.size()),
+               .kv_used = kv_used_});
   }
 
   void ShowLoad(ResponseWriter& writer) {
-    const absl::Time now = absl::Now();
-    DropOldLoad(now);
-    LoadSample shown;
-    if (!load_.empty() &&
-        load_.front().at <= now - absl::Milliseconds(options_.load_lag_ms)) {
-      shown = load_.front();
-    }
+    const LoadSample shown = load_.Shown(absl::Now());
     SendJson(writer, 200,
              boost::json::object{{"running", shown.running},
                                  {"waiting", shown.waiting},
@@ -472,7 +488,7 @@
   int64_t running_ = 0;
   int64_t kv_used_ = 0;
 
-  std::deque<LoadSample> load_;
+  LoadHistory load_;
   std::map<std::string, RequestCounts> counts_;
   int64_t total_tokens_ = 0;
   int64_t cancelled_ = 0;
--- a/testing/standins_main.cc
+++ b/testing/standins_main.cc
@@ -92,7 +92,7 @@
                      "Help options:", nullptr});
   options.push_back({nullptr, 0, 0, nullptr, 0, nullptr, nullptr});
   const std::unique_ptr<poptContext_s, PoptFree> context(
-      poptGetContext("standins", argc, argv, options.data(), 0));
+      poptGetContext(argv[0], argc, argv, options.data(), 0));
   const int code = poptGetNextOpt(context.get());
   const std::string local = TakeString(listen, "127.0.0.1:0");
   if (code < -1) {
@@ -248,11 +248,16 @@
 }
 
 int Main(int argc, const char** argv) {
-  const std::string_view kind = argc < 2 ? "" : argv[1];
+  const std::string kind = argc < 2 ? "" : argv[1];
   if (kind == "--help" || kind == "-?") {
     std::fputs(kUsage, stdout);
     return EXIT_SUCCESS;
   }
+  // popt prints the first argument as the program's name.
+  const std::string program = "standins " + kind;
+  if (argc > 1) {
+    argv[1] = program.c_str();
+  }
   absl::StatusOr<Command> command = ParseCommand(kind, argc - 1, argv + 1);
   if (!command.ok()) {
     return Fail(kExitUsage, command.status());
