--- a/hawthornhollow/http/client_watch.cc
+++ b/hawthornhollow/http/client_watch.cc
@@ -1,5 +1,6 @@
 #include "hawthornhollow/http/client_watch_internal.h"
 
+#include "absl/cleanup/cleanup.h"
 #include "hawthornhollow/http/beast_internal.h"
 
 namespace hawthornhollow {
@@ -39,19 +40,29 @@
 
 void ClientWatch::ReportGone() {
   gone_ = true;
-  const std::function<void()> callback = std::exchange(callback_, nullptr);
-  if (callback)
-    callback();
+  if (!callback_)
+    return;
+  in_callback_ = true;
+  IoThread::Current()->Spawn(
+      [this, callback = std::exchange(callback_, nullptr)] {
+        const absl::Cleanup end = [this] {
+          in_callback_ = false;
+          callback_ended_.Done();
+        };
+        callback();
+      });
 }
 
 void ClientWatch::Stop() {
   stopping_ = true;
-  callback_ = nullptr;
-  if (!pending_)
-    return;
-  boost::system::error_code ignored;
-  socket_->cancel(ignored);
-  ended_.Wait();
+  Disarm();
+  if (pending_) {
+    boost::system::error_code ignored;
+    socket_->cancel(ignored);
+    ended_.Wait();
+  }
+  if (in_callback_)
+    callback_ended_.Wait();
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/http/client_watch_internal.h
+++ b/hawthornhollow/http/client_watch_internal.h
@@ -19,12 +19,15 @@
   ClientWatch(const ClientWatch&) = delete;
   ClientWatch& operator=(const ClientWatch&) = delete;
 
-  // Begins to watch. `callback` runs at most once.
+  // Begins to watch. `callback` runs at most once, on a fiber of its own.
   void Start(std::function<void()> callback);
   // Says that the client has gone, as a write has failed.
   void ReportGone();
-  // Ends the watch; blocks the fiber until no handler is pending. Cancels the
-  // socket's operations, so that none may be in progress.
+  // The callback no longer begins.
+  void Disarm() { callback_ = nullptr; }
+  // Ends the watch; blocks the fiber until no handler is pending and the
+  // callback has ended. Cancels the socket's operations, so that none may be in
+  // progress.
   void Stop();
   bool gone() const { return gone_; }
 
@@ -37,7 +40,9 @@
   bool pending_ = false;
   bool stopping_ = false;
   bool gone_ = false;
+  bool in_callback_ = false;
   FiberWait ended_;
+  FiberWait callback_ended_;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -77,8 +77,9 @@
   // Closes the connection without finishing the response, so that the client
   // sees it as incomplete.
   virtual void Abort() = 0;
-  // Sets what runs, once and from the connection's thread, when the client
-  // closes its connection before the response is complete. It must not block.
+  // Sets what runs, at most once and on a fiber of the connection's thread,
+  // when the client closes its connection before the response is complete. The
+  // connection waits for it to return, also after the handler has.
   virtual void OnClientGone(std::function<void()> callback) = 0;
 };
 
--- a/hawthornhollow/http/http_server.cc
+++ b/hawthornhollow/http/http_server.cc
@@ -180,12 +180,16 @@
   auto pending = std::make_shared<Pending>();
   pending->count = servers_.size();
   for (const auto& server : servers_) {
-    server->thread().DispatchOrRun([server, task, pending] {
+    const auto run = [server, task, pending] {
       task(server.get());
       const std::lock_guard<boost::fibers::mutex> lock(pending->mutex);
       --pending->count;
       pending->changed.notify_all();
-    });
+    };
+    if (server->thread().halted())
+      run();
+    else
+      server->thread().Spawn(run);
   }
   std::unique_lock<boost::fibers::mutex> lock(pending->mutex);
   pending->changed.wait_for(lock, ToBoundedNanoseconds(kCloseGrace),
--- a/hawthornhollow/http/response_writer.cc
+++ b/hawthornhollow/http/response_writer.cc
@@ -52,7 +52,8 @@
   message->result(static_cast<unsigned>(status));
   message->version(traits_.version);
   AppendHeaders(headers, message);
-  keeps_alive_ = traits_.keep_alive;
+  const bool draining = traits_.draining != nullptr && *traits_.draining;
+  keeps_alive_ = traits_.keep_alive && !draining;
   message->keep_alive(keeps_alive_);
 }
 
@@ -78,7 +79,7 @@
     status = SendWhole(response);
   if (status.ok())
     state_ = State::kDone;
-  watch_.Stop();
+  watch_.Disarm();
   return status;
 }
 
@@ -148,7 +149,7 @@
   }
   if (status.ok())
     state_ = State::kDone;
-  watch_.Stop();
+  watch_.Disarm();
   return status;
 }
 
@@ -156,7 +157,7 @@
   if (state_ == State::kDone || state_ == State::kAborted)
     return;
   state_ = State::kAborted;
-  watch_.Stop();
+  watch_.Disarm();
   stream_->close();
 }
 
--- a/hawthornhollow/http/response_writer_internal.h
+++ b/hawthornhollow/http/response_writer_internal.h
@@ -3,6 +3,8 @@
 
 // Writes one response to a server's connection. Private to http.
 
+#include <atomic>
+
 #include "hawthornhollow/http/client_watch_internal.h"
 #include "hawthornhollow/http/http.h"
 
@@ -15,6 +17,9 @@
   bool head_only = false;  // the answer to a HEAD request
   absl::Duration write_timeout;
   std::string peer;
+  // Whether the server is draining by now: the response is then the
+  // connection's last. May be null.
+  const std::atomic<bool>* draining = nullptr;
 };
 
 class BeastResponseWriter : public ResponseWriter {
@@ -33,8 +38,6 @@
   void Close();
   // Whether the connection can carry another request.
   bool reusable() const { return state_ == State::kDone && keeps_alive_; }
-  // Makes this response the connection's last. Before its head is written.
-  void DisableKeepAlive() { traits_.keep_alive = false; }
 
  private:
   enum class State { kUnanswered, kStreaming, kDone, kAborted };
--- a/hawthornhollow/http/server_connection.cc
+++ b/hawthornhollow/http/server_connection.cc
@@ -123,8 +123,6 @@
 
 void ServerConnection::Handle(const HttpRequest& request,
                               BeastResponseWriter* writer) {
-  if (shared_->draining())
-    writer->DisableKeepAlive();
   try {
     shared_->handler()(request, *writer);
   } catch (const std::exception& error) {
@@ -261,7 +259,9 @@
 }
 
 ResponseTraits ServerConnection::DefaultTraits() const {
-  return {.write_timeout = shared_->options().write_timeout, .peer = peer_};
+  return {.write_timeout = shared_->options().write_timeout,
+          .peer = peer_,
+          .draining = &shared_->draining()};
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/http/server_internal.h
+++ b/hawthornhollow/http/server_internal.h
@@ -25,7 +25,7 @@
   const HttpServerOptions& options() const { return options_; }
   const HttpHandler& handler() const { return handler_; }
 
-  bool draining() const { return draining_; }
+  const std::atomic<bool>& draining() const { return draining_; }
   void StartDraining() { draining_ = true; }
 
   // Counts a connection; false if there are too many.
--- a/hawthornhollow/runtime/asio_internal.h
+++ b/hawthornhollow/runtime/asio_internal.h
@@ -110,8 +110,8 @@
 
   // Starts a fiber on this thread. Callable from any thread.
   void Spawn(std::function<void()> task);
-  // Runs `task` on this thread as a handler, which must not block; at once if
-  // called on it. Callable from any thread.
+  // Runs `task` on this thread as a handler, which must not block nor lock a
+  // fiber's mutex; at once if called on it. Callable from any thread.
   void Dispatch(std::function<void()> task);
   // As Dispatch, but runs `task` on the caller's thread if this one has halted.
   void DispatchOrRun(std::function<void()> task);
