--- a/hawthornhollow/platform/platform.h
+++ b/hawthornhollow/platform/platform.h
@@ -273,6 +273,8 @@
 struct StreamFollowerOptions {
   // How long the log may hold a read that finds nothing new.
   absl::Duration read_wait = absl::Milliseconds(500);
+  // One read's entries. Halved after a failed read, which may have been too
+  // large for its time or its bounds, and doubled again after others.
   size_t max_read_entries = 500;
   // Without a read that reached the stream's end for this long the state is
   // stale.
@@ -400,7 +402,7 @@
 
   // Reading, on Run's fiber.
   absl::Status ReadOnce(const std::atomic<bool>& stop);
-  void NoteRead(const LogRead& read);
+  absl::StatusOr<LogRead> ReadFrom(int64_t from, absl::Duration wait);
   absl::Status ApplyRead(const LogRead& read);
   void ReportStatus(const absl::Status& status);
 
@@ -429,6 +431,7 @@
 
   // Used by Run's fiber only.
   absl::BitGen random_;
+  size_t read_entries_;    // of the next read
   int64_t scan_from_ = 0;  // entries before it hold no better checkpoint
   std::set<int64_t> bad_checkpoints_;  // offsets of entries
 
--- a/hawthornhollow/platform/stream_follower.h
+++ b/hawthornhollow/platform/stream_follower.h
@@ -68,7 +68,8 @@
     : log_(log),
       stream_(std::move(stream)),
       options_(options),
-      callbacks_(std::move(callbacks)) {}
+      callbacks_(std::move(callbacks)),
+      read_entries_(options.max_read_entries) {}
 
 template <Fold FoldT, LogClient Log>
 void StreamFollower<FoldT, Log>::RegisterWriter(StreamWriter<Log>& writer) {
@@ -101,17 +102,19 @@
     const std::atomic<bool>& stop) {
   const int64_t from = applied_offset() + 1;
   const SteadyTime sent = std::chrono::steady_clock::now();
-  absl::StatusOr<LogRead> read =
-      log_.Read(stream_, from, options_.max_read_entries, options_.read_wait);
+  absl::StatusOr<LogRead> read = ReadFrom(from, options_.read_wait);
   if (!read.ok())
     return read.status();
-  NoteRead(*read);
   if (read->oldest > from)
     return RecoverFromGap(*read, stop);
   if (read->next < from) {
     return ErrorAt(absl::StatusCode::kDataLoss, "stream.read", stream_,
                    "the log ends before what was applied");
   }
+  if (read->entries.empty() && read->next > from) {
+    return ErrorAt(absl::StatusCode::kDataLoss, "stream.read", stream_,
+                   "the log left out an entry");
+  }
   absl::Status status = ApplyRead(*read);
   if (!status.ok())
     return status;
@@ -126,10 +129,19 @@
 }
 
 template <Fold FoldT, LogClient Log>
-void StreamFollower<FoldT, Log>::NoteRead(const LogRead& read) {
+absl::StatusOr<LogRead> StreamFollower<FoldT, Log>::ReadFrom(
+    int64_t from,
+    absl::Duration wait) {
+  absl::StatusOr<LogRead> read = log_.Read(stream_, from, read_entries_, wait);
+  if (!read.ok()) {
+    read_entries_ = std::max<size_t>(read_entries_ / 2, 1);
+    return read;
+  }
+  read_entries_ = std::min(read_entries_ * 2, options_.max_read_entries);
   std::lock_guard lock(mutex_);
   last_read_ok_ = absl::Now();
-  oldest_ = std::max(oldest_, read.oldest);
+  oldest_ = std::max(oldest_, read->oldest);
+  return read;
 }
 
 template <Fold FoldT, LogClient Log>
@@ -207,11 +219,9 @@
   int64_t from = std::max(scan_from_, oldest);
   bool more = true;
   while (more && !stop) {
-    absl::StatusOr<LogRead> read = log_.Read(
-        stream_, from, options_.max_read_entries, absl::ZeroDuration());
+    absl::StatusOr<LogRead> read = ReadFrom(from, absl::ZeroDuration());
     if (!read.ok())
       return read.status();
-    NoteRead(*read);
     for (const LogEntry& entry : read->entries) {
       ConsiderEntry(entry, read->oldest, &best);
       from = entry.offset + 1;
