platform: checkpoints come sooner where the log retains few entries

Cause: with a retention shorter than checkpoint_every the last checkpoint would fall out before the next was written, and a starting process could not follow. Change: once entries have fallen out, the interval is a quarter of what is retained; the least time between one process's checkpoints is an option.

--- a/hawthornhollow/platform/platform.h
+++ b/hawthornhollow/platform/platform.h
@@ -281,13 +281,16 @@
   absl::Duration stale_after = absl::Seconds(3);
   absl::Duration retry_min = absl::Milliseconds(50);
   absl::Duration retry_max = absl::Seconds(1);
-  // A checkpoint is due this many entries after the last one...
+  // A checkpoint is due this many entries after the last one, or sooner where
+  // the log retains few...
   int64_t checkpoint_every = 2'000;
-  // ...or this long after it, since retention is by time...
+  // ...or this long after it, since retention may be by time...
   absl::Duration checkpoint_max_age = absl::Minutes(5);
   // ...and is written after a random delay of up to this, so that the first
   // process to write one spares the others theirs.
   absl::Duration checkpoint_max_delay = absl::Seconds(5);
+  // The least time between two checkpoints by one process.
+  absl::Duration checkpoint_min_gap = absl::Seconds(10);
   // Kept verdicts on one's own records.
   size_t max_kept_verdicts = 20'000;
   absl::Duration max_verdict_age = absl::Minutes(1);
@@ -423,6 +426,7 @@
 
   bool CaughtUp() const;
   bool CheckpointDue(absl::Time now) const;
+  int64_t CheckpointInterval() const;
 
   Log& log_;
   const std::string stream_;
--- a/hawthornhollow/platform/stream_follower.h
+++ b/hawthornhollow/platform/stream_follower.h
@@ -40,8 +40,10 @@
 
 namespace stream_internal {
 
-// The least time between two checkpoints by one process.
-inline constexpr absl::Duration kCheckpointGap = absl::Seconds(10);
+// The checkpoints that retention should leave in the stream at any time.
+inline constexpr int64_t kRetainedCheckpoints = 4;
+// Entries between two checkpoints, however few are retained.
+inline constexpr int64_t kMinCheckpointInterval = 16;
 
 // A time that another process stamped, but no later than `now`.
 inline absl::Time PastTime(int64_t time_ms, absl::Time now) {
@@ -430,16 +432,28 @@
   const int64_t applied = fold_.applied_offset();
   if (applied < 0 || !CaughtUp())
     return false;
-  if (now - own_checkpoint_time_ < stream_internal::kCheckpointGap)
+  if (now - own_checkpoint_time_ < options_.checkpoint_min_gap)
     return false;
   // A process that starts now could not follow.
   if (checkpoint_offset_ + 1 < oldest_)
     return true;
-  if (applied - checkpoint_offset_ >= options_.checkpoint_every)
+  if (applied - checkpoint_offset_ >= CheckpointInterval())
     return true;
   return now - checkpoint_time_ >= options_.checkpoint_max_age;
 }
 
+// Entries between two checkpoints. The caller holds mutex_.
+template <Fold FoldT, LogClient Log>
+int64_t StreamFollower<FoldT, Log>::CheckpointInterval() const {
+  using stream_internal::kMinCheckpointInterval;
+  if (oldest_ == 0)
+    return options_.checkpoint_every;
+  const int64_t retained = fold_.applied_offset() + 1 - oldest_;
+  const int64_t share = retained / stream_internal::kRetainedCheckpoints;
+  return std::min(options_.checkpoint_every,
+                  std::max(share, kMinCheckpointInterval));
+}
+
 // ---------------------------------------------------------------------------
 // State
 
--- a/hawthornhollow/platform/stream_test.cc
+++ b/hawthornhollow/platform/stream_test.cc
@@ -560,6 +560,26 @@
   EXPECT_TRUE(Eventually([&] { return follower.MaybeCheckpoint(writer); }));
 }
 
+TEST_F(StreamTest, MaybeCheckpoint_FewEntriesRetained_IsDueSooner) {
+  options_.checkpoint_max_delay = absl::ZeroDuration();
+  options_.checkpoint_min_gap = absl::ZeroDuration();
+  Writer& writer = StartWriter(quick_);
+  Follower& follower = StartFollower({&writer});
+  LandEntries(100);
+  LandCheckpoint(99, FoldPrefix(100).Serialize());
+  log_.oldest = 20;
+  LandEntries(18);
+  ASSERT_TRUE(Eventually([&] { return follower.applied_offset() == 118; }));
+  EXPECT_FALSE(follower.MaybeCheckpoint(writer));
+  LandEntries(6);  // A quarter of 105 after the checkpoint.
+  ASSERT_TRUE(Eventually([&] { return follower.applied_offset() == 124; }));
+  EXPECT_FALSE(follower.MaybeCheckpoint(writer));
+  LandEntries(2);
+  ASSERT_TRUE(Eventually([&] { return follower.applied_offset() == 126; }));
+  EXPECT_TRUE(Eventually([&] { return follower.caught_up(); }));
+  EXPECT_TRUE(follower.MaybeCheckpoint(writer));
+}
+
 TEST_F(StreamTest, MaybeCheckpoint_QuietStream_IsDueByAge) {
   options_.checkpoint_max_age = absl::Milliseconds(100);
   Writer& writer = StartWriter(quick_);
