--- a/hawthornhollow/platform/platform.h
+++ b/hawthornhollow/platform/platform.h
@@ -300,10 +300,10 @@
 struct StreamFollowerCallbacks {
   // An entry was applied; no verdicts if it could not be decoded.
   std::function<void(int64_t offset, const std::vector<Verdict>& verdicts)>
-      on_verdicts;
+      on_verdicts = nullptr;
   // The fold was replaced by the checkpoint at `offset`; entries up to it were
   // not seen one by one, so derived state has to be taken from the fold.
-  std::function<void(int64_t offset)> on_restored;
+  std::function<void(int64_t offset)> on_restored = nullptr;
 };
 
 enum class FollowerState {
@@ -355,8 +355,9 @@
   absl::Status WaitCaughtUp(absl::Duration timeout);
 
   // The verdict on a registered writer's record, once it has been applied.
-  // kRepeat: applied, but its first verdict is not known here. NOT_FOUND: no
-  // longer kept. DEADLINE_EXCEEDED: not applied here yet.
+  // kRepeat: applied before, and the first verdict is not known here (or the
+  // fold's own rules call it a repeat). NOT_FOUND: applied, but the verdict is
+  // not kept. DEADLINE_EXCEEDED: not applied here yet.
   absl::StatusOr<Verdict> WaitApplied(std::string_view writer,
                                       int64_t sequence,
                                       absl::Duration timeout);
