A server closed under a request tells the handler

Cause: closing the server ended the watch without a word, so that a handler waiting for its client ran on; connections accepted while closing were served; one test's handler outlived the variable that it used. Change: the watch reports its own side's close; late connections are dropped; the test closes the server before its variables go, and checks the callback. Ruled out: a longer close grace.

--- a/hawthornhollow/http/client_watch.cc
+++ b/hawthornhollow/http/client_watch.cc
@@ -22,10 +22,15 @@
 
 void ClientWatch::OnReadable(const boost::system::error_code& error) {
   pending_ = false;
-  if (error || stopping_) {
+  if (stopping_) {
     ended_.Done();
     return;
   }
+  // Our side has closed the socket under the response.
+  if (error) {
+    ReportGone();
+    return;
+  }
   switch (PeekSocket(socket_->native_handle())) {
     case SocketState::kQuiet:
       Arm();
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -78,8 +78,9 @@
   // sees it as incomplete.
   virtual void Abort() = 0;
   // Sets what runs, at most once and on a fiber of the connection's thread,
-  // when the client closes its connection before the response is complete. The
-  // connection waits for it to return, also after the handler has.
+  // when the client, or the server's end, closes the connection before the
+  // response is complete. The connection waits for it to return, also after the
+  // handler has.
   virtual void OnClientGone(std::function<void()> callback) = 0;
 };
 
--- a/hawthornhollow/http/http_server.cc
+++ b/hawthornhollow/http/http_server.cc
@@ -82,6 +82,7 @@
       connection->CloseIfIdle();
   }
   void CloseAll() {
+    closed_ = true;
     acceptor_->Close();
     for (ServerConnection* connection : connections_)
       connection->Close();
@@ -97,9 +98,12 @@
   std::shared_ptr<ServerShared> shared_;
   std::unordered_set<ServerConnection*> connections_;
   size_t rejecting_ = 0;
+  bool closed_ = false;
 };
 
 void ThreadServer::Accept(Socket socket) {
+  if (closed_)
+    return;
   auto connection =
       std::make_shared<ServerConnection>(shared_, std::move(socket));
   if (shared_->AddConnection())
--- a/hawthornhollow/http/http_test.cc
+++ b/hawthornhollow/http/http_test.cc
@@ -298,6 +298,32 @@
   });
   EXPECT_EQ(Call({}, kShort).status().code(),
             absl::StatusCode::kDeadlineExceeded);
+  server_.reset();  // the handler uses `gone`
+  EXPECT_TRUE(gone);
+}
+
+TEST_F(HttpTest, CloseOfServerUnderRequestTellsHandler) {
+  std::atomic<bool> gone = false;
+  std::promise<void> started;
+  StartServer([&](const HttpRequest&, ResponseWriter& writer) {
+    writer.OnClientGone([&] { gone = true; });
+    started.set_value();
+    while (!gone)
+      hawthornhollow::SleepFor(absl::Milliseconds(1));
+  });
+  absl::StatusOr<HttpResponse> response;
+  std::promise<void> ended;
+  runtime_->SpawnOn(1, [&, target = Target()] {
+    response = client_.Call(target, {}, kLong);
+    ended.set_value();
+  });
+  started.get_future().wait();
+  const absl::Time start = absl::Now();
+  server_.reset();
+  EXPECT_LT(absl::Now() - start, absl::Seconds(1));
+  EXPECT_TRUE(gone);
+  ended.get_future().wait();
+  EXPECT_EQ(response.status().code(), absl::StatusCode::kAborted);
 }
 
 TEST_F(HttpTest, CallWhoseConnectionBreaksIsAbortedAndNotRepeated) {
