platform: checkpoints in parts, between the records

Change: checkpoints are cut into parts of 1 MiB, appended under an incarnation of their own, one part between two batches of records; a scan puts them together. StreamWriter::AppendCheckpoint replaces Append of a checkpoint; IsSettled is gone. Ruled out: parts in the record queue, behind which urgent records would wait; a larger body bound, which the platform sets and not we. Conclusion: MaybeCheckpoint's contract is unchanged for its callers.

--- a/hawthornhollow/platform/platform.h
+++ b/hawthornhollow/platform/platform.h
@@ -24,6 +24,7 @@
 // A `stop` flag is read at least every kStopPoll while a loop waits; a call of
 // the log in progress is waited for.
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <compare>
@@ -50,6 +51,7 @@
 #include "boost/fiber/mutex.hpp"
 #include "hawthornhollow/http/http.h"
 #include "hawthornhollow/ledger/ledger.h"
+#include "hawthornhollow/platform/checkpoint_parts.h"
 
 namespace hawthornhollow {
 
@@ -135,6 +137,24 @@
 // The longest that a loop of this library waits before it reads its stop flag.
 inline constexpr absl::Duration kStopPoll = absl::Milliseconds(50);
 
+// Delays that double from `min` to `max`, each shortened by a random share.
+class Backoff {
+ public:
+  Backoff(absl::Duration min, absl::Duration max) : next_(min), max_(max) {}
+
+  absl::Duration Next(absl::BitGen& random) {
+    const absl::Duration full = next_;
+    next_ = std::min(next_ * kFactor, max_);
+    return full * absl::Uniform(random, 1.0 - kJitterShare, 1.0);
+  }
+
+ private:
+  static constexpr double kJitterShare = 0.5;
+  static constexpr double kFactor = 2.0;
+  absl::Duration next_;
+  absl::Duration max_;
+};
+
 // How soon a record has to be appended.
 enum class Urgency {
   kUrgent,  // StreamWriterOptions::urgent_gap after the batch before it began
@@ -148,11 +168,13 @@
   // One append's bounds. A larger record goes alone.
   size_t max_batch_bytes = 256 * 1024;
   size_t max_batch_records = 2'000;
-  // One record's bound, but for checkpoints: a record that the log never takes
-  // would hold up all later ones.
+  // One record's bound: one that the log never takes would hold up all others.
   size_t max_record_bytes = 3 * 1024 * 1024;
   // Records queued or in flight; Append fails above it.
   size_t max_backlog_bytes = 16 * 1024 * 1024;
+  // One checkpoint's bound, outside the backlog's, and that of its parts.
+  size_t max_checkpoint_bytes = 128 * 1024 * 1024;
+  size_t checkpoint_part_bytes = 1024 * 1024;
   // Exponential backoff between tries of one append, with jitter.
   absl::Duration retry_min = absl::Milliseconds(50);
   absl::Duration retry_max = absl::Seconds(2);
@@ -163,9 +185,10 @@
 struct StreamWriterStats {
   int64_t appends = 0;  // calls of the log, tries again included
   int64_t retries = 0;
-  int64_t records = 0;  // in appends that took effect
-  int64_t bytes = 0;    // of those appends
-  int64_t refused = 0;  // checkpoints that the log would not take
+  int64_t records = 0;              // in appends that took effect
+  int64_t bytes = 0;                // of those appends
+  int64_t checkpoints = 0;          // appended whole
+  int64_t dropped_checkpoints = 0;  // refused by the log, or failed too often
   friend auto operator<=>(const StreamWriterStats&,
                           const StreamWriterStats&) = default;
 };
@@ -188,19 +211,28 @@
 
   const std::string& stream() const { return stream_; }
   const std::string& incarnation() const { return incarnation_; }
+  // The writer of checkpoints' parts in the stream.
+  const std::string& checkpoint_incarnation() const {
+    return checkpoint_incarnation_;
+  }
 
   // Queues a record, stamped with the wall clock, and returns its sequence
   // (from 1) at once. RESOURCE_EXHAUSTED above the backlog's bound,
-  // INVALID_ARGUMENT for a record above max_record_bytes.
+  // INVALID_ARGUMENT for a record above max_record_bytes or a checkpoint.
   absl::StatusOr<int64_t> Append(RecordBody body, Urgency urgency);
 
   // Appends what is queued until `stop`, which abandons what is not durable
   // yet (see Flush). One fiber runs this, once.
   void Run(const std::atomic<bool>& stop);
 
+  // Appends a checkpoint in parts between the records, in the background.
+  // FAILED_PRECONDITION while an earlier one is pending, RESOURCE_EXHAUSTED
+  // above max_checkpoint_bytes. A checkpoint may get dropped (see stats).
+  absl::Status AppendCheckpoint(const CheckpointRecord& checkpoint);
+  bool checkpoint_pending() const;
+
   // OK once the record is in the log: an append that held it was acknowledged,
-  // or it was read back. DEADLINE_EXCEEDED: not known. FAILED_PRECONDITION: a
-  // checkpoint that the log would not take.
+  // or it was read back. DEADLINE_EXCEEDED: not known.
   absl::Status WaitDurable(int64_t sequence, absl::Duration timeout);
   // Appends lazy records too without delay, and waits until all are durable.
   absl::Status Flush(absl::Duration timeout);
@@ -208,8 +240,6 @@
   // A follower has read a record of `writer` in the log; others' are ignored.
   void OnReadBack(std::string_view writer, int64_t sequence);
 
-  // Whether nothing more will happen to a record: durable or refused.
-  bool IsSettled(int64_t sequence) const;
   size_t backlog_bytes() const;
   StreamWriterStats stats() const;
 
@@ -225,35 +255,46 @@
     int64_t last_sequence = 0;
     int64_t records = 0;
     size_t backlog_bytes = 0;
-    bool checkpoint = false;
   };
+  // One entry of a checkpoint.
+  struct Part {
+    int64_t sequence = 0;
+    std::string encoded;
+  };
+  enum class Turn { kStopped, kRecords, kPart };
 
   StreamWriter(Log& log,
                std::string stream,
                std::string incarnation,
                const StreamWriterOptions& options);
   SteadyTime DueTime(Urgency urgency) const;
-  std::optional<Pending> NextPending(const std::atomic<bool>& stop);
+  Turn NextTurn(const std::atomic<bool>& stop);
+  Pending TakePending();
   std::vector<Record> TakeRecords(Pending* pending);
   bool FitsPending(const Queued& queued, const Pending& pending) const;
   void AppendUntilSettled(const Pending& pending,
                           const std::atomic<bool>& stop);
-  bool Refused(const Pending& pending, const absl::Status& status);
   bool WaitBeforeRetry(const Pending& pending,
                        absl::Duration delay,
                        const std::atomic<bool>& stop);
   void Settle(const Pending& pending);
   void SettleLocked(const Pending& pending);
   void CountAppend(bool retry);
-  static bool IsCheckpoint(const Record& record) {
-    return std::holds_alternative<CheckpointRecord>(record.body);
-  }
+  std::string EncodePart(const Record& record) const;
+  void TryPart();
+  void OnPartDurable();
+  void EndCheckpoint();
+  void LogFailure(const absl::Status& status) const;
 
   Log& log_;
   const std::string stream_;
   const std::string incarnation_;
+  const std::string checkpoint_incarnation_;
   const StreamWriterOptions options_;
-  absl::BitGen random_;  // used by Run's fiber only
+
+  // Used by Run's fiber only.
+  absl::BitGen random_;
+  Turn last_turn_ = Turn::kStopped;
 
   mutable boost::fibers::mutex mutex_;
   boost::fibers::condition_variable changed_;
@@ -261,9 +302,15 @@
   SteadyTime due_ = SteadyTime::max();          // of the queue's next append
   SteadyTime next_append_ = SteadyTime::min();  // urgent_gap after the last
   int64_t next_sequence_ = 1;
-  int64_t durable_sequence_ = 0;  // the highest durable or refused
-  std::set<int64_t> refused_;
+  int64_t durable_sequence_ = 0;  // the highest durable
   size_t backlog_bytes_ = 0;
+  std::deque<Part> parts_;
+  bool checkpoint_pending_ = false;
+  SteadyTime part_due_ = SteadyTime::max();
+  Backoff part_backoff_;
+  int part_tries_ = 0;
+  int64_t next_part_sequence_ = 1;
+  int64_t durable_part_ = 0;  // the highest durable sequence
   StreamWriterStats stats_;
 };
 
@@ -391,7 +438,7 @@
     std::map<int64_t, KeptVerdict> kept;
     int64_t highest_seen = 0;
   };
-  // A checkpoint met by a scan.
+  // A checkpoint that a scan met whole.
   struct Candidate {
     CheckpointRecord checkpoint{.offset = -1, .state = ""};
     int64_t entry_offset = -1;
@@ -437,7 +484,8 @@
   absl::BitGen random_;
   size_t read_entries_;    // of the next read
   int64_t scan_from_ = 0;  // entries before it hold no better checkpoint
-  std::set<int64_t> bad_checkpoints_;  // offsets of entries
+  CheckpointAssembler assembler_;
+  std::set<int64_t> bad_checkpoints_;  // offsets of their last entries
 
   // Held over one entry's application and its callback. Taken before mutex_.
   boost::fibers::mutex apply_mutex_;
@@ -460,8 +508,8 @@
   int64_t checkpoint_offset_ = -1;  // of the newest in the stream
   absl::Time checkpoint_time_ = absl::InfiniteFuture();
   absl::Time checkpoint_at_ = absl::InfiniteFuture();  // when to write one
-  int64_t own_checkpoint_sequence_ = 0;                // 0: none yet
-  absl::Time own_checkpoint_time_ = absl::InfinitePast();
+  // When this process or another last wrote a part of one.
+  absl::Time part_time_ = absl::InfinitePast();
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/platform/stream_follower.h
+++ b/hawthornhollow/platform/stream_follower.h
@@ -77,6 +77,7 @@
 void StreamFollower<FoldT, Log>::RegisterWriter(StreamWriter<Log>& writer) {
   std::lock_guard lock(mutex_);
   own_writers_[writer.incarnation()].writer = &writer;
+  own_writers_[writer.checkpoint_incarnation()].writer = &writer;
 }
 
 // ---------------------------------------------------------------------------
@@ -84,7 +85,6 @@
 
 template <Fold FoldT, LogClient Log>
 void StreamFollower<FoldT, Log>::Run(const std::atomic<bool>& stop) {
-  using stream_internal::Backoff;
   Backoff backoff(options_.retry_min, options_.retry_max);
   while (!stop) {
     absl::Status status = ReadOnce(stop);
@@ -203,10 +203,12 @@
   absl::StatusOr<FoldT> fold = FoldT::Restore(best->checkpoint.state);
   if (!fold.ok() || fold->applied_offset() != best->checkpoint.offset) {
     bad_checkpoints_.insert(best->entry_offset);
+    assembler_.Clear();
     scan_from_ = 0;
     return ErrorAt(absl::StatusCode::kDataLoss, "stream.recover", stream_,
                    "a checkpoint cannot be restored");
   }
+  assembler_.Clear();
   Install(*best, *std::move(fold));
   return absl::OkStatus();
 }
@@ -241,28 +243,27 @@
   return best;
 }
 
-// Keeps the entry's checkpoint if it covers a gap before `oldest` and is later
-// than the best one met.
+// Keeps a checkpoint whose last part the entry holds if it covers a gap before
+// `oldest` and is later than the best one met.
 template <Fold FoldT, LogClient Log>
 void StreamFollower<FoldT, Log>::ConsiderEntry(const LogEntry& entry,
                                                int64_t oldest,
                                                Candidate* best) {
-  if (bad_checkpoints_.contains(entry.offset))
-    return;
   absl::StatusOr<Batch> batch = DecodeBatch(entry.data);
   if (!batch.ok())
     return;
-  for (Record& record : batch->records) {
-    auto* checkpoint = std::get_if<CheckpointRecord>(&record.body);
-    if (!checkpoint || checkpoint->offset >= entry.offset)
+  for (const Record& record : batch->records) {
+    const auto* part = std::get_if<CheckpointRecord>(&record.body);
+    if (!part || part->offset >= entry.offset)
       continue;
-    if (checkpoint->offset < oldest - 1 ||
-        checkpoint->offset <= best->checkpoint.offset) {
+    if (part->offset < oldest - 1 || part->offset <= best->checkpoint.offset)
+      continue;
+    auto whole = assembler_.Add(batch->writer, *part);
+    if (!whole || bad_checkpoints_.contains(entry.offset))
       continue;
-    }
     best->entry_offset = entry.offset;
     best->time_ms = record.time_ms;
-    best->checkpoint = std::move(*checkpoint);
+    best->checkpoint = *std::move(whole);
   }
 }
 
@@ -329,6 +330,12 @@
         checkpoint->offset <= checkpoint_offset_) {
       continue;
     }
+    std::optional<CheckpointPart> part = ParseCheckpointPart(*checkpoint);
+    if (!part)
+      continue;
+    part_time_ = std::max(part_time_, time);
+    if (part->index < part->count)
+      continue;
     checkpoint_offset_ = checkpoint->offset;
     checkpoint_time_ = time;
   }
@@ -360,12 +367,9 @@
     return;
   own->highest_seen = sequence;
   const absl::Time now = absl::Now();
-  KeptVerdict kept{.verdict = verdict, .at = now};
-  if (auto* checkpoint =
-          std::get_if<CheckpointRecord>(&kept.verdict.record.body)) {
-    checkpoint->state.clear();
-  }
-  own->kept.emplace(sequence, std::move(kept));
+  // Nobody waits for the verdict on a checkpoint, which may be large.
+  if (!std::holds_alternative<CheckpointRecord>(verdict.record.body))
+    own->kept.emplace(sequence, KeptVerdict{.verdict = verdict, .at = now});
   auto expired = [&] {
     const auto& oldest = own->kept.begin()->second;
     return own->kept.size() > options_.max_kept_verdicts ||
@@ -396,7 +400,7 @@
   {
     std::lock_guard lock(mutex_);
     const absl::Time now = absl::Now();
-    if (!CheckpointDue(now) || !writer.IsSettled(own_checkpoint_sequence_)) {
+    if (!CheckpointDue(now) || writer.checkpoint_pending()) {
       checkpoint_at_ = absl::InfiniteFuture();
       return false;
     }
@@ -407,23 +411,17 @@
     if (now < checkpoint_at_)
       return false;
     checkpoint_at_ = absl::InfiniteFuture();
-    own_checkpoint_time_ = now;
+    part_time_ = now;
     checkpoint.offset = fold_.applied_offset();
     checkpoint.state = fold_.Serialize();
   }
-  const int64_t offset = checkpoint.offset;
-  const size_t bytes = checkpoint.state.size();
-  auto sequence = writer.Append(std::move(checkpoint), Urgency::kUrgent);
+  absl::Status status = writer.AppendCheckpoint(checkpoint);
   LogEvent("stream.checkpoint")
       .Add("stream", stream_)
-      .Add("offset", offset)
-      .Add("bytes", bytes)
-      .Add("status", sequence.status());
-  if (!sequence.ok())
-    return false;
-  std::lock_guard lock(mutex_);
-  own_checkpoint_sequence_ = *sequence;
-  return true;
+      .Add("offset", checkpoint.offset)
+      .Add("bytes", checkpoint.state.size())
+      .Add("status", status);
+  return status.ok();
 }
 
 // The caller holds mutex_.
@@ -432,7 +430,7 @@
   const int64_t applied = fold_.applied_offset();
   if (applied < 0 || !CaughtUp())
     return false;
-  if (now - own_checkpoint_time_ < options_.checkpoint_min_gap)
+  if (now - part_time_ < options_.checkpoint_min_gap)
     return false;
   // A process that starts now could not follow.
   if (checkpoint_offset_ + 1 < oldest_)
--- a/hawthornhollow/platform/stream_test.cc
+++ b/hawthornhollow/platform/stream_test.cc
@@ -216,8 +216,8 @@
     return sequence.value_or(-1);
   }
   // Lands `count` entries of one record each, named from 0 on.
-  void LandEntries(int count) {
-    for (int i = 0; i < count; i++) {
+  void LandEntries(int64_t count) {
+    for (int64_t i = 0; i < count; i++) {
       Batch batch{.writer = "other", .records = {}};
       batch.records.push_back({.sequence = ++other_sequence_,
                                .time_ms = absl::ToUnixMillis(absl::Now()),
@@ -226,11 +226,13 @@
     }
   }
   void LandCheckpoint(int64_t offset, const std::string& state) {
-    Batch batch{.writer = "other", .records = {}};
-    batch.records.push_back({.sequence = ++other_sequence_,
-                             .time_ms = absl::ToUnixMillis(absl::Now()),
-                             .body = CheckpointRecord{offset, state}});
-    log_.Land(EncodeBatch(batch));
+    for (CheckpointRecord& part : SplitCheckpoint({offset, state}, 40)) {
+      Batch batch{.writer = "other", .records = {}};
+      batch.records.push_back({.sequence = ++other_sequence_,
+                               .time_ms = absl::ToUnixMillis(absl::Now()),
+                               .body = std::move(part)});
+      log_.Land(EncodeBatch(batch));
+    }
   }
   // The fold of the log's first `count` entries, retained or not.
   ListFold FoldPrefix(int64_t count) const {
@@ -394,18 +396,38 @@
   Add(writer, "after");
 }
 
-TEST_F(StreamTest, Append_CheckpointRefused_IsDroppedAlone) {
+TEST_F(StreamTest, AppendCheckpoint_Refused_IsDroppedAndRecordsGoOn) {
   log_.faults = {Fault::kInvalid, Fault::kInvalid, Fault::kNone};
   Writer& writer = StartWriter(quick_);
-  auto checkpoint = writer.Append(CheckpointRecord{0, "x"}, Urgency::kUrgent);
-  Add(writer, "a");
-  ASSERT_TRUE(writer.WaitDurable(2, kSoon).ok());
-  EXPECT_TRUE(absl::IsFailedPrecondition(
-      writer.WaitDurable(*checkpoint, absl::ZeroDuration())));
-  EXPECT_EQ(writer.stats().refused, 1);
+  EXPECT_TRUE(absl::IsInvalidArgument(
+      writer.Append(CheckpointRecord{0, "x"}, Urgency::kUrgent).status()));
+  ASSERT_TRUE(writer.AppendCheckpoint({0, "x"}).ok());
+  EXPECT_TRUE(absl::IsFailedPrecondition(writer.AppendCheckpoint({0, "x"})));
+  ASSERT_TRUE(Eventually([&] { return !writer.checkpoint_pending(); }));
+  ASSERT_TRUE(writer.WaitDurable(Add(writer, "a"), kSoon).ok());
+  EXPECT_EQ(writer.stats().dropped_checkpoints, 1);
   EXPECT_THAT(FoldAll().names(), ElementsAre("a"));
 }
 
+TEST_F(StreamTest, AppendCheckpoint_ManyPartsUnderFaults_RecordsGoBetween) {
+  log_.faults = {Fault::kReplyLost, Fault::kOutage, Fault::kLandsLate};
+  StreamWriterOptions options = quick_;
+  options.checkpoint_part_bytes = 10;
+  Writer& writer = StartWriter(options);
+  LandEntries(50);
+  const std::string state = FoldAll().Serialize();
+  ASSERT_TRUE(writer.AppendCheckpoint({49, state}).ok());
+  ASSERT_TRUE(writer.WaitDurable(Add(writer, "a"), kSoon).ok());
+  EXPECT_TRUE(writer.checkpoint_pending());
+  ASSERT_TRUE(Eventually([&] { return !writer.checkpoint_pending(); }));
+  EXPECT_EQ(writer.stats().checkpoints, 1);
+  log_.LandLate();
+  log_.oldest = 50;
+  Follower& follower = StartFollower();
+  ASSERT_TRUE(follower.WaitCaughtUp(kSoon).ok());
+  EXPECT_EQ(StateOf(follower), FoldAll().Serialize());
+}
+
 TEST_F(StreamTest, WaitApplied_OwnRecords_ReturnsTheirVerdicts) {
   log_.faults = {Fault::kReplyLost};
   Writer& writer = StartWriter(quick_);
@@ -568,13 +590,13 @@
   LandEntries(100);
   LandCheckpoint(99, FoldPrefix(100).Serialize());
   log_.oldest = 20;
-  LandEntries(18);
+  LandEntries(119 - log_.next());
   ASSERT_TRUE(Eventually([&] { return follower.applied_offset() == 118; }));
   EXPECT_FALSE(follower.MaybeCheckpoint(writer));
-  LandEntries(6);  // A quarter of 105 after the checkpoint.
+  LandEntries(125 - log_.next());
   ASSERT_TRUE(Eventually([&] { return follower.applied_offset() == 124; }));
   EXPECT_FALSE(follower.MaybeCheckpoint(writer));
-  LandEntries(2);
+  LandEntries(127 - log_.next());
   ASSERT_TRUE(Eventually([&] { return follower.applied_offset() == 126; }));
   EXPECT_TRUE(Eventually([&] { return follower.caught_up(); }));
   EXPECT_TRUE(follower.MaybeCheckpoint(writer));
--- a/hawthornhollow/platform/stream_writer.h
+++ b/hawthornhollow/platform/stream_writer.h
@@ -20,14 +20,20 @@
 // - An entry is one batch and lands in whole or not at all, so a batch is
 //   durable when its last record is.
 //
-// An append refused as invalid was not taken, and no try of it ever will be.
-// It too is sent again, with an error in the log, since dropping a record would
-// break a promise made to its owner; only a checkpoint is dropped, on which
-// nothing depends. Checkpoints go in appends of their own for that reason.
+// An append refused as invalid was not taken, and no try of it ever will be. It
+// is sent again all the same, with an error in the log, since dropping a record
+// would break a promise made to its owner.
 //
-// Bounds: one batch in flight; max_backlog_bytes over the queue and the batch
+// A checkpoint may be far larger than one entry, and nothing depends on any one
+// of them. Its parts (checkpoint_parts.h) are appended under an incarnation of
+// their own with sequences of its own, one part between two batches of records,
+// so that records wait for one part at most. A part is tried once in each turn,
+// with the same bytes and the same backoff; a checkpoint that is refused as
+// invalid, or one of whose parts failed kMaxPartTries times, is dropped whole.
+//
+// Bounds: one append in flight; max_backlog_bytes over the queue and the batch
 // in flight, where a record counts with its size as a batch of its own, which
-// is at least its share of any batch.
+// is at least its share of any batch; one checkpoint of max_checkpoint_bytes.
 
 #include <algorithm>
 #include <utility>
@@ -39,26 +45,7 @@
 
 namespace stream_internal {
 
-inline constexpr double kJitterShare = 0.5;
-inline constexpr double kBackoffFactor = 2.0;
-
-// Delays that double from `min` to `max`, each shortened by a random part of
-// up to kJitterShare.
-class Backoff {
- public:
-  Backoff(absl::Duration min, absl::Duration max) : next_(min), max_(max) {}
-
-  template <typename Random>
-  absl::Duration Next(Random& random) {
-    absl::Duration full = next_;
-    next_ = std::min(next_ * kBackoffFactor, max_);
-    return full * absl::Uniform(random, 1.0 - kJitterShare, 1.0);
-  }
-
- private:
-  absl::Duration next_;
-  absl::Duration max_;
-};
+inline constexpr int kMaxPartTries = 20;
 
 // Waits on `changed` until `done()` or for `timeout`; returns done(). `done` is
 // evaluated at least every kStopPoll, so that it may read a stop flag.
@@ -105,11 +92,17 @@
     : log_(log),
       stream_(std::move(stream)),
       incarnation_(std::move(incarnation)),
-      options_(options) {}
+      checkpoint_incarnation_(incarnation_ + ".checkpoint"),
+      options_(options),
+      part_backoff_(options.retry_min, options.retry_max) {}
 
 template <LogClient Log>
 absl::StatusOr<int64_t> StreamWriter<Log>::Append(RecordBody body,
                                                   Urgency urgency) {
+  if (std::holds_alternative<CheckpointRecord>(body)) {
+    return ErrorAt(absl::StatusCode::kInvalidArgument, "stream.append", stream_,
+                   "checkpoints go through AppendCheckpoint");
+  }
   Batch alone;
   alone.writer = incarnation_;
   alone.records.push_back({.sequence = 1,
@@ -118,8 +111,7 @@
   Queued queued;
   queued.bytes = EncodeBatch(alone).size();
   queued.record = std::move(alone.records.front());
-  if (queued.bytes > options_.max_record_bytes &&
-      !IsCheckpoint(queued.record)) {
+  if (queued.bytes > options_.max_record_bytes) {
     return ErrorAt(absl::StatusCode::kInvalidArgument, "stream.append", stream_,
                    "the record is too large");
   }
@@ -147,35 +139,91 @@
   return std::max(now, next_append_);
 }
 
+template <LogClient Log>
+absl::Status StreamWriter<Log>::AppendCheckpoint(
+    const CheckpointRecord& checkpoint) {
+  if (checkpoint.state.size() > options_.max_checkpoint_bytes) {
+    return ErrorAt(absl::StatusCode::kResourceExhausted, "stream.checkpoint",
+                   stream_, "the checkpoint is too large");
+  }
+  std::vector<CheckpointRecord> parts =
+      SplitCheckpoint(checkpoint, options_.checkpoint_part_bytes);
+  Record record;
+  record.time_ms = absl::ToUnixMillis(absl::Now());
+  {
+    std::lock_guard lock(mutex_);
+    if (checkpoint_pending_) {
+      return ErrorAt(absl::StatusCode::kFailedPrecondition, "stream.checkpoint",
+                     stream_, "an earlier one is still being appended");
+    }
+    checkpoint_pending_ = true;
+    record.sequence = next_part_sequence_;
+    next_part_sequence_ += static_cast<int64_t>(parts.size());
+  }
+  std::deque<Part> encoded;
+  for (CheckpointRecord& part : parts) {
+    record.body = std::move(part);
+    encoded.push_back({record.sequence, EncodePart(record)});
+    record.sequence++;
+  }
+  std::lock_guard lock(mutex_);
+  parts_ = std::move(encoded);
+  part_due_ = std::chrono::steady_clock::now();
+  changed_.notify_all();
+  return absl::OkStatus();
+}
+
+template <LogClient Log>
+std::string StreamWriter<Log>::EncodePart(const Record& record) const {
+  Batch batch;
+  batch.writer = checkpoint_incarnation_;
+  batch.records.push_back(record);
+  return EncodeBatch(batch);
+}
+
 template <LogClient Log>
 void StreamWriter<Log>::Run(const std::atomic<bool>& stop) {
   while (!stop) {
-    std::optional<Pending> pending = NextPending(stop);
-    if (pending)
-      AppendUntilSettled(*pending, stop);
+    const Turn turn = NextTurn(stop);
+    if (turn == Turn::kRecords)
+      AppendUntilSettled(TakePending(), stop);
+    if (turn == Turn::kPart)
+      TryPart();
   }
 }
 
-// Waits until the queue is due and takes a batch from it; nullopt once stopped.
+// Waits until something is due. Records and parts take turns.
 template <LogClient Log>
-std::optional<typename StreamWriter<Log>::Pending>
-StreamWriter<Log>::NextPending(const std::atomic<bool>& stop) {
+typename StreamWriter<Log>::Turn StreamWriter<Log>::NextTurn(
+    const std::atomic<bool>& stop) {
   std::unique_lock lock(mutex_);
-  while (!stop && std::chrono::steady_clock::now() < due_) {
-    const auto poll =
-        std::chrono::steady_clock::now() + absl::ToChronoNanoseconds(kStopPoll);
-    changed_.wait_until(lock, std::min(due_, poll));
+  while (!stop) {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const bool records = due_ <= now;
+    const bool part = part_due_ <= now;
+    if (records && (!part || last_turn_ != Turn::kRecords))
+      return last_turn_ = Turn::kRecords;
+    if (part)
+      return last_turn_ = Turn::kPart;
+    const auto poll = now + absl::ToChronoNanoseconds(kStopPoll);
+    changed_.wait_until(lock, std::min({due_, part_due_, poll}));
   }
-  if (stop)
-    return std::nullopt;
+  return Turn::kStopped;
+}
+
+// Takes a batch from the queue.
+template <LogClient Log>
+typename StreamWriter<Log>::Pending StreamWriter<Log>::TakePending() {
   Pending pending;
   Batch batch;
   batch.writer = incarnation_;
-  batch.records = TakeRecords(&pending);
-  next_append_ = std::chrono::steady_clock::now() +
-                 absl::ToChronoNanoseconds(options_.urgent_gap);
-  due_ = queue_.empty() ? SteadyTime::max() : next_append_;
-  lock.unlock();
+  {
+    std::lock_guard lock(mutex_);
+    batch.records = TakeRecords(&pending);
+    next_append_ = std::chrono::steady_clock::now() +
+                   absl::ToChronoNanoseconds(options_.urgent_gap);
+    due_ = queue_.empty() ? SteadyTime::max() : next_append_;
+  }
   pending.encoded = EncodeBatch(batch);
   return pending;
 }
@@ -186,7 +234,6 @@
   std::vector<Record> records;
   while (!queue_.empty() && FitsPending(queue_.front(), *pending)) {
     Queued& first = queue_.front();
-    pending->checkpoint = IsCheckpoint(first.record);
     pending->last_sequence = first.record.sequence;
     pending->backlog_bytes += first.bytes;
     pending->records++;
@@ -202,8 +249,6 @@
                                     const Pending& pending) const {
   if (pending.records == 0)
     return true;
-  if (pending.checkpoint || IsCheckpoint(queued.record))
-    return false;
   if (static_cast<size_t>(pending.records) >= options_.max_batch_records)
     return false;
   return pending.backlog_bytes + queued.bytes <= options_.max_batch_bytes;
@@ -212,7 +257,7 @@
 template <LogClient Log>
 void StreamWriter<Log>::AppendUntilSettled(const Pending& pending,
                                            const std::atomic<bool>& stop) {
-  stream_internal::Backoff backoff(options_.retry_min, options_.retry_max);
+  Backoff backoff(options_.retry_min, options_.retry_max);
   bool settled = false;
   for (bool retry = false; !settled && !stop; retry = true) {
     CountAppend(retry);
@@ -221,32 +266,73 @@
       Settle(pending);
       return;
     }
-    if (Refused(pending, offset.status()))
-      return;
+    LogFailure(offset.status());
     settled = WaitBeforeRetry(pending, backoff.Next(random_), stop);
   }
 }
 
-// Drops a checkpoint that the log will never take; false for all else.
+// Tries to append the first of the checkpoint's parts, which only this fiber
+// removes.
+template <LogClient Log>
+void StreamWriter<Log>::TryPart() {
+  const Part& part = parts_.front();
+  CountAppend(part_tries_ > 0);
+  absl::StatusOr<int64_t> offset = log_.Append(stream_, part.encoded);
+  if (!offset.ok())
+    LogFailure(offset.status());
+  std::lock_guard lock(mutex_);
+  if (offset.ok() || durable_part_ >= part.sequence) {
+    OnPartDurable();
+    return;
+  }
+  part_tries_++;
+  if (absl::IsInvalidArgument(offset.status()) ||
+      part_tries_ >= stream_internal::kMaxPartTries) {
+    LogEvent("stream.checkpoint_dropped", LogSeverity::kError)
+        .Add("stream", stream_)
+        .Add("part_bytes", part.encoded.size());
+    stats_.dropped_checkpoints++;
+    EndCheckpoint();
+    return;
+  }
+  part_due_ = std::chrono::steady_clock::now() +
+              absl::ToChronoNanoseconds(part_backoff_.Next(random_));
+}
+
+// The caller holds mutex_.
+template <LogClient Log>
+void StreamWriter<Log>::OnPartDurable() {
+  stats_.bytes += static_cast<int64_t>(parts_.front().encoded.size());
+  part_tries_ = 0;
+  part_backoff_ = Backoff(options_.retry_min, options_.retry_max);
+  parts_.pop_front();
+  if (!parts_.empty()) {
+    part_due_ = std::chrono::steady_clock::now() +
+                absl::ToChronoNanoseconds(options_.urgent_gap);
+    return;
+  }
+  stats_.checkpoints++;
+  EndCheckpoint();
+}
+
+// The caller holds mutex_.
 template <LogClient Log>
-bool StreamWriter<Log>::Refused(const Pending& pending,
-                                const absl::Status& status) {
-  LogEvent("stream.append_failed", LogSeverity::kWarning)
+void StreamWriter<Log>::EndCheckpoint() {
+  parts_.clear();
+  part_tries_ = 0;
+  part_backoff_ = Backoff(options_.retry_min, options_.retry_max);
+  part_due_ = SteadyTime::max();
+  checkpoint_pending_ = false;
+}
+
+template <LogClient Log>
+void StreamWriter<Log>::LogFailure(const absl::Status& status) const {
+  const LogSeverity severity = absl::IsInvalidArgument(status)
+                                   ? LogSeverity::kError
+                                   : LogSeverity::kWarning;
+  LogEvent("stream.append_failed", severity)
       .Add("stream", stream_)
-      .Add("last_sequence", pending.last_sequence)
       .Add("error", status);
-  if (!absl::IsInvalidArgument(status) || !pending.checkpoint)
-    return false;
-  LogEvent("stream.checkpoint_refused", LogSeverity::kError)
-      .Add("stream", stream_)
-      .Add("bytes", pending.encoded.size());
-  std::lock_guard lock(mutex_);
-  refused_.insert(pending.last_sequence);
-  stats_.refused++;
-  backlog_bytes_ -= pending.backlog_bytes;
-  durable_sequence_ = std::max(durable_sequence_, pending.last_sequence);
-  changed_.notify_all();
-  return true;
 }
 
 // Returns whether the batch was read back before `delay` had passed.
@@ -297,10 +383,6 @@
     return ErrorAt(absl::StatusCode::kDeadlineExceeded, "stream.durable",
                    stream_, "not known to be in the log yet");
   }
-  if (refused_.contains(sequence)) {
-    return ErrorAt(absl::StatusCode::kFailedPrecondition, "stream.durable",
-                   stream_, "the log refused the checkpoint");
-  }
   return absl::OkStatus();
 }
 
@@ -314,24 +396,23 @@
       due_ = std::min(due_, DueTime(Urgency::kUrgent));
     changed_.notify_all();
   }
-  absl::Status status = WaitDurable(last, timeout);
-  // A refused checkpoint leaves nothing more to wait for.
-  return absl::IsFailedPrecondition(status) ? absl::OkStatus() : status;
+  return WaitDurable(last, timeout);
 }
 
 template <LogClient Log>
 void StreamWriter<Log>::OnReadBack(std::string_view writer, int64_t sequence) {
-  if (writer != incarnation_)
-    return;
   std::lock_guard lock(mutex_);
-  durable_sequence_ = std::max(durable_sequence_, sequence);
+  if (writer == incarnation_)
+    durable_sequence_ = std::max(durable_sequence_, sequence);
+  if (writer == checkpoint_incarnation_)
+    durable_part_ = std::max(durable_part_, sequence);
   changed_.notify_all();
 }
 
 template <LogClient Log>
-bool StreamWriter<Log>::IsSettled(int64_t sequence) const {
+bool StreamWriter<Log>::checkpoint_pending() const {
   std::lock_guard lock(mutex_);
-  return durable_sequence_ >= sequence;
+  return checkpoint_pending_;
 }
 
 template <LogClient Log>
