--- a/hawthornhollow/ledger/grant_holder.cc
+++ b/hawthornhollow/ledger/grant_holder.cc
@@ -10,9 +10,10 @@
 //   The time to exhaustion under the present rate is compared with the time
 //   that a grant takes to obtain: a request is due when what is available,
 //   less one more request of the recent size, lasts less than `foresight` times
-//   the grant time. The rate counts reservations when they are made and gives
-//   back what was not used when they settle; it equals the spend rate in the
-//   long run and rises at once with a flood.
+//   the grant time. The rate is the higher of two averages: a long one that
+//   counts reservations when they are made and gives back what was not used
+//   when they settle, so that it equals the spend rate in the long run; and a
+//   short one of reservations alone, which rises soon with a flood.
 //
 // How much
 //   Enough for the rate over grant_cover, at most max_free_share of what is
@@ -24,12 +25,14 @@
 // - After a voted cut, whatever is available, up to what the budget is
 //   overdrawn.
 // - After a rise of the shortage count (a void request of any router, usually
-//   another), all that the rate does not need within one grant time. A router
-//   whose own requests wait gives back all that is too little for them: two
-//   routers that each hold half of what a request needs would otherwise block
-//   each other. Then both ask for the whole, and the log decides who is first.
-//   Answering a shortage holds off requests ahead of need for a few grant
-//   times; without that, the tokens would come straight back.
+//   another), all that the rate does not need within one grant time; near the
+//   end of the budget, all that is not reserved, and for the patience also what
+//   settles later. A router whose own requests
+//   wait gives back all that is too little for them: two routers that each hold
+//   half of what a request needs would otherwise block each other. Then both
+//   ask for the whole, and the log decides who is first. Answering a shortage
+//   holds off requests ahead of need for a few grant times; without that, the
+//   tokens would come straight back.
 // - Tokens that were not needed at any time during idle_return, above a floor
 //   that the next request can start from.
 //
@@ -69,7 +72,7 @@
 // Void requests in a row before a refusal.
 constexpr int kVoidsBeforeRefusal = 2;
 // A void request is repeated after 2^n grant times, n at most this.
-constexpr int kMaxBackoffExponent = 4;
+constexpr int kMaxBackoffExponent = 3;
 
 }  // namespace
 
@@ -135,26 +138,40 @@
   unbilled_requests_.erase(it);
 }
 
-// The rate is an average with exponential decay.
-void GrantHolder::CountDraw(int64_t tokens, absl::Time now) {
-  const double half_life = absl::ToDoubleSeconds(options_.rate_half_life);
-  rate_ =
-      RateAt(now) + static_cast<double>(tokens) * std::numbers::ln2 / half_life;
-  rate_at_ = now;
+double GrantHolder::DrawRate::At(absl::Time now,
+                                 absl::Duration half_life) const {
+  if (at == absl::InfinitePast())
+    return 0;
+  const absl::Duration age = std::max(now - at, absl::ZeroDuration());
+  return tokens_per_second * std::exp2(-absl::FDivDuration(age, half_life));
 }
 
-double GrantHolder::RateAt(absl::Time now) const {
-  if (rate_at_ == absl::InfinitePast())
-    return 0;
-  const absl::Duration age = std::max(now - rate_at_, absl::ZeroDuration());
-  return rate_ * std::exp2(-absl::FDivDuration(age, options_.rate_half_life));
+void GrantHolder::DrawRate::Add(int64_t tokens,
+                                absl::Time now,
+                                absl::Duration half_life) {
+  const double weight = std::numbers::ln2 / absl::ToDoubleSeconds(half_life);
+  tokens_per_second = At(now, half_life) + static_cast<double>(tokens) * weight;
+  at = now;
+}
+
+void GrantHolder::CountDraw(int64_t tokens, absl::Time now) {
+  rate_.Add(tokens, now, options_.rate_half_life);
+  if (tokens > 0)
+    flood_rate_.Add(tokens, now, options_.flood_half_life);
 }
 
 int64_t GrantHolder::TokensFor(absl::Duration time, absl::Time now) const {
-  const double rate = std::max(RateAt(now), 0.0);
+  const double rate = std::max(rate_.At(now, options_.rate_half_life), 0.0);
   return static_cast<int64_t>(std::ceil(rate * absl::ToDoubleSeconds(time)));
 }
 
+int64_t GrantHolder::FloodTokensFor(absl::Duration time, absl::Time now) const {
+  const double flood = flood_rate_.At(now, options_.flood_half_life);
+  const auto tokens =
+      static_cast<int64_t>(std::ceil(flood * absl::ToDoubleSeconds(time)));
+  return std::max(tokens, TokensFor(time, now));
+}
+
 // What the fold shows
 
 void GrantHolder::OnFold(const BudgetFold::BudgetState& state,
@@ -176,6 +193,7 @@
     moved_at_ = now;
   if (state.shortage_count > shortage_seen_) {
     shortage_pending_ = true;
+    shortage_at_ = now;
     hold_off_until_ = now + kHoldOffGrantTimes * grant_time_;
   }
   shortage_seen_ = state.shortage_count;
@@ -235,7 +253,7 @@
 int64_t GrantHolder::Watermark(absl::Time now) const {
   if (options_.fixed_watermark_tokens > 0)
     return options_.fixed_watermark_tokens;
-  return largest_ + TokensFor(options_.foresight * grant_time_, now);
+  return largest_ + FloodTokensFor(options_.foresight * grant_time_, now);
 }
 
 int64_t GrantHolder::Cover(absl::Time now) const {
@@ -292,7 +310,7 @@
 
 int64_t GrantHolder::NeededInShortage(absl::Time now) const {
   if (waiting_ == 0)
-    return TokensFor(grant_time_, now);
+    return IsShort() ? 0 : TokensFor(grant_time_, now);
   return available() >= smallest_waiting_ ? waiting_ : 0;
 }
 
@@ -311,7 +329,8 @@
 int64_t GrantHolder::ReturnAmount(absl::Time now) {
   if (free_ < 0)
     return std::min(available(), -free_);
-  if (shortage_pending_) {
+  const bool ends = IsShort() && now - shortage_at_ < Patience();
+  if (shortage_pending_ || ends) {
     shortage_pending_ = false;
     return available() - NeededInShortage(now);
   }
--- a/hawthornhollow/ledger/ledger.h
+++ b/hawthornhollow/ledger/ledger.h
@@ -560,6 +560,9 @@
   // Idle tokens above the cover are returned after this long unused.
   absl::Duration idle_return = absl::Seconds(10);
   absl::Duration rate_half_life = absl::Seconds(2);
+  // Of a second average, which sees a flood earlier; the higher one decides
+  // when to ask.
+  absl::Duration flood_half_life = absl::Milliseconds(300);
   // A waiting request is refused only after the budget has not moved for this
   // long (or some grant times, if longer), so that requests in flight
   // elsewhere can settle and give back what they did not use.
@@ -611,16 +614,28 @@
   int64_t reserved() const { return reserved_; }
   // The rate at which tokens are drawn, as of the last reservation or
   // settlement.
-  double tokens_per_second() const { return std::max(rate_, 0.0); }
+  double tokens_per_second() const {
+    return std::max(rate_.tokens_per_second, 0.0);
+  }
   // Whether a request for `tokens` must be refused: the budget has no room for
   // it even if nothing reserved were used; or requests for grants were void
   // while every other holder had time to return what it does not need.
   bool Exhausted(int64_t tokens, absl::Time now) const;
 
  private:
+  // An average of tokens per second with exponential decay.
+  struct DrawRate {
+    double tokens_per_second = 0;
+    absl::Time at = absl::InfinitePast();
+
+    double At(absl::Time now, absl::Duration half_life) const;
+    void Add(int64_t tokens, absl::Time now, absl::Duration half_life);
+  };
+
   void CountDraw(int64_t tokens, absl::Time now);
-  double RateAt(absl::Time now) const;
+  // What is drawn in `time` at the long average, and at the higher of both.
   int64_t TokensFor(absl::Duration time, absl::Time now) const;
+  int64_t FloodTokensFor(absl::Duration time, absl::Time now) const;
   int64_t MinGrant() const;
   int64_t FreeShare() const;
   int64_t RoomAtMost() const;
@@ -650,14 +665,15 @@
   int64_t returned_seen_ = 0;
   int64_t shortage_seen_ = 0;
   bool shortage_pending_ = false;  // rose, not yet answered by NextReturn
+  absl::Time shortage_at_ = absl::InfinitePast();
   absl::Time hold_off_until_ = absl::InfinitePast();
   absl::Time moved_at_ = absl::InfinitePast();
   int64_t largest_ = 0;  // recent reservation
   // The least that was available since the window began.
   absl::Time window_start_ = absl::InfinitePast();
   int64_t window_low_ = 0;
-  double rate_ = 0;
-  absl::Time rate_at_ = absl::InfinitePast();
+  DrawRate rate_;
+  DrawRate flood_rate_;
   absl::Time last_use_ = absl::InfinitePast();
   absl::Duration grant_time_ = absl::Milliseconds(50);
   bool request_in_flight_ = false;
