Constants of the ledger's tests at namespace scope

Cause: clang-tidy's naming rule takes local constexpr names for variables. Change: moved them. Ruled out: a looser rule, which is not in this part.

--- a/hawthornhollow/ledger/budget_fold_test.cc
+++ b/hawthornhollow/ledger/budget_fold_test.cc
@@ -14,6 +14,8 @@
 
 using testing::HasSubstr;
 
+constexpr uint64_t kSeeds = 300;
+
 BillRecord Bill(const std::string& request,
                 const std::string& incarnation,
                 int64_t tokens,
@@ -430,7 +432,6 @@
 }
 
 TEST(BudgetFoldRandomTest, RandomStreams_EqualTheReference) {
-  constexpr uint64_t kSeeds = 300;
   for (uint64_t seed = 1; seed <= kSeeds && !testing::Test::HasFailure();
        ++seed) {
     CompareWithReference<BudgetFold, BudgetReference>(seed, 80,
--- a/hawthornhollow/ledger/config_fold_test.cc
+++ b/hawthornhollow/ledger/config_fold_test.cc
@@ -13,6 +13,9 @@
 using testing::ElementsAre;
 using testing::HasSubstr;
 
+constexpr uint64_t kSeeds = 200;
+constexpr auto kKept = static_cast<int64_t>(ConfigFold::kMaxHistory);
+
 // A valid file that defines one member.
 std::string MemberText(const std::string& name) {
   return R"({"kind":"member","name":")" + name + R"("})";
@@ -139,7 +142,6 @@
 }
 
 TEST_F(ConfigFoldTest, History_AboveBound_KeepsFilesAndRefusesOldBases) {
-  constexpr auto kKept = static_cast<int64_t>(ConfigFold::kMaxHistory);
   for (int64_t i = 0; i < kKept + 10; ++i)
     Publish(i, {Put("a.json", "m" + std::to_string(i + 1))});
   EXPECT_EQ(fold().history().size(), ConfigFold::kMaxHistory);
@@ -244,7 +246,6 @@
 }
 
 TEST(ConfigFoldRandomTest, RandomStreams_EqualTheReference) {
-  constexpr uint64_t kSeeds = 200;
   for (uint64_t seed = 1; seed <= kSeeds && !testing::Test::HasFailure();
        ++seed) {
     CompareWithReference<ConfigFold, ConfigReference>(seed, 60,
--- a/hawthornhollow/ledger/grant_holder_test.cc
+++ b/hawthornhollow/ledger/grant_holder_test.cc
@@ -427,6 +427,8 @@
 }
 
 constexpr uint64_t kMeasuredSeeds = 12;
+// Of foresight, for each grant of the watermark it is compared with.
+constexpr double kGrantsAtMost = 1.1;
 
 // Figures of one policy, summed over seeds.
 Figures Measure(const GrantPolicyOptions& options, double rate) {
@@ -451,7 +453,6 @@
 
 // One setting of foresight has to do for slow and fast budgets alike.
 TEST(EscrowSimulationTest, Foresight_AgainstWatermark_WaitsLessOften) {
-  constexpr double kGrantsAtMost = 1.1;
   for (const double rate : {2.0, 15.0}) {
     const Figures foresight = Measure(GrantPolicyOptions(), rate);
     Print("foresight", rate, foresight);
--- a/hawthornhollow/ledger/membership_fold_test.cc
+++ b/hawthornhollow/ledger/membership_fold_test.cc
@@ -13,6 +13,9 @@
 
 using testing::HasSubstr;
 
+constexpr uint64_t kSeeds = 300;
+constexpr auto kEnded = static_cast<int>(MembershipFold::kMaxEnded);
+
 class MembershipFoldTest : public testing::Test {
  protected:
   void Open(const std::string& router) {
@@ -162,7 +165,6 @@
   Open("r1");
   OpenGate("g", "g1");
   OpenGate("g", "g2");
-  constexpr auto kEnded = static_cast<int>(MembershipFold::kMaxEnded);
   for (int i = 0; i < kEnded + 5; ++i) {
     const std::string router = "x" + std::to_string(i);
     Open(router);
@@ -369,7 +371,6 @@
 }
 
 TEST(MembershipFoldRandomTest, RandomStreams_EqualTheReference) {
-  constexpr uint64_t kSeeds = 300;
   for (uint64_t seed = 1; seed <= kSeeds && !testing::Test::HasFailure();
        ++seed) {
     CompareWithReference<MembershipFold, MembershipReference>(
--- a/hawthornhollow/ledger/records_test.cc
+++ b/hawthornhollow/ledger/records_test.cc
@@ -12,6 +12,8 @@
 
 using testing::HasSubstr;
 
+constexpr uint64_t kFuzzSeeds = 30'000;
+
 // One record of each type, in the order of RecordBody.
 std::vector<RecordBody> AllBodies() {
   PublishRecord publish{"id", "binod", 3, {}};
@@ -93,9 +95,8 @@
 }
 
 TEST(RecordsFuzzTest, MutatedBytes_NeverCrash) {
-  constexpr uint64_t kSeeds = 30'000;
   const std::string valid = EncodeBatch(BatchOfAll());
-  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (uint64_t seed = 1; seed <= kFuzzSeeds; ++seed) {
     Dice dice(seed);
     std::string bytes = valid;
     for (int64_t i = dice.Between(1, 6); i > 0; --i) {
@@ -109,8 +110,7 @@
 }
 
 TEST(RecordsFuzzTest, RandomBytes_NeverCrash) {
-  constexpr uint64_t kSeeds = 10'000;
-  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (uint64_t seed = 1; seed <= kFuzzSeeds; ++seed) {
     Dice dice(seed);
     std::string bytes(dice.Between(0, 200), '\0');
     for (char& byte : bytes)
--- a/hawthornhollow/ledger/state.h
+++ b/hawthornhollow/ledger/state.h
@@ -16,6 +16,10 @@
 
 namespace hawthornhollow {
 
+// Limits of a state's verification.
+inline constexpr flatbuffers::uoffset_t kMaxStateDepth = 16;
+inline constexpr flatbuffers::uoffset_t kMaxStateTables = 16'000'000;
+
 // The bytes of a state of the object API. Equal states give equal bytes.
 template <typename TableT>
 std::string PackState(const TableT& state) {
@@ -29,10 +33,8 @@
 template <typename TableT>
 absl::StatusOr<std::unique_ptr<TableT>> UnpackState(std::string_view bytes) {
   using Table = typename TableT::TableType;
-  constexpr flatbuffers::uoffset_t kMaxDepth = 16;
-  constexpr flatbuffers::uoffset_t kMaxTables = 16'000'000;
   flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()),
-                                 bytes.size(), kMaxDepth, kMaxTables);
+                                 bytes.size(), kMaxStateDepth, kMaxStateTables);
   if (!verifier.VerifyBuffer<Table>(nullptr)) {
     return ErrorAt(absl::StatusCode::kDataLoss, "ledger.restore", "",
                    "checkpoint is not a valid state");
