Rank queue and limiter tests for rules that no test held

Cause: in scratch mutations no test failed without the refusal by predicted wait, the refund of PutBack, or the token bucket left alone while unlimited. Change: a test for each; PutBack is tested with two flows. Not held by a test: PutBack's refund of the floor account.

--- a/hawthornhollow/scheduling/limits_test.cc
+++ b/hawthornhollow/scheduling/limits_test.cc
@@ -119,7 +119,7 @@
 TEST_F(CallerLimiterTest, LimitSetAfterUnlimitedUse_StartsWithoutDebt) {
   CallerLimiter limiter(CallerLimit{});
   Admitted(limiter, 1000, 200, 10);
-  limiter.SetLimit({.requests_per_second = 10}, 1);
+  limiter.SetLimit({.requests_per_second = 10, .tokens_per_minute = 6000}, 1);
   EXPECT_FALSE(limiter.Admit(10, kStart + absl::Seconds(11)).has_value());
 }
 
--- a/hawthornhollow/scheduling/rank_queue_test.cc
+++ b/hawthornhollow/scheduling/rank_queue_test.cc
@@ -194,14 +194,25 @@
             RefusalCause::kDeadline);
 }
 
-TEST_F(RankQueueTest, PutBack_NextOfItsFlowAgain) {
-  Offer("urgent");
-  Offer("urgent");
+TEST_F(RankQueueTest, PutBack_NextAgainAndNotCharged) {
+  Offer("urgent", "ward-1");
+  Offer("urgent", "ward-1");
+  Offer("urgent", "ward-2");
   const auto first = queue_.Take(now_);
   queue_.PutBack(*first);
-  EXPECT_EQ(queue_.waiting(), 2);
-  EXPECT_EQ(queue_.waiting_tokens("urgent"), 2 * kCost);
+  EXPECT_EQ(queue_.waiting(), 3);
+  EXPECT_EQ(queue_.waiting_tokens("urgent"), 3 * kCost);
   EXPECT_EQ(queue_.Take(now_), first);
+  EXPECT_EQ(queue_.Take(now_)->caller, "ward-2");
+}
+
+TEST_F(RankQueueTest, RankAboveHasLongBacklog_RefusedAtOfferThoughOwnIsEmpty) {
+  LearnRate();
+  while (!Offer("middling").has_value()) {
+  }
+  queue_.SetRanks({{"middling", 1, absl::Seconds(5), 0},
+                   {"can-wait", 2, absl::Seconds(1), 0}});
+  EXPECT_TRUE(Offer("can-wait").has_value());
 }
 
 TEST_F(RankQueueTest, Removed_NotTaken) {
