--- a/hawthornhollow/scheduling/rank_queue.cc
+++ b/hawthornhollow/scheduling/rank_queue.cc
@@ -137,6 +137,7 @@
   RankState* FindRank(std::string_view name) const;
   RankState* RankToServe(absl::Time now, int64_t free_slots, int64_t slots);
   RankState* RankBelowFloor(absl::Time now) const;
+  double FloorRatio(const RankState& rank, absl::Time now) const;
   CallerFlow* FlowToServe(const RankState& rank, absl::Time now) const;
   int64_t ReservedSlots(const RankState& rank,
                         absl::Time now,
@@ -387,18 +388,10 @@
 }
 
 RankState* RankQueue::Impl::RankBelowFloor(absl::Time now) const {
-  double total = 0;
-  for (const auto& rank : ranks_) {
-    total += rank->floor_tokens.Value(now);
-  }
   RankState* lowest = nullptr;
   double lowest_ratio = 1;
   for (const auto& rank : ranks_) {
-    if (rank->tokens == 0 || rank->policy.floor <= 0) {
-      continue;
-    }
-    const double due = rank->policy.floor * total;
-    const double ratio = due > 0 ? rank->floor_tokens.Value(now) / due : 1;
+    const double ratio = rank->tokens > 0 ? FloorRatio(*rank, now) : 1;
     if (ratio < lowest_ratio) {
       lowest = rank.get();
       lowest_ratio = ratio;
@@ -407,6 +400,18 @@
   return lowest;
 }
 
+// The rank's share of what was dispatched of late, relative to its floor; 1 if
+// it has no floor or nothing was dispatched.
+double RankQueue::Impl::FloorRatio(const RankState& rank,
+                                   absl::Time now) const {
+  double total = 0;
+  for (const auto& other : ranks_) {
+    total += other->floor_tokens.Value(now);
+  }
+  const double due = rank.policy.floor * total;
+  return due > 0 ? rank.floor_tokens.Value(now) / due : 1;
+}
+
 // The flow whose turn it is; or that of one of the oldest requests, if this is
 // late and its flow and member are not in debt. Serving out of turn is charged
 // like any service, so a flow borrows at most a quantum and one request.
@@ -510,12 +515,13 @@
 
 // The wait of a request of `cost` behind `ahead` tokens of its rank. At less
 // than the full rate its own cost adds to the wait: its turn comes when the
-// rank's share has grown to cover it.
+// rank's share has grown to cover it. A rank below its floor goes first, so
+// that with nothing ahead its wait is none, however large the request.
 absl::Duration RankQueue::Impl::WaitBehind(const RankState& rank,
                                            int64_t ahead,
                                            int64_t cost,
                                            absl::Time now) const {
-  if (!rate_.Known(now)) {
+  if (!rate_.Known(now) || (ahead == 0 && FloorRatio(rank, now) < 1)) {
     return absl::ZeroDuration();
   }
   const double rate = std::max(rate_.Optimistic(), 1.0);
--- a/hawthornhollow/scheduling/rank_queue_test.cc
+++ b/hawthornhollow/scheduling/rank_queue_test.cc
@@ -84,6 +84,19 @@
   EXPECT_EQ(taken["middling"], 0);
 }
 
+TEST_F(RankQueueTest, BelowFloorAndNothingWaiting_AdmittedThoughShareIsSmall) {
+  RankQueueOptions options = Options();
+  options.ranks[2] = {"can-wait", 2, absl::Seconds(1), 0.02};
+  queue_ = RankQueue(options);
+  LearnRate();
+  while (!Offer("urgent").has_value()) {
+  }
+  queue_.Take(now_);
+  EXPECT_FALSE(Offer("can-wait").has_value());
+  EXPECT_EQ(TakeRank(), "can-wait");
+  EXPECT_TRUE(Offer("can-wait").has_value());
+}
+
 TEST_F(RankQueueTest, UnknownRate_RefusesOnlyWhenFull) {
   RankQueueOptions options = Options();
   options.max_waiting = 10;
