Gate: side process test over loopback; connections for calls are not kept

Cause: the side process is to be run whole; only calls need fresh connections. Change: sidecar_test with a small log, engine and router; two HTTP clients. Ruled out: a Connection header, which http/ drops as its own.

--- a/hawthornhollow/gate/backend_runner.cc
+++ b/hawthornhollow/gate/backend_runner.cc
@@ -111,7 +111,7 @@
     : runtime_(runtime),
       options_(options),
       events_(std::move(events)),
-      client_(HttpClient::Options{.max_idle_per_endpoint = 0}) {}
+      call_client_(HttpClient::Options{.max_idle_per_endpoint = 0}) {}
 BackendRunner::~BackendRunner() = default;
 
 // ---------------------------------------------------------------------------
@@ -129,7 +129,7 @@
   runtime_.Spawn([this, call] { Execute(call); });
 }
 
-HttpRequest BackendRunner::MakeRequest(const fb::DispatchT& dispatch) const {
+HttpRequest BackendRunner::MakeCall(const fb::DispatchT& dispatch) const {
   HttpRequest request;
   request.method = dispatch.method;
   request.target = dispatch.target;
@@ -145,9 +145,9 @@
 }
 
 void BackendRunner::Execute(const std::shared_ptr<Call>& call) {
-  const HttpRequest request = MakeRequest(call->dispatch);
+  const HttpRequest request = MakeCall(call->dispatch);
   call->dispatch.body = {};
-  const absl::Status status = client_.Stream(
+  const absl::Status status = call_client_.Stream(
       options_.backend, request, options_.idle_timeout,
       [&](int code, const HttpHeaders& headers) {
         return OnHead(*call, code, headers);
@@ -269,7 +269,7 @@
   order.body =
       boost::json::serialize(boost::json::object{{"request_id", request}});
   const absl::StatusOr<HttpResponse> response =
-      client_.Call(options_.backend, order, options_.control_timeout);
+      control_client_.Call(options_.backend, order, options_.control_timeout);
   return Annotate(response.status(), "backend.cancel", peer());
 }
 
@@ -277,7 +277,7 @@
   if (options_.kind == BackendKind::kService) {
     return absl::OkStatus();
   }
-  const absl::StatusOr<HttpResponse> response = client_.Call(
+  const absl::StatusOr<HttpResponse> response = control_client_.Call(
       options_.backend, MakeGet("/running"), options_.control_timeout);
   // Without a connection nothing of ours can be running.
   if (absl::IsUnavailable(response.status())) {
@@ -301,7 +301,7 @@
 }
 
 absl::StatusOr<BackendLoad> BackendRunner::FetchLoad() {
-  const absl::StatusOr<HttpResponse> response = client_.Call(
+  const absl::StatusOr<HttpResponse> response = control_client_.Call(
       options_.backend, MakeGet("/load"), options_.control_timeout);
   if (!response.ok()) {
     return Annotate(response.status(), "backend.load", peer());
--- a/hawthornhollow/gate/backend_runner.h
+++ b/hawthornhollow/gate/backend_runner.h
@@ -87,13 +87,14 @@
   void Finish(Call& call, const RunEnd& end);
   void StopCall(const std::shared_ptr<Call>& call);
   absl::Status CancelAtEngine(const std::string& request);
-  HttpRequest MakeRequest(const fb::DispatchT& dispatch) const;
+  HttpRequest MakeCall(const fb::DispatchT& dispatch) const;
   std::string peer() const { return options_.backend.ToString(); }
 
   Runtime& runtime_;
   const BackendRunnerOptions options_;
   const RunEvents events_;
-  HttpClient client_;
+  HttpClient call_client_;     // keeps no connections
+  HttpClient control_client_;  // for what may be repeated
   boost::fibers::mutex mutex_;
   std::map<int64_t, std::shared_ptr<Call>> calls_;
 };
--- a/hawthornhollow/gate/gate_book_random_test.cc
+++ b/hawthornhollow/gate/gate_book_random_test.cc
@@ -197,8 +197,9 @@
       EXPECT_TRUE(may_run_again) << request;
     }
     EXPECT_EQ(start.run, static_cast<int64_t>(runs_.size()) + 1);
-    runs_[start.run] =
-        ReferenceRun{.request = request, .router = start.dispatch.router};
+    ReferenceRun& started = runs_[start.run];
+    started.request = request;
+    started.router = start.dispatch.router;
     latest_[request] = start.run;
   }
 
--- /dev/null
+++ b/hawthornhollow/gate/sidecar_test.cc
@@ -0,0 +1,532 @@
+// Runs a whole side process on loopback, between a router that the test plays,
+// a small engine and a small log.
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <csignal>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include <boost/json.hpp>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "hawthornhollow/gate/gate.h"
+#include "hawthornhollow/http/http.h"
+#include "hawthornhollow/platform/platform.h"
+#include "hawthornhollow/wire/wire.h"
+
+namespace hawthornhollow {
+namespace {
+
+constexpr absl::Duration kPatience = absl::Seconds(15);
+constexpr absl::Duration kPoll = absl::Milliseconds(10);
+
+// The log's HTTP protocol over memory, without faults.
+class SmallLog {
+ public:
+  void Answer(const HttpRequest& request, ResponseWriter& writer) {
+    const std::string stream(request.Path().substr(sizeof("/streams/") - 1));
+    HttpResponse response;
+    response.body = request.method == "POST" ? Append(stream, request.body)
+                                             : Read(stream, request);
+    writer.Send(response).IgnoreError();
+  }
+
+  std::string Append(const std::string& stream, const std::string& data) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    streams_[stream].push_back(data);
+    return absl::StrCat("{\"offset\":", streams_[stream].size() - 1, "}");
+  }
+
+  // Every record of one type in a stream.
+  template <typename RecordT>
+  std::vector<RecordT> Records(const std::string& stream) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<RecordT> found;
+    for (const std::string& entry : streams_[stream]) {
+      const auto batch = DecodeBatch(entry);
+      for (const Record& record : batch.value().records) {
+        if (const auto* body = std::get_if<RecordT>(&record.body)) {
+          found.push_back(*body);
+        }
+      }
+    }
+    return found;
+  }
+
+  void AppendRecord(const std::string& stream, RecordBody body) {
+    Batch batch;
+    batch.writer = "test";
+    batch.records.push_back({++sequence_, 0, std::move(body)});
+    Append(stream, EncodeBatch(batch));
+  }
+
+ private:
+  std::string Read(const std::string& stream, const HttpRequest& request) {
+    int64_t from = 0;
+    (void)absl::SimpleAtoi(request.Query("from").value_or("0"), &from);
+    if (Size(stream) <= from) {
+      hawthornhollow::SleepFor(absl::Milliseconds(20));
+    }
+    std::lock_guard<std::mutex> lock(mutex_);
+    const std::vector<std::string>& entries = streams_[stream];
+    boost::json::array read;
+    for (size_t i = static_cast<size_t>(from); i < entries.size(); ++i) {
+      read.push_back({{"offset", i}, {"data", absl::Base64Escape(entries[i])}});
+    }
+    return boost::json::serialize(boost::json::object{
+        {"oldest", 0}, {"next", entries.size()}, {"entries", std::move(read)}});
+  }
+
+  int64_t Size(const std::string& stream) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return static_cast<int64_t>(streams_[stream].size());
+  }
+
+  std::mutex mutex_;
+  std::map<std::string, std::vector<std::string>> streams_;
+  int64_t sequence_ = 0;
+};
+
+// Streams `tokens` events, one per `token_time`, until cancelled.
+class SmallEngine {
+ public:
+  void Answer(const HttpRequest& request, ResponseWriter& writer) {
+    HttpResponse response;
+    if (request.Path() == "/v1/cancel") {
+      cancelled = true;
+      ++cancels;
+    } else if (request.Path() == "/running") {
+      response.body = "{\"running\":[{\"id\":\"left-over\"}]}";
+    } else if (request.Path() == "/load") {
+      response.status = 404;
+    } else if (request.Path() == "/order") {
+      ++runs;
+      return break_orders ? writer.Abort() : Echo(request, writer);
+    } else {
+      ++runs;
+      return Stream(writer);
+    }
+    writer.Send(response).IgnoreError();
+  }
+
+  std::atomic<int> tokens{3};
+  std::atomic<int64_t> token_ms{0};
+  std::atomic<bool> break_orders{false};
+  std::atomic<bool> cancelled{false};
+  std::atomic<int> cancels{0};
+  std::atomic<int> runs{0};
+
+ private:
+  static void Echo(const HttpRequest& request, ResponseWriter& writer) {
+    HttpResponse response;
+    response.body = request.body;
+    writer.Send(response).IgnoreError();
+  }
+
+  void Stream(ResponseWriter& writer) {
+    cancelled = false;
+    writer.StartStream(200, {{"Content-Type", "text/event-stream"}})
+        .IgnoreError();
+    for (int i = 0; i < tokens && !cancelled; ++i) {
+      hawthornhollow::SleepFor(absl::Milliseconds(token_ms.load()));
+      const auto status = writer.Write(
+          "data: {\"choices\":[{\"delta\":{\"content\":\"t\"}}]}\n\n");
+      if (!status.ok()) {
+        return;
+      }
+    }
+    writer.Write("data: [DONE]\n\n").IgnoreError();
+    writer.Finish().IgnoreError();
+  }
+};
+
+// The far end of a router's link.
+class TestRouter {
+ public:
+  TestRouter(Runtime& runtime, const Endpoint& gate, std::string incarnation) {
+    runtime.Spawn([this, gate, incarnation] {
+      auto stream = TcpStream::Connect(gate, kPatience);
+      ASSERT_TRUE(stream.ok()) << stream.status();
+      auto link = FrameLink::Create(*std::move(stream), FrameLinkOptions());
+      fb::HelloT hello;
+      hello.name = "router-1";
+      hello.incarnation = incarnation;
+      hello.protocol = kFrameProtocol;
+      link->Send(MakeFrame(hello)).IgnoreError();
+      Publish(link);
+      link->Run([this](fb::FrameT frame) { Push(std::move(frame)); })
+          .IgnoreError();
+      std::lock_guard<std::mutex> lock(mutex_);
+      ended_ = true;
+      changed_.notify_all();
+    });
+    std::unique_lock<std::mutex> lock(mutex_);
+    EXPECT_TRUE(changed_.wait_for(lock, absl::ToChronoSeconds(kPatience),
+                                  [&] { return link_ != nullptr; }));
+  }
+  ~TestRouter() {
+    if (link_ != nullptr) {
+      link_->Close();
+      WaitEnded();
+    }
+  }
+
+  template <typename MessageT>
+  void Send(MessageT message) {
+    ASSERT_NE(link_, nullptr);
+    EXPECT_TRUE(link_->Send(MakeFrame(std::move(message))).ok());
+  }
+
+  // The next frame of one type; others are skipped.
+  fb::FrameT Next(fb::FrameBody type) { return NextOf({type}); }
+
+  // The end of a request, with the body that came before it.
+  fb::EndT NextEnd(std::string* body) {
+    while (true) {
+      fb::FrameT frame = NextOf({fb::FrameBody::Data, fb::FrameBody::End});
+      if (const auto* end = frame.body.AsEnd()) {
+        return *end;
+      }
+      const fb::DataT& data = *frame.body.AsData();
+      body->append(data.bytes.begin(), data.bytes.end());
+    }
+  }
+
+  void WaitEnded() {
+    std::unique_lock<std::mutex> lock(mutex_);
+    EXPECT_TRUE(changed_.wait_for(lock, absl::ToChronoSeconds(kPatience),
+                                  [&] { return ended_; }));
+  }
+
+ private:
+  fb::FrameT NextOf(const std::set<fb::FrameBody>& types) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    const auto until = absl::ToChronoTime(absl::Now() + kPatience);
+    while (true) {
+      while (!frames_.empty()) {
+        fb::FrameT frame = std::move(frames_.front());
+        frames_.pop_front();
+        if (types.contains(frame.body.type)) {
+          return frame;
+        }
+      }
+      if (changed_.wait_until(lock, until) == std::cv_status::timeout) {
+        ADD_FAILURE() << "no " << fb::EnumNameFrameBody(*types.begin());
+        return Empty(*types.rbegin());
+      }
+    }
+  }
+
+  // A frame of the type without content.
+  static fb::FrameT Empty(fb::FrameBody type) {
+    switch (type) {
+      case fb::FrameBody::Hello:
+        return MakeFrame(fb::HelloT());
+      case fb::FrameBody::Load: {
+        fb::LoadT load;
+        load.leaving = true;
+        return MakeFrame(load);
+      }
+      case fb::FrameBody::Refused:
+        return MakeFrame(fb::RefusedT());
+      default:
+        return MakeFrame(fb::EndT());
+    }
+  }
+
+  void Publish(std::shared_ptr<FrameLink> link) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    link_ = std::move(link);
+    changed_.notify_all();
+  }
+
+  void Push(fb::FrameT frame) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    frames_.push_back(std::move(frame));
+    changed_.notify_all();
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::shared_ptr<FrameLink> link_;
+  std::deque<fb::FrameT> frames_;
+  bool ended_ = false;
+};
+
+class SidecarTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    auto runtime = Runtime::Create({.threads = 1});
+    ASSERT_TRUE(runtime.ok()) << runtime.status();
+    runtime_ = *std::move(runtime);
+    log_server_ = StartServer([this](const auto& request, auto& writer) {
+      log_.Answer(request, writer);
+    });
+    engine_server_ = StartServer([this](const auto& request, auto& writer) {
+      engine_.Answer(request, writer);
+    });
+    settings_.name = "sidecar-1";
+    settings_.server = "engine-1";
+    settings_.failure_domain = "patan";
+    settings_.listen = absl::StrCat("127.0.0.1:", FreePort());
+    settings_.http_listen = "127.0.0.1:0";
+    settings_.backend = engine_server_->local().ToString();
+    settings_.backend_kind = "engine";
+    settings_.log_service = log_server_->local().ToString();
+    settings_.drain_seconds = 20;
+  }
+
+  void TearDown() override { Terminate(); }
+
+  std::unique_ptr<HttpServer> StartServer(HttpHandler handler) {
+    HttpServerOptions options;
+    options.local = {"127.0.0.1", 0};
+    auto server = HttpServer::Start(*runtime_, options, std::move(handler));
+    EXPECT_TRUE(server.ok()) << server.status();
+    return *std::move(server);
+  }
+
+  // A port that nothing listens on.
+  static uint16_t FreePort() {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    socklen_t size = sizeof(address);
+    EXPECT_EQ(bind(fd, generic, size), 0);
+    EXPECT_EQ(getsockname(fd, generic, &size), 0);
+    close(fd);
+    return ntohs(address.sin_port);
+  }
+
+  // Starts the side process and waits until it is ready.
+  void Start() {
+    sidecar_ = std::thread([this] {
+      const absl::Status status = RunSidecar(settings_);
+      EXPECT_TRUE(status.ok()) << status;
+    });
+    WaitUntil([&] { return !Members<GateOpenRecord>().empty(); });
+  }
+
+  void Terminate() {
+    if (sidecar_.joinable()) {
+      kill(getpid(), SIGTERM);
+      sidecar_.join();
+    }
+  }
+
+  template <typename RecordT>
+  std::vector<RecordT> Members() {
+    return log_.Records<RecordT>("members");
+  }
+
+  template <typename Condition>
+  void WaitUntil(Condition condition) {
+    const absl::Time deadline = absl::Now() + kPatience;
+    while (!condition()) {
+      ASSERT_LT(absl::Now(), deadline);
+      absl::SleepFor(kPoll);
+    }
+  }
+
+  std::unique_ptr<TestRouter> Connect(const std::string& incarnation) {
+    return std::make_unique<TestRouter>(
+        *runtime_, *Endpoint::Parse(settings_.listen), incarnation);
+  }
+
+  static fb::DispatchT Chat(const std::string& request) {
+    fb::DispatchT dispatch;
+    dispatch.request = request;
+    dispatch.attempt = 1;
+    dispatch.router = "router-a";
+    dispatch.budget = "permits";
+    dispatch.caller = "ward-7";
+    dispatch.prompt_tokens = 5;
+    dispatch.max_output_tokens = 50;
+    dispatch.reserved_tokens = 55;
+    dispatch.method = "POST";
+    dispatch.target = "/v1/chat/completions";
+    return dispatch;
+  }
+
+  static fb::DispatchT Order(const std::string& request) {
+    fb::DispatchT dispatch = Chat(request);
+    dispatch.kind = fb::CallKind::Service;
+    dispatch.fence = 7;
+    dispatch.target = "/order";
+    dispatch.body = {'k', 'i', 't'};
+    return dispatch;
+  }
+
+  SmallLog log_;
+  SmallEngine engine_;
+  SidecarSettings settings_;
+  std::unique_ptr<Runtime> runtime_;
+  std::unique_ptr<HttpServer> log_server_;
+  std::unique_ptr<HttpServer> engine_server_;
+  std::thread sidecar_;
+};
+
+TEST_F(SidecarTest, DispatchedChatStreamsToItsEndAndASettledOneIsNotBilled) {
+  Start();
+  auto router = Connect("router-a");
+  EXPECT_EQ(router->Next(fb::FrameBody::Hello).body.AsHello()->server,
+            "engine-1");
+  router->Send(Chat("r1"));
+  std::string body;
+  const fb::EndT end = router->NextEnd(&body);
+  EXPECT_EQ(end.kind, fb::EndKind::Completed) << end.detail;
+  EXPECT_EQ(end.bytes, static_cast<int64_t>(body.size()));
+  EXPECT_EQ(end.checksum, StableHash(body));
+  EXPECT_EQ(end.prompt_tokens, 5);
+  EXPECT_EQ(end.output_tokens, 3);
+  fb::SettledT settled;
+  settled.request = "r1";
+  router->Send(settled);
+  Terminate();
+  EXPECT_TRUE(log_.Records<BillRecord>("ledger-0").empty());
+  EXPECT_EQ(Members<GateClosedRecord>().size(), 1u);
+  EXPECT_EQ(engine_.cancels, 1) << "the left-over run";
+}
+
+TEST_F(SidecarTest, UnsettledRunIsBilledByTheGateOnceAfterTheGrace) {
+  Start();
+  auto router = Connect("router-a");
+  router->Next(fb::FrameBody::Hello);
+  router->Send(Chat("r1"));
+  std::string body;
+  router->NextEnd(&body);
+  Terminate();  // waits for the bill
+  const auto bills = log_.Records<BillRecord>("ledger-0");
+  ASSERT_EQ(bills.size(), 1u);
+  EXPECT_EQ(bills[0].charged_tokens, 8);
+  EXPECT_EQ(bills[0].incarnation, "router-a");
+}
+
+TEST_F(SidecarTest, ShutdownFinishesTheRunInFlightAndSaysItIsLeaving) {
+  engine_.token_ms = 100;
+  engine_.tokens = 10;
+  Start();
+  auto router = Connect("router-a");
+  router->Next(fb::FrameBody::Hello);
+  router->Send(Chat("r1"));
+  router->Next(fb::FrameBody::Data);
+  kill(getpid(), SIGTERM);
+  while (!router->Next(fb::FrameBody::Load).body.AsLoad()->leaving) {
+  }
+  router->Send(Chat("r2"));
+  EXPECT_EQ(router->Next(fb::FrameBody::Refused).body.AsRefused()->reason,
+            fb::RefusalReason::Leaving);
+  std::string body;
+  const fb::EndT end = router->NextEnd(&body);
+  EXPECT_EQ(end.kind, fb::EndKind::Completed) << end.detail;
+  EXPECT_EQ(end.output_tokens, 10);
+  fb::SettledT settled;
+  settled.request = "r1";
+  router->Send(settled);
+  sidecar_.join();
+  EXPECT_EQ(Members<GateClosedRecord>().size(), 1u);
+}
+
+TEST_F(SidecarTest, SuspectedRouterIsSealedAfterItsBillsAreDurable) {
+  engine_.token_ms = 100;
+  engine_.tokens = 200;
+  Start();
+  log_.AppendRecord("members",
+                    RouterOpenRecord{"router-a", "router-1", "patan"});
+  auto router = Connect("router-a");
+  router->Next(fb::FrameBody::Hello);
+  router->Send(Chat("r1"));
+  router->Next(fb::FrameBody::Data);
+  log_.AppendRecord("members", RouterSuspectRecord{"router-a", "silent"});
+  router->WaitEnded();
+  WaitUntil([&] { return !Members<GateSealedRecord>().empty(); });
+  const auto bills = log_.Records<BillRecord>("ledger-0");
+  ASSERT_EQ(bills.size(), 1u);
+  EXPECT_EQ(bills[0].outcome, Outcome::kCancelled);
+  EXPECT_LT(bills[0].output_tokens, 200);
+  Connect("router-a")->WaitEnded();
+}
+
+TEST_F(SidecarTest, OrderWithALostAnswerIsUnknownAndNeverRunsAgain) {
+  engine_.break_orders = true;
+  Start();
+  auto router = Connect("router-a");
+  router->Next(fb::FrameBody::Hello);
+  router->Send(Order("o1"));
+  std::string body;
+  EXPECT_EQ(router->NextEnd(&body).kind, fb::EndKind::Unknown);
+  engine_.break_orders = false;
+  fb::DispatchT again = Order("o1");
+  again.attempt = 2;
+  router->Send(again);
+  EXPECT_EQ(router->NextEnd(&body).kind, fb::EndKind::Unknown);
+  EXPECT_EQ(engine_.runs, 1);
+  fb::SettledT settled;
+  settled.request = "o1";
+  router->Send(settled);
+}
+
+TEST_F(SidecarTest, OrderIsAnsweredOnceMoreToAnotherRouterWithoutASecondRun) {
+  Start();
+  auto router = Connect("router-a");
+  router->Next(fb::FrameBody::Hello);
+  router->Send(Order("o1"));
+  std::string body;
+  EXPECT_EQ(router->NextEnd(&body).kind, fb::EndKind::Completed);
+  EXPECT_EQ(body, "kit");
+  auto other = Connect("router-b");
+  other->Next(fb::FrameBody::Hello);
+  fb::DispatchT again = Order("o1");
+  again.router = "router-b";
+  other->Send(again);
+  std::string replayed;
+  EXPECT_EQ(other->NextEnd(&replayed).kind, fb::EndKind::Completed);
+  EXPECT_EQ(replayed, "kit");
+  EXPECT_EQ(engine_.runs, 1);
+  fb::SettledT settled;
+  settled.request = "o1";
+  other->Send(settled);
+}
+
+TEST_F(SidecarTest, UnreachableBackendIsNotRun) {
+  settings_.backend = absl::StrCat("127.0.0.1:", FreePort());
+  Start();
+  auto router = Connect("router-a");
+  router->Next(fb::FrameBody::Hello);
+  router->Send(Order("o1"));
+  std::string body;
+  EXPECT_EQ(router->NextEnd(&body).kind, fb::EndKind::NotRun);
+}
+
+TEST_F(SidecarTest, OutputBeyondTheLimitIsCutOffAndCancelled) {
+  engine_.tokens = 500;
+  Start();
+  auto router = Connect("router-a");
+  router->Next(fb::FrameBody::Hello);
+  router->Send(Chat("r1"));
+  std::string body;
+  const fb::EndT end = router->NextEnd(&body);
+  EXPECT_EQ(end.kind, fb::EndKind::BackendFailed);
+  WaitUntil([&] { return engine_.cancels >= 2; });
+  fb::SettledT settled;
+  settled.request = "r1";
+  router->Send(settled);
+}
+
+}  // namespace
+}  // namespace hawthornhollow
