--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -77,8 +77,10 @@
   // Closes the connection without finishing the response, so that the client
   // sees it as incomplete.
   virtual void Abort() = 0;
-  // Sets what runs, once and from the connection's thread, when the client
-  // closes its connection before the response is complete. It must not block.
+  // Sets what runs, at most once and on a fiber of the connection's thread,
+  // when the client, or the server's end, closes the connection before the
+  // response is complete. The connection waits for it to return, also after the
+  // handler has.
   virtual void OnClientGone(std::function<void()> callback) = 0;
 };
 
@@ -113,8 +115,9 @@
   const Endpoint& local() const;
 
   // Accepts no more connections; kept connections close after the response in
-  // progress. Blocks the calling fiber until no request is in progress, or
-  // `timeout` has passed (DEADLINE_EXCEEDED).
+  // progress, idle ones after a short grace for requests on their way. Blocks
+  // the calling fiber until no request is in progress, or `timeout` has passed
+  // (DEADLINE_EXCEEDED).
   absl::Status Drain(absl::Duration timeout);
 
   class Impl;
