HTTP client: keep no idle connections where none are allowed

Cause: the side process crashed at its first load report. With max_idle_per_endpoint = 0 the pool popped its only connection and then read the front of an empty queue. Ruled out: a fiber stack overflow (the backtrace is 30 frames deep).

--- a/hawthornhollow/http/http_test.cc
+++ b/hawthornhollow/http/http_test.cc
@@ -128,6 +128,20 @@
   EXPECT_EQ(first->Header("X-Peer"), second->Header("X-Peer"));
 }
 
+TEST_F(HttpTest, ClientThatKeepsNoConnectionsOpensOneForEachCall) {
+  StartEcho();
+  HttpClient client(HttpClient::Options{.max_idle_per_endpoint = 0});
+  std::vector<std::string> peers;
+  for (int i = 0; i < 2; ++i) {
+    RunOn(0, [&] {
+      const auto response = client.Call(Target(), {}, kLong);
+      ASSERT_TRUE(response.ok()) << response.status();
+      peers.emplace_back(response->Header("X-Peer"));
+    });
+  }
+  EXPECT_NE(peers[0], peers[1]);
+}
+
 TEST_F(HttpTest, CallAfterServerClosedIdleConnectionIsAnswered) {
   options_.idle_timeout = absl::Milliseconds(20);
   StartEcho();
