--- a/hawthornhollow/platform/http_clients_test.cc
+++ b/hawthornhollow/platform/http_clients_test.cc
@@ -102,12 +102,12 @@
 }
 
 TEST_F(HttpClientsTest, Append_Refused_ErrorSaysWhetherItMayHaveLanded) {
-  const std::pair<int, absl::StatusCode> kCases[] = {
+  const std::pair<int, absl::StatusCode> cases[] = {
       {429, absl::StatusCode::kResourceExhausted},
       {503, absl::StatusCode::kUnavailable},
       {413, absl::StatusCode::kInvalidArgument},
   };
-  for (const auto& [status, code] : kCases) {
+  for (const auto& [status, code] : cases) {
     Answer(status, "{}");
     auto offset = Append("x");
     EXPECT_EQ(offset.status().code(), code) << status;
--- a/hawthornhollow/platform/stream_threads_test.cc
+++ b/hawthornhollow/platform/stream_threads_test.cc
@@ -11,6 +11,9 @@
 namespace hawthornhollow {
 namespace {
 
+constexpr int kFibers = 24;
+constexpr int kRecordsEach = 20;
+
 // A log whose callers run on several threads.
 class SharedLog {
  public:
@@ -34,8 +37,6 @@
 };
 
 TEST(StreamThreadsTest, WaitApplied_FibersOfSeveralThreads_AllGetTheirVerdict) {
-  constexpr int kFibers = 24;
-  constexpr int kRecordsEach = 20;
   SharedLog log;
   auto writer = StreamWriter<SharedLog>::Create(log, kStream, "w", {});
   auto follower =
