cli: status reads the router's own shape of /status

Cause: the router's page nests the version and tells readiness. Change: version and since from "config"; the state column tells draining, starting and whether the router knows itself current.

--- a/hawthornhollow/cli/budget.cc
+++ b/hawthornhollow/cli/budget.cc
@@ -62,7 +62,7 @@
     return kExitOk;
   }
   PrintBudgets(rows);
-  if (state != nullptr)
+  if (state != nullptr && !state->accounts.empty())
     PrintAccounts(*state);
   return kExitOk;
 }
--- a/hawthornhollow/cli/status.cc
+++ b/hawthornhollow/cli/status.cc
@@ -26,14 +26,16 @@
   bool json = false;
 };
 
-// What a router's GET /status tells: {"name":...,"version":N,
-// "in_force_since_ms":T,"applied_offset":N}; absent fields are unknown.
+// What a router's GET /status tells; a field that it leaves out is unknown.
 struct RouterReport {
   std::string address;
   std::string error;  // empty if the router answered
   std::string name;
+  bool ready = false;
+  bool draining = false;
+  bool current = false;  // it knows that it has the newest version
   std::optional<int64_t> version;
-  std::optional<int64_t> in_force_since_ms;
+  std::optional<int64_t> since_ms;
 };
 
 std::optional<int64_t> IntegerOf(const boost::json::object& object,
@@ -44,6 +46,11 @@
   return value->get_int64();
 }
 
+bool FlagOf(const boost::json::object& object, const char* field) {
+  const boost::json::value* value = object.if_contains(field);
+  return value != nullptr && value->is_bool() && value->get_bool();
+}
+
 std::string TextOf(const boost::json::object& object, const char* field) {
   const boost::json::value* value = object.if_contains(field);
   if (value == nullptr || !value->is_string())
@@ -51,6 +58,18 @@
   return std::string(value->get_string().data(), value->get_string().size());
 }
 
+void ReadReport(const boost::json::object& status, RouterReport* report) {
+  report->name = TextOf(status, "name");
+  report->ready = FlagOf(status, "ready");
+  report->draining = FlagOf(status, "draining");
+  report->current = FlagOf(status, "current");
+  const boost::json::value* config = status.if_contains("config");
+  if (config == nullptr || !config->is_object())
+    return;
+  report->version = IntegerOf(config->get_object(), "version");
+  report->since_ms = IntegerOf(config->get_object(), "since_ms");
+}
+
 RouterReport AskRouter(HttpClient& client, const std::string& address) {
   RouterReport report;
   report.address = address;
@@ -72,9 +91,7 @@
     report.error = "status " + std::to_string(response->status);
     return report;
   }
-  report.name = TextOf(value.get_object(), "name");
-  report.version = IntegerOf(value.get_object(), "version");
-  report.in_force_since_ms = IntegerOf(value.get_object(), "in_force_since_ms");
+  ReadReport(value.get_object(), &report);
   return report;
 }
 
@@ -82,10 +99,9 @@
 std::optional<int64_t> LagMs(const ConfigFold& fold,
                              const RouterReport& report) {
   for (const ConfigFold::VersionInfo& info : fold.history()) {
-    bool known =
-        report.version == info.version && report.in_force_since_ms.has_value();
+    bool known = report.version == info.version && report.since_ms.has_value();
     if (known)
-      return std::max<int64_t>(0, *report.in_force_since_ms - info.time_ms);
+      return std::max<int64_t>(0, *report.since_ms - info.time_ms);
   }
   return std::nullopt;
 }
@@ -100,7 +116,13 @@
   if (!report.version.has_value())
     return "unknown";
   int64_t behind = fold.version() - *report.version;
-  return behind > 0 ? std::to_string(behind) + " behind" : "current";
+  if (behind > 0)
+    return std::to_string(behind) + " behind";
+  if (report.draining)
+    return "draining";
+  if (!report.ready)
+    return "starting";
+  return report.current ? "current" : "not sure";
 }
 
 // The whole of what the command shows.
@@ -125,11 +147,10 @@
 void PrintRouters(const FleetStatus& fleet) {
   Table table({"ADDRESS", "ROUTER", "VERSION", "SINCE", "LAG_MS", "STATE"});
   for (const RouterReport& report : fleet.routers) {
-    table.AddRow({report.address, report.name.empty() ? "-" : report.name,
-                  OrDash(report.version),
-                  FormatTimeMs(report.in_force_since_ms.value_or(0)),
-                  OrDash(LagMs(fleet.config, report)),
-                  StateOf(fleet.config, report)});
+    table.AddRow(
+        {report.address, report.name.empty() ? "-" : report.name,
+         OrDash(report.version), FormatTimeMs(report.since_ms.value_or(0)),
+         OrDash(LagMs(fleet.config, report)), StateOf(fleet.config, report)});
   }
   table.Print();
   std::printf("\n");
@@ -179,13 +200,13 @@
 boost::json::array RoutersJson(const FleetStatus& fleet) {
   boost::json::array list;
   for (const RouterReport& report : fleet.routers) {
-    list.push_back(boost::json::object{
-        {"address", report.address},
-        {"name", report.name},
-        {"version", OrNull(report.version)},
-        {"in_force_since_ms", OrNull(report.in_force_since_ms)},
-        {"lag_ms", OrNull(LagMs(fleet.config, report))},
-        {"state", StateOf(fleet.config, report)}});
+    list.push_back(
+        boost::json::object{{"address", report.address},
+                            {"name", report.name},
+                            {"version", OrNull(report.version)},
+                            {"since_ms", OrNull(report.since_ms)},
+                            {"lag_ms", OrNull(LagMs(fleet.config, report))},
+                            {"state", StateOf(fleet.config, report)}});
   }
   return list;
 }
