--- a/testing/cli_test.cc
+++ b/testing/cli_test.cc
@@ -3,6 +3,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <optional>
@@ -25,6 +27,8 @@
 namespace fs = std::filesystem;
 
 constexpr absl::Duration kCommandTimeout = absl::Seconds(20);
+// Each takes at least as long as a command.
+constexpr int kRouterTries = 200;
 
 struct CommandResult {
   int exit_code = -1;
@@ -88,7 +92,8 @@
 
   // Publishes a first version and fetches it into two operators' folders.
   void FetchTwoFolders() {
-    fs::copy(std::string(EXAMPLES) + "/lantern-works", Folder("first"));
+    fs::copy(std::string(SOURCE_DIR) + "/examples/lantern-works",
+             Folder("first"));
     CommandResult first = RunWithLog({"publish", Folder("first")});
     ASSERT_EQ(first.exit_code, 0) << first.out << first.err;
     ASSERT_EQ(RunWithLog({"fetch", Folder("a")}).exit_code, 0);
@@ -99,6 +104,9 @@
   std::optional<ReadyProcess> log_;
 };
 
+constexpr const char* kCommands[] = {
+    "router",   "sidecar", "check",  "fetch", "diff",  "publish", "history",
+    "rollback", "status",  "budget", "bills", "audit", "key"};
 constexpr char kTopUp[] =
     R"({"kind":"budget","name":"permits","tokens":70000000})";
 constexpr char kOtherTopUp[] =
@@ -106,7 +114,8 @@
 
 TEST_F(CliTest, Check_Examples_AreValid) {
   for (const char* member : {"lantern-works", "hofmann"}) {
-    CommandResult result = Run({"check", std::string(EXAMPLES) + "/" + member});
+    CommandResult result =
+        Run({"check", std::string(SOURCE_DIR) + "/examples/" + member});
     EXPECT_EQ(result.exit_code, 0) << result.err;
     EXPECT_THAT(result.out, AllOf(StartsWith("ok: "), HasSubstr("10 callers"),
                                   HasSubstr("3 ranks")));
@@ -244,10 +253,31 @@
                     HasSubstr("unreachable"), HasSubstr("lantern-works")));
 }
 
+TEST_F(CliTest, Status_RunningRouter_ShowsItsVersionAndState) {
+  FetchTwoFolders();
+  std::string address = "127.0.0.1:" + std::to_string(FreePort());
+  Write(Folder("router.json"),
+        R"({"name":"router-1","failure_domain":"patan","listen":")" + address +
+            R"(","peer_listen":"127.0.0.1:0","log_service":")" +
+            log_->endpoint.ToString() + "\"}");
+  auto router = ChildProcess::Start(
+      {HAWTHORNHOLLOW, "router", "--settings", Folder("router.json")},
+      Folder("router.err"));
+  ASSERT_TRUE(router.ok()) << router.status();
+  CommandResult result;
+  for (int i = 0; i < kRouterTries && result.exit_code != 0; ++i) {
+    result = RunWithLog({"status", "--router", address});
+    if (result.out.find(" current\n") == std::string::npos)
+      result.exit_code = -1;
+  }
+  EXPECT_THAT(result.out, ContainsRegex("router-1 +1 +[0-9TZ:-]+ +[0-9]+ +"
+                                        "current\n"));
+  EXPECT_TRUE((*router)->Signal(SIGTERM).ok());
+  EXPECT_EQ((*router)->Wait(kCommandTimeout).value_or(-1), 0);
+}
+
 TEST_F(CliTest, EveryCommand_Help_TeachesWithAnExample) {
-  for (const char* command :
-       {"router", "sidecar", "check", "fetch", "diff", "publish", "history",
-        "rollback", "status", "budget", "bills", "audit", "key"}) {
+  for (const char* command : kCommands) {
     CommandResult result = Run({command, "--help"});
     EXPECT_EQ(result.exit_code, 0) << command;
     EXPECT_THAT(
@@ -258,6 +288,33 @@
   }
 }
 
+// The long options that a command's help lists.
+std::vector<std::string> OptionsOf(const std::string& help) {
+  std::vector<std::string> options;
+  std::istringstream lines(help);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with("  --"))
+      options.push_back(line.substr(2, line.find(' ', 2) - 2));
+  }
+  return options;
+}
+
+TEST_F(CliTest, EveryOption_HelpListsIt_CompletionAndPageDoToo) {
+  std::string completion =
+      Read(std::string(SOURCE_DIR) + "/tools/hawthornhollow.bash-completion");
+  for (const char* command : kCommands) {
+    std::string page =
+        Read(std::string(SOURCE_DIR) + "/docs/cli/" + command + ".md");
+    std::vector<std::string> options = OptionsOf(Run({command, "--help"}).out);
+    EXPECT_FALSE(options.empty()) << command;
+    EXPECT_THAT(completion, HasSubstr(command));
+    for (const std::string& option : options) {
+      EXPECT_THAT(completion, HasSubstr(option)) << command;
+      EXPECT_THAT(page, HasSubstr(option)) << command;
+    }
+  }
+}
+
 struct UsageCase {
   const char* name;
   std::vector<std::string> arguments;
