--- a/hawthornhollow/platform/platform.h
+++ b/hawthornhollow/platform/platform.h
@@ -273,19 +273,24 @@
 struct StreamFollowerOptions {
   // How long the log may hold a read that finds nothing new.
   absl::Duration read_wait = absl::Milliseconds(500);
+  // One read's entries. Halved after a failed read, which may have been too
+  // large for its time or its bounds, and doubled again after others.
   size_t max_read_entries = 500;
   // Without a read that reached the stream's end for this long the state is
   // stale.
   absl::Duration stale_after = absl::Seconds(3);
   absl::Duration retry_min = absl::Milliseconds(50);
   absl::Duration retry_max = absl::Seconds(1);
-  // A checkpoint is due this many entries after the last one...
+  // A checkpoint is due this many entries after the last one, or sooner where
+  // the log retains few...
   int64_t checkpoint_every = 2'000;
-  // ...or this long after it, since retention is by time...
+  // ...or this long after it, since retention may be by time...
   absl::Duration checkpoint_max_age = absl::Minutes(5);
   // ...and is written after a random delay of up to this, so that the first
   // process to write one spares the others theirs.
   absl::Duration checkpoint_max_delay = absl::Seconds(5);
+  // The least time between two checkpoints by one process.
+  absl::Duration checkpoint_min_gap = absl::Seconds(10);
   // Kept verdicts on one's own records.
   size_t max_kept_verdicts = 20'000;
   absl::Duration max_verdict_age = absl::Minutes(1);
@@ -400,7 +405,7 @@
 
   // Reading, on Run's fiber.
   absl::Status ReadOnce(const std::atomic<bool>& stop);
-  void NoteRead(const LogRead& read);
+  absl::StatusOr<LogRead> ReadFrom(int64_t from, absl::Duration wait);
   absl::Status ApplyRead(const LogRead& read);
   void ReportStatus(const absl::Status& status);
 
@@ -421,6 +426,7 @@
 
   bool CaughtUp() const;
   bool CheckpointDue(absl::Time now) const;
+  int64_t CheckpointInterval() const;
 
   Log& log_;
   const std::string stream_;
@@ -429,6 +435,7 @@
 
   // Used by Run's fiber only.
   absl::BitGen random_;
+  size_t read_entries_;    // of the next read
   int64_t scan_from_ = 0;  // entries before it hold no better checkpoint
   std::set<int64_t> bad_checkpoints_;  // offsets of entries
 
--- a/hawthornhollow/platform/stream_follower.h
+++ b/hawthornhollow/platform/stream_follower.h
@@ -40,8 +40,10 @@
 
 namespace stream_internal {
 
-// The least time between two checkpoints by one process.
-inline constexpr absl::Duration kCheckpointGap = absl::Seconds(10);
+// The checkpoints that retention should leave in the stream at any time.
+inline constexpr int64_t kRetainedCheckpoints = 4;
+// Entries between two checkpoints, however few are retained.
+inline constexpr int64_t kMinCheckpointInterval = 16;
 
 // A time that another process stamped, but no later than `now`.
 inline absl::Time PastTime(int64_t time_ms, absl::Time now) {
@@ -68,7 +70,8 @@
     : log_(log),
       stream_(std::move(stream)),
       options_(options),
-      callbacks_(std::move(callbacks)) {}
+      callbacks_(std::move(callbacks)),
+      read_entries_(options.max_read_entries) {}
 
 template <Fold FoldT, LogClient Log>
 void StreamFollower<FoldT, Log>::RegisterWriter(StreamWriter<Log>& writer) {
@@ -101,17 +104,19 @@
     const std::atomic<bool>& stop) {
   const int64_t from = applied_offset() + 1;
   const SteadyTime sent = std::chrono::steady_clock::now();
-  absl::StatusOr<LogRead> read =
-      log_.Read(stream_, from, options_.max_read_entries, options_.read_wait);
+  absl::StatusOr<LogRead> read = ReadFrom(from, options_.read_wait);
   if (!read.ok())
     return read.status();
-  NoteRead(*read);
   if (read->oldest > from)
     return RecoverFromGap(*read, stop);
   if (read->next < from) {
     return ErrorAt(absl::StatusCode::kDataLoss, "stream.read", stream_,
                    "the log ends before what was applied");
   }
+  if (read->entries.empty() && read->next > from) {
+    return ErrorAt(absl::StatusCode::kDataLoss, "stream.read", stream_,
+                   "the log left out an entry");
+  }
   absl::Status status = ApplyRead(*read);
   if (!status.ok())
     return status;
@@ -126,10 +131,19 @@
 }
 
 template <Fold FoldT, LogClient Log>
-void StreamFollower<FoldT, Log>::NoteRead(const LogRead& read) {
+absl::StatusOr<LogRead> StreamFollower<FoldT, Log>::ReadFrom(
+    int64_t from,
+    absl::Duration wait) {
+  absl::StatusOr<LogRead> read = log_.Read(stream_, from, read_entries_, wait);
+  if (!read.ok()) {
+    read_entries_ = std::max<size_t>(read_entries_ / 2, 1);
+    return read;
+  }
+  read_entries_ = std::min(read_entries_ * 2, options_.max_read_entries);
   std::lock_guard lock(mutex_);
   last_read_ok_ = absl::Now();
-  oldest_ = std::max(oldest_, read.oldest);
+  oldest_ = std::max(oldest_, read->oldest);
+  return read;
 }
 
 template <Fold FoldT, LogClient Log>
@@ -207,11 +221,9 @@
   int64_t from = std::max(scan_from_, oldest);
   bool more = true;
   while (more && !stop) {
-    absl::StatusOr<LogRead> read = log_.Read(
-        stream_, from, options_.max_read_entries, absl::ZeroDuration());
+    absl::StatusOr<LogRead> read = ReadFrom(from, absl::ZeroDuration());
     if (!read.ok())
       return read.status();
-    NoteRead(*read);
     for (const LogEntry& entry : read->entries) {
       ConsiderEntry(entry, read->oldest, &best);
       from = entry.offset + 1;
@@ -420,16 +432,28 @@
   const int64_t applied = fold_.applied_offset();
   if (applied < 0 || !CaughtUp())
     return false;
-  if (now - own_checkpoint_time_ < stream_internal::kCheckpointGap)
+  if (now - own_checkpoint_time_ < options_.checkpoint_min_gap)
     return false;
   // A process that starts now could not follow.
   if (checkpoint_offset_ + 1 < oldest_)
     return true;
-  if (applied - checkpoint_offset_ >= options_.checkpoint_every)
+  if (applied - checkpoint_offset_ >= CheckpointInterval())
     return true;
   return now - checkpoint_time_ >= options_.checkpoint_max_age;
 }
 
+// Entries between two checkpoints. The caller holds mutex_.
+template <Fold FoldT, LogClient Log>
+int64_t StreamFollower<FoldT, Log>::CheckpointInterval() const {
+  using stream_internal::kMinCheckpointInterval;
+  if (oldest_ == 0)
+    return options_.checkpoint_every;
+  const int64_t retained = fold_.applied_offset() + 1 - oldest_;
+  const int64_t share = retained / stream_internal::kRetainedCheckpoints;
+  return std::min(options_.checkpoint_every,
+                  std::max(share, kMinCheckpointInterval));
+}
+
 // ---------------------------------------------------------------------------
 // State
 
