GrantHolder: asks up to its watermark; partition and repeats in its tests

Cause: a slow spender asked for less than its watermark, one round trip after another; the simulation had neither repeats nor a partition. Change: a request ahead of need covers what lacks to the watermark; foresight 3.0 in place of 2.0; the simulation appends one entry in twenty twice, and cuts one router off for 10 s in a test of its own.

--- a/hawthornhollow/ledger/grant_holder.cc
+++ b/hawthornhollow/ledger/grant_holder.cc
@@ -283,9 +283,10 @@
     return 0;
   const bool is_idle = now - last_use_ > options_.idle_return;
   const int64_t lacking = waiting_ - available();
-  if (lacking <= 0 && (is_idle || available() >= Watermark(now)))
+  const int64_t below = Watermark(now) - available();
+  if (lacking <= 0 && (is_idle || below <= 0))
     return 0;
-  return std::min(std::max(lacking, Cover(now)), FreeShare());
+  return std::min(std::max({lacking, below, Cover(now)}), FreeShare());
 }
 
 std::optional<GrantRequestRecord> GrantHolder::NextGrantRequest(
--- a/hawthornhollow/ledger/grant_holder_test.cc
+++ b/hawthornhollow/ledger/grant_holder_test.cc
@@ -115,6 +115,35 @@
   EXPECT_LE(request->tokens, 306'000);
 }
 
+TEST_F(GrantHolderTest, NextGrantRequest_Flood_AsksForItsShareOfFree) {
+  Hold(400'000);
+  for (int i = 0; i < 9; ++i)
+    holder_.Reserve("q" + std::to_string(i), 44'000, now_);
+  const auto request = holder_.NextGrantRequest("r1", now_);
+  ASSERT_TRUE(request.has_value());
+  EXPECT_EQ(request->tokens, 204'000);
+}
+
+TEST_F(GrantHolderTest, NextGrantRequest_FloodBegins_AsksWhileMuchIsLeft) {
+  Hold(50'000);
+  for (int i = 0; i < 40; ++i) {
+    now_ += absl::Milliseconds(3);
+    holder_.Reserve("q" + std::to_string(i), 1'000, now_);
+  }
+  EXPECT_EQ(holder_.available(), 10'000);
+  EXPECT_TRUE(holder_.NextGrantRequest("r1", now_).has_value());
+}
+
+TEST_F(GrantHolderTest, NextGrantRequest_SlowSpender_AsksUpToWatermark) {
+  Apply(BudgetVotedRecord{kBudget, 60'000, 2});
+  Hold(4'000);
+  holder_.Reserve("q", 3'000, now_);
+  now_ += absl::Seconds(8);
+  const auto request = holder_.NextGrantRequest("r1", now_);
+  ASSERT_TRUE(request.has_value());
+  EXPECT_GE(request->tokens, 2'000);
+}
+
 TEST_F(GrantHolderTest, NextGrantRequest_NearEnd_AsksExactlyWhatWaits) {
   Apply(GrantRequestRecord{kBudget, "r2", 996'000, 1});
   holder_.SetWaiting(900, 400);
@@ -139,6 +168,17 @@
   EXPECT_FALSE(NextReturn().has_value());
 }
 
+TEST_F(GrantHolderTest, NextReturn_ShortageNearEnd_GivesBackAllUnreserved) {
+  Hold(2000);
+  Apply(GrantRequestRecord{kBudget, "r2", 997'000, 1});
+  holder_.Reserve("q", 900, now_);
+  Apply(GrantRequestRecord{kBudget, "r2", 1100, 1100});
+  ASSERT_EQ(NextReturn()->tokens, 1100);
+  Apply(GrantReturnRecord{kBudget, "r1", 1100});
+  holder_.Settle("q", 300, now_);
+  EXPECT_EQ(NextReturn()->tokens, 600);
+}
+
 TEST_F(GrantHolderTest, NextReturn_VotedCut_GivesBackTheOverdraft) {
   Hold(400'000);
   Apply(BudgetVotedRecord{kBudget, 300'000, 2});
@@ -179,7 +219,8 @@
 }
 
 // ---------------------------------------------------------------------------
-// Three routers over one budget, with a log whose entries arrive late.
+// Three routers over one budget, with a log whose entries arrive late, and
+// some of them twice.
 
 struct Figures {
   int64_t voted = 0;
@@ -211,6 +252,8 @@
   // The rate is multiplied by this in every other two seconds.
   double burst_factor = 1;
   absl::Duration length;
+  // The first router reaches the log neither way from 5 s on for this long.
+  absl::Duration partition = absl::ZeroDuration();
 };
 
 class EscrowSimulation {
@@ -239,6 +282,7 @@
 
  private:
   static constexpr absl::Duration kStep = absl::Milliseconds(5);
+  static constexpr absl::Duration kPartitionStart = absl::Seconds(5);
 
   struct Request {
     std::string key;
@@ -254,18 +298,38 @@
     std::deque<Request> waiting;
     std::vector<Request> running;
     absl::Time asked_at;
+    // What a partition holds up in either direction.
+    std::vector<RecordBody> unsent;
+    std::vector<Verdict> unheard;
   };
   struct Entry {
     absl::Time arrives;
     Batch batch;
   };
 
+  bool IsCutOff(const Router& router) const {
+    const absl::Time from = start_ + kPartitionStart;
+    return &router == &routers_[0] && now_ >= from &&
+           now_ < from + load_.partition;
+  }
+
+  void Send(Router& router, const RecordBody& body) {
+    router.unsent.push_back(body);
+    if (IsCutOff(router))
+      return;
+    for (const RecordBody& unsent : router.unsent)
+      Append(router.name, unsent);
+    router.unsent.clear();
+  }
+
   void Append(const std::string& writer, const RecordBody& body) {
     const absl::Duration delay = absl::Milliseconds(dice_.Between(20, 120));
     absl::Time arrives = now_ + delay;
     if (!log_.empty())
       arrives = std::max(arrives, log_.back().arrives);
     log_.push_back({arrives, {writer, {{++sequences_[writer], 0, body}}}});
+    if (dice_.OneIn(20))
+      log_.push_back(log_.back());
   }
 
   void DeliverLog() {
@@ -278,8 +342,18 @@
   }
 
   void Hear(Router& router, const Verdict& verdict) {
+    router.unheard.push_back(verdict);
+    if (IsCutOff(router))
+      return;
     router.holder.OnFold(*fold_.FindBudget(kBudget), router.name, now_);
-    if (verdict.writer != router.name)
+    for (const Verdict& unheard : router.unheard)
+      HearVerdict(router, unheard);
+    router.unheard.clear();
+  }
+
+  void HearVerdict(Router& router, const Verdict& verdict) {
+    const bool is_repeat = verdict.kind == VerdictKind::kRepeat;
+    if (verdict.writer != router.name || is_repeat)
       return;
     if (const auto* bill = std::get_if<BillRecord>(&verdict.record.body)) {
       router.holder.OnBillFolded(bill->request);
@@ -297,11 +371,11 @@
     Start(router);
     TellWaiting(router);
     if (auto given = router.holder.NextReturn(router.name, now_))
-      Append(router.name, *given);
+      Send(router, *given);
     if (auto request = router.holder.NextGrantRequest(router.name, now_)) {
       router.asked_at = now_;
       ++figures_.grants;
-      Append(router.name, *request);
+      Send(router, *request);
     }
     Refuse(router);
   }
@@ -348,7 +422,7 @@
         continue;
       used_ += request.used;
       router.holder.Settle(request.key, request.used, now_);
-      Append(router.name, Bill(request.key, router.name, request.used));
+      Send(router, Bill(request.key, router.name, request.used));
     }
     std::erase_if(router.running,
                   [this](const Request& r) { return r.ends <= now_; });
@@ -385,7 +459,8 @@
 
   Dice dice_;
   Load load_;
-  absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
+  const absl::Time start_ = absl::UnixEpoch() + absl::Hours(1);
+  absl::Time now_ = start_;
   BudgetFold fold_;
   int64_t offset_ = -1;
   std::map<std::string, int64_t> sequences_;
@@ -426,6 +501,19 @@
   }
 }
 
+TEST(EscrowSimulationTest, Partition_OfOneRouter_NeitherOverspendsNorRefuses) {
+  Load load{300'000, 15, 1, absl::Seconds(40)};
+  load.partition = absl::Seconds(10);
+  for (uint64_t seed = 1; seed <= kSimulationSeeds; ++seed) {
+    SCOPED_TRACE(testing::Message() << "seed " << seed);
+    const Figures figures =
+        EscrowSimulation(seed, GrantPolicyOptions(), load).Run();
+    EXPECT_EQ(figures.overspend, 0);
+    EXPECT_EQ(figures.false_refusals, 0);
+    EXPECT_LE(figures.spent, figures.voted);
+  }
+}
+
 constexpr uint64_t kMeasuredSeeds = 12;
 // Of foresight, for each grant of the watermark it is compared with.
 constexpr double kGrantsAtMost = 1.1;
--- a/hawthornhollow/ledger/ledger.h
+++ b/hawthornhollow/ledger/ledger.h
@@ -549,7 +549,7 @@
 struct GrantPolicyOptions {
   // Ask when what is left lasts less than this many times the time that a
   // grant takes to obtain.
-  double foresight = 2.0;
+  double foresight = 3.0;
   // If above 0, used in place of foresight: ask when fewer tokens are left.
   int64_t fixed_watermark_tokens = 0;
   // A grant covers the present spend rate for this long.
@@ -576,7 +576,8 @@
 //
 // For each applied batch that concerns the budget, the caller calls OnFold
 // first, then OnBillFolded and OnGrantVerdict for the verdicts, so that no
-// token counts as available twice. After that, NextReturn and NextGrantRequest,
+// token counts as available twice. A verdict of kind kRepeat is passed to
+// neither: the first one has been. After that, NextReturn and NextGrantRequest,
 // and both again from time to time.
 class GrantHolder {
  public:
--- a/hawthornhollow/ledger/membership_fold.cc
+++ b/hawthornhollow/ledger/membership_fold.cc
@@ -13,8 +13,10 @@
 //    dropped from the fold, as IsOpen is false for an unknown incarnation.
 // 2. The gates that opened before S are all in the fold: one whose GateOpen has
 //    not been applied has not served. Each of them either
-//    - sealed R: it refuses R for ever and wrote its bills before GateSealed;
-//    - closed: it wrote its bills and serves nobody any more; or
+//    - sealed R: it refuses R for ever, and read back its bills from the
+//      ledger streams before it appended GateSealed, so that they stand before
+//      any AccountClosed that rests on the seal;
+//    - closed: it read back its bills and serves nobody any more; or
 //    - is lost: a newer incarnation of the same gate name opened, so it will
 //      not seal R and its bills may be missing.
 //    SealingComplete(R) holds when each is one of the three.
