Checkpoints whose parts do not match are data loss

Cause: a damaged checkpoint passed the verifier and could make a fold throw later (request named twice, versions with gaps, server index out of range). Change: Restore checks them; a test damages checkpoints of each fold in 5,000 ways and goes on with what restores; directed tests for each check. Ruled out: a checksum in the checkpoint, as the batch would need one as well. Conclusion: a checkpoint either restores whole or is refused.

--- a/hawthornhollow/ledger/budget_fold_test.cc
+++ b/hawthornhollow/ledger/budget_fold_test.cc
@@ -8,6 +8,7 @@
 #include "gtest/gtest.h"
 #include "hawthornhollow/ledger/ledger.h"
 #include "hawthornhollow/ledger/ledger_testing.h"
+#include "hawthornhollow/ledger/state.h"
 
 namespace hawthornhollow {
 namespace {
@@ -212,6 +213,16 @@
   EXPECT_FALSE(BudgetFold::Restore(state.substr(0, state.size() / 2)).ok());
 }
 
+TEST_F(BudgetFoldTest, Restore_SameKeyTwice_IsDataLoss) {
+  Grant("r1", 100);
+  Apply(Bill("q1", "r1", 1));
+  Apply(Bill("q2", "r1", 1));
+  auto state = UnpackState<fb::BudgetFoldStateT>(fold().Serialize());
+  EXPECT_TRUE(BudgetFold::Restore(PackState(**state)).ok());
+  (*state)->bill_requests[1] = "q1";
+  EXPECT_FALSE(BudgetFold::Restore(PackState(**state)).ok());
+}
+
 TEST(ShardOfBudgetTest, AnyBudget_IsBelowShardsAndStable) {
   std::set<size_t> seen;
   for (int i = 0; i < 100; ++i) {
@@ -439,5 +450,14 @@
   }
 }
 
+TEST(BudgetFoldRandomTest, DamagedCheckpoint_IsDataLossOrGoesOn) {
+  Dice dice(1);
+  BudgetFold fold;
+  int64_t offset = 0;
+  for (const Batch& batch : DrawStream(dice, 80, DrawBudgetRecord))
+    fold.Apply(offset++, batch);
+  ExpectDamageIsHarmless(fold, DrawBudgetRecord);
+}
+
 }  // namespace
 }  // namespace hawthornhollow
--- a/hawthornhollow/ledger/budget_state.cc
+++ b/hawthornhollow/ledger/budget_state.cc
@@ -99,6 +99,11 @@
   return true;
 }
 
+absl::Status Inconsistent() {
+  return ErrorAt(absl::StatusCode::kDataLoss, "ledger.restore", "",
+                 "bills and claims of the checkpoint do not match");
+}
+
 }  // namespace
 
 std::string BudgetFold::Serialize() const {
@@ -130,10 +135,8 @@
   if (!state.ok())
     return state.status();
   const fb::BudgetFoldStateT& from = **state;
-  if (!HasConsistentBills(from)) {
-    return ErrorAt(absl::StatusCode::kDataLoss, "ledger.restore", "",
-                   "bills of the checkpoint do not match");
-  }
+  if (!HasConsistentBills(from))
+    return Inconsistent();
   BudgetFold fold;
   fold.applied_offset_ = from.applied_offset;
   for (const auto& row : from.budgets)
@@ -143,15 +146,25 @@
         row->incarnation, row->gate_incarnation, row->server, row->offset};
     fold.claim_order_[{row->offset, row->place}] = row->request;
   }
+  size_t claimed_bills = 0;
   for (size_t i = 0; i < from.bill_cells.size(); ++i) {
     const fb::BillCells& cells = from.bill_cells[i];
     const std::string& request = from.bill_requests[i];
     fold.bills_[request] =
         BillState{from.bill_servers[cells.server()], cells.charged_tokens(),
                   static_cast<Outcome>(cells.outcome()), cells.offset()};
-    if (!fold.claims_.contains(request))
+    const bool claimed = fold.claims_.contains(request);
+    claimed_bills += claimed ? 1 : 0;
+    if (!claimed)
       fold.bill_order_[{cells.offset(), cells.place()}] = request;
   }
+  const bool is_consistent =
+      fold.claims_.size() == from.claims.size() &&
+      fold.claim_order_.size() == from.claims.size() &&
+      fold.bills_.size() == from.bill_requests.size() &&
+      fold.bill_order_.size() + claimed_bills == from.bill_requests.size();
+  if (!is_consistent)
+    return Inconsistent();
   for (const auto& row : from.closed)
     fold.RememberClosed(row->incarnation, row->offset);
   fold.sequences_ = UnpackWriters(from.writers);
--- a/hawthornhollow/ledger/config_fold_test.cc
+++ b/hawthornhollow/ledger/config_fold_test.cc
@@ -6,6 +6,7 @@
 #include "gtest/gtest.h"
 #include "hawthornhollow/ledger/ledger.h"
 #include "hawthornhollow/ledger/ledger_testing.h"
+#include "hawthornhollow/ledger/state.h"
 
 namespace hawthornhollow {
 namespace {
@@ -164,6 +165,18 @@
   EXPECT_FALSE(ConfigFold::Restore(state.substr(0, state.size() / 2)).ok());
 }
 
+TEST_F(ConfigFoldTest, Restore_VersionsDoNotMatch_IsDataLoss) {
+  Publish(0, {Put("a.json", "x")});
+  Publish(1, {Put("a.json", "y")});
+  auto state = UnpackState<fb::ConfigStateT>(fold().Serialize());
+  (*state)->version = 3;
+  EXPECT_FALSE(ConfigFold::Restore(PackState(**state)).ok());
+  (*state)->version = 2;
+  EXPECT_TRUE(ConfigFold::Restore(PackState(**state)).ok());
+  (*state)->history[0]->version = 2;
+  EXPECT_FALSE(ConfigFold::Restore(PackState(**state)).ok());
+}
+
 // Keeps the whole files of every version and compares them one by one.
 class ConfigReference {
  public:
@@ -253,5 +266,14 @@
   }
 }
 
+TEST(ConfigFoldRandomTest, DamagedCheckpoint_IsDataLossOrGoesOn) {
+  Dice dice(1);
+  ConfigFold fold;
+  int64_t offset = 0;
+  for (const Batch& batch : DrawStream(dice, 80, DrawConfigRecord))
+    fold.Apply(offset++, batch);
+  ExpectDamageIsHarmless(fold, DrawConfigRecord);
+}
+
 }  // namespace
 }  // namespace hawthornhollow
--- a/hawthornhollow/ledger/config_state.cc
+++ b/hawthornhollow/ledger/config_state.cc
@@ -26,6 +26,19 @@
   return row.present ? std::optional(row.text) : std::nullopt;
 }
 
+// Whether the kept versions are consecutive and end with the present one.
+bool HasConsistentHistory(const fb::ConfigStateT& state) {
+  int64_t expected =
+      state.version - static_cast<int64_t>(state.history.size()) + 1;
+  if (expected < 1 || (state.version > 0 && state.history.empty()))
+    return false;
+  for (const auto& row : state.history) {
+    if (row->version != expected++)
+      return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string ConfigFold::Serialize() const {
@@ -60,6 +73,10 @@
   if (!state.ok())
     return state.status();
   const fb::ConfigStateT& from = **state;
+  if (!HasConsistentHistory(from)) {
+    return ErrorAt(absl::StatusCode::kDataLoss, "ledger.restore", "",
+                   "versions of the checkpoint do not match");
+  }
   ConfigFold fold;
   fold.applied_offset_ = from.applied_offset;
   fold.version_ = from.version;
--- a/hawthornhollow/ledger/ledger_testing.h
+++ b/hawthornhollow/ledger/ledger_testing.h
@@ -109,6 +109,30 @@
   fold = *std::move(restored);
 }
 
+inline constexpr uint64_t kDamageSeeds = 5'000;
+
+// Damages a checkpoint in many ways; whatever restores must go on without a
+// crash.
+template <Fold F, typename Draw>
+void ExpectDamageIsHarmless(const F& fold, Draw draw) {
+  const std::string state = fold.Serialize();
+  for (uint64_t seed = 1; seed <= kDamageSeeds; ++seed) {
+    Dice dice(seed);
+    std::string bytes = state;
+    for (int64_t i = dice.Between(1, 4); i > 0; --i) {
+      const auto last = static_cast<int64_t>(bytes.size()) - 1;
+      bytes[dice.Between(0, last)] = static_cast<char>(dice.Between(0, 255));
+    }
+    auto restored = F::Restore(bytes);
+    if (!restored.ok())
+      continue;
+    int64_t offset = restored->applied_offset();
+    for (const Batch& batch : DrawStream(dice, 10, draw))
+      restored->Apply(++offset, batch);
+    EXPECT_TRUE(F::Restore(restored->Serialize()).ok());
+  }
+}
+
 // Runs a random stream through a fold and a reference, whose
 // Rule(writer, body, offset) gives the expected kind and amount, and whose
 // Check(fold) compares the state.
--- a/hawthornhollow/ledger/membership_fold_test.cc
+++ b/hawthornhollow/ledger/membership_fold_test.cc
@@ -378,5 +378,14 @@
   }
 }
 
+TEST(MembershipFoldRandomTest, DamagedCheckpoint_IsDataLossOrGoesOn) {
+  Dice dice(1);
+  MembershipFold fold;
+  int64_t offset = 0;
+  for (const Batch& batch : DrawStream(dice, 80, DrawMembershipRecord))
+    fold.Apply(offset++, batch);
+  ExpectDamageIsHarmless(fold, DrawMembershipRecord);
+}
+
 }  // namespace
 }  // namespace hawthornhollow
