Gate: late dispatches stay refused once a key was called unknown

Cause: a router that is told UnknownRequest may release another router's claim and have the call run elsewhere; a dispatch delayed on the way would then run too. A frame delayed on a router's older link had the same effect. Change: the book remembers whom it told last, and takes a service's dispatch of that key from this router only; a router's new link ends its older ones; an answer no longer kept ends as Unknown, since the router asks again for ever after a Completed without its body. Ruled out: an expiry for the memory; a paused router has no bound.

--- a/hawthornhollow/gate/gate_book.cc
+++ b/hawthornhollow/gate/gate_book.cc
@@ -11,6 +11,12 @@
 // event of any run but the entry's running one changes nothing, and a frame
 // goes out only to the followers of the entry that its run belongs to.
 //
+// A router that asks for a key of which no dispatch has come is told so, and
+// may release the claim and have the call run elsewhere. A dispatch by another
+// router that was delayed must then not run: of such a key, a service's
+// dispatch is taken only from the router that was told last. Its own older
+// dispatches cannot follow, since a router has one link at a time.
+//
 // Who pays is fixed when a run starts: the dispatching router, from whose grant
 // the worst case was reserved. An entry stays open until a durable bill is
 // known. A charge never exceeds the reservation, so it cannot overdraw the
@@ -19,10 +25,10 @@
 // Bounds: open entries are limited by slots, queue and max_keys; closed ones by
 // max_keys; kept bytes by replay_bytes, where the oldest ended answer goes
 // first and, when none is left, the one that is growing. A request whose pieces
-// went is still remembered and answered with its End alone. When a fenced
-// request is forgotten, its fence stays as the lower bound of its ledger shard:
-// a claim of that shard which is not newer might be the forgotten one, and is
-// refused. Tick, Seal and TakeDueBills visit open entries only.
+// went is still remembered and answered with an End that says Unknown. When a
+// fenced request is forgotten, its fence stays as the lower bound of its ledger
+// shard: a claim of that shard which is not newer might be the forgotten one,
+// and is refused. Tick, Seal and TakeDueBills visit open entries only.
 
 #include "hawthornhollow/gate/gate_book.h"
 
@@ -74,7 +80,7 @@
 struct GateBook::Entry {
   // The dispatch that started the run, without its body.
   fb::DispatchT dispatch;
-  int64_t run = 0;
+  int64_t run = 0;  // 0 if it never ran
   bool running = true;
   bool stop_requested = false;
   bool settled = false;
@@ -94,6 +100,8 @@
   std::unique_ptr<StableHasher> hasher = std::make_unique<StableHasher>();
   uint64_t checksum = 0;
   std::vector<Follower> followers;
+  // Set if no dispatch of the key had come when this router asked for it.
+  std::string told_unknown;
 
   const std::string& request() const { return dispatch.request; }
   bool idempotent() const { return dispatch.kind == fb::CallKind::Chat; }
@@ -218,6 +226,9 @@
                               const RouterLink& link,
                               const fb::DispatchT& dispatch,
                               absl::Time now) {
+  if (!entry.told_unknown.empty()) {
+    return OnToldUnknown(entry, link, dispatch, now);
+  }
   if (dispatch.caller != entry.dispatch.caller ||
       dispatch.kind != entry.dispatch.kind) {
     return Refuse(link, dispatch.request, dispatch.attempt,
@@ -234,6 +245,19 @@
   return Replay(entry, link, dispatch.attempt, 0);
 }
 
+GateActions GateBook::OnToldUnknown(const Entry& entry,
+                                    const RouterLink& link,
+                                    const fb::DispatchT& dispatch,
+                                    absl::Time now) {
+  if (dispatch.kind == fb::CallKind::Service &&
+      dispatch.router != entry.told_unknown) {
+    return Refuse(link, dispatch.request, dispatch.attempt,
+                  fb::RefusalReason::StaleFence,
+                  "another router was told that it did not run");
+  }
+  return StartRun(link, dispatch, now);
+}
+
 GateActions GateBook::StartRun(const RouterLink& link,
                                const fb::DispatchT& dispatch,
                                absl::Time now) {
@@ -295,7 +319,8 @@
                   fb::RefusalReason::Sealed, attach.router);
   }
   Entry* entry = Find(attach.request);
-  if (entry == nullptr) {
+  if (entry == nullptr || !entry->told_unknown.empty()) {
+    RememberToldUnknown(attach.request, link.router);
     return Refuse(link, attach.request, attach.attempt,
                   fb::RefusalReason::UnknownRequest, "");
   }
@@ -304,6 +329,21 @@
                 std::max<int64_t>(attach.from_sequence, 0));
 }
 
+void GateBook::RememberToldUnknown(const std::string& request,
+                                   const std::string& router) {
+  std::unique_ptr<Entry>& slot = entries_[request];
+  if (slot == nullptr) {
+    slot = std::make_unique<Entry>();
+    slot->dispatch.request = request;
+    slot->running = false;
+    slot->settled = true;
+    slot->end.kind = fb::EndKind::NotRun;
+    closed_.emplace_back(request, slot->run);
+  }
+  slot->told_unknown = router;
+  EnforceMaxKeys();
+}
+
 // Sends what is kept of an answer from `from_sequence` on, and what follows.
 GateActions GateBook::Replay(Entry& entry,
                              const RouterLink& link,
@@ -333,7 +373,8 @@
     return actions;
   }
   fb::EndT end = entry.EndFor(attempt);
-  if (misses_pieces) {
+  if (misses_pieces && end.kind == fb::EndKind::Completed) {
+    end.kind = fb::EndKind::Unknown;
     end.detail = "answer no longer kept";
   }
   actions.push_back(Send(link.id, std::move(end)));
--- a/hawthornhollow/gate/gate_book.h
+++ b/hawthornhollow/gate/gate_book.h
@@ -176,6 +176,12 @@
                       const RouterLink& link,
                       const fb::DispatchT& dispatch,
                       absl::Time now);
+  GateActions OnToldUnknown(const Entry& entry,
+                            const RouterLink& link,
+                            const fb::DispatchT& dispatch,
+                            absl::Time now);
+  void RememberToldUnknown(const std::string& request,
+                           const std::string& router);
   GateActions StartRun(const RouterLink& link,
                        const fb::DispatchT& dispatch,
                        absl::Time now);
--- a/hawthornhollow/gate/gate_book_random_test.cc
+++ b/hawthornhollow/gate/gate_book_random_test.cc
@@ -17,6 +17,7 @@
 constexpr int kSteps = 3'000;
 constexpr int kRouters = 3;
 constexpr int kRequests = 25;
+constexpr char kNoLongerKept[] = "answer no longer kept";
 
 // What the reference knows of one run.
 struct ReferenceRun {
@@ -57,6 +58,15 @@
     links_[router] = RouterLink{next_link_++, Router(router)};
   }
 
+  std::string RouterOf(int64_t link) const {
+    for (const auto& [router, open] : links_) {
+      if (open.id == link) {
+        return open.router;
+      }
+    }
+    return "";
+  }
+
   void Step() {
     now_ += absl::Milliseconds(Pick(400));
     const int router = Pick(kRouters);
@@ -200,6 +210,11 @@
           (!IsService(request) && reference.kind != fb::EndKind::Completed);
       EXPECT_TRUE(may_run_again) << request;
     }
+    const auto told = told_unknown_.find(request);
+    if (told != told_unknown_.end() && IsService(request)) {
+      EXPECT_EQ(start.dispatch.router, told->second) << "delayed dispatch ran";
+    }
+    told_unknown_.erase(request);
     EXPECT_EQ(start.run, static_cast<int64_t>(runs_.size()) + 1);
     ReferenceRun& started = runs_[start.run];
     started.request = request;
@@ -216,6 +231,12 @@
       EXPECT_NE(runs_[latest_[data->request]].body.find(piece),
                 std::string::npos);
     }
+    const auto* refused = send.frame.body.AsRefused();
+    if (refused != nullptr &&
+        refused->reason == fb::RefusalReason::UnknownRequest) {
+      EXPECT_FALSE(latest_.contains(refused->request));
+      told_unknown_[refused->request] = RouterOf(send.link);
+    }
     if (const auto* end = send.frame.body.AsEnd()) {
       CheckEnd(send.link, *end);
     }
@@ -229,6 +250,11 @@
       EXPECT_EQ(end.kind, fb::EndKind::Unknown);
       return;
     }
+    if (end.detail == kNoLongerKept) {
+      EXPECT_EQ(run.kind, fb::EndKind::Completed);
+      EXPECT_EQ(end.kind, fb::EndKind::Unknown);
+      return;
+    }
     EXPECT_EQ(end.kind, run.kind);
     EXPECT_EQ(end.checksum, StableHash(run.body));
     const Received& received = received_[{link, end.request, end.attempt}];
@@ -253,6 +279,8 @@
   std::map<int64_t, ReferenceRun> runs_;
   std::map<std::string, int64_t> latest_;
   std::map<std::tuple<int64_t, std::string, int32_t>, Received> received_;
+  // Who was told last that a key is unknown.
+  std::map<std::string, std::string> told_unknown_;
   std::set<int64_t> billed_;
   std::vector<DueBill> in_flight_;
   int whole_ = 0;
--- a/hawthornhollow/gate/router_links.cc
+++ b/hawthornhollow/gate/router_links.cc
@@ -80,6 +80,9 @@
 
 void RouterLinks::OnFrame(int64_t id, const fb::FrameT& frame) {
   Lock lock(mutex_);
+  if (links_[id].superseded) {
+    return;
+  }
   if (const fb::HelloT* hello = frame.body.AsHello()) {
     OnHello(id, *hello);
     return;
@@ -106,6 +109,7 @@
     link.link->Close();
     return;
   }
+  CloseOlderLinks(id, hello.incarnation);
   link.router = hello.incarnation;
   if (ready_) {
     SendHello(id);
@@ -114,6 +118,17 @@
   RefuseNotReady(id, fb::FrameT());
 }
 
+// A frame that was delayed on an older link must not be taken after the router
+// has gone on over this one.
+void RouterLinks::CloseOlderLinks(int64_t id, const std::string& router) {
+  for (auto& [other, link] : links_) {
+    if (other != id && link.router == router) {
+      link.superseded = true;
+      link.link->Close();
+    }
+  }
+}
+
 void RouterLinks::SendHello(int64_t id) {
   fb::HelloT hello;
   hello.name = identity_.name;
--- a/hawthornhollow/gate/router_links.h
+++ b/hawthornhollow/gate/router_links.h
@@ -76,12 +76,14 @@
   struct OpenLink {
     std::shared_ptr<FrameLink> link;
     std::string router;  // empty before its Hello
+    bool superseded = false;
   };
 
   void OnFrame(int64_t id, const fb::FrameT& frame);
   void OnHello(int64_t id, const fb::HelloT& hello);
   void OnRequestFrame(const RouterLink& link, const fb::FrameT& frame);
   void RefuseNotReady(int64_t id, const fb::FrameT& frame);
+  void CloseOlderLinks(int64_t id, const std::string& router);
   void SendHello(int64_t id);
   void SendTo(int64_t id, const fb::FrameT& frame);
   void SealLocked(const std::string& router);
--- a/hawthornhollow/gate/sidecar_test.cc
+++ b/hawthornhollow/gate/sidecar_test.cc
@@ -503,6 +503,15 @@
   other->Send(settled);
 }
 
+TEST_F(SidecarTest, SecondLinkOfARouterEndsItsFirst) {
+  Start();
+  auto first = Connect("router-a");
+  first->Next(fb::FrameBody::Hello);
+  auto second = Connect("router-a");
+  second->Next(fb::FrameBody::Hello);
+  first->WaitEnded();
+}
+
 TEST_F(SidecarTest, UnreachableBackendIsNotRun) {
   settings_.backend = absl::StrCat("127.0.0.1:", FreePort());
   Start();
