--- a/testing/cli_test.cc
+++ b/testing/cli_test.cc
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "boost/json/parse.hpp"
 #include "hawthornhollow/base/base.h"
 #include "testing/processes.h"
 
@@ -202,6 +203,47 @@
   EXPECT_EQ(Read(Folder("a") + "/.hawthornhollow-base"), "{\"version\":2}\n");
 }
 
+TEST_F(CliTest, Diff_EditedFolders_ShowsChangesAndConflicts) {
+  FetchTwoFolders();
+  Write(Folder("a") + "/70-topup.json", kTopUp);
+  ASSERT_EQ(
+      RunWithLog({"publish", Folder("a"), "--operator", "binod"}).exit_code, 0);
+  Write(Folder("b") + "/70-topup.json", kOtherTopUp);
+  Write(Folder("b") + "/45-services.json", "[]");
+  fs::remove(Folder("b") + "/62-callers-others.json");
+  EXPECT_EQ(RunWithLog({"diff", Folder("b")}).out,
+            "CHANGE   FILE                    NOTE\n"
+            "edited   45-services.json\n"
+            "removed  62-callers-others.json\n"
+            "added    70-topup.json           conflict: changed by binod in "
+            "version 2\n");
+}
+
+TEST_F(CliTest, ReadingCommands_Json_IsOneJsonTextPerLine) {
+  FetchTwoFolders();
+  for (const std::vector<std::string>& command :
+       std::vector<std::vector<std::string>>{{"diff", Folder("a")},
+                                             {"history"},
+                                             {"status"},
+                                             {"budget"},
+                                             {"budget", "permits"},
+                                             {"bills"},
+                                             {"audit"}}) {
+    std::vector<std::string> arguments = command;
+    arguments.push_back("--json");
+    CommandResult result = RunWithLog(arguments);
+    EXPECT_EQ(result.exit_code, 0) << command[0];
+    std::istringstream lines(result.out);
+    size_t count = 0;
+    for (std::string line; std::getline(lines, line); ++count) {
+      boost::json::error_code error;
+      boost::json::parse(line, error);
+      EXPECT_FALSE(error) << line;
+    }
+    EXPECT_EQ(count, 1u) << command[0];
+  }
+}
+
 TEST_F(CliTest, Fetch_FolderWithEdits_KeepsThemOrReportsConflict) {
   FetchTwoFolders();
   Write(Folder("a") + "/70-topup.json", kTopUp);
