Gate: metrics under the registry's own prefix, counters as counters

Cause: a run of the built program showed the prefix twice. Change: names without it. Ruled out: nothing. Figures: sidecar_test 9 of 9; the program by hand against the log and engine stand-ins: ready, SIGTERM, GateClosed, exit 0.

--- a/hawthornhollow/gate/router_links.cc
+++ b/hawthornhollow/gate/router_links.cc
@@ -10,7 +10,6 @@
 #include <mutex>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/metrics/metrics.h"
 
@@ -316,22 +315,24 @@
   MetricRegistry metrics;
   Lock lock(mutex_);
   const GateBookCounters& counters = book_.counters();
-  auto set = [&](std::string_view name, int64_t value) {
-    metrics.Set(absl::StrCat("hawthornhollow_gate_", std::string(name)), {},
-                static_cast<double>(value));
-  };
-  set("runs_total", counters.runs);
-  set("attached_total", counters.attached);
-  set("refused_total", counters.refused);
-  set("stopped_total", counters.stopped);
-  set("ended_total", counters.ended);
-  set("bills_total", counters.bills);
-  set("evicted_answers_total", counters.evicted);
-  set("running", book_.running());
-  set("unsettled_runs", book_.unsettled_runs());
-  set("kept_bytes", book_.kept_bytes());
-  set("remembered_requests", static_cast<int64_t>(book_.remembered()));
-  set("links", static_cast<int64_t>(links_.size()));
+  metrics.Count("gate_runs_total", {}, static_cast<double>(counters.runs));
+  metrics.Count("gate_attached_total", {},
+                static_cast<double>(counters.attached));
+  metrics.Count("gate_refused_total", {},
+                static_cast<double>(counters.refused));
+  metrics.Count("gate_stopped_total", {},
+                static_cast<double>(counters.stopped));
+  metrics.Count("gate_ended_total", {}, static_cast<double>(counters.ended));
+  metrics.Count("gate_bills_total", {}, static_cast<double>(counters.bills));
+  metrics.Count("gate_evicted_answers_total", {},
+                static_cast<double>(counters.evicted));
+  metrics.Set("gate_running", {}, static_cast<double>(book_.running()));
+  metrics.Set("gate_unsettled_runs", {},
+              static_cast<double>(book_.unsettled_runs()));
+  metrics.Set("gate_kept_bytes", {}, static_cast<double>(book_.kept_bytes()));
+  metrics.Set("gate_remembered_requests", {},
+              static_cast<double>(book_.remembered()));
+  metrics.Set("gate_links", {}, static_cast<double>(links_.size()));
   return metrics.Render();
 }
 
