A TCP relay for process tests

Cause: faults of the network (silence without reset, cut connections) could not be made between the fleet's processes.

--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -75,6 +75,8 @@
   if (absl::Status s = StartStandins(); !s.ok())
     return s;
   ChoosePorts();
+  if (absl::Status s = StartRelays(); !s.ok())
+    return s;
   if (absl::Status s = WriteFolder(); !s.ok())
     return s;
   auto published = Cli({"publish", folder_, "--log", log().ToString()});
@@ -139,6 +141,23 @@
   }
 }
 
+absl::Status Fleet::StartRelays() {
+  auto start = [](const Endpoint& target, std::unique_ptr<TcpRelay>* out) {
+    auto relay = TcpRelay::Start(target);
+    if (relay.ok())
+      *out = std::move(*relay);
+    return relay.status();
+  };
+  absl::Status status;
+  for (size_t server : options_.relayed_servers)
+    status.Update(start(sidecar_endpoints_[server], &server_relays_[server]));
+  for (size_t router : options_.log_relayed_routers)
+    status.Update(start(log(), &router_log_relays_[router]));
+  for (size_t server : options_.log_relayed_servers)
+    status.Update(start(log(), &sidecar_log_relays_[server]));
+  return status;
+}
+
 std::string Fleet::ServerName(size_t server) const {
   if (server < options_.engines)
     return absl::StrCat("engine-", server + 1);
@@ -162,11 +181,15 @@
 {"kind":"service","name":"kit-list","repeatable":true,"tokens_per_call":10}])";
   std::string servers;
   for (size_t i = 0; i < server_count(); ++i) {
+    auto relay = server_relays_.find(i);
+    const Endpoint& address = relay == server_relays_.end()
+                                  ? sidecar_endpoints_[i]
+                                  : relay->second->endpoint();
     absl::StrAppend(&servers, i == 0 ? "[" : ",\n",
                     R"({"kind":"server","name":")", ServerName(i), R"(",)",
                     i < options_.engines ? R"("model":"permit-drafter")"
                                          : R"("service":"kit-booking")",
-                    R"(,"address":")", sidecar_endpoints_[i].ToString(),
+                    R"(,"address":")", address.ToString(),
                     R"(","failure_domain":")", DomainOf(i), R"(","slots":)",
                     options_.slots, "}");
   }
@@ -200,7 +223,10 @@
   for (const Endpoint& peer : peer_endpoints_)
     peers.emplace_back(peer.ToString());
   settings["peers"] = std::move(peers);
-  settings["log_service"] = log().ToString();
+  auto relay = router_log_relays_.find(router);
+  settings["log_service"] = relay == router_log_relays_.end()
+                                ? log().ToString()
+                                : relay->second->endpoint().ToString();
   settings["vm_list"] = vms().ToString();
   return json::serialize(settings);
 }
@@ -217,7 +243,10 @@
   settings["http_listen"] = sidecar_http_endpoints_[server].ToString();
   settings["backend"] = backend.ToString();
   settings["backend_kind"] = is_engine ? "engine" : "service";
-  settings["log_service"] = log().ToString();
+  auto relay = sidecar_log_relays_.find(server);
+  settings["log_service"] = relay == sidecar_log_relays_.end()
+                                ? log().ToString()
+                                : relay->second->endpoint().ToString();
   return json::serialize(settings);
 }
 
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +23,7 @@
 #include "absl/time/time.h"
 #include "hawthornhollow/http/http.h"
 #include "testing/processes.h"
+#include "testing/tcp_relay.h"
 
 namespace hawthornhollow {
 
@@ -37,6 +39,12 @@
   std::vector<std::string> engine_flags = {"--token-ms", "5",
                                            "--prefill-ms-per-1k", "20"};
   std::vector<std::string> service_flags = {"--work-ms", "5"};
+  // Servers whose side process the routers reach through a relay.
+  std::set<size_t> relayed_servers;
+  // Routers, and servers' side processes, that reach the log through a relay
+  // of their own.
+  std::set<size_t> log_relayed_routers;
+  std::set<size_t> log_relayed_servers;
   // More files of the configuration folder.
   std::map<std::string, std::string> files;
 };
@@ -113,6 +121,14 @@
   ChildProcess& router_process(size_t i) { return *routers_[i]; }
   // Servers are numbered engines first, then services.
   ChildProcess& sidecar_process(size_t server) { return *sidecars_[server]; }
+  // The relays of the options; each must be among them.
+  TcpRelay& server_relay(size_t server) { return *server_relays_.at(server); }
+  TcpRelay& router_log_relay(size_t router) {
+    return *router_log_relays_.at(router);
+  }
+  TcpRelay& sidecar_log_relay(size_t server) {
+    return *sidecar_log_relays_.at(server);
+  }
   const std::string& folder() const { return folder_; }
   size_t server_count() const { return options_.engines + options_.services; }
 
@@ -121,6 +137,7 @@
   absl::Status StartAll();
   absl::Status StartStandins();
   void ChoosePorts();
+  absl::Status StartRelays();
   absl::Status WriteFolder();
   absl::StatusOr<std::unique_ptr<ChildProcess>> StartProgram(
       const std::string& command,
@@ -137,6 +154,10 @@
   ReadyProcess vms_;
   std::vector<ReadyProcess> engines_;
   std::vector<ReadyProcess> services_;
+  using Relays = std::map<size_t, std::unique_ptr<TcpRelay>>;
+  Relays server_relays_;
+  Relays router_log_relays_;
+  Relays sidecar_log_relays_;
   std::vector<Endpoint> router_endpoints_;
   std::vector<Endpoint> peer_endpoints_;
   std::vector<Endpoint> sidecar_endpoints_;
