Votes: only of the newest configuration, and checked again after late ones

Cause: a starting router voted each version of the history that it folded, so that a replaced amount was in force for a moment; and a router that found its version's amount known did not look again when a slow router's vote of an older version landed later, so that the replaced amount stayed in force. Change: votes wait until the configuration is known to be current, and each vote read back makes the shard compare its budgets again. Failed first: Vote_LandsAfterItWasReplaced_TheNewestStaysInForce (highest vote 300000 of 60000; after the first half, voted 300000 on all three routers). Also: BudgetController::ReturnAll goes, as closing the account returns all; fleet_load and ledger_audit for process tests. Conclusion: passes; a vote may still land in the order of the log only.

--- a/hawthornhollow/router/budget_controller.cc
+++ b/hawthornhollow/router/budget_controller.cc
@@ -47,7 +47,8 @@
   std::unique_ptr<LedgerFollower> follower;
   mutable boost::fibers::mutex mutex;
   std::map<std::string, Entry> entries;
-  int64_t voted_version = 0;  // votes of this version were appended
+  // Votes of this version were appended, or found known to the fold.
+  int64_t voted_version = 0;
 };
 
 BudgetController::BudgetController(
@@ -76,6 +77,7 @@
     };
     callbacks.on_restored = [this, raw](int64_t) {
       std::lock_guard lock(raw->mutex);
+      raw->voted_version = 0;
       for (auto& [budget, entry] : raw->entries)
         RefreshFromFold(*raw, budget);
     };
@@ -138,13 +140,10 @@
 
 void BudgetController::SetConfig(std::shared_ptr<const Configuration> config,
                                  int64_t version) {
-  {
-    std::lock_guard lock(config_mutex_);
-    config_ = std::move(config);
-    config_version_ = version;
-  }
-  for (const auto& shard : shards_)
-    VoteShard(*shard);
+  // Each shard's tick votes.
+  std::lock_guard lock(config_mutex_);
+  config_ = std::move(config);
+  config_version_ = version;
 }
 
 void BudgetController::VoteShard(Shard& shard) {
@@ -158,7 +157,7 @@
   if (!config || !shard.follower->ever_caught_up())
     return;
   std::lock_guard lock(shard.mutex);
-  if (shard.voted_version >= version)
+  if (shard.voted_version >= version || !options_.config_is_current())
     return;
   for (const Budget& budget : config->budgets()) {
     if (&ShardOf(budget.name) != &shard)
@@ -314,6 +313,9 @@
   {
     std::lock_guard lock(shard.mutex);
     for (const Verdict& verdict : verdicts) {
+      // A late vote of an older version may have changed what was found known.
+      if (std::holds_alternative<BudgetVotedRecord>(verdict.record.body))
+        shard.voted_version = 0;
       if (std::holds_alternative<AccountClosedRecord>(verdict.record.body)) {
         for (const auto& [budget, entry] : shard.entries)
           touched.insert(budget);
@@ -500,22 +502,6 @@
   return absl::OkStatus();
 }
 
-absl::Status BudgetController::ReturnAll(absl::Duration timeout) {
-  for (const auto& shard : shards_) {
-    std::lock_guard lock(shard->mutex);
-    for (auto& [budget, entry] : shard->entries) {
-      int64_t tokens = entry.holder.available();
-      if (tokens <= 0)
-        continue;
-      shard->writer
-          ->Append(GrantReturnRecord{budget, incarnation_, tokens},
-                   Urgency::kUrgent)
-          .IgnoreError();
-    }
-  }
-  return Flush(timeout);
-}
-
 std::vector<BudgetStatus> BudgetController::Status() const {
   std::vector<BudgetStatus> all;
   for (const auto& shard : shards_) {
--- a/testing/fleet_load.h
+++ b/testing/fleet_load.h
@@ -27,7 +27,7 @@
 // The outcome of one request as its caller saw it.
 struct Answer {
   size_t router = 0;
-  int status = 0;  // 0 if the exchange broke off
+  int status = 0;    // 0 if the exchange broke off
   std::string code;  // of an error
   std::string run;   // "not_run", "run" or "unknown", of an error
   std::string request;
--- a/testing/ledger_audit.cc
+++ b/testing/ledger_audit.cc
@@ -28,11 +28,11 @@
 absl::Status LedgerAudit::Read() {
   while (true) {
     int64_t from = fold_.applied_offset() + 1;
-    auto response = PlainHttp(
-        log_,
-        {.target = absl::StrCat("/streams/", kStream, "?from=", from,
-                                "&max=1000")},
-        kReadTimeout);
+    auto response =
+        PlainHttp(log_,
+                  {.target = absl::StrCat("/streams/", kStream, "?from=", from,
+                                          "&max=1000")},
+                  kReadTimeout);
     if (!response.ok())
       return response.status();
     boost::system::error_code error;
@@ -70,6 +70,8 @@
     return;
   if (const auto* bill = std::get_if<BillRecord>(&verdict.record.body))
     bills_[bill->request].push_back(verdict.amount);
+  if (std::holds_alternative<BudgetVotedRecord>(verdict.record.body))
+    highest_vote_ = std::max(highest_vote_, verdict.amount);
   const auto* closed = std::get_if<AccountClosedRecord>(&verdict.record.body);
   if (closed) {
     ++accounts_closed_;
--- a/testing/ledger_audit.h
+++ b/testing/ledger_audit.h
@@ -29,6 +29,7 @@
   int64_t overspend() const { return overspend_; }
   // Grants accepted that left spent + held above voted.
   int64_t excess_grants() const { return excess_grants_; }
+  int64_t highest_vote() const { return highest_vote_; }
   int64_t accounts_closed() const { return accounts_closed_; }
   int64_t remainders_charged() const { return remainders_charged_; }
   BudgetFold::BudgetState budget() const;
@@ -55,6 +56,7 @@
   int64_t last_spent_ = 0;
   int64_t overspend_ = 0;
   int64_t excess_grants_ = 0;
+  int64_t highest_vote_ = 0;
   int64_t accounts_closed_ = 0;
   int64_t remainders_charged_ = 0;
   std::map<std::string, std::vector<int64_t>> bills_;
