Fast first read of a stream; Settled only from the router that pays

Cause: a router or gate that started on an empty stream waited out the first long poll; each of N routers told a gate of every bill. Change: no wait until the end was reached once; the callback on folded bills is for this incarnation's bills only. Ruled out: a lost wake-up in the log stand-in (it waits on the stream's own condition, created by the read).

--- a/hawthornhollow/platform/stream_follower.h
+++ b/hawthornhollow/platform/stream_follower.h
@@ -104,7 +104,10 @@
     const std::atomic<bool>& stop) {
   const int64_t from = applied_offset() + 1;
   const SteadyTime sent = std::chrono::steady_clock::now();
-  absl::StatusOr<LogRead> read = ReadFrom(from, options_.read_wait);
+  // Until the end was reached once, a read that finds nothing is the news.
+  const absl::Duration wait =
+      ever_caught_up() ? options_.read_wait : absl::ZeroDuration();
+  absl::StatusOr<LogRead> read = ReadFrom(from, wait);
   if (!read.ok())
     return read.status();
   if (read->oldest > from)
--- a/hawthornhollow/router/budget_controller.cc
+++ b/hawthornhollow/router/budget_controller.cc
@@ -326,7 +326,8 @@
       RefreshFromFold(shard, budget);
     for (const Verdict& verdict : verdicts) {
       OnVerdict(shard, verdict, now);
-      if (const auto* bill = std::get_if<BillRecord>(&verdict.record.body))
+      const auto* bill = std::get_if<BillRecord>(&verdict.record.body);
+      if (bill && bill->incarnation == incarnation_)
         folded_bills.emplace_back(bill->request, bill->server);
     }
     for (const std::string& budget : touched) {
--- a/hawthornhollow/router/budget_controller.h
+++ b/hawthornhollow/router/budget_controller.h
@@ -56,8 +56,8 @@
 // fiber only.
 class BudgetController {
  public:
-  // `on_bill_folded` is called once a bill for the request is in the log,
-  // whoever wrote it. It must not block.
+  // `on_bill_folded` is called once a bill that this incarnation pays is in the
+  // log, whichever witness wrote it. It must not block.
   BudgetController(
       HttpLogClient& log,
       FiberGroup& fibers,
