--- a/hawthornhollow/router/call_test.cc
+++ b/hawthornhollow/router/call_test.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr char kRequest[] = "ward-1/order-1";
+// One letter for each alternative of CallEvent, in its order.
+constexpr char kEventLetters[] = "HDERLTG";
 constexpr absl::Duration kShort = absl::Milliseconds(1);
 
 // A call of kRequest, and frames that belong to it unless changed.
@@ -41,13 +43,12 @@
 
   // The events that wait, one letter each.
   std::string Events() {
-    const char kLetters[] = "HDERLTG";
     std::string letters;
     while (true) {
       CallEvent event = call_.Next(kShort);
       if (std::holds_alternative<CallTimeout>(event))
         return letters;
-      letters.push_back(kLetters[event.index()]);
+      letters.push_back(kEventLetters[event.index()]);
     }
   }
 
