--- a/hawthornhollow/metrics/metrics.cc
+++ b/hawthornhollow/metrics/metrics.cc
@@ -24,6 +24,8 @@
 namespace acc = boost::accumulators;
 
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
+// Below this the quantile estimates are not meaningful and are left out.
+constexpr size_t kMinQuantileSamples = 20;
 constexpr size_t kShards = 16;
 constexpr char kPrefix[] = "hawthornhollow_";
 
@@ -78,7 +80,10 @@
 
 std::string RenderSummary(const Series& series, const Summary& summary) {
   std::string text;
+  bool has_quantiles = acc::count(summary.samples) >= kMinQuantileSamples;
   for (double quantile : kQuantiles) {
+    if (!has_quantiles)
+      break;
     std::string labels = series.labels;
     if (!labels.empty())
       labels.push_back(',');
--- a/hawthornhollow/metrics/metrics.h
+++ b/hawthornhollow/metrics/metrics.h
@@ -35,7 +35,8 @@
 
   void Count(std::string_view name, const MetricLabels& labels, double by = 1);
   void Set(std::string_view name, const MetricLabels& labels, double value);
-  // Adds a sample to a summary with count, sum and quantiles 0.5, 0.95, 0.99.
+  // Adds a sample to a summary with count, sum and, once there are enough
+  // samples, quantiles 0.5, 0.95, 0.99.
   void Observe(std::string_view name,
                const MetricLabels& labels,
                double sample);
