Divide a caller's limit among routers by the demand that each sees

Cause: the limit was divided by the number of routers, so that a caller on one kept connection was refused at a third of its voted limit. Ruled out: owners of callers (a hop on every request), fixed parts. Conclusion: to be wired to the peer links.

--- a/hawthornhollow/scheduling/scheduling.h
+++ b/hawthornhollow/scheduling/scheduling.h
@@ -287,6 +287,50 @@
   absl::Time refilled_at_ = absl::InfinitePast();
 };
 
+// How often a caller asked on one router, in requests per second, decayed.
+struct CallerDemand {
+  std::string caller;
+  double requests_per_second = 0;
+  friend auto operator<=>(const CallerDemand&, const CallerDemand&) = default;
+};
+
+// Divides each caller's limit among the routers by the demand that each has
+// seen lately: own demand over the sum of all. Routers tell one another theirs
+// every second or so. While no other router reports demand the share is 1, so
+// that a caller who stays on one router has its whole limit there.
+class CallerShares {
+ public:
+  static constexpr absl::Duration kHalfLife = absl::Seconds(2);
+  // A report that was not renewed for this long counts no more.
+  static constexpr absl::Duration kReportAge = absl::Seconds(4);
+  // Callers with less demand are left out of reports and forgotten.
+  static constexpr double kMinRequestsPerSecond = 0.05;
+
+  // The caller asked this router, whether it was then admitted or not.
+  void OnRequest(const std::string& caller, absl::Time now);
+  // Replaces what `router` reported before.
+  void OnReport(const std::string& router,
+                const std::vector<CallerDemand>& demands,
+                absl::Time now);
+  // In (0, 1].
+  double Share(const std::string& caller, absl::Time now) const;
+  // This router's own demands, for the others. Forgets idle callers.
+  std::vector<CallerDemand> Report(absl::Time now);
+
+ private:
+  struct Decayed {
+    double rate = 0;
+    absl::Time at = absl::InfinitePast();
+    double RateAt(absl::Time now) const;
+  };
+  struct PeerReport {
+    std::map<std::string, double> rates;
+    absl::Time at;
+  };
+  std::map<std::string, Decayed> own_;
+  std::map<std::string, PeerReport> peers_;
+};
+
 // A Retry-After spread over [base, 2 * base), so that clients do not return
 // together.
 absl::Duration SpreadRetryAfter(absl::Duration base, absl::BitGenRef random);
