--- a/hawthornhollow/router/chat_request_test.cc
+++ b/hawthornhollow/router/chat_request_test.cc
@@ -38,7 +38,7 @@
   const struct {
     std::string body;
     std::string error;
-  } kCases[] = {
+  } cases[] = {
       {"{", "body: is not JSON"},
       {"[]", "body: must be a JSON object"},
       {R"({"messages":[{"content":"a"}]})", "model: is missing"},
@@ -56,7 +56,7 @@
        "max_tokens: must be a whole number"},
       {std::string(100, '['), "body: is not JSON"},
   };
-  for (const auto& test : kCases) {
+  for (const auto& test : cases) {
     auto request = ParseChatRequest(test.body);
     ASSERT_FALSE(request.ok()) << test.body;
     EXPECT_THAT(std::string(request.status().message()), HasSubstr(test.error));
