Spread Retry-After in whole seconds too

Cause: spread waits of 1 to 2 s were all rounded up to 2, so that refused clients came back together. Change: rounding up or down by a hash of the request, right in the mean. Ruled out: HTTP dates (whole seconds as well).

--- a/hawthornhollow/router/api_error.cc
+++ b/hawthornhollow/router/api_error.cc
@@ -2,9 +2,21 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cstdint>
+
+#include "hawthornhollow/base/base.h"
 
 namespace hawthornhollow {
 
+int64_t RetryAfterSeconds(absl::Duration wait, std::string_view request_id) {
+  constexpr uint64_t kMilliseconds = 1000;
+  int64_t whole = absl::ToInt64Seconds(wait);
+  uint64_t part = absl::ToInt64Milliseconds(wait - absl::Seconds(whole));
+  if (StableHash(request_id) % kMilliseconds < part)
+    ++whole;
+  return std::max<int64_t>(whole, 1);
+}
+
 std::string_view RunStateName(RunState state) {
   switch (state) {
     case RunState::kNotRun:
@@ -36,10 +48,9 @@
   response.headers = {{"Content-Type", "application/json"},
                       {"X-Request-Id", std::string(request_id)}};
   if (error.retry_after) {
-    int64_t seconds =
-        absl::ToInt64Seconds(absl::Ceil(*error.retry_after, absl::Seconds(1)));
     response.headers.emplace_back(
-        "Retry-After", std::to_string(std::max<int64_t>(seconds, 1)));
+        "Retry-After",
+        std::to_string(RetryAfterSeconds(*error.retry_after, request_id)));
   }
   response.body = ErrorBody(error, request_id) + "\n";
   return response;
--- a/hawthornhollow/router/api_error.h
+++ b/hawthornhollow/router/api_error.h
@@ -4,6 +4,7 @@
 // The error answers of the caller interface.
 
 #include <compare>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,11 +26,16 @@
   std::string code;
   std::string message;
   RunState run = RunState::kNotRun;
-  // When to ask again; sent as Retry-After, rounded up to seconds.
+  // When to ask again; sent as Retry-After in whole seconds.
   std::optional<absl::Duration> retry_after;
   friend bool operator==(const ApiError&, const ApiError&) = default;
 };
 
+// Whole seconds, at least 1, whose mean over many requests is `wait`: rounding
+// all of them up would bring back together what was spread over parts of a
+// second.
+int64_t RetryAfterSeconds(absl::Duration wait, std::string_view request_id);
+
 // {"error":{"code","message","run"},"request_id"} as a JSON text.
 std::string ErrorBody(const ApiError& error, std::string_view request_id);
 
