--- a/testing/budget_test.cc
+++ b/testing/budget_test.cc
@@ -21,6 +21,10 @@
 using ::testing::IsEmpty;
 
 constexpr int64_t kSmallBudget = 60'000;
+constexpr int64_t kLargeBudget = 300'000;
+// A vote lowers the budget from the one to the other.
+constexpr int64_t kCutFrom = 400'000;
+constexpr int64_t kCutTo = 150'000;
 // Longer than the suspicion of a silent router.
 constexpr absl::Duration kPastSuspicion = absl::Seconds(11);
 constexpr absl::Duration kSettle = absl::Seconds(8);
@@ -215,26 +219,24 @@
 }
 
 TEST_F(BudgetTest, Partition_CutOnOneSide_BindsOnBothAndGrantsComeBack) {
-  constexpr int64_t kBudget = 400'000;
-  constexpr int64_t kCut = 150'000;
   ASSERT_NO_FATAL_FAILURE(
-      StartFleet({.budget_tokens = kBudget, .log_relayed_routers = {2}}));
+      StartFleet({.budget_tokens = kCutFrom, .log_relayed_routers = {2}}));
   FleetLoad load(*fleet_, {.fibers = 6,
                            .pause = absl::Milliseconds(20),
                            .pause_after_error = absl::Milliseconds(200)});
   load.Start();
   absl::SleepFor(absl::Seconds(1));
   fleet_->router_log_relay(2).SetMode(RelayMode::kSilent);
-  ASSERT_TRUE(fleet_->Publish("20-budget.json", BudgetFile(kCut)).ok());
-  ASSERT_TRUE(fleet_->WaitBudgetNumber(0, "voted", kCut, kSettle));
+  ASSERT_TRUE(fleet_->Publish("20-budget.json", BudgetFile(kCutTo)).ok());
+  ASSERT_TRUE(fleet_->WaitBudgetNumber(0, "voted", kCutTo, kSettle));
   absl::SleepFor(absl::Seconds(1));
   fleet_->router_log_relay(2).SetMode(RelayMode::kPass);
-  ASSERT_TRUE(fleet_->WaitBudgetNumber(2, "voted", kCut, absl::Seconds(12)));
+  ASSERT_TRUE(fleet_->WaitBudgetNumber(2, "voted", kCutTo, absl::Seconds(12)));
   std::vector<Answer> answers = load.Stop();
   ExpectBilledOnce(answers);
-  ASSERT_TRUE(audit_->WaitHeldAtMost(kCut - audit_->budget().spent, kSettle));
+  ASSERT_TRUE(audit_->WaitHeldAtMost(kCutTo - audit_->budget().spent, kSettle));
   EXPECT_EQ(audit_->overspend(), 0);
-  EXPECT_LE(audit_->budget().spent, kCut);
+  EXPECT_LE(audit_->budget().spent, kCutTo);
   EXPECT_GE(audit_->budget().free(), 0);
   ExpectAllAgree(3);
 }
@@ -285,8 +287,8 @@
 
 // A request needs 100 tokens at most of 300,000.
 TEST_F(BudgetTest, Budget_RunsOutOverThreeRouters_SpentBeforeFirstRefusal) {
-  constexpr int64_t kBudget = 300'000;
-  ASSERT_NO_FATAL_FAILURE(StartFleet({.slots = 64, .budget_tokens = kBudget}));
+  ASSERT_NO_FATAL_FAILURE(
+      StartFleet({.slots = 64, .budget_tokens = kLargeBudget}));
   FleetLoad load(*fleet_, {.fibers = 24,
                            .chat = {.max_tokens = 60},
                            .pause_after_error = absl::Milliseconds(500)});
@@ -294,7 +296,7 @@
   ASSERT_TRUE(fleet_->WaitReady(0, absl::Seconds(5)).ok());
   absl::Time deadline = absl::Now() + absl::Seconds(18);
   while (absl::Now() < deadline && audit_->Read().ok() &&
-         audit_->budget().spent < kBudget * 0.995)
+         audit_->budget().spent < kLargeBudget * 0.995)
     absl::SleepFor(absl::Milliseconds(100));
   absl::SleepFor(absl::Seconds(2));
   std::vector<Answer> answers = load.Stop();
@@ -313,12 +315,12 @@
     if (answer.sent + answer.took <= first_refusal)
       before += answer.tokens;
   }
-  double share = static_cast<double>(before) / kBudget;
+  double share = static_cast<double>(before) / kLargeBudget;
   std::cout << "requests " << answers.size() << ", spent before the first "
             << "refusal " << share << ", at the end "
-            << static_cast<double>(audit_->budget().spent) / kBudget << ", 402 "
-            << CountStatus(answers, 402) << ", other errors " << other_errors
-            << "\n";
+            << static_cast<double>(audit_->budget().spent) / kLargeBudget
+            << ", 402 " << CountStatus(answers, 402) << ", other errors "
+            << other_errors << "\n";
   EXPECT_NE(first_refusal, absl::InfiniteFuture());
   EXPECT_GE(share, 0.99);
 }
--- a/testing/log_faults_test.cc
+++ b/testing/log_faults_test.cc
@@ -178,11 +178,12 @@
 }
 
 TEST_F(LogFaultsTest, Retention_PassedWithCheckpoints_NewRouterJoinsAndAgrees) {
-  ASSERT_NO_FATAL_FAILURE(StartFleet({.log_flags = {"--retention", "150"}}));
+  ASSERT_NO_FATAL_FAILURE(StartFleet({.log_flags = {"--retention", "100"}}));
   ASSERT_TRUE(fleet_->router_process(2).Signal(SIGTERM).ok());
   std::vector<Answer> answers =
       RunLoad({.fibers = 6, .routers = {0, 1}, .pause = absl::Milliseconds(20)},
               absl::Seconds(14));
+  ASSERT_EQ(audit_->Read().code(), absl::StatusCode::kOutOfRange);
   ASSERT_TRUE(fleet_->router_process(2).Wait(absl::Seconds(5)).ok());
   ASSERT_TRUE(fleet_->StartRouter(2).ok());
   ASSERT_TRUE(fleet_->WaitReady(2, absl::Seconds(8)).ok());
