Gate: serves only open routers, and steps down when replaced

Cause: a gate refused only the suspects that it knew, so a router whose incarnation was closed, dropped from the fold or never opened could dispatch; and a gate that read its own loss in the stream went on serving. Change: RouterLinks serves the incarnations that the members fold shows as open; a Hello of another one waits up to 1 s for its RouterOpen and is then refused NotReady and closed. A gate that is lost in its fold closes its links at once and the process opens a new incarnation. Bills log bill.queued, bill.durable. The fixture of sidecar_test now opens routers a and b in the log, since a gate serves no others; SuspectedRouter... opened its router itself before.

--- a/hawthornhollow/gate/router_links.cc
+++ b/hawthornhollow/gate/router_links.cc
@@ -4,9 +4,14 @@
 // I/O: sending queues a frame, starting and stopping a run spawn fibers. A link
 // whose queue is full is closed rather than left with a hole in an answer; the
 // router attaches again over a new one.
+//
+// Only routers that are open in the "members" stream are served. A router may
+// connect before this process has read its RouterOpen, so a Hello of an unknown
+// one waits for a moment before it is refused.
 
 #include "hawthornhollow/gate/router_links.h"
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 
@@ -17,6 +22,9 @@
 namespace {
 
 constexpr absl::Duration kLoadInterval = absl::Milliseconds(250);
+constexpr absl::Duration kOpenWait = absl::Seconds(1);
+// For the refusal to be written before its link is closed.
+constexpr absl::Duration kRefusalLinger = absl::Milliseconds(200);
 
 using Lock = std::lock_guard<boost::fibers::mutex>;
 
@@ -63,6 +71,9 @@
   int64_t id = 0;
   {
     Lock lock(mutex_);
+    if (replaced_) {
+      return;
+    }
     id = next_link_++;
     links_[id].link = link;
   }
@@ -86,12 +97,17 @@
     OnHello(id, *hello);
     return;
   }
-  const RouterLink link{id, links_[id].router};
-  if (link.router.empty() || !ready_) {
+  if (!MayServe(links_[id])) {
     RefuseNotReady(id, frame);
     return;
   }
-  OnRequestFrame(link, frame);
+  OnRequestFrame(RouterLink{id, links_[id].router}, frame);
+}
+
+// A sealed router's frames go on to the book, which says why it refuses them.
+bool RouterLinks::MayServe(const OpenLink& link) const {
+  return ready_ && !link.router.empty() &&
+         (open_routers_.contains(link.router) || book_.IsSealed(link.router));
 }
 
 void RouterLinks::OnHello(int64_t id, const fb::HelloT& hello) {
@@ -110,11 +126,41 @@
   }
   CloseOlderLinks(id, hello.incarnation);
   link.router = hello.incarnation;
-  if (ready_) {
-    SendHello(id);
+  Greet(id, link, absl::Now());
+  if (!ready_) {
+    RefuseNotReady(id, fb::FrameT());
+  }
+}
+
+// Answers the Hello, or sets the time until which the router's RouterOpen may
+// still appear.
+void RouterLinks::Greet(int64_t id, OpenLink& link, absl::Time now) {
+  if (!ready_ || link.greeted || link.router.empty()) {
     return;
   }
-  RefuseNotReady(id, fb::FrameT());
+  if (!open_routers_.contains(link.router)) {
+    link.refuse_at = std::min(link.refuse_at, now + kOpenWait);
+    return;
+  }
+  link.greeted = true;
+  link.refuse_at = absl::InfiniteFuture();
+  SendHello(id);
+}
+
+void RouterLinks::RefuseUnopened(absl::Time now) {
+  for (auto& [id, link] : links_) {
+    if (now >= link.close_at) {
+      link.link->Close();
+    }
+    if (now < link.refuse_at) {
+      continue;
+    }
+    LogEvent("gate.router_not_open", LogSeverity::kWarning)
+        .Add("router", link.router);
+    RefuseNotReady(id, fb::FrameT());
+    link.refuse_at = absl::InfiniteFuture();
+    link.close_at = now + kRefusalLinger;
+  }
 }
 
 // A frame that was delayed on an older link must not be taken after the router
@@ -203,10 +249,28 @@
 void RouterLinks::SetReady() {
   Lock lock(mutex_);
   ready_ = true;
+  for (auto& [id, link] : links_) {
+    Greet(id, link, absl::Now());
+  }
+}
+
+void RouterLinks::SetOpenRouters(std::set<std::string> routers) {
+  Lock lock(mutex_);
+  if (routers == open_routers_) {
+    return;
+  }
+  open_routers_ = std::move(routers);
+  for (auto& [id, link] : links_) {
+    Greet(id, link, absl::Now());
+  }
+}
+
+void RouterLinks::SetReplaced() {
+  Lock lock(mutex_);
+  replaced_ = true;
+  ready_ = false;
   for (const auto& [id, link] : links_) {
-    if (!link.router.empty()) {
-      SendHello(id);
-    }
+    link.link->Close();
   }
 }
 
@@ -244,6 +308,7 @@
 void RouterLinks::Tick(absl::Time now) {
   Lock lock(mutex_);
   Perform(book_.Tick(now));
+  RefuseUnopened(now);
   const bool changed = !sent_load_.has_value() || *sent_load_ != book_.Load();
   if (changed || now >= load_sent_at_ + kLoadInterval) {
     BroadcastLoad(now);
@@ -257,7 +322,7 @@
   load.kv_used = static_cast<float>(kv_used_);
   const fb::FrameT frame = MakeFrame(std::move(load));
   for (const auto& [id, link] : links_) {
-    if (ready_ && !link.router.empty()) {
+    if (link.greeted) {
       SendTo(id, frame);
     }
   }
--- a/hawthornhollow/gate/router_links.h
+++ b/hawthornhollow/gate/router_links.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,12 @@
   void SetReady();
   // Refuses new requests from now on and tells the routers.
   void SetLeaving();
+  // Serves these router incarnations and no others from now on. One that is not
+  // among them at its Hello is given a moment to appear.
+  void SetOpenRouters(std::set<std::string> routers);
+  // Another incarnation has taken this one's place: ends every link and serves
+  // nobody from now on.
+  void SetReplaced();
   // Refuses the router's incarnation for ever and closes its links.
   void Seal(const std::string& router);
   // Ends every link.
@@ -77,11 +84,18 @@
     std::shared_ptr<FrameLink> link;
     std::string router;  // empty before its Hello
     bool superseded = false;
+    bool greeted = false;  // the Hello was answered
+    // When a router that is not open is refused, and when its link is closed.
+    absl::Time refuse_at = absl::InfiniteFuture();
+    absl::Time close_at = absl::InfiniteFuture();
   };
 
   void OnFrame(int64_t id, const fb::FrameT& frame);
   void OnHello(int64_t id, const fb::HelloT& hello);
   void OnRequestFrame(const RouterLink& link, const fb::FrameT& frame);
+  void Greet(int64_t id, OpenLink& link, absl::Time now);
+  void RefuseUnopened(absl::Time now);
+  bool MayServe(const OpenLink& link) const;
   void RefuseNotReady(int64_t id, const fb::FrameT& frame);
   void CloseOlderLinks(int64_t id, const std::string& router);
   void SendHello(int64_t id);
@@ -99,6 +113,8 @@
   mutable boost::fibers::mutex mutex_;
   GateBook book_;
   bool ready_ = false;
+  bool replaced_ = false;
+  std::set<std::string> open_routers_;
   int64_t next_link_ = 1;
   std::map<int64_t, OpenLink> links_;
   double kv_used_ = 0;
--- a/hawthornhollow/gate/sidecar.cc
+++ b/hawthornhollow/gate/sidecar.cc
@@ -19,6 +19,10 @@
 // flight and for their bills, appends GateClosed, and ends. Past drain_seconds
 // it ends without GateClosed: the next incarnation then counts this one as
 // lost, which charges what was not accounted for.
+//
+// Replacement: a gate that reads in the stream that a newer incarnation of its
+// name has opened counts as lost there. It stops serving at once, and the
+// process opens a new incarnation.
 
 #include <atomic>
 #include <memory>
@@ -45,6 +49,7 @@
 constexpr absl::Duration kRetryInterval = absl::Milliseconds(500);
 constexpr absl::Duration kDurableWait = absl::Seconds(1);
 constexpr absl::Duration kDrainPoll = absl::Milliseconds(20);
+constexpr absl::Duration kReopenDelay = absl::Seconds(1);
 constexpr int kLeftoverTries = 5;
 constexpr char kMembersStream[] = "members";
 
@@ -111,6 +116,9 @@
     runtime_.reset();
   }
 
+  // Whether Run ended since another incarnation has taken this one's place.
+  bool replaced() const { return replaced_; }
+
   absl::Status Run() {
     CreateStreams();
     absl::Status status = StartServers();
@@ -156,9 +164,9 @@
     }
     StreamFollowerCallbacks callbacks;
     callbacks.on_verdicts = [this](int64_t, const std::vector<Verdict>&) {
-      SealSuspects();
+      OnMembers();
     };
-    callbacks.on_restored = [this](int64_t) { SealSuspects(); };
+    callbacks.on_restored = [this](int64_t) { OnMembers(); };
     members_ = MembersFollower::Create(log_, kMembersStream,
                                        StreamFollowerOptions(), callbacks);
     members_->RegisterWriter(*members_writer_);
@@ -230,7 +238,7 @@
     }
     while (!stop_ && !IsApplied(*sequence)) {
     }
-    SealSuspects();
+    OnMembers();
     links_.SetReady();
     LogEvent("gate.ready")
         .Add("gate", identity_.name)
@@ -269,7 +277,35 @@
     return std::nullopt;
   }
 
-  // Sealing.
+  // Members.
+
+  // Runs on the follower's fiber after each entry.
+  void OnMembers() {
+    SealSuspects();
+    std::set<std::string> open;
+    const bool lost = members_->WithFold([&](const MembershipFold& fold) {
+      for (const auto& [incarnation, router] : fold.routers()) {
+        if (fold.IsOpen(incarnation)) {
+          open.insert(incarnation);
+        }
+      }
+      const auto self = fold.gates().find(identity_.incarnation);
+      return self != fold.gates().end() && self->second.lost;
+    });
+    links_.SetOpenRouters(std::move(open));
+    if (lost && !replaced_.exchange(true)) {
+      OnReplaced();
+    }
+  }
+
+  void OnReplaced() {
+    LogEvent("gate.replaced", LogSeverity::kError)
+        .Add("gate", identity_.name)
+        .Add("incarnation", identity_.incarnation);
+    links_.SetReplaced();
+    stop_ = true;
+    runtime_->Stop();
+  }
 
   // What the fold says of routers that are not sealed here yet. A gate that is
   // not in the fold yet opens after the suspicion, and need not report.
@@ -278,7 +314,6 @@
     bool must_report = false;
   };
 
-  // Runs on the follower's fiber after each entry.
   void SealSuspects() {
     const FreshSuspects fresh = members_->WithFold(
         [this](const MembershipFold& fold) { return FindFresh(fold); });
@@ -332,6 +367,10 @@
         links_.OnBillFailed(bill);
         continue;
       }
+      LogEvent("bill.queued")
+          .Add("request", bill.bill.request)
+          .Add("router", bill.bill.incarnation)
+          .Add("tokens", bill.bill.charged_tokens);
       appended.emplace_back(*sequence, &bill);
     }
     for (const auto& [sequence, bill] : appended) {
@@ -345,7 +384,7 @@
     if (stop_) {
       return;
     }
-    LogEvent("gate.billed")
+    LogEvent("bill.durable")
         .Add("request", bill.bill.request)
         .Add("router", bill.bill.incarnation)
         .Add("tokens", bill.bill.charged_tokens);
@@ -421,6 +460,7 @@
   const SidecarEndpoints endpoints_;
   const GateIdentity identity_;
   std::atomic<bool> stop_{false};
+  std::atomic<bool> replaced_{false};
   std::unique_ptr<Runtime> runtime_;
   HttpLogClient log_;
   RouterLinks links_;
@@ -441,13 +481,19 @@
   if (!endpoints.ok()) {
     return endpoints.status();
   }
-  absl::StatusOr<std::unique_ptr<Runtime>> runtime =
-      Runtime::Create({.threads = 1});
-  if (!runtime.ok()) {
-    return runtime.status();
+  while (true) {
+    absl::StatusOr<std::unique_ptr<Runtime>> runtime =
+        Runtime::Create({.threads = 1});
+    if (!runtime.ok()) {
+      return runtime.status();
+    }
+    Sidecar sidecar(settings, *endpoints, *std::move(runtime));
+    const absl::Status status = sidecar.Run();
+    if (!status.ok() || !sidecar.replaced()) {
+      return status;
+    }
+    absl::SleepFor(kReopenDelay);
   }
-  Sidecar sidecar(settings, *endpoints, *std::move(runtime));
-  return sidecar.Run();
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/gate/sidecar_test.cc
+++ b/hawthornhollow/gate/sidecar_test.cc
@@ -287,6 +287,10 @@
     settings_.backend_kind = "engine";
     settings_.log_service = log_server_->local().ToString();
     settings_.drain_seconds = 20;
+    log_.AppendRecord("members",
+                      RouterOpenRecord{"router-a", "router-1", "patan"});
+    log_.AppendRecord("members",
+                      RouterOpenRecord{"router-b", "router-2", "thimi"});
   }
 
   void TearDown() override { Terminate(); }
@@ -446,8 +450,6 @@
   engine_.token_ms = 100;
   engine_.tokens = 200;
   Start();
-  log_.AppendRecord("members",
-                    RouterOpenRecord{"router-a", "router-1", "patan"});
   auto router = Connect("router-a");
   router->Next(fb::FrameBody::Hello);
   router->Send(Chat("r1"));
@@ -512,6 +514,55 @@
   first->WaitEnded();
 }
 
+TEST_F(SidecarTest, RouterThatNeverOpenedIsRefused) {
+  Start();
+  auto router = Connect("router-x");
+  EXPECT_EQ(router->Next(fb::FrameBody::Refused).body.AsRefused()->reason,
+            fb::RefusalReason::NotReady);
+  fb::DispatchT dispatch = Chat("r1");
+  dispatch.router = "router-x";
+  router->Send(dispatch);
+  router->WaitEnded();
+  EXPECT_EQ(engine_.runs, 0);
+}
+
+TEST_F(SidecarTest, RouterThatOpensAfterItsHelloIsServed) {
+  Start();
+  auto router = Connect("router-x");
+  log_.AppendRecord("members",
+                    RouterOpenRecord{"router-x", "router-3", "patan"});
+  EXPECT_EQ(router->Next(fb::FrameBody::Hello).body.AsHello()->server,
+            "engine-1");
+}
+
+TEST_F(SidecarTest, ClosedRouterIsRefused) {
+  Start();
+  auto router = Connect("router-a");
+  router->Next(fb::FrameBody::Hello);
+  log_.AppendRecord("members", RouterClosedRecord{"router-a"});
+  absl::SleepFor(absl::Milliseconds(300));
+  router->Send(Chat("r1"));
+  EXPECT_EQ(router->Next(fb::FrameBody::Refused).body.AsRefused()->request,
+            "r1");
+  EXPECT_EQ(engine_.runs, 0);
+}
+
+TEST_F(SidecarTest, ReplacedGateStopsServingAndOpensAnew) {
+  Start();
+  auto router = Connect("router-a");
+  const std::string first =
+      router->Next(fb::FrameBody::Hello).body.AsHello()->incarnation;
+  log_.AppendRecord("members",
+                    GateOpenRecord{"sidecar-1", "newer", "engine-1"});
+  router->WaitEnded();
+  WaitUntil([&] { return Members<GateOpenRecord>().size() == 3; });
+  auto again = Connect("router-a");
+  const std::string second =
+      again->Next(fb::FrameBody::Hello).body.AsHello()->incarnation;
+  EXPECT_NE(second, first);
+  EXPECT_EQ(second, Members<GateOpenRecord>().back().incarnation);
+}
+
 TEST_F(SidecarTest, UnreachableBackendIsNotRun) {
   settings_.backend = absl::StrCat("127.0.0.1:", FreePort());
   Start();
