Router: uses no gate that is closed or lost in its fold

Cause: a link to a gate stayed in use after the members stream showed the gate's end, and a dispatch claimed for one gate incarnation could be sent to the next if the link came back in between. Change: the membership controller tells the ended gates on each entry and before it settles a loss; a link to one is closed, refuses its Hello, and its calls are lost. GateLink::Dispatch names the gate incarnation that it is meant for.

--- a/hawthornhollow/router/gate_controller.cc
+++ b/hawthornhollow/router/gate_controller.cc
@@ -8,7 +8,10 @@
 GateController::GateController(FiberGroup& fibers,
                                fb::HelloT self,
                                GateLinkEvents events)
-    : fibers_(fibers), self_(std::move(self)), events_(std::move(events)) {}
+    : fibers_(fibers),
+      self_(std::move(self)),
+      events_(std::move(events)),
+      ended_gates_(std::make_shared<const EndedGates>()) {}
 
 void GateController::SetServers(const std::vector<Server>& servers) {
   std::lock_guard lock(mutex_);
@@ -35,10 +38,28 @@
                                                    const Endpoint& endpoint) {
   auto link = std::make_shared<GateLink>(server.name, endpoint, self_,
                                          GateLinkOptions(), events_);
+  link->SetEndedGates(ended_gates_);
   fibers_.Spawn([this, link] { link->Run(fibers_.stop()); });
   return link;
 }
 
+void GateController::SetEndedGates(EndedGates ended) {
+  std::vector<std::shared_ptr<GateLink>> all;
+  std::shared_ptr<const EndedGates> shared;
+  {
+    std::lock_guard lock(mutex_);
+    if (ended == *ended_gates_)
+      return;
+    shared = std::make_shared<const EndedGates>(std::move(ended));
+    ended_gates_ = shared;
+    for (const auto& [name, link] : links_)
+      all.push_back(link);
+    all.insert(all.end(), retired_.begin(), retired_.end());
+  }
+  for (const auto& link : all)
+    link->SetEndedGates(shared);
+}
+
 void GateController::Tidy() {
   std::vector<std::shared_ptr<GateLink>> idle;
   {
--- a/hawthornhollow/router/gate_controller.h
+++ b/hawthornhollow/router/gate_controller.h
@@ -25,6 +25,8 @@
   // Opens links to new servers. A link whose server was removed, or moved to
   // another address, is closed once its calls have ended (see Tidy).
   void SetServers(const std::vector<Server>& servers);
+  // Gate incarnations that are not to be used any more; see GateLink.
+  void SetEndedGates(EndedGates ended);
   // Closes links no longer wanted that have no calls. Call it every second.
   void Tidy();
   // Ends every link; the group's fibers then end.
@@ -50,6 +52,7 @@
   mutable std::mutex mutex_;
   std::map<std::string, std::shared_ptr<GateLink>> links_;
   std::vector<std::shared_ptr<GateLink>> retired_;
+  std::shared_ptr<const EndedGates> ended_gates_;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/router/gate_link.cc
+++ b/hawthornhollow/router/gate_link.cc
@@ -12,6 +12,7 @@
 #include "hawthornhollow/router/gate_link.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "hawthornhollow/base/base.h"
 
@@ -31,7 +32,8 @@
       endpoint_(endpoint),
       self_(std::move(self)),
       options_(options),
-      events_(std::move(events)) {}
+      events_(std::move(events)),
+      ended_gates_(std::make_shared<const EndedGates>()) {}
 
 std::string GateLink::gate_incarnation() const {
   std::lock_guard lock(mutex_);
@@ -178,11 +180,19 @@
     return;
   }
   LoseCalls(hello.incarnation, "gate was replaced");
+  bool ended = false;
   {
     std::lock_guard lock(mutex_);
-    link_ = opening_;
-    gate_incarnation_ = hello.incarnation;
-    broken_at_ = absl::InfiniteFuture();
+    ended = ended_gates_->contains(hello.incarnation);
+    if (!ended) {
+      link_ = opening_;
+      gate_incarnation_ = hello.incarnation;
+      broken_at_ = absl::InfiniteFuture();
+    }
+  }
+  if (ended) {
+    link.Close();
+    return;
   }
   AttachAll(link);
   LogEvent("gate.link.ready")
@@ -191,6 +201,29 @@
   events_.on_connected(server_, true);
 }
 
+void GateLink::SetEndedGates(const std::shared_ptr<const EndedGates>& ended) {
+  std::shared_ptr<FrameLink> closing;
+  std::vector<std::shared_ptr<Call>> lost;
+  {
+    std::lock_guard lock(mutex_);
+    ended_gates_ = ended;
+    if (link_ && ended->contains(gate_incarnation_))
+      closing = std::exchange(link_, nullptr);
+    for (const auto& [key, entry] : calls_) {
+      if (ended->contains(entry.gate_incarnation))
+        lost.push_back(entry.call);
+    }
+  }
+  if (closing) {
+    LogEvent("gate.link.gate_ended", LogSeverity::kWarning)
+        .Add("server", server_);
+    closing->Close();
+    events_.on_connected(server_, false);
+  }
+  for (const auto& call : lost)
+    call->OnLost("gate has ended");
+}
+
 void GateLink::AttachAll(FrameLink& link) {
   std::vector<std::shared_ptr<Call>> calls;
   {
@@ -221,16 +254,17 @@
 }
 
 absl::Status GateLink::Register(const std::shared_ptr<Call>& call,
-                                const fb::FrameT& frame) {
+                                const fb::FrameT& frame,
+                                const std::string& gate_incarnation) {
   std::shared_ptr<FrameLink> link;
   CallKey key(call->request(), call->attempt());
   {
     std::lock_guard lock(mutex_);
-    if (!link_)
+    if (!link_ || gate_incarnation_ != gate_incarnation)
       return ErrorAt(absl::StatusCode::kUnavailable, "gate.send", server_,
-                     "no connection");
+                     "no connection to gate " + gate_incarnation);
     link = link_;
-    calls_[key] = Entry{call, gate_incarnation_};
+    calls_[key] = Entry{call, gate_incarnation};
   }
   absl::Status status = link->Send(frame);
   if (status.ok())
@@ -241,12 +275,13 @@
 }
 
 absl::Status GateLink::Dispatch(const std::shared_ptr<Call>& call,
-                                fb::DispatchT dispatch) {
-  return Register(call, MakeFrame(std::move(dispatch)));
+                                fb::DispatchT dispatch,
+                                const std::string& gate_incarnation) {
+  return Register(call, MakeFrame(std::move(dispatch)), gate_incarnation);
 }
 
 absl::Status GateLink::Attach(const std::shared_ptr<Call>& call) {
-  return Register(call, MakeFrame(AttachFrame(*call)));
+  return Register(call, MakeFrame(AttachFrame(*call)), gate_incarnation());
 }
 
 void GateLink::Cancel(const Call& call) {
--- a/hawthornhollow/router/gate_link.h
+++ b/hawthornhollow/router/gate_link.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,9 @@
   std::function<void(const std::string& server, const fb::LoadT& load)> on_load;
 };
 
+// Gate incarnations that are closed or lost, as the "members" stream shows.
+using EndedGates = std::set<std::string>;
+
 // Keeps one connection to a gate, and hands each frame to the call that it
 // belongs to. A broken link is replaced by a new connection; calls in progress
 // attach again from the next sequence that they need. A call whose dispatch may
@@ -62,9 +66,14 @@
   void Run(const std::atomic<bool>& stop);
   void Stop();
 
-  // Sends a request to the gate. On an error nothing was sent.
+  // Uses none of these gate incarnations from now on: a link to one is closed,
+  // and the calls through it are lost.
+  void SetEndedGates(const std::shared_ptr<const EndedGates>& ended);
+
+  // Sends a request to that gate incarnation. On an error nothing was sent.
   absl::Status Dispatch(const std::shared_ptr<Call>& call,
-                        fb::DispatchT dispatch);
+                        fb::DispatchT dispatch,
+                        const std::string& gate_incarnation);
   // Asks for the answer of a request that another attempt has dispatched.
   absl::Status Attach(const std::shared_ptr<Call>& call);
   void Cancel(const Call& call);
@@ -95,7 +104,8 @@
   std::shared_ptr<Call> FindCall(const std::string& request,
                                  int32_t attempt) const;
   absl::Status Register(const std::shared_ptr<Call>& call,
-                        const fb::FrameT& frame);
+                        const fb::FrameT& frame,
+                        const std::string& gate_incarnation);
   fb::AttachT AttachFrame(const Call& call) const;
 
   const std::string server_;
@@ -109,6 +119,7 @@
   std::shared_ptr<FrameLink> link_;  // null until greeted
   std::shared_ptr<FrameLink> opening_;
   std::string gate_incarnation_;
+  std::shared_ptr<const EndedGates> ended_gates_;
   absl::Time broken_at_ = absl::InfiniteFuture();
   std::map<CallKey, Entry> calls_;
 };
--- a/hawthornhollow/router/membership_controller.cc
+++ b/hawthornhollow/router/membership_controller.cc
@@ -38,6 +38,15 @@
   return true;
 }
 
+std::set<std::string> EndedGatesOf(const MembershipFold& fold) {
+  std::set<std::string> ended;
+  for (const auto& [incarnation, gate] : fold.gates()) {
+    if (gate.closed || gate.lost)
+      ended.insert(incarnation);
+  }
+  return ended;
+}
+
 }  // namespace
 
 MembershipController::MembershipController(HttpLogClient& log,
@@ -51,6 +60,7 @@
   callbacks.on_verdicts = [this](int64_t,
                                  const std::vector<Verdict>& verdicts) {
     OnVerdicts(verdicts);
+    hooks_.on_gates_ended(follower_->WithFold(EndedGatesOf));
   };
   follower_ = StreamFollower<MembershipFold, HttpLogClient>::Create(
       log_, kStream, StreamFollowerOptions(), std::move(callbacks));
@@ -137,6 +147,7 @@
   MembershipFold fold = Snapshot();
   SendHeartbeat(now);
   WatchRouters(fold, now);
+  hooks_.on_gates_ended(EndedGatesOf(fold));
   SettleLostGates(fold);
   CloseSealed(fold);
   follower_->MaybeCheckpoint(*writer_);
--- a/hawthornhollow/router/membership_controller.h
+++ b/hawthornhollow/router/membership_controller.h
@@ -34,6 +34,9 @@
 struct MembershipHooks {
   // This incarnation is suspected: it must serve no longer.
   std::function<void()> on_fenced;
+  // The gate incarnations that have closed or are lost; told whenever they
+  // change, and before a loss is settled. No work may go to them.
+  std::function<void(std::set<std::string> gates)> on_gates_ended;
   std::function<bool(const std::string& gate)> has_calls_through;
   std::function<absl::Status(absl::Duration timeout)> flush_bills;
   std::function<bool(const std::string& incarnation)> is_account_closed;
--- a/hawthornhollow/router/request_runner.cc
+++ b/hawthornhollow/router/request_runner.cc
@@ -387,7 +387,8 @@
   auto call = std::make_shared<Call>(context.request_key, attempts_.Next());
   bool sent = false;
   if (!gate.empty() && !refused)
-    sent = link->Dispatch(call, DispatchFrame(context, *call, fence)).ok();
+    sent =
+        link->Dispatch(call, DispatchFrame(context, *call, fence), gate).ok();
   if (!sent) {
     parts_.scheduler.OnFinished(ticket, server, 0, !refused);
     if (refused) {
--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -162,6 +162,9 @@
 MembershipHooks RouterInstance::Hooks() {
   MembershipHooks hooks;
   hooks.on_fenced = [this] { ready_ = false; };
+  hooks.on_gates_ended = [this](std::set<std::string> gates) {
+    gates_->SetEndedGates(std::move(gates));
+  };
   hooks.has_calls_through = [this](const std::string& gate) {
     return gates_->HasCallsThrough(gate);
   };
