--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -11,6 +11,7 @@
 // Everything that it starts ends with it.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -47,6 +48,10 @@
   std::set<size_t> log_relayed_servers;
   // More files of the configuration folder.
   std::map<std::string, std::string> files;
+  // Files that depend on the addresses of the side processes.
+  std::function<std::map<std::string, std::string>(
+      const std::vector<Endpoint>& gates)>
+      files_for;
 };
 
 struct ChatOptions {
