Configuration in force: proofs dated by their question, checkpoints, tests

Cause: testing/inforce_test against the thin path failed in - Router_FrozenAcrossThreeVersions: a woken router answered 5 requests of a caller that the newest version had removed. It dated a log reply and peers' notices by their arrival; a paused process finds old ones in its sockets. - NewRouter_RetentionPassedFirstVersions: no router wrote checkpoints of the config stream, so that after retention nobody could read it again; then `publish` ended "unknown" after its whole timeout when a checkpoint covered its own record. Change: a router asks its peers once a second and they answer on the same link; an answer is dated by when the question was sent, less the age of the peer's own proof; a log read by when it was sent. Missing entries go only to the peer that lacks them (before: to all). Routers write checkpoints of "config". `publish` finds its record in a restored fold. Peer links may be a ring of log2(n) (setting peer_links). Fleet has relays between routers. Ruled out: one-way notices with the sender's clock (needs synchronised clocks); silence of the log alone as a reason not to serve (a log outage would end service everywhere). Conclusion: a router serves a version at most 5 s after another replaced it, except where more than half of the routers are cut off from a log that is up.

--- a/hawthornhollow/cli/log_session.cc
+++ b/hawthornhollow/cli/log_session.cc
@@ -19,6 +19,7 @@
 constexpr char kMembersStream[] = "members";
 constexpr int64_t kMaxLedgerShards = 1024;
 constexpr int64_t kMaxTimeoutSeconds = 600;
+constexpr absl::Duration kVerdictWait = absl::Milliseconds(250);
 constexpr size_t kFiberStackBytes = 256 * 1024;
 
 absl::StatusOr<Endpoint> LogEndpoint(const LogOptions& options) {
@@ -84,6 +85,14 @@
   return ledgers;
 }
 
+PublishOutcome AcceptedInFold(const ConfigFold& fold, const std::string& id) {
+  for (const ConfigFold::VersionInfo& info : fold.history()) {
+    if (info.id == id)
+      return {PublishOutcome::Kind::kAccepted, info.version, ""};
+  }
+  return {};
+}
+
 PublishOutcome LogSession::Publish(const PublishRecord& record) {
   auto writer = StreamWriter<HttpLogClient>::Create(
       log_, kConfigStream, RandomId(), StreamWriterOptions());
@@ -100,12 +109,23 @@
   std::atomic<bool> stop = false;
   boost::fibers::fiber writing([&] { writer->Run(stop); });
   boost::fibers::fiber reading([&] { follower->Run(stop); });
-  auto verdict =
-      follower->WaitApplied(writer->incarnation(), *sequence, timeout_);
+  // A checkpoint may cover the record, and then brings no verdict on it.
+  PublishOutcome outcome;
+  absl::Time deadline = absl::Now() + timeout_;
+  while (outcome.kind == PublishOutcome::Kind::kUnknown &&
+         absl::Now() < deadline) {
+    auto verdict =
+        follower->WaitApplied(writer->incarnation(), *sequence,
+                              std::min(kVerdictWait, deadline - absl::Now()));
+    outcome = verdict.ok() ? OutcomeOf(*verdict)
+                           : follower->WithFold([&](const ConfigFold& fold) {
+                               return AcceptedInFold(fold, record.id);
+                             });
+  }
   stop = true;
   writing.join();
   reading.join();
-  return verdict.ok() ? OutcomeOf(*verdict) : PublishOutcome();
+  return outcome;
 }
 
 int WithLog(const std::string& command,
--- a/hawthornhollow/cli/log_session.h
+++ b/hawthornhollow/cli/log_session.h
@@ -91,6 +91,9 @@
 
 // What the verdict says about its publish.
 PublishOutcome OutcomeOf(const Verdict& verdict);
+// kAccepted if the publish of that id is among the fold's versions, else
+// kUnknown.
+PublishOutcome AcceptedInFold(const ConfigFold& fold, const std::string& id);
 
 // Talks to one log service, on a fiber.
 class LogSession {
--- a/hawthornhollow/cli/publish.cc
+++ b/hawthornhollow/cli/publish.cc
@@ -123,10 +123,9 @@
 // What the stream tells of an earlier publish.
 PublishOutcome FindOutcome(const StreamView<ConfigFold>& config,
                            const std::string& id) {
-  for (const ConfigFold::VersionInfo& info : config.fold.history()) {
-    if (info.id == id)
-      return {PublishOutcome::Kind::kAccepted, info.version, ""};
-  }
+  PublishOutcome accepted = AcceptedInFold(config.fold, id);
+  if (accepted.kind == PublishOutcome::Kind::kAccepted)
+    return accepted;
   for (const Verdict& verdict : config.verdicts) {
     const auto* publish = std::get_if<PublishRecord>(&verdict.record.body);
     if (publish != nullptr && publish->id == id)
--- a/hawthornhollow/cli/run_commands.cc
+++ b/hawthornhollow/cli/run_commands.cc
@@ -46,9 +46,9 @@
            "Runs a router. SIGTERM shuts it down gracefully: requests in "
            "progress are\nfinished first.\n\n"
            "Settings: name, failure_domain, listen, peer_listen, peers, "
-           "log_service,\nvm_list, threads, ledger_shards, drain_seconds, "
-           "max_connections. Each process of\na fleet has the same "
-           "ledger_shards.\n",
+           "log_service,\npeer_links (\"all\" or \"ring\"), vm_list, threads, "
+           "ledger_shards, drain_seconds,\nmax_connections. Each process of "
+           "a fleet has the same ledger_shards.\n",
        .example =
            "  $ cat router-1.json\n"
            "  {\"name\":\"router-1\",\"failure_domain\":\"patan\",\n"
--- a/hawthornhollow/config/config.h
+++ b/hawthornhollow/config/config.h
@@ -207,6 +207,7 @@
   std::string listen;              // callers' HTTP, IP:PORT
   std::string peer_listen;         // frames from other routers, IP:PORT
   std::vector<std::string> peers;  // other routers' peer_listen
+  std::string peer_links = "all";  // or "ring": of log2(n) other routers
   std::string log_service;         // IP:PORT
   std::string vm_list;             // IP:PORT; empty: none
   int64_t threads = 2;
--- a/hawthornhollow/config/settings.cc
+++ b/hawthornhollow/config/settings.cc
@@ -62,6 +62,10 @@
   settings.listen = reader.Address("listen", PortRule::kZeroAllowed);
   settings.peer_listen = reader.Address("peer_listen", PortRule::kZeroAllowed);
   settings.peers = reader.Addresses("peers");
+  if (auto links =
+          reader.Choice("peer_links", {"all", "ring"}, Presence::kOptional);
+      !links.empty())
+    settings.peer_links = links;
   settings.log_service = reader.Address("log_service", PortRule::kPositive);
   settings.vm_list =
       reader.Address("vm_list", PortRule::kPositive, Presence::kOptional);
--- a/hawthornhollow/platform/platform.h
+++ b/hawthornhollow/platform/platform.h
@@ -369,6 +369,8 @@
 template <Fold FoldT, LogClient Log>
 class StreamFollower {
  public:
+  using SteadyTime = std::chrono::steady_clock::time_point;
+
   // `log` must outlive the follower.
   static std::unique_ptr<StreamFollower> Create(
       Log& log,
@@ -400,6 +402,9 @@
   absl::Status status() const;
   // When the last read succeeded; InfinitePast before the first.
   absl::Time last_read_ok() const;
+  // When the last read was sent whose reply held nothing that is not applied;
+  // none before the first, nor while entries are missing.
+  std::optional<SteadyTime> reached_end() const;
   // Whether a read sent less than `stale_after` ago reached the stream's end.
   bool caught_up() const;
   // Whether any read ever did.
@@ -427,7 +432,6 @@
   bool Push(int64_t offset, std::string_view bytes);
 
  private:
-  using SteadyTime = std::chrono::steady_clock::time_point;
   struct KeptVerdict {
     Verdict verdict;
     absl::Time at;
--- a/hawthornhollow/platform/stream_follower.h
+++ b/hawthornhollow/platform/stream_follower.h
@@ -491,6 +491,13 @@
   return last_read_ok_;
 }
 
+template <Fold FoldT, LogClient Log>
+std::optional<typename StreamFollower<FoldT, Log>::SteadyTime>
+StreamFollower<FoldT, Log>::reached_end() const {
+  std::lock_guard lock(mutex_);
+  return reached_end_;
+}
+
 template <Fold FoldT, LogClient Log>
 bool StreamFollower<FoldT, Log>::caught_up() const {
   std::lock_guard lock(mutex_);
--- a/hawthornhollow/router/config_controller.cc
+++ b/hawthornhollow/router/config_controller.cc
@@ -4,13 +4,18 @@
 // pushed entry only at the very next offset; one that is further behind is sent
 // what it misses from the recent entries that its peer keeps.
 //
-// A snapshot is current while this router has read the log's end lately, or a
-// peer that has done so says (once a second) that it is no further. Where
-// neither holds, either the log is away for everyone, and nothing can be
-// published, or this router is cut off. The two look the same from inside, so
-// the router goes on only while it is in contact with more than half of the
-// routers, itself included, and is as far as each of them. A router that was
-// paused or cut off with a few others takes no new requests.
+// A snapshot is current if it was known to be the newest less than
+// `current_for` ago. The proofs are a read of the log that found nothing more,
+// dated by when it was sent, and a peer's answer that it is no further, dated
+// by when the question was sent less the age of the peer's own proof. Nothing
+// is dated by its arrival: a process that was paused finds old replies in its
+// sockets.
+//
+// Where no proof is recent enough, either the log is away for everyone, and
+// nothing can be published, or this router is cut off. The two look the same
+// from inside, so the router goes on only while more than half of the routers
+// that it links to, itself included, answer and are no further than it is. A
+// router that was paused, or cut off with a few others, takes no new requests.
 
 #include "hawthornhollow/router/config_controller.h"
 
@@ -35,8 +40,29 @@
   return std::string(bytes.begin(), bytes.end());
 }
 
+using SteadyClock = std::chrono::steady_clock;
+
+int64_t ToMicros(SteadyClock::duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration)
+      .count();
+}
+
 }  // namespace
 
+std::vector<Endpoint> LinkedPeers(const ConfigControllerOptions& options) {
+  if (options.peer_links == PeerLinks::kAll)
+    return options.peers;
+  std::vector<Endpoint> ring = options.peers;
+  ring.push_back(options.peer_listen);
+  std::sort(ring.begin(), ring.end());
+  auto self = std::find(ring.begin(), ring.end(), options.peer_listen);
+  std::rotate(ring.begin(), self, ring.end());
+  std::vector<Endpoint> linked;
+  for (size_t distance = 1; distance < ring.size(); distance *= 2)
+    linked.push_back(ring[distance]);
+  return linked;
+}
+
 ConfigController::ConfigController(Runtime& runtime,
                                    HttpLogClient& log,
                                    FiberGroup& fibers,
@@ -45,6 +71,7 @@
     : runtime_(runtime),
       fibers_(fibers),
       options_(options),
+      linked_peers_(LinkedPeers(options)),
       on_change_(std::move(on_change)) {
   writer_ = StreamWriter<HttpLogClient>::Create(
       log, kStream, options_.incarnation, StreamWriterOptions());
@@ -53,9 +80,13 @@
                                  const std::vector<Verdict>& verdicts) {
     OnVerdicts(offset, verdicts);
   };
-  callbacks.on_restored = [this](int64_t) { TakeUpFold(); };
+  callbacks.on_restored = [this](int64_t offset) {
+    TakeUpFold();
+    taken_up_ = offset;
+  };
   follower_ = StreamFollower<ConfigFold, HttpLogClient>::Create(
       log, kStream, StreamFollowerOptions(), std::move(callbacks));
+  follower_->RegisterWriter(*writer_);
 }
 
 absl::StatusOr<std::unique_ptr<ConfigController>> ConfigController::Create(
@@ -81,8 +112,8 @@
 void ConfigController::Start() {
   fibers_.Spawn([this] { writer_->Run(fibers_.stop()); });
   fibers_.Spawn([this] { follower_->Run(fibers_.stop()); });
-  fibers_.Spawn([this] { NoticeLoop(); });
-  for (const Endpoint& peer : options_.peers)
+  fibers_.Spawn([this] { QuestionLoop(); });
+  for (const Endpoint& peer : linked_peers_)
     fibers_.Spawn([this, peer] { RunPeerLink(peer); });
 }
 
@@ -109,22 +140,37 @@
 bool ConfigController::IsCurrent() const {
   if (!follower_->ever_caught_up())
     return false;
-  if (ReadsLog())
+  SteadyTime now = SteadyClock::now();
+  if (now - absl::ToChronoNanoseconds(options_.current_for) < NewestAt())
     return true;
-  absl::Time now = absl::Now();
-  int64_t applied = follower_->applied_offset();
+  return AgreesWithMajority(now);
+}
+
+// The latest time as of which the snapshot is known to have been the newest.
+ConfigController::SteadyTime ConfigController::NewestAt() const {
+  int64_t taken_up = taken_up_;
+  SteadyTime newest_at = follower_->reached_end().value_or(SteadyTime::min());
+  std::lock_guard lock(mutex_);
+  for (const auto& [peer, answer] : answers_) {
+    if (answer.offset <= taken_up)
+      newest_at = std::max(newest_at, answer.newest_at);
+  }
+  return newest_at;
+}
+
+bool ConfigController::AgreesWithMajority(SteadyTime now) const {
+  int64_t taken_up = taken_up_;
+  SteadyTime since = now - absl::ToChronoNanoseconds(options_.current_for);
   size_t in_contact = 1;
   std::lock_guard lock(mutex_);
-  for (const auto& [name, peer] : peers_heard_) {
-    if (now - peer.heard_at >= options_.current_for)
+  for (const auto& [peer, answer] : answers_) {
+    if (answer.asked_at <= since)
       continue;
-    if (peer.offset > applied)
+    if (answer.offset > taken_up)
       return false;
-    if (peer.log_read)
-      return true;
     ++in_contact;
   }
-  return in_contact * 2 > options_.peers.size() + 1;
+  return in_contact * 2 > linked_peers_.size() + 1;
 }
 
 ConfigTraffic ConfigController::traffic() const {
@@ -164,19 +210,17 @@
 void ConfigController::OnVerdicts(int64_t offset,
                                   const std::vector<Verdict>& verdicts) {
   TakeUpFold();
+  taken_up_ = offset;
   if (verdicts.empty())
     return;
   Batch batch;
   batch.writer = verdicts.front().writer;
   for (const Verdict& verdict : verdicts)
     batch.records.push_back(verdict.record);
-  fb::ConfigNoticeT notice;
-  notice.offset = offset;
-  notice.version = follower_->WithFold(
-      [](const ConfigFold& fold) { return fold.version(); });
   std::string bytes = EncodeBatch(batch);
+  fb::ConfigNoticeT notice = MakeNotice();
+  notice.offset = offset;
   notice.batch = ToBytes(bytes);
-  notice.log_read = ReadsLog();
   {
     std::lock_guard lock(mutex_);
     recent_[offset] = std::move(bytes);
@@ -184,39 +228,47 @@
       recent_.erase(recent_.begin());
   }
   if (follower_->ever_caught_up())
-    Notify(notice);
+    SendToPeers(notice);
 }
 
 // ---------------------------------------------------------------------------
 // Peers
 
-void ConfigController::Notify(const fb::ConfigNoticeT& notice) {
+fb::ConfigNoticeT ConfigController::MakeNotice() const {
+  fb::ConfigNoticeT notice;
+  notice.offset = taken_up_;
+  if (auto snapshot = this->snapshot())
+    notice.version = snapshot->version;
+  return notice;
+}
+
+void ConfigController::Send(FrameLink& link, const fb::ConfigNoticeT& notice) {
+  fb::FrameT frame = MakeFrame(notice);
+  if (!link.Send(frame).ok())
+    return;
+  int64_t bytes = static_cast<int64_t>(EncodeFrame(frame).size());
+  std::lock_guard lock(mutex_);
+  ++traffic_.notices_sent;
+  traffic_.notice_bytes_sent += bytes;
+}
+
+void ConfigController::SendToPeers(const fb::ConfigNoticeT& notice) {
   std::vector<std::shared_ptr<FrameLink>> links;
   {
     std::lock_guard lock(mutex_);
     for (const auto& [peer, link] : outgoing_)
       links.push_back(link);
   }
-  fb::FrameT frame = MakeFrame(notice);
-  int64_t bytes = static_cast<int64_t>(EncodeFrame(frame).size());
-  for (const auto& link : links) {
-    if (!link->Send(frame).ok())
-      continue;
-    std::lock_guard lock(mutex_);
-    ++traffic_.notices_sent;
-    traffic_.notice_bytes_sent += bytes;
-  }
+  for (const auto& link : links)
+    Send(*link, notice);
 }
 
-void ConfigController::NoticeLoop() {
+void ConfigController::QuestionLoop() {
   while (!fibers_.stopped()) {
-    fb::ConfigNoticeT notice;
-    notice.offset = follower_->applied_offset();
-    notice.version = follower_->WithFold(
-        [](const ConfigFold& fold) { return fold.version(); });
-    notice.log_read = ReadsLog();
-    if (follower_->ever_caught_up())
-      Notify(notice);
+    fb::ConfigNoticeT question = MakeNotice();
+    question.asked_us = ToMicros(SteadyClock::now().time_since_epoch());
+    SendToPeers(question);
+    follower_->MaybeCheckpoint(*writer_);
     hawthornhollow::SleepFor(options_.notice_interval);
   }
 }
@@ -235,8 +287,13 @@
         std::lock_guard lock(mutex_);
         outgoing_[peer.ToString()] = link;
       }
-      if (!fibers_.stopped())
-        link->Run([](const fb::FrameT&) {}).IgnoreError();
+      if (!fibers_.stopped()) {
+        link->Run([&](fb::FrameT frame) {
+              if (const auto* notice = frame.body.AsConfigNotice())
+                OnAnswer(peer.ToString(), *notice);
+            })
+            .IgnoreError();
+      }
       std::lock_guard lock(mutex_);
       outgoing_.erase(peer.ToString());
     }
@@ -257,28 +314,48 @@
     if (const auto* hello = frame.body.AsHello())
       peer = hello->protocol == kFrameProtocol ? hello->name : "";
     else if (!peer.empty() && frame.body.type == fb::FrameBody::ConfigNotice)
-      OnNotice(peer, *frame.body.AsConfigNotice());
+      OnQuestion(*link, *frame.body.AsConfigNotice());
   });
   LogEvent("peer.link.ended", LogSeverity::kDebug)
       .Add("peer", link->peer().ToString())
       .Add("reason", end);
 }
 
-void ConfigController::OnNotice(const std::string& peer,
+void ConfigController::OnQuestion(FrameLink& link,
+                                  const fb::ConfigNoticeT& notice) {
+  if (!notice.batch.empty())
+    follower_->Push(notice.offset, ToText(notice.batch));
+  if (notice.asked_us == 0 || !follower_->ever_caught_up())
+    return;
+  SteadyTime newest_at = NewestAt();
+  // The offset is read after NewestAt, so that it is no lower than was proved.
+  fb::ConfigNoticeT answer = MakeNotice();
+  answer.answers_us = notice.asked_us;
+  if (newest_at != SteadyTime::min())
+    answer.log_age_us = ToMicros(SteadyClock::now() - newest_at);
+  Send(link, answer);
+  SendMissing(link, notice.offset);
+}
+
+void ConfigController::OnAnswer(const std::string& peer,
                                 const fb::ConfigNoticeT& notice) {
   if (!notice.batch.empty())
     follower_->Push(notice.offset, ToText(notice.batch));
-  {
-    std::lock_guard lock(mutex_);
-    peers_heard_[peer] = PeerHeard{absl::Now(), notice.offset, notice.log_read};
+  if (notice.answers_us == 0)
+    return;
+  PeerAnswer answer;
+  answer.asked_at = SteadyTime(std::chrono::microseconds(notice.answers_us));
+  answer.offset = notice.offset;
+  if (notice.log_age_us >= 0) {
+    answer.newest_at =
+        answer.asked_at - std::chrono::microseconds(notice.log_age_us);
   }
-  SendMissing(notice.offset);
+  std::lock_guard lock(mutex_);
+  answers_[peer] = answer;
 }
 
-void ConfigController::SendMissing(int64_t peer_offset) {
-  int64_t applied = follower_->applied_offset();
-  if (peer_offset >= applied || !follower_->ever_caught_up())
-    return;
+// Sends the recent entries that a peer lacks.
+void ConfigController::SendMissing(FrameLink& link, int64_t peer_offset) {
   std::vector<fb::ConfigNoticeT> missing;
   {
     std::lock_guard lock(mutex_);
@@ -290,14 +367,8 @@
       missing.push_back(std::move(notice));
     }
   }
-  for (fb::ConfigNoticeT& notice : missing) {
-    notice.log_read = ReadsLog();
-    Notify(notice);
-  }
-}
-
-bool ConfigController::ReadsLog() const {
-  return absl::Now() - follower_->last_read_ok() < options_.current_for;
+  for (const fb::ConfigNoticeT& notice : missing)
+    Send(link, notice);
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/router/config_controller.h
+++ b/hawthornhollow/router/config_controller.h
@@ -4,6 +4,8 @@
 // The configuration in force on this router: read from the log, pushed to and
 // from the other routers, and served only while it is known to be current.
 
+#include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -32,19 +34,27 @@
   std::shared_ptr<const Configuration> configuration;
 };
 
+// Which of the other routers a router links to: all, or those at the distances
+// 1, 2, 4, ... in the ring of the addresses in ascending order.
+enum class PeerLinks { kAll, kRing };
+
 struct ConfigControllerOptions {
   std::string name;
   std::string incarnation;
   Endpoint peer_listen;
-  std::vector<Endpoint> peers;
-  // A configuration is current while the log's end, or a peer's notice, was
-  // read less than this long ago.
+  std::vector<Endpoint> peers;  // the other routers
+  PeerLinks peer_links = PeerLinks::kAll;
+  // A configuration is current if it was known to be the newest less than this
+  // long ago.
   absl::Duration current_for = absl::Seconds(5);
   absl::Duration notice_interval = absl::Seconds(1);
 };
 
+// The routers of `options.peers` to link to.
+std::vector<Endpoint> LinkedPeers(const ConfigControllerOptions& options);
+
 struct ConfigTraffic {
-  int64_t notices_sent = 0;
+  int64_t notices_sent = 0;  // questions, answers and entries
   int64_t notice_bytes_sent = 0;
   friend bool operator==(const ConfigTraffic&, const ConfigTraffic&) = default;
 };
@@ -79,10 +89,14 @@
   ConfigTraffic traffic() const;
 
  private:
-  struct PeerHeard {
-    absl::Time heard_at;
+  using SteadyTime = std::chrono::steady_clock::time_point;
+
+  // The last answer of a peer.
+  struct PeerAnswer {
+    SteadyTime asked_at;
     int64_t offset = -1;
-    bool log_read = false;
+    // As of when `offset` was known to be the log's last.
+    SteadyTime newest_at = SteadyTime::min();
   };
 
   ConfigController(Runtime& runtime,
@@ -95,23 +109,31 @@
   void TakeUpFold();
   void ServePeer(std::unique_ptr<TcpStream> stream);
   void RunPeerLink(const Endpoint& peer);
-  void OnNotice(const std::string& peer, const fb::ConfigNoticeT& notice);
-  void SendMissing(int64_t peer_offset);
-  bool ReadsLog() const;
-  void Notify(const fb::ConfigNoticeT& notice);
-  void NoticeLoop();
+  void OnQuestion(FrameLink& link, const fb::ConfigNoticeT& notice);
+  void OnAnswer(const std::string& peer, const fb::ConfigNoticeT& notice);
+  void SendMissing(FrameLink& link, int64_t peer_offset);
+  SteadyTime NewestAt() const;
+  bool AgreesWithMajority(SteadyTime now) const;
+  fb::ConfigNoticeT MakeNotice() const;
+  void Send(FrameLink& link, const fb::ConfigNoticeT& notice);
+  void SendToPeers(const fb::ConfigNoticeT& notice);
+  void QuestionLoop();
 
   Runtime& runtime_;
   FiberGroup& fibers_;
   const ConfigControllerOptions options_;
+  const std::vector<Endpoint> linked_peers_;
   const OnChange on_change_;
   std::unique_ptr<StreamWriter<HttpLogClient>> writer_;
   std::unique_ptr<StreamFollower<ConfigFold, HttpLogClient>> follower_;
   std::unique_ptr<TcpListener> listener_;
 
+  // The offset up to which `snapshot_` reflects the stream.
+  std::atomic<int64_t> taken_up_{-1};
+
   mutable std::mutex mutex_;
   std::shared_ptr<const ConfigSnapshot> snapshot_;
-  std::map<std::string, PeerHeard> peers_heard_;  // by router name
+  std::map<std::string, PeerAnswer> answers_;  // by the peer's address
   std::map<std::string, std::shared_ptr<FrameLink>> outgoing_;
   std::vector<std::weak_ptr<FrameLink>> incoming_;
   // Recently applied entries, for peers that are behind.
--- a/hawthornhollow/router/filters.cc
+++ b/hawthornhollow/router/filters.cc
@@ -59,8 +59,10 @@
 
 FilterResult AuthenticateFilter::Apply(RequestContext& context,
                                        ResponseWriter&) {
+  // In this order, so that a pause between the two cannot bring up an old one.
+  bool current = config_.IsCurrent();
   context.config = config_.snapshot();
-  if (!context.config || !config_.IsCurrent())
+  if (!context.config || !current)
     return ApiError{503, "not_ready",
                     "this router does not know the newest configuration",
                     RunState::kNotRun, Spread(kNotReadyRetry)};
--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -76,9 +76,6 @@
 
   BudgetControllerOptions budget_options;
   budget_options.shards = static_cast<size_t>(settings_.ledger_shards);
-  budget_options.config_is_current = [this] {
-    return config_ && config_->IsCurrent();
-  };
   budgets_ = std::make_unique<BudgetController>(
       *log_, fibers_, metrics_, incarnation_, budget_options,
       [this](const std::string& request, const std::string& server) {
@@ -113,6 +110,8 @@
     if (*endpoint != *peer_listen)
       config.peers.push_back(*endpoint);
   }
+  if (settings_.peer_links == "ring")
+    config.peer_links = PeerLinks::kRing;
   caller_limit_.SetRouterCount(config.peers.size() + 1);
   auto controller = ConfigController::Create(
       runtime_, *log_, fibers_, config,
--- a/hawthornhollow/wire/frames_generated.h
+++ b/hawthornhollow/wire/frames_generated.h
@@ -2068,7 +2068,9 @@
   int64_t version = 0;
   int64_t offset = 0;
   std::vector<uint8_t> batch{};
-  bool log_read = false;
+  int64_t asked_us = 0;
+  int64_t answers_us = 0;
+  int64_t log_age_us = -1LL;
 };
 
 struct ConfigNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2079,7 +2081,9 @@
     VT_VERSION = 4,
     VT_OFFSET = 6,
     VT_BATCH = 8,
-    VT_LOG_READ = 10
+    VT_ASKED_US = 10,
+    VT_ANSWERS_US = 12,
+    VT_LOG_AGE_US = 14
   };
   int64_t version() const {
     return GetField<int64_t>(VT_VERSION, 0);
@@ -2090,8 +2094,14 @@
   const flatbuffers::Vector<uint8_t> *batch() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BATCH);
   }
-  bool log_read() const {
-    return GetField<uint8_t>(VT_LOG_READ, 0) != 0;
+  int64_t asked_us() const {
+    return GetField<int64_t>(VT_ASKED_US, 0);
+  }
+  int64_t answers_us() const {
+    return GetField<int64_t>(VT_ANSWERS_US, 0);
+  }
+  int64_t log_age_us() const {
+    return GetField<int64_t>(VT_LOG_AGE_US, -1LL);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -2099,7 +2109,9 @@
            VerifyField<int64_t>(verifier, VT_OFFSET, 8) &&
            VerifyOffset(verifier, VT_BATCH) &&
            verifier.VerifyVector(batch()) &&
-           VerifyField<uint8_t>(verifier, VT_LOG_READ, 1) &&
+           VerifyField<int64_t>(verifier, VT_ASKED_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_ANSWERS_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_LOG_AGE_US, 8) &&
            verifier.EndTable();
   }
   ConfigNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2120,8 +2132,14 @@
   void add_batch(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> batch) {
     fbb_.AddOffset(ConfigNotice::VT_BATCH, batch);
   }
-  void add_log_read(bool log_read) {
-    fbb_.AddElement<uint8_t>(ConfigNotice::VT_LOG_READ, static_cast<uint8_t>(log_read), 0);
+  void add_asked_us(int64_t asked_us) {
+    fbb_.AddElement<int64_t>(ConfigNotice::VT_ASKED_US, asked_us, 0);
+  }
+  void add_answers_us(int64_t answers_us) {
+    fbb_.AddElement<int64_t>(ConfigNotice::VT_ANSWERS_US, answers_us, 0);
+  }
+  void add_log_age_us(int64_t log_age_us) {
+    fbb_.AddElement<int64_t>(ConfigNotice::VT_LOG_AGE_US, log_age_us, -1LL);
   }
   explicit ConfigNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2139,12 +2157,16 @@
     int64_t version = 0,
     int64_t offset = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> batch = 0,
-    bool log_read = false) {
+    int64_t asked_us = 0,
+    int64_t answers_us = 0,
+    int64_t log_age_us = -1LL) {
   ConfigNoticeBuilder builder_(_fbb);
+  builder_.add_log_age_us(log_age_us);
+  builder_.add_answers_us(answers_us);
+  builder_.add_asked_us(asked_us);
   builder_.add_offset(offset);
   builder_.add_version(version);
   builder_.add_batch(batch);
-  builder_.add_log_read(log_read);
   return builder_.Finish();
 }
 
@@ -2158,14 +2180,18 @@
     int64_t version = 0,
     int64_t offset = 0,
     const std::vector<uint8_t> *batch = nullptr,
-    bool log_read = false) {
+    int64_t asked_us = 0,
+    int64_t answers_us = 0,
+    int64_t log_age_us = -1LL) {
   auto batch__ = batch ? _fbb.CreateVector<uint8_t>(*batch) : 0;
   return hawthornhollow::fb::CreateConfigNotice(
       _fbb,
       version,
       offset,
       batch__,
-      log_read);
+      asked_us,
+      answers_us,
+      log_age_us);
 }
 
 flatbuffers::Offset<ConfigNotice> CreateConfigNotice(flatbuffers::FlatBufferBuilder &_fbb, const ConfigNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2997,7 +3023,9 @@
       (lhs.version == rhs.version) &&
       (lhs.offset == rhs.offset) &&
       (lhs.batch == rhs.batch) &&
-      (lhs.log_read == rhs.log_read);
+      (lhs.asked_us == rhs.asked_us) &&
+      (lhs.answers_us == rhs.answers_us) &&
+      (lhs.log_age_us == rhs.log_age_us);
 }
 
 inline bool operator!=(const ConfigNoticeT &lhs, const ConfigNoticeT &rhs) {
@@ -3017,7 +3045,9 @@
   { auto _e = version(); _o->version = _e; }
   { auto _e = offset(); _o->offset = _e; }
   { auto _e = batch(); if (_e) { _o->batch.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->batch.begin()); } }
-  { auto _e = log_read(); _o->log_read = _e; }
+  { auto _e = asked_us(); _o->asked_us = _e; }
+  { auto _e = answers_us(); _o->answers_us = _e; }
+  { auto _e = log_age_us(); _o->log_age_us = _e; }
 }
 
 inline flatbuffers::Offset<ConfigNotice> ConfigNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3031,13 +3061,17 @@
   auto _version = _o->version;
   auto _offset = _o->offset;
   auto _batch = _o->batch.size() ? _fbb.CreateVector(_o->batch) : 0;
-  auto _log_read = _o->log_read;
+  auto _asked_us = _o->asked_us;
+  auto _answers_us = _o->answers_us;
+  auto _log_age_us = _o->log_age_us;
   return hawthornhollow::fb::CreateConfigNotice(
       _fbb,
       _version,
       _offset,
       _batch,
-      _log_read);
+      _asked_us,
+      _answers_us,
+      _log_age_us);
 }
 
 
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -155,9 +155,32 @@
     status.Update(start(log(), &router_log_relays_[router]));
   for (size_t server : options_.log_relayed_servers)
     status.Update(start(log(), &sidecar_log_relays_[server]));
+  for (size_t router : options_.peer_relayed_routers) {
+    for (size_t other = 0; other < options_.routers; ++other) {
+      if (other == router)
+        continue;
+      status.Update(start(peer_endpoints_[other],
+                          &peer_relays_[std::make_pair(router, other)]));
+      status.Update(start(peer_endpoints_[router],
+                          &peer_relays_[std::make_pair(other, router)]));
+    }
+  }
   return status;
 }
 
+void Fleet::SetPeerLinks(size_t router, RelayMode mode) {
+  for (const auto& [ends, relay] : peer_relays_) {
+    if (ends.first == router || ends.second == router)
+      relay->SetMode(mode);
+  }
+}
+
+const Endpoint& Fleet::PeerEndpoint(size_t router, size_t peer) const {
+  auto relay = peer_relays_.find(std::make_pair(router, peer));
+  return relay == peer_relays_.end() ? peer_endpoints_[peer]
+                                     : relay->second->endpoint();
+}
+
 std::string Fleet::ServerName(size_t server) const {
   if (server < options_.engines)
     return absl::StrCat("engine-", server + 1);
@@ -206,8 +229,6 @@
   files["60-callers.json"] = callers + "]";
   for (const auto& [file, text] : options_.files)
     files[file] = text;
-  if (options_.files_for)
-    files.merge(options_.files_for(sidecar_endpoints_));
   for (const auto& [file, text] : files) {
     if (absl::Status s = WriteText(folder_ + "/" + file, text); !s.ok())
       return s;
@@ -222,8 +243,8 @@
   settings["listen"] = router_endpoints_[router].ToString();
   settings["peer_listen"] = peer_endpoints_[router].ToString();
   json::array peers;
-  for (const Endpoint& peer : peer_endpoints_)
-    peers.emplace_back(peer.ToString());
+  for (size_t peer = 0; peer < options_.routers; ++peer)
+    peers.emplace_back(PeerEndpoint(router, peer).ToString());
   settings["peers"] = std::move(peers);
   auto relay = router_log_relays_.find(router);
   settings["log_service"] = relay == router_log_relays_.end()
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -11,7 +11,6 @@
 // Everything that it starts ends with it.
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -46,12 +45,10 @@
   // of their own.
   std::set<size_t> log_relayed_routers;
   std::set<size_t> log_relayed_servers;
+  // Routers whose links with other routers, in both directions, pass relays.
+  std::set<size_t> peer_relayed_routers;
   // More files of the configuration folder.
   std::map<std::string, std::string> files;
-  // Files that depend on the addresses of the side processes.
-  std::function<std::map<std::string, std::string>(
-      const std::vector<Endpoint>& gates)>
-      files_for;
 };
 
 struct ChatOptions {
@@ -131,6 +128,7 @@
   TcpRelay& router_log_relay(size_t router) {
     return *router_log_relays_.at(router);
   }
+  void SetPeerLinks(size_t router, RelayMode mode);
   TcpRelay& sidecar_log_relay(size_t server) {
     return *sidecar_log_relays_.at(server);
   }
@@ -143,6 +141,8 @@
   absl::Status StartStandins();
   void ChoosePorts();
   absl::Status StartRelays();
+  // Where `router` reaches `peer`.
+  const Endpoint& PeerEndpoint(size_t router, size_t peer) const;
   absl::Status WriteFolder();
   absl::StatusOr<std::unique_ptr<ChildProcess>> StartProgram(
       const std::string& command,
@@ -163,6 +163,8 @@
   Relays server_relays_;
   Relays router_log_relays_;
   Relays sidecar_log_relays_;
+  // By the connecting router and the other one.
+  std::map<std::pair<size_t, size_t>, std::unique_ptr<TcpRelay>> peer_relays_;
   std::vector<Endpoint> router_endpoints_;
   std::vector<Endpoint> peer_endpoints_;
   std::vector<Endpoint> sidecar_endpoints_;
