Caller limits follow demand across routers

Cause: each router held a caller to limit/N, so a caller that stays on one router (a kept connection) was refused at a third of its voted limit. Change: routers report callers' demands to one another every second; each takes its part by demand (CallerShares). Frame CallerDemands on the peer links. Ruled out: an owner per caller (one more hop on every request). Bound: for about a second after a caller begins on all routers at once it may have N times its limit.

--- a/hawthornhollow/router/config_controller.cc
+++ b/hawthornhollow/router/config_controller.cc
@@ -252,17 +252,24 @@
   traffic_.notice_bytes_sent += bytes;
 }
 
-void ConfigController::SendToPeers(const fb::ConfigNoticeT& notice) {
+std::vector<std::shared_ptr<FrameLink>> ConfigController::PeerLinksNow() const {
   std::vector<std::shared_ptr<FrameLink>> links;
-  {
-    std::lock_guard lock(mutex_);
-    for (const auto& [peer, link] : outgoing_)
-      links.push_back(link);
-  }
-  for (const auto& link : links)
+  std::lock_guard lock(mutex_);
+  for (const auto& [peer, link] : outgoing_)
+    links.push_back(link);
+  return links;
+}
+
+void ConfigController::SendToPeers(const fb::ConfigNoticeT& notice) {
+  for (const auto& link : PeerLinksNow())
     Send(*link, notice);
 }
 
+void ConfigController::SendFrameToPeers(const fb::FrameT& frame) {
+  for (const auto& link : PeerLinksNow())
+    link->Send(frame).IgnoreError();
+}
+
 void ConfigController::QuestionLoop() {
   while (!fibers_.stopped()) {
     fb::ConfigNoticeT question = MakeNotice();
@@ -315,6 +322,8 @@
       peer = hello->protocol == kFrameProtocol ? hello->name : "";
     else if (!peer.empty() && frame.body.type == fb::FrameBody::ConfigNotice)
       OnQuestion(*link, *frame.body.AsConfigNotice());
+    else if (!peer.empty() && options_.on_peer_frame)
+      options_.on_peer_frame(peer, frame);
   });
   LogEvent("peer.link.ended", LogSeverity::kDebug)
       .Add("peer", link->peer().ToString())
--- a/hawthornhollow/router/config_controller.h
+++ b/hawthornhollow/router/config_controller.h
@@ -48,6 +48,9 @@
   // long ago.
   absl::Duration current_for = absl::Seconds(5);
   absl::Duration notice_interval = absl::Seconds(1);
+  // Takes frames of peers (by router name) that are no notices.
+  std::function<void(const std::string& peer, const fb::FrameT& frame)>
+      on_peer_frame;
 };
 
 // The routers of `options.peers` to link to.
@@ -88,6 +91,9 @@
   bool IsCurrent() const;
   ConfigTraffic traffic() const;
 
+  // Sends a frame over every link to a peer.
+  void SendFrameToPeers(const fb::FrameT& frame);
+
  private:
   using SteadyTime = std::chrono::steady_clock::time_point;
 
@@ -117,6 +123,7 @@
   fb::ConfigNoticeT MakeNotice() const;
   void Send(FrameLink& link, const fb::ConfigNoticeT& notice);
   void SendToPeers(const fb::ConfigNoticeT& notice);
+  std::vector<std::shared_ptr<FrameLink>> PeerLinksNow() const;
   void QuestionLoop();
 
   Runtime& runtime_;
--- a/hawthornhollow/router/filters.cc
+++ b/hawthornhollow/router/filters.cc
@@ -185,9 +185,30 @@
 // ---------------------------------------------------------------------------
 // Caller limits
 
-CallerLimitFilter::Shard& CallerLimitFilter::ShardOf(
-    const std::string& caller) {
-  return shards_[StableHash(caller) % kShards];
+size_t CallerLimitFilter::ShardOf(const std::string& caller) {
+  return StableHash(caller) % kShards;
+}
+
+std::vector<CallerDemand> CallerLimitFilter::Demands(absl::Time now) {
+  std::vector<CallerDemand> all;
+  for (Shard& shard : shards_) {
+    std::lock_guard lock(shard.mutex);
+    std::vector<CallerDemand> part = shard.shares.Report(now);
+    all.insert(all.end(), part.begin(), part.end());
+  }
+  return all;
+}
+
+void CallerLimitFilter::OnDemands(const std::string& router,
+                                  const std::vector<CallerDemand>& demands,
+                                  absl::Time now) {
+  std::array<std::vector<CallerDemand>, kShards> parts;
+  for (const CallerDemand& demand : demands)
+    parts[ShardOf(demand.caller)].push_back(demand);
+  for (size_t i = 0; i < kShards; ++i) {
+    std::lock_guard lock(shards_[i].mutex);
+    shards_[i].shares.OnReport(router, parts[i], now);
+  }
 }
 
 FilterResult CallerLimitFilter::Apply(RequestContext& context,
@@ -195,12 +216,14 @@
   const Caller& caller = *context.caller;
   CallerLimit limit{caller.max_concurrent, caller.requests_per_second,
                     caller.tokens_per_minute};
-  Shard& shard = ShardOf(caller.name);
+  Shard& shard = shards_[ShardOf(caller.name)];
   std::optional<absl::Duration> wait;
   {
     std::lock_guard lock(shard.mutex);
+    shard.shares.OnRequest(caller.name, context.arrived);
     auto limiter = shard.limiters.try_emplace(caller.name, limit).first;
-    limiter->second.SetLimit(limit, 1.0 / static_cast<double>(routers_));
+    limiter->second.SetLimit(limit,
+                             shard.shares.Share(caller.name, context.arrived));
     wait = limiter->second.Admit(context.reserved_tokens, context.arrived);
   }
   if (wait)
--- a/hawthornhollow/router/filters.h
+++ b/hawthornhollow/router/filters.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "hawthornhollow/router/budget_controller.h"
 #include "hawthornhollow/router/config_controller.h"
@@ -52,25 +53,29 @@
 };
 
 // Holds each caller to its rates and concurrency. The fleet's limit is divided
-// by the number of routers.
+// among the routers by the demand that each sees (CallerShares).
 class CallerLimitFilter {
  public:
   static constexpr std::string_view kName = "caller_limit";
   FilterResult Apply(RequestContext& context, ResponseWriter& writer);
-  void SetRouterCount(size_t routers) {
-    routers_ = std::max<size_t>(1, routers);
-  }
+
+  // What callers asked of this router lately, for the other routers.
+  std::vector<CallerDemand> Demands(absl::Time now);
+  // What another router reported.
+  void OnDemands(const std::string& router,
+                 const std::vector<CallerDemand>& demands,
+                 absl::Time now);
 
  private:
   static constexpr size_t kShards = 16;
   struct Shard {
     std::mutex mutex;
     std::map<std::string, CallerLimiter> limiters;
+    CallerShares shares;
   };
-  Shard& ShardOf(const std::string& caller);
+  static size_t ShardOf(const std::string& caller);
 
   std::array<Shard, kShards> shards_;
-  std::atomic<size_t> routers_{1};
 };
 
 // Reserves the worst case against the budget. 402 if the budget is spent, 503
--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -14,6 +14,8 @@
 namespace json = boost::json;
 
 constexpr absl::Duration kTick = absl::Milliseconds(10);
+// Between reports of callers' demands to the other routers.
+constexpr absl::Duration kDemandInterval = absl::Seconds(1);
 constexpr absl::Duration kVmPoll = absl::Seconds(1);
 // The balancer is told of a shutdown this long before connections are refused.
 constexpr absl::Duration kDrainNotice = absl::Seconds(1);
@@ -112,7 +114,10 @@
   }
   if (settings_.peer_links == "ring")
     config.peer_links = PeerLinks::kRing;
-  caller_limit_.SetRouterCount(config.peers.size() + 1);
+  config.on_peer_frame = [this](const std::string& peer,
+                                const fb::FrameT& frame) {
+    OnPeerFrame(peer, frame);
+  };
   auto controller = ConfigController::Create(
       runtime_, *log_, fibers_, config,
       [this](std::shared_ptr<const ConfigSnapshot> s) { OnConfig(s); });
@@ -145,6 +150,7 @@
   membership_->Start();
   config_->Start();
   fibers_.Spawn([this] { TickLoop(); });
+  fibers_.Spawn([this] { DemandLoop(); });
   if (vm_list_)
     fibers_.Spawn([this] { PollVms(); });
   return absl::OkStatus();
@@ -283,6 +289,31 @@
   }
 }
 
+void RouterInstance::DemandLoop() {
+  while (!fibers_.stopped()) {
+    fb::CallerDemandsT report;
+    for (const CallerDemand& demand : caller_limit_.Demands(absl::Now())) {
+      auto item = std::make_unique<fb::CallerDemandT>();
+      item->caller = demand.caller;
+      item->requests_per_second = demand.requests_per_second;
+      report.demands.push_back(std::move(item));
+    }
+    config_->SendFrameToPeers(MakeFrame(std::move(report)));
+    hawthornhollow::SleepFor(kDemandInterval);
+  }
+}
+
+void RouterInstance::OnPeerFrame(const std::string& peer,
+                                 const fb::FrameT& frame) {
+  const auto* report = frame.body.AsCallerDemands();
+  if (!report)
+    return;
+  std::vector<CallerDemand> demands;
+  for (const auto& item : report->demands)
+    demands.push_back({item->caller, item->requests_per_second});
+  caller_limit_.OnDemands(peer, demands, absl::Now());
+}
+
 void RouterInstance::PollVms() {
   while (!fibers_.stopped()) {
     auto vms = vm_list_->List();
--- a/hawthornhollow/router/router_instance.h
+++ b/hawthornhollow/router/router_instance.h
@@ -58,6 +58,8 @@
                    const FilterResult& result);
   void OnConfig(const std::shared_ptr<const ConfigSnapshot>& snapshot);
   void PollVms();
+  void DemandLoop();
+  void OnPeerFrame(const std::string& peer, const fb::FrameT& frame);
   void TickLoop();
   void StopFibers();
   HttpResponse Health() const;
--- a/hawthornhollow/wire/frames_generated.h
+++ b/hawthornhollow/wire/frames_generated.h
@@ -72,6 +72,14 @@
 struct ConfigNoticeBuilder;
 struct ConfigNoticeT;
 
+struct CallerDemand;
+struct CallerDemandBuilder;
+struct CallerDemandT;
+
+struct CallerDemands;
+struct CallerDemandsBuilder;
+struct CallerDemandsT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -104,6 +112,10 @@
 bool operator!=(const LoadT &lhs, const LoadT &rhs);
 bool operator==(const ConfigNoticeT &lhs, const ConfigNoticeT &rhs);
 bool operator!=(const ConfigNoticeT &lhs, const ConfigNoticeT &rhs);
+bool operator==(const CallerDemandT &lhs, const CallerDemandT &rhs);
+bool operator!=(const CallerDemandT &lhs, const CallerDemandT &rhs);
+bool operator==(const CallerDemandsT &lhs, const CallerDemandsT &rhs);
+bool operator!=(const CallerDemandsT &lhs, const CallerDemandsT &rhs);
 bool operator==(const FrameT &lhs, const FrameT &rhs);
 bool operator!=(const FrameT &lhs, const FrameT &rhs);
 
@@ -237,11 +249,12 @@
   End = 12,
   Load = 13,
   ConfigNotice = 14,
+  CallerDemands = 15,
   MIN = NONE,
-  MAX = ConfigNotice
+  MAX = CallerDemands
 };
 
-inline const FrameBody (&EnumValuesFrameBody())[15] {
+inline const FrameBody (&EnumValuesFrameBody())[16] {
   static const FrameBody values[] = {
     FrameBody::NONE,
     FrameBody::Hello,
@@ -257,13 +270,14 @@
     FrameBody::Data,
     FrameBody::End,
     FrameBody::Load,
-    FrameBody::ConfigNotice
+    FrameBody::ConfigNotice,
+    FrameBody::CallerDemands
   };
   return values;
 }
 
 inline const char * const *EnumNamesFrameBody() {
-  static const char * const names[16] = {
+  static const char * const names[17] = {
     "NONE",
     "Hello",
     "Ping",
@@ -279,13 +293,14 @@
     "End",
     "Load",
     "ConfigNotice",
+    "CallerDemands",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameFrameBody(FrameBody e) {
-  if (flatbuffers::IsOutRange(e, FrameBody::NONE, FrameBody::ConfigNotice)) return "";
+  if (flatbuffers::IsOutRange(e, FrameBody::NONE, FrameBody::CallerDemands)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesFrameBody()[index];
 }
@@ -350,6 +365,10 @@
   static const FrameBody enum_value = FrameBody::ConfigNotice;
 };
 
+template<> struct FrameBodyTraits<hawthornhollow::fb::CallerDemands> {
+  static const FrameBody enum_value = FrameBody::CallerDemands;
+};
+
 template<typename T> struct FrameBodyUnionTraits {
   static const FrameBody enum_value = FrameBody::NONE;
 };
@@ -410,6 +429,10 @@
   static const FrameBody enum_value = FrameBody::ConfigNotice;
 };
 
+template<> struct FrameBodyUnionTraits<hawthornhollow::fb::CallerDemandsT> {
+  static const FrameBody enum_value = FrameBody::CallerDemands;
+};
+
 struct FrameBodyUnion {
   FrameBody type;
   void *value;
@@ -552,6 +575,14 @@
     return type == FrameBody::ConfigNotice ?
       reinterpret_cast<const hawthornhollow::fb::ConfigNoticeT *>(value) : nullptr;
   }
+  hawthornhollow::fb::CallerDemandsT *AsCallerDemands() {
+    return type == FrameBody::CallerDemands ?
+      reinterpret_cast<hawthornhollow::fb::CallerDemandsT *>(value) : nullptr;
+  }
+  const hawthornhollow::fb::CallerDemandsT *AsCallerDemands() const {
+    return type == FrameBody::CallerDemands ?
+      reinterpret_cast<const hawthornhollow::fb::CallerDemandsT *>(value) : nullptr;
+  }
 };
 
 
@@ -617,6 +648,10 @@
       return *(reinterpret_cast<const hawthornhollow::fb::ConfigNoticeT *>(lhs.value)) ==
              *(reinterpret_cast<const hawthornhollow::fb::ConfigNoticeT *>(rhs.value));
     }
+    case FrameBody::CallerDemands: {
+      return *(reinterpret_cast<const hawthornhollow::fb::CallerDemandsT *>(lhs.value)) ==
+             *(reinterpret_cast<const hawthornhollow::fb::CallerDemandsT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -2196,6 +2231,160 @@
 
 flatbuffers::Offset<ConfigNotice> CreateConfigNotice(flatbuffers::FlatBufferBuilder &_fbb, const ConfigNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CallerDemandT : public flatbuffers::NativeTable {
+  typedef CallerDemand TableType;
+  std::string caller{};
+  double requests_per_second = 0.0;
+};
+
+struct CallerDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CallerDemandT NativeTableType;
+  typedef CallerDemandBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALLER = 4,
+    VT_REQUESTS_PER_SECOND = 6
+  };
+  const flatbuffers::String *caller() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALLER);
+  }
+  double requests_per_second() const {
+    return GetField<double>(VT_REQUESTS_PER_SECOND, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CALLER) &&
+           verifier.VerifyString(caller()) &&
+           VerifyField<double>(verifier, VT_REQUESTS_PER_SECOND, 8) &&
+           verifier.EndTable();
+  }
+  CallerDemandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CallerDemandT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CallerDemand> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CallerDemandBuilder {
+  typedef CallerDemand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_caller(flatbuffers::Offset<flatbuffers::String> caller) {
+    fbb_.AddOffset(CallerDemand::VT_CALLER, caller);
+  }
+  void add_requests_per_second(double requests_per_second) {
+    fbb_.AddElement<double>(CallerDemand::VT_REQUESTS_PER_SECOND, requests_per_second, 0.0);
+  }
+  explicit CallerDemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CallerDemand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CallerDemand>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CallerDemand> CreateCallerDemand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> caller = 0,
+    double requests_per_second = 0.0) {
+  CallerDemandBuilder builder_(_fbb);
+  builder_.add_requests_per_second(requests_per_second);
+  builder_.add_caller(caller);
+  return builder_.Finish();
+}
+
+struct CallerDemand::Traits {
+  using type = CallerDemand;
+  static auto constexpr Create = CreateCallerDemand;
+};
+
+inline flatbuffers::Offset<CallerDemand> CreateCallerDemandDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *caller = nullptr,
+    double requests_per_second = 0.0) {
+  auto caller__ = caller ? _fbb.CreateString(caller) : 0;
+  return hawthornhollow::fb::CreateCallerDemand(
+      _fbb,
+      caller__,
+      requests_per_second);
+}
+
+flatbuffers::Offset<CallerDemand> CreateCallerDemand(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CallerDemandsT : public flatbuffers::NativeTable {
+  typedef CallerDemands TableType;
+  std::vector<std::unique_ptr<hawthornhollow::fb::CallerDemandT>> demands{};
+  CallerDemandsT() = default;
+  CallerDemandsT(const CallerDemandsT &o);
+  CallerDemandsT(CallerDemandsT&&) FLATBUFFERS_NOEXCEPT = default;
+  CallerDemandsT &operator=(CallerDemandsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct CallerDemands FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CallerDemandsT NativeTableType;
+  typedef CallerDemandsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DEMANDS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::CallerDemand>> *demands() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::CallerDemand>> *>(VT_DEMANDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
+           verifier.VerifyVectorOfTables(demands()) &&
+           verifier.EndTable();
+  }
+  CallerDemandsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CallerDemandsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CallerDemands> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CallerDemandsBuilder {
+  typedef CallerDemands Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::CallerDemand>>> demands) {
+    fbb_.AddOffset(CallerDemands::VT_DEMANDS, demands);
+  }
+  explicit CallerDemandsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CallerDemands> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CallerDemands>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CallerDemands> CreateCallerDemands(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::CallerDemand>>> demands = 0) {
+  CallerDemandsBuilder builder_(_fbb);
+  builder_.add_demands(demands);
+  return builder_.Finish();
+}
+
+struct CallerDemands::Traits {
+  using type = CallerDemands;
+  static auto constexpr Create = CreateCallerDemands;
+};
+
+inline flatbuffers::Offset<CallerDemands> CreateCallerDemandsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::CallerDemand>> *demands = nullptr) {
+  auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::CallerDemand>>(*demands) : 0;
+  return hawthornhollow::fb::CreateCallerDemands(
+      _fbb,
+      demands__);
+}
+
+flatbuffers::Offset<CallerDemands> CreateCallerDemands(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   hawthornhollow::fb::FrameBodyUnion body{};
@@ -2258,6 +2447,9 @@
   const hawthornhollow::fb::ConfigNotice *body_as_ConfigNotice() const {
     return body_type() == hawthornhollow::fb::FrameBody::ConfigNotice ? static_cast<const hawthornhollow::fb::ConfigNotice *>(body()) : nullptr;
   }
+  const hawthornhollow::fb::CallerDemands *body_as_CallerDemands() const {
+    return body_type() == hawthornhollow::fb::FrameBody::CallerDemands ? static_cast<const hawthornhollow::fb::CallerDemands *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2326,6 +2518,10 @@
   return body_as_ConfigNotice();
 }
 
+template<> inline const hawthornhollow::fb::CallerDemands *Frame::body_as<hawthornhollow::fb::CallerDemands>() const {
+  return body_as_CallerDemands();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3075,6 +3271,94 @@
 }
 
 
+inline bool operator==(const CallerDemandT &lhs, const CallerDemandT &rhs) {
+  return
+      (lhs.caller == rhs.caller) &&
+      (lhs.requests_per_second == rhs.requests_per_second);
+}
+
+inline bool operator!=(const CallerDemandT &lhs, const CallerDemandT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline CallerDemandT *CallerDemand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CallerDemandT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CallerDemand::UnPackTo(CallerDemandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = caller(); if (_e) _o->caller = _e->str(); }
+  { auto _e = requests_per_second(); _o->requests_per_second = _e; }
+}
+
+inline flatbuffers::Offset<CallerDemand> CallerDemand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCallerDemand(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CallerDemand> CreateCallerDemand(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CallerDemandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _caller = _o->caller.empty() ? 0 : _fbb.CreateString(_o->caller);
+  auto _requests_per_second = _o->requests_per_second;
+  return hawthornhollow::fb::CreateCallerDemand(
+      _fbb,
+      _caller,
+      _requests_per_second);
+}
+
+
+inline bool operator==(const CallerDemandsT &lhs, const CallerDemandsT &rhs) {
+  return
+      (lhs.demands.size() == rhs.demands.size() && std::equal(lhs.demands.cbegin(), lhs.demands.cend(), rhs.demands.cbegin(), [](std::unique_ptr<hawthornhollow::fb::CallerDemandT> const &a, std::unique_ptr<hawthornhollow::fb::CallerDemandT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const CallerDemandsT &lhs, const CallerDemandsT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline CallerDemandsT::CallerDemandsT(const CallerDemandsT &o) {
+  demands.reserve(o.demands.size());
+  for (const auto &demands_ : o.demands) { demands.emplace_back((demands_) ? new hawthornhollow::fb::CallerDemandT(*demands_) : nullptr); }
+}
+
+inline CallerDemandsT &CallerDemandsT::operator=(CallerDemandsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(demands, o.demands);
+  return *this;
+}
+
+inline CallerDemandsT *CallerDemands::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CallerDemandsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CallerDemands::UnPackTo(CallerDemandsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = std::unique_ptr<hawthornhollow::fb::CallerDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<CallerDemands> CallerDemands::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCallerDemands(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CallerDemands> CreateCallerDemands(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CallerDemandsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _demands = _o->demands.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::CallerDemand>> (_o->demands.size(), [](size_t i, _VectorArgs *__va) { return CreateCallerDemand(*__va->__fbb, __va->__o->demands[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hawthornhollow::fb::CreateCallerDemands(
+      _fbb,
+      _demands);
+}
+
+
 inline bool operator==(const FrameT &lhs, const FrameT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -3175,6 +3459,10 @@
       auto ptr = reinterpret_cast<const hawthornhollow::fb::ConfigNotice *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case FrameBody::CallerDemands: {
+      auto ptr = reinterpret_cast<const hawthornhollow::fb::CallerDemands *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3250,6 +3538,10 @@
       auto ptr = reinterpret_cast<const hawthornhollow::fb::ConfigNotice *>(obj);
       return ptr->UnPack(resolver);
     }
+    case FrameBody::CallerDemands: {
+      auto ptr = reinterpret_cast<const hawthornhollow::fb::CallerDemands *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3313,6 +3605,10 @@
       auto ptr = reinterpret_cast<const hawthornhollow::fb::ConfigNoticeT *>(value);
       return CreateConfigNotice(_fbb, ptr, _rehasher).Union();
     }
+    case FrameBody::CallerDemands: {
+      auto ptr = reinterpret_cast<const hawthornhollow::fb::CallerDemandsT *>(value);
+      return CreateCallerDemands(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3375,6 +3671,10 @@
       value = new hawthornhollow::fb::ConfigNoticeT(*reinterpret_cast<hawthornhollow::fb::ConfigNoticeT *>(u.value));
       break;
     }
+    case FrameBody::CallerDemands: {
+      value = new hawthornhollow::fb::CallerDemandsT(*reinterpret_cast<hawthornhollow::fb::CallerDemandsT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3452,6 +3752,11 @@
       delete ptr;
       break;
     }
+    case FrameBody::CallerDemands: {
+      auto ptr = reinterpret_cast<hawthornhollow::fb::CallerDemandsT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
