--- a/hawthornhollow/base/logging.cc
+++ b/hawthornhollow/base/logging.cc
@@ -52,6 +52,8 @@
     return;
   switch (severity_) {
     case LogSeverity::kDebug:
+      LOG(DEBUG) << line_;
+      break;
     case LogSeverity::kInfo:
       LOG(INFO) << line_;
       break;
--- a/hawthornhollow/ledger/budget_fold.cc
+++ b/hawthornhollow/ledger/budget_fold.cc
@@ -28,11 +28,11 @@
 // Bounds
 //   Bills of unclaimed requests: kMaxRequests; claims, with their bills:
 //   kMaxClaims; closed incarnations: kMaxClosed; writers: see WriterSequences.
-//   The oldest goes first. After its key was dropped, a second bill of the
-//   request that arrives while its account is open would be charged again, and
-//   a second claim would be accepted. A witness must therefore give up a bill
-//   or claim that it could not append within the time that kMaxRequests cover,
-//   and leave the charge to the closing of the account.
+//   The oldest goes first. Limit: after its key was dropped, a second bill of
+//   the request that arrives while its account is open is charged again, and a
+//   second claim is accepted. For this a witness has to be cut off from the log
+//   and from the other witness while kMaxRequests other requests are billed in
+//   the shard, and to come back before its account is closed.
 //   A closed account is erased from its budget; BudgetState::spent keeps its
 //   bills.
 
--- a/hawthornhollow/router/budget_controller.cc
+++ b/hawthornhollow/router/budget_controller.cc
@@ -5,9 +5,9 @@
 //
 // A reservation succeeds only against grants that were read back from the log,
 // so that no partition and no clock can make two routers spend the same tokens.
-// A waiter is refused as exhausted only if the fold has taken up the voted
-// amount that this router knows of; before that, "nothing free" may only mean
-// that the vote has not been read yet.
+// A waiter is refused as exhausted only if this router reads the log's end and
+// the fold has taken up the voted amount that this router knows of; otherwise
+// "nothing free" may only mean that a vote or a return has not been read yet.
 
 #include "hawthornhollow/router/budget_controller.h"
 
@@ -47,7 +47,8 @@
   std::unique_ptr<LedgerFollower> follower;
   mutable boost::fibers::mutex mutex;
   std::map<std::string, Entry> entries;
-  int64_t voted_version = 0;  // votes of this version were appended
+  // Votes of this version were appended, or found known to the fold.
+  int64_t voted_version = 0;
 };
 
 BudgetController::BudgetController(
@@ -76,6 +77,7 @@
     };
     callbacks.on_restored = [this, raw](int64_t) {
       std::lock_guard lock(raw->mutex);
+      raw->voted_version = 0;
       for (auto& [budget, entry] : raw->entries)
         RefreshFromFold(*raw, budget);
     };
@@ -138,13 +140,10 @@
 
 void BudgetController::SetConfig(std::shared_ptr<const Configuration> config,
                                  int64_t version) {
-  {
-    std::lock_guard lock(config_mutex_);
-    config_ = std::move(config);
-    config_version_ = version;
-  }
-  for (const auto& shard : shards_)
-    VoteShard(*shard);
+  // Each shard's tick votes.
+  std::lock_guard lock(config_mutex_);
+  config_ = std::move(config);
+  config_version_ = version;
 }
 
 void BudgetController::VoteShard(Shard& shard) {
@@ -158,7 +157,7 @@
   if (!config || !shard.follower->ever_caught_up())
     return;
   std::lock_guard lock(shard.mutex);
-  if (shard.voted_version >= version)
+  if (shard.voted_version >= version || !options_.config_is_current())
     return;
   for (const Budget& budget : config->budgets()) {
     if (&ShardOf(budget.name) != &shard)
@@ -187,7 +186,7 @@
     config = config_;
   }
   const Budget* voted = config ? config->FindBudget(budget) : nullptr;
-  if (!voted)
+  if (!voted || !shard.follower->caught_up())
     return false;
   return shard.follower->WithFold([&](const BudgetFold& fold) {
     const auto* state = fold.FindBudget(budget);
@@ -314,6 +313,9 @@
   {
     std::lock_guard lock(shard.mutex);
     for (const Verdict& verdict : verdicts) {
+      // A late vote of an older version may have changed what was found known.
+      if (std::holds_alternative<BudgetVotedRecord>(verdict.record.body))
+        shard.voted_version = 0;
       if (std::holds_alternative<AccountClosedRecord>(verdict.record.body)) {
         for (const auto& [budget, entry] : shard.entries)
           touched.insert(budget);
@@ -501,22 +503,6 @@
   return absl::OkStatus();
 }
 
-absl::Status BudgetController::ReturnAll(absl::Duration timeout) {
-  for (const auto& shard : shards_) {
-    std::lock_guard lock(shard->mutex);
-    for (auto& [budget, entry] : shard->entries) {
-      int64_t tokens = entry.holder.available();
-      if (tokens <= 0)
-        continue;
-      shard->writer
-          ->Append(GrantReturnRecord{budget, incarnation_, tokens},
-                   Urgency::kUrgent)
-          .IgnoreError();
-    }
-  }
-  return Flush(timeout);
-}
-
 std::vector<BudgetStatus> BudgetController::Status() const {
   std::vector<BudgetStatus> all;
   for (const auto& shard : shards_) {
--- a/hawthornhollow/router/budget_controller.h
+++ b/hawthornhollow/router/budget_controller.h
@@ -40,6 +40,9 @@
   // For a claim's verdict to be read back.
   absl::Duration claim_wait = absl::Seconds(3);
   GrantPolicyOptions grants;
+  // Whether the configuration of SetConfig is known to be the newest. Votes
+  // wait for it, so that a starting router never votes a replaced version.
+  std::function<bool()> config_is_current = [] { return true; };
 };
 
 struct BudgetStatus {
@@ -116,8 +119,6 @@
   void CloseAccounts(const std::string& incarnation, bool charge_remainder);
   // Waits until every record written so far is durable.
   absl::Status Flush(absl::Duration timeout);
-  // Gives back all that is not reserved, then flushes. For shutdown.
-  absl::Status ReturnAll(absl::Duration timeout);
 
   std::vector<BudgetStatus> Status() const;
   StreamWriterStats WriterStats() const;
--- a/hawthornhollow/router/request_runner.cc
+++ b/hawthornhollow/router/request_runner.cc
@@ -283,9 +283,9 @@
   waiting->request.member = context.caller->member;
   waiting->request.caller = context.caller->name;
   waiting->request.cost_tokens = CostEstimate(context);
-  // A retry has its target anew: what it waited for was lost on the way.
-  waiting->request.arrived =
-      progress.attempts > 1 ? absl::Now() : context.arrived;
+  // What it waited for before, a grant or a lost attempt, is no sign of load:
+  // it must not be shed as overload.
+  waiting->request.arrived = absl::Now();
   waiting->request.deadline = context.deadline;
   if (context.is_chat())
     waiting->affinity = context.caller->workspace + "\n" + context.chat.prefix;
--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -78,6 +78,9 @@
 
   BudgetControllerOptions budget_options;
   budget_options.shards = static_cast<size_t>(settings_.ledger_shards);
+  budget_options.config_is_current = [this] {
+    return config_ && config_->IsCurrent();
+  };
   budgets_ = std::make_unique<BudgetController>(
       *log_, fibers_, metrics_, incarnation_, budget_options,
       [this](const std::string& request, const std::string& server) {
--- a/testing/cli_test.cc
+++ b/testing/cli_test.cc
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <optional>
+#include <ostream>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -364,6 +365,11 @@
   const char* error;
 };
 
+// GoogleTest prints a parameter as part of the test's name.
+void PrintTo(const UsageCase& usage_case, std::ostream* out) {
+  *out << usage_case.name;
+}
+
 class CliUsageTest : public CliTest,
                      public testing::WithParamInterface<UsageCase> {};
 
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -229,6 +229,8 @@
   files["60-callers.json"] = callers + "]";
   for (const auto& [file, text] : options_.files)
     files[file] = text;
+  if (options_.files_for)
+    files.merge(options_.files_for(sidecar_endpoints_));
   for (const auto& [file, text] : files) {
     if (absl::Status s = WriteText(folder_ + "/" + file, text); !s.ok())
       return s;
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -11,6 +11,7 @@
 // Everything that it starts ends with it.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -49,6 +50,10 @@
   std::set<size_t> peer_relayed_routers;
   // More files of the configuration folder.
   std::map<std::string, std::string> files;
+  // Files that depend on the addresses of the side processes.
+  std::function<std::map<std::string, std::string>(
+      const std::vector<Endpoint>& gates)>
+      files_for;
 };
 
 struct ChatOptions {
