--- a/hawthornhollow/router/filters.cc
+++ b/hawthornhollow/router/filters.cc
@@ -59,8 +59,10 @@
 
 FilterResult AuthenticateFilter::Apply(RequestContext& context,
                                        ResponseWriter&) {
+  // In this order, so that a pause between the two cannot bring up an old one.
+  bool current = config_.IsCurrent();
   context.config = config_.snapshot();
-  if (!context.config || !config_.IsCurrent())
+  if (!context.config || !current)
     return ApiError{503, "not_ready",
                     "this router does not know the newest configuration",
                     RunState::kNotRun, Spread(kNotReadyRetry)};
@@ -183,9 +185,30 @@
 // ---------------------------------------------------------------------------
 // Caller limits
 
-CallerLimitFilter::Shard& CallerLimitFilter::ShardOf(
-    const std::string& caller) {
-  return shards_[StableHash(caller) % kShards];
+size_t CallerLimitFilter::ShardOf(const std::string& caller) {
+  return StableHash(caller) % kShards;
+}
+
+std::vector<CallerDemand> CallerLimitFilter::Demands(absl::Time now) {
+  std::vector<CallerDemand> all;
+  for (Shard& shard : shards_) {
+    std::lock_guard lock(shard.mutex);
+    std::vector<CallerDemand> part = shard.shares.Report(now);
+    all.insert(all.end(), part.begin(), part.end());
+  }
+  return all;
+}
+
+void CallerLimitFilter::OnDemands(const std::string& router,
+                                  const std::vector<CallerDemand>& demands,
+                                  absl::Time now) {
+  std::array<std::vector<CallerDemand>, kShards> parts;
+  for (const CallerDemand& demand : demands)
+    parts[ShardOf(demand.caller)].push_back(demand);
+  for (size_t i = 0; i < kShards; ++i) {
+    std::lock_guard lock(shards_[i].mutex);
+    shards_[i].shares.OnReport(router, parts[i], now);
+  }
 }
 
 FilterResult CallerLimitFilter::Apply(RequestContext& context,
@@ -193,12 +216,14 @@
   const Caller& caller = *context.caller;
   CallerLimit limit{caller.max_concurrent, caller.requests_per_second,
                     caller.tokens_per_minute};
-  Shard& shard = ShardOf(caller.name);
+  Shard& shard = shards_[ShardOf(caller.name)];
   std::optional<absl::Duration> wait;
   {
     std::lock_guard lock(shard.mutex);
+    shard.shares.OnRequest(caller.name, context.arrived);
     auto limiter = shard.limiters.try_emplace(caller.name, limit).first;
-    limiter->second.SetLimit(limit, 1.0 / static_cast<double>(routers_));
+    limiter->second.SetLimit(limit,
+                             shard.shares.Share(caller.name, context.arrived));
     wait = limiter->second.Admit(context.reserved_tokens, context.arrived);
   }
   if (wait)
