--- a/hawthornhollow/router/api_error.cc
+++ b/hawthornhollow/router/api_error.cc
@@ -7,12 +7,16 @@
 #include "hawthornhollow/base/base.h"
 
 namespace hawthornhollow {
+namespace {
+
+constexpr uint64_t kMillisecondsPerSecond = 1000;
+
+}  // namespace
 
 int64_t RetryAfterSeconds(absl::Duration wait, std::string_view request_id) {
-  constexpr uint64_t kMilliseconds = 1000;
   int64_t whole = absl::ToInt64Seconds(wait);
   uint64_t part = absl::ToInt64Milliseconds(wait - absl::Seconds(whole));
-  if (StableHash(request_id) % kMilliseconds < part)
+  if (StableHash(request_id) % kMillisecondsPerSecond < part)
     ++whole;
   return std::max<int64_t>(whole, 1);
 }
