--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -113,6 +113,8 @@
     if (*endpoint != *peer_listen)
       config.peers.push_back(*endpoint);
   }
+  if (settings_.peer_links == "ring")
+    config.peer_links = PeerLinks::kRing;
   caller_limit_.SetRouterCount(config.peers.size() + 1);
   auto controller = ConfigController::Create(
       runtime_, *log_, fibers_, config,
