--- a/hawthornhollow/runtime/io_thread.cc
+++ b/hawthornhollow/runtime/io_thread.cc
@@ -1,9 +1,9 @@
 // A runtime thread's life. Its main fiber waits for Stop(); all other fibers
 // are launched by Spawn. Boost.Fiber cannot destroy a suspended fiber, and a
 // thread that exits while one exists waits for it for ever. So Run gives the
-// fibers kStopGrace to end. If some remain, can_exit() is false and the thread's
-// owner never lets it exit: the fibers do not run again, and what they hold is
-// released with the process.
+// fibers kStopGrace to end. If some remain, can_exit() is false and the
+// thread's owner never lets it exit: the fibers do not run again, and what they
+// hold is released with the process.
 
 #include <boost/asio/post.hpp>
 #include <boost/fiber/fiber.hpp>
