--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -246,6 +246,8 @@
   for (size_t peer = 0; peer < options_.routers; ++peer)
     peers.emplace_back(PeerEndpoint(router, peer).ToString());
   settings["peers"] = std::move(peers);
+  settings["peer_links"] = options_.peer_links;
+  settings["threads"] = options_.router_threads;
   auto relay = router_log_relays_.find(router);
   settings["log_service"] = relay == router_log_relays_.end()
                                 ? log().ToString()
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -47,6 +47,8 @@
   std::set<size_t> log_relayed_servers;
   // Routers whose links with other routers, in both directions, pass relays.
   std::set<size_t> peer_relayed_routers;
+  int64_t router_threads = 2;
+  std::string peer_links = "all";
   // More files of the configuration folder.
   std::map<std::string, std::string> files;
 };
