Tests choose ports that outgoing connections do not take

FreePort took ports from the range of outgoing connections, which the other routers' links then held. Change: FreePort tries random ports below that range. Ruled out: SO_REUSEADDR (the port is in use, not in TIME_WAIT).

--- a/testing/processes.cc
+++ b/testing/processes.cc
@@ -15,6 +15,7 @@
 #include <cstring>
 #include <future>
 #include <optional>
+#include <random>
 #include <utility>
 
 #include "absl/time/clock.h"
@@ -58,6 +59,24 @@
   return pid;
 }
 
+// Below the ports that the system gives to outgoing connections, one of which
+// could otherwise take the port before the process that it is meant for.
+constexpr int kFirstPort = 18'000;
+constexpr int kLastPort = 32'000;
+constexpr int kPortTries = 100;
+
+bool CanListenOn(uint16_t port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const bool bound =
+      bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  close(fd);
+  return bound;
+}
+
 }  // namespace
 
 absl::StatusOr<std::unique_ptr<ChildProcess>> ChildProcess::Start(
@@ -168,16 +187,14 @@
 }
 
 uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  const bool bound =
-      bind(fd, generic, size) == 0 && getsockname(fd, generic, &size) == 0;
-  close(fd);
-  return bound ? ntohs(address.sin_port) : 0;
+  std::random_device random;
+  std::uniform_int_distribution<int> ports(kFirstPort, kLastPort);
+  for (int i = 0; i < kPortTries; ++i) {
+    const auto port = static_cast<uint16_t>(ports(random));
+    if (CanListenOn(port))
+      return port;
+  }
+  return 0;
 }
 
 absl::StatusOr<HttpResponse> PlainHttp(const Endpoint& endpoint,
