--- a/tools/capacity.cc
+++ b/tools/capacity.cc
@@ -1,7 +1,7 @@
 // Measures the slopes of state, processor time and sizes on the wire with the
 // project's own code, and prints for each three sizes and the fitted line.
 //
-//   build/testing/capacity
+//   build/tools/capacity
 
 #include <malloc.h>
 
--- a/tools/inforce_experiment.cc
+++ b/tools/inforce_experiment.cc
@@ -1,7 +1,7 @@
 // Measures how a configuration change reaches every router of a real fleet on
 // loopback, and what the routers cost while nothing happens.
 //
-//   build/testing/inforce_experiment --routers 10 --links ring --changes 20
+//   build/tools/inforce_experiment --routers 10 --links ring --changes 20
 
 #include <popt.h>
 #include <unistd.h>
