Count the routers alike whether peers names this one or not

Cause: the scheduler took peers.size() for the number of routers, one too few where the list leaves out the router itself, as the example does. Change: RouterCount. Ruled out: refusing either form of the list.

--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -22,6 +22,14 @@
 constexpr absl::Duration kFlushTimeout = absl::Seconds(10);
 constexpr absl::Duration kAbandonTimeout = absl::Seconds(5);
 
+// This router and its peers; `peers` may name the router itself.
+size_t RouterCount(const RouterSettings& settings) {
+  size_t others = std::count_if(
+      settings.peers.begin(), settings.peers.end(),
+      [&](const std::string& peer) { return peer != settings.peer_listen; });
+  return others + 1;
+}
+
 HttpResponse JsonResponse(const json::value& body) {
   HttpResponse response;
   response.headers = {{"Content-Type", "application/json"}};
@@ -47,7 +55,7 @@
       settings_(settings),
       incarnation_(settings.name + "-" + RandomId()),
       fibers_(runtime),
-      scheduler_(settings.name, std::max<size_t>(1, settings.peers.size())),
+      scheduler_(settings.name, RouterCount(settings)),
       classify_(incarnation_) {}
 
 RouterInstance::~RouterInstance() = default;
