Operators' pages may have an address of their own

Cause: /status shows every budget to whoever reaches the callers' address. Change: router setting ops_listen. Ruled out: asking for a bearer key (operators have none).

--- a/hawthornhollow/config/config.h
+++ b/hawthornhollow/config/config.h
@@ -205,6 +205,7 @@
   std::string name;                // unique in the fleet, e.g. "router-1"
   std::string failure_domain;      // e.g. "patan"
   std::string listen;              // callers' HTTP, IP:PORT
+  std::string ops_listen;          // /status and /metrics; empty: on `listen`
   std::string peer_listen;         // frames from other routers, IP:PORT
   std::vector<std::string> peers;  // other routers' peer_listen
   std::string peer_links = "all";  // or "ring": of log2(n) other routers
--- a/hawthornhollow/config/settings.cc
+++ b/hawthornhollow/config/settings.cc
@@ -60,6 +60,8 @@
   settings.name = reader.Name("name");
   settings.failure_domain = reader.Name("failure_domain");
   settings.listen = reader.Address("listen", PortRule::kZeroAllowed);
+  settings.ops_listen =
+      reader.Address("ops_listen", PortRule::kPositive, Presence::kOptional);
   settings.peer_listen = reader.Address("peer_listen", PortRule::kZeroAllowed);
   settings.peers = reader.Addresses("peers");
   if (auto links =
--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -30,6 +30,10 @@
   return others + 1;
 }
 
+ApiError NoSuchPath() {
+  return {404, "no_such_path", "no such path", RunState::kNotRun, {}};
+}
+
 HttpResponse JsonResponse(const json::value& body) {
   HttpResponse response;
   response.headers = {{"Content-Type", "application/json"}};
@@ -143,27 +147,46 @@
   budget_ = std::make_unique<BudgetFilter>(*budgets_);
   runner_ = std::make_unique<RequestRunner>(parts, attempts_);
 
-  HttpServerOptions http;
+  if (absl::Status status = StartServers(); !status.ok())
+    return status;
+  budgets_->Start();
+  membership_->Start();
+  config_->Start();
+  fibers_.Spawn([this] { TickLoop(); });
+  fibers_.Spawn([this] { DemandLoop(); });
+  if (vm_list_)
+    fibers_.Spawn([this] { PollVms(); });
+  return absl::OkStatus();
+}
+
+absl::Status RouterInstance::StartServers() {
+  HttpServerOptions options;
   auto listen = Endpoint::Parse(settings_.listen);
   if (!listen.ok())
     return listen.status();
-  http.local = *listen;
-  http.max_connections = static_cast<size_t>(settings_.max_connections);
+  options.local = *listen;
+  options.max_connections = static_cast<size_t>(settings_.max_connections);
   auto server = HttpServer::Start(
-      runtime_, http, [this](const HttpRequest& request, ResponseWriter& w) {
+      runtime_, options, [this](const HttpRequest& request, ResponseWriter& w) {
         Handle(request, w);
       });
   if (!server.ok())
     return server.status();
   server_ = std::move(*server);
-
-  budgets_->Start();
-  membership_->Start();
-  config_->Start();
-  fibers_.Spawn([this] { TickLoop(); });
-  fibers_.Spawn([this] { DemandLoop(); });
-  if (vm_list_)
-    fibers_.Spawn([this] { PollVms(); });
+  if (settings_.ops_listen.empty())
+    return absl::OkStatus();
+  auto ops_listen = Endpoint::Parse(settings_.ops_listen);
+  if (!ops_listen.ok())
+    return ops_listen.status();
+  options.local = *ops_listen;
+  auto ops_server = HttpServer::Start(
+      runtime_, options, [this](const HttpRequest& request, ResponseWriter& w) {
+        if (!HandleOps(request, w))
+          w.Send(RenderError(NoSuchPath(), "")).IgnoreError();
+      });
+  if (!ops_server.ok())
+    return ops_server.status();
+  ops_server_ = std::move(*ops_server);
   return absl::OkStatus();
 }
 
@@ -220,16 +243,31 @@
 void RouterInstance::Handle(const HttpRequest& request,
                             ResponseWriter& writer) {
   std::string path(request.Path());
+  if (path == "/healthz") {
+    writer.Send(Health()).IgnoreError();
+    return;
+  }
+  if (path == "/v1/models") {
+    writer.Send(ModelsPage()).IgnoreError();
+    return;
+  }
+  if (settings_.ops_listen.empty() && HandleOps(request, writer))
+    return;
+  HandleCall(request, writer);
+}
+
+bool RouterInstance::HandleOps(const HttpRequest& request,
+                               ResponseWriter& writer) {
+  std::string path(request.Path());
   if (path == "/healthz")
     writer.Send(Health()).IgnoreError();
   else if (path == "/metrics")
     writer.Send(Metrics()).IgnoreError();
   else if (path == "/status")
     writer.Send(StatusPage()).IgnoreError();
-  else if (path == "/v1/models")
-    writer.Send(ModelsPage()).IgnoreError();
   else
-    HandleCall(request, writer);
+    return false;
+  return true;
 }
 
 void RouterInstance::HandleCall(const HttpRequest& request,
--- a/hawthornhollow/router/router_instance.h
+++ b/hawthornhollow/router/router_instance.h
@@ -51,7 +51,12 @@
   absl::Status Init();
   MembershipHooks Hooks();
   GateLinkEvents LinkEvents();
+  absl::Status StartServers();
+  // On the callers' address: calls, health, and the operators' pages unless
+  // they have an address of their own.
   void Handle(const HttpRequest& request, ResponseWriter& writer);
+  // The operators' pages. False if the path is not one of them.
+  bool HandleOps(const HttpRequest& request, ResponseWriter& writer);
   void HandleCall(const HttpRequest& request, ResponseWriter& writer);
   void CountResult(const RequestContext& context,
                    std::string_view filter,
@@ -92,6 +97,7 @@
   std::unique_ptr<BudgetFilter> budget_;
   std::unique_ptr<RequestRunner> runner_;
   std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpServer> ops_server_;  // null without an address
 };
 
 }  // namespace hawthornhollow
