--- a/hawthornhollow/config/config.h
+++ b/hawthornhollow/config/config.h
@@ -213,6 +213,9 @@
   int64_t ledger_shards = 1;    // the same on every process
   int64_t drain_seconds = 600;  // the most that a graceful shutdown waits
   int64_t max_connections = 4096;
+  // Scheduling: "ranks", or for comparison only "fifo", "least_loaded" or
+  // "random".
+  std::string policy = "ranks";
   friend auto operator<=>(const RouterSettings&,
                           const RouterSettings&) = default;
 };
--- a/hawthornhollow/config/settings.cc
+++ b/hawthornhollow/config/settings.cc
@@ -72,6 +72,9 @@
   settings.max_connections = reader.Integer(
       "max_connections",
       {.min = 1, .max = kMaxConnections, .fallback = settings.max_connections});
+  settings.policy =
+      reader.Choice("policy", {"ranks", "fifo", "least_loaded", "random"},
+                    Presence::kOptional);
   return settings;
 }
 
--- a/hawthornhollow/config/settings_test.cc
+++ b/hawthornhollow/config/settings_test.cc
@@ -36,7 +36,8 @@
   auto settings = ParseRouterSettings(
       "r.json", Object(kRouter, R"("peers":["127.0.0.1:9081","[::1]:9082"],
              "vm_list":"127.0.0.1:7002","threads":4,"ledger_shards":8,
-             "drain_seconds":30,"max_connections":100)"));
+             "drain_seconds":30,"max_connections":100,
+             "policy":"fifo")"));
   ASSERT_TRUE(settings.ok()) << settings.status();
   EXPECT_EQ(settings->peers,
             (std::vector<std::string>{"127.0.0.1:9081", "[::1]:9082"}));
@@ -45,6 +46,7 @@
   EXPECT_EQ(settings->ledger_shards, 8);
   EXPECT_EQ(settings->drain_seconds, 30);
   EXPECT_EQ(settings->max_connections, 100);
+  EXPECT_EQ(settings->policy, "fifo");
 }
 
 TEST(SidecarSettingsTest, Parse_ValidText_IsRead) {
--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -45,7 +45,10 @@
       settings_(settings),
       incarnation_(settings.name + "-" + RandomId()),
       fibers_(runtime),
-      scheduler_(settings.name, std::max<size_t>(1, settings.peers.size())),
+      scheduler_(settings.name,
+                 std::max<size_t>(1, settings.peers.size()),
+                 SchedulingPolicyNamed(settings.policy)
+                     .value_or(SchedulingPolicy::kRanks)),
       classify_(incarnation_) {}
 
 RouterInstance::~RouterInstance() = default;
--- a/hawthornhollow/router/scheduler.cc
+++ b/hawthornhollow/router/scheduler.cc
@@ -63,8 +63,16 @@
 
 }  // namespace
 
-Scheduler::Scheduler(std::string_view router, size_t routers)
-    : seed_(StableHash(router)), routers_(static_cast<int64_t>(routers)) {}
+Scheduler::Scheduler(std::string_view router,
+                     size_t routers,
+                     SchedulingPolicy policy)
+    : seed_(StableHash(router)),
+      routers_(static_cast<int64_t>(routers)),
+      policy_(policy) {}
+
+int32_t Scheduler::EnginePriority(int32_t rank_order) const {
+  return policy_ == SchedulingPolicy::kRanks ? rank_order : 0;
+}
 
 void Scheduler::SetConfig(const Configuration& config, absl::Time now) {
   std::vector<RankPolicy> policies = PoliciesOf(config);
@@ -89,8 +97,10 @@
     if (!pool) {
       RankQueueOptions options;
       options.ranks = policies;
+      options.policy = policy_;
       ServerChooserOptions chooser_options;
       chooser_options.seed = seed_;
+      chooser_options.policy = policy_;
       pool = std::make_shared<Pool>(name, options, chooser_options);
       pool->chooser.SetRouters(routers_);
     }
--- a/hawthornhollow/router/scheduler.h
+++ b/hawthornhollow/router/scheduler.h
@@ -57,7 +57,9 @@
 class Scheduler {
  public:
   // `router` is this router's name, `routers` how many share the servers.
-  Scheduler(std::string_view router, size_t routers);
+  Scheduler(std::string_view router,
+            size_t routers,
+            SchedulingPolicy policy = SchedulingPolicy::kRanks);
 
   void SetConfig(const Configuration& config, absl::Time now);
   void SetConnected(const std::string& server, bool connected);
@@ -83,6 +85,10 @@
   // Call it every few milliseconds.
   void Tick();
 
+  // The priority that a rank's requests get from engines; the lowest goes
+  // first.
+  int32_t EnginePriority(int32_t rank_order) const;
+
   std::vector<PoolStatus> Status() const;
 
  private:
@@ -95,6 +101,7 @@
 
   const uint64_t seed_;
   const int64_t routers_;
+  const SchedulingPolicy policy_;
   mutable std::shared_mutex mutex_;  // the two maps, not the pools' content
   std::map<std::string, std::shared_ptr<Pool>> pools_;
   std::map<std::string, std::string> pool_of_server_;
--- a/hawthornhollow/scheduling/rank_queue.cc
+++ b/hawthornhollow/scheduling/rank_queue.cc
@@ -78,6 +78,14 @@
   absl::Duration PredictedWait(std::string_view rank, absl::Time now) const;
 
  private:
+  // Whether all requests are one flow in order of arrival, with no admission.
+  bool IsFirstCome() const {
+    return options_.policy != SchedulingPolicy::kRanks;
+  }
+  std::optional<Refusal> Admit(RankState* rank,
+                               const QueuedRequest& request,
+                               absl::Time now);
+
   // Ranks.
   RankState* FindRank(std::string_view name) const;
   RankState* RankToServe(absl::Time now, int64_t free_slots, int64_t slots);
@@ -145,16 +153,40 @@
                                               absl::Time now) {
   Advance(now);
   request.cost_tokens = std::max<int64_t>(request.cost_tokens, 1);
+  if (IsFirstCome()) {
+    request.rank = ranks_.back()->policy.name;
+    request.member.clear();
+    request.caller.clear();
+  }
   RankState* rank = FindRank(request.rank);
   rank->offered.Add(static_cast<double>(request.cost_tokens), now);
+  if (auto refusal = Admit(rank, request, now)) {
+    return refusal;
+  }
+  CallerFlow* flow = FlowOf(rank, request);
+  flow->requests.push_back({request, GiveUpAt(request, rank->policy)});
+  Link(flow, request, flow->requests.back().give_up);
+  return std::nullopt;
+}
+
+// Says why a request is not taken in; may displace another to make room.
+std::optional<Refusal> RankQueue::Impl::Admit(RankState* rank,
+                                              const QueuedRequest& request,
+                                              absl::Time now) {
   const absl::Duration wait =
       WaitBehind(*rank, TokensAhead(*rank, request), request.cost_tokens, now);
   auto refuse = [&](RefusalCause cause) {
     return Refusal{request.id, cause, RetryAfter(*rank, wait, now)};
   };
-  if (request.deadline <= now || now + wait > request.deadline) {
+  if (request.deadline <= now ||
+      (!IsFirstCome() && now + wait > request.deadline)) {
     return refuse(RefusalCause::kDeadline);
   }
+  if (IsFirstCome()) {
+    const bool full = waiting() >= options_.max_waiting;
+    return full ? std::optional(refuse(RefusalCause::kQueueFull))
+                : std::nullopt;
+  }
   const absl::Duration allowed =
       WaitAllowed(rank->policy, options_.admit_share);
   const absl::Duration waited = now - request.arrived;
@@ -169,9 +201,6 @@
   if (waiting() >= options_.max_waiting && !MakeRoom(rank, request)) {
     return refuse(RefusalCause::kQueueFull);
   }
-  CallerFlow* flow = FlowOf(rank, request);
-  flow->requests.push_back({request, GiveUpAt(request, rank->policy)});
-  Link(flow, request, flow->requests.back().give_up);
   return std::nullopt;
 }
 
@@ -412,6 +441,9 @@
 
 absl::Time RankQueue::Impl::GiveUpAt(const QueuedRequest& request,
                                      const RankPolicy& policy) const {
+  if (IsFirstCome()) {
+    return request.deadline;
+  }
   return std::min(request.arrived + WaitAllowed(policy, 1), request.deadline);
 }
 
@@ -644,7 +676,7 @@
 }
 
 void RankQueue::Impl::GiveUpExcess(RankState* rank, absl::Time now) {
-  if (!rate_.Known(now)) {
+  if (IsFirstCome() || !rate_.Known(now)) {
     return;
   }
   const absl::Duration allowed = WaitAllowed(rank->policy, LateShare());
--- a/hawthornhollow/scheduling/scheduling.h
+++ b/hawthornhollow/scheduling/scheduling.h
@@ -26,6 +26,21 @@
 
 namespace hawthornhollow {
 
+// ---------------------------------------------------------------------------
+// Policy
+
+// How requests are ordered and placed. All but kRanks are plain baselines, for
+// comparison only.
+enum class SchedulingPolicy {
+  kRanks,        // as described below
+  kFifo,         // one queue in order of arrival; servers by free slots
+  kLeastLoaded,  // no queue: the server with the fewest requests from here
+  kRandom,       // no queue: any server
+};
+
+// "ranks", "fifo", "least_loaded" or "random"; nullopt for other names.
+std::optional<SchedulingPolicy> SchedulingPolicyNamed(std::string_view name);
+
 // ---------------------------------------------------------------------------
 // Queueing by rank, with floors, fair within a rank
 
@@ -38,6 +53,7 @@
 };
 
 struct RankQueueOptions {
+  SchedulingPolicy policy = SchedulingPolicy::kRanks;
   std::vector<RankPolicy> ranks;
   // Window over which floors are accounted.
   absl::Duration floor_window = absl::Seconds(2);
@@ -133,6 +149,7 @@
 };
 
 struct ServerChooserOptions {
+  SchedulingPolicy policy = SchedulingPolicy::kRanks;
   // A favoured server is passed over when its in-flight count is above this
   // many times the mean.
   double bounded_load = 1.25;
@@ -210,6 +227,7 @@
   };
   using Servers = std::map<std::string, State, std::less<>>;
 
+  bool IgnoresSlots() const;
   bool IsUsable(const State& state) const;
   bool IsRamping(const State& state, absl::Time now) const;
   bool AnySettled(absl::Time now) const;
@@ -225,6 +243,8 @@
   Servers::iterator LeastLoaded(
       const std::vector<Servers::iterator>& candidates,
       absl::Time now);
+  Servers::iterator ChooseByBaseline(
+      const std::vector<Servers::iterator>& candidates);
   double MedianFirstToken() const;
   bool IsSick(const State& state) const;
   void EjectIfSick(State& state, absl::Time now);
--- a/hawthornhollow/scheduling/server_chooser.cc
+++ b/hawthornhollow/scheduling/server_chooser.cc
@@ -145,6 +145,11 @@
 // ---------------------------------------------------------------------------
 // Slots and load
 
+bool ServerChooser::IgnoresSlots() const {
+  return options_.policy == SchedulingPolicy::kLeastLoaded ||
+         options_.policy == SchedulingPolicy::kRandom;
+}
+
 bool ServerChooser::IsUsable(const State& state) const {
   return state.view.connected && !state.view.leaving && state.view.slots > 0;
 }
@@ -197,6 +202,9 @@
 double ServerChooser::RoomOf(const State& state,
                              bool ramps,
                              absl::Time now) const {
+  if (IgnoresSlots()) {
+    return IsUsable(state) ? 1 : 0;
+  }
   const double slots = SlotsOf(state, ramps, now);
   const double own = std::max(1.0, std::floor(options_.own_share * slots));
   const auto in_flight = static_cast<double>(state.in_flight);
@@ -245,7 +253,9 @@
     return std::nullopt;
   }
   auto chosen = servers_.end();
-  if (!affinity.empty()) {
+  if (IgnoresSlots()) {
+    chosen = ChooseByBaseline(candidates);
+  } else if (!affinity.empty()) {
     chosen = Favoured(affinity, candidates, now);
   }
   if (chosen == servers_.end()) {
@@ -314,6 +324,21 @@
   return candidates[second_weight < first_weight ? second : first];
 }
 
+ServerChooser::Servers::iterator ServerChooser::ChooseByBaseline(
+    const std::vector<Servers::iterator>& candidates) {
+  const size_t first = random_() % candidates.size();
+  if (options_.policy == SchedulingPolicy::kRandom) {
+    return candidates[first];
+  }
+  auto best = candidates[first];
+  for (auto candidate : candidates) {
+    if (candidate->second.in_flight < best->second.in_flight) {
+      best = candidate;
+    }
+  }
+  return best;
+}
+
 // ---------------------------------------------------------------------------
 // Outcomes and ejection
 
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -202,6 +202,8 @@
   settings["peers"] = std::move(peers);
   settings["log_service"] = log().ToString();
   settings["vm_list"] = vms().ToString();
+  if (!options_.router_policy.empty())
+    settings["policy"] = options_.router_policy;
   return json::serialize(settings);
 }
 
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -33,6 +33,8 @@
   size_t services = 1;
   int64_t slots = 16;
   int64_t budget_tokens = 1'000'000;
+  // The routers' scheduling (RouterSettings::policy); empty: the default.
+  std::string router_policy;
   std::vector<std::string> log_flags;
   std::vector<std::string> engine_flags = {"--token-ms", "5",
                                            "--prefill-ms-per-1k", "20"};
