--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -157,7 +157,7 @@
     scheduler_.SetConnected(server, connected);
   };
   events.on_load = [this](const std::string& server, const fb::LoadT& load) {
-    scheduler_.OnLoad(server, load.running, load.leaving);
+    scheduler_.OnLoad(server, load.running + load.waiting, load.leaving);
   };
   return events;
 }
--- a/hawthornhollow/router/scheduler.cc
+++ b/hawthornhollow/router/scheduler.cc
@@ -212,9 +212,12 @@
 }
 
 void Scheduler::Pump(Pool& pool, absl::Time now) {
-  while (pool.chooser.HasRoom(now)) {
-    auto request =
-        pool.queue.Take(now, pool.chooser.FreeSlots(now), pool.slots);
+  while (true) {
+    SlotCounts slots{pool.chooser.FreeSlots(now), pool.chooser.IdleSlots(now),
+                     pool.slots};
+    if (slots.claimable <= 0 && slots.idle <= 0)
+      return;
+    auto request = pool.queue.Take(now, slots);
     if (!request)
       return;
     auto found = pool.tickets.find(request->id);
--- a/hawthornhollow/scheduling/flood_test.cc
+++ b/hawthornhollow/scheduling/flood_test.cc
@@ -87,7 +87,7 @@
     if (free == 0) {
       return std::nullopt;
     }
-    auto request = queue_.Take(now, free, kServers * kSlots);
+    auto request = queue_.Take(now, {free, free, kServers * kSlots});
     if (!request.has_value()) {
       return std::nullopt;
     }
--- a/hawthornhollow/scheduling/rank_queue.cc
+++ b/hawthornhollow/scheduling/rank_queue.cc
@@ -63,9 +63,7 @@
   }
 
   std::optional<Refusal> Offer(QueuedRequest request, absl::Time now);
-  std::optional<QueuedRequest> Take(absl::Time now,
-                                    int64_t free_slots,
-                                    int64_t slots);
+  std::optional<QueuedRequest> Take(absl::Time now, const SlotCounts& slots);
   void PutBack(QueuedRequest request);
   bool Remove(uint64_t id);
   std::vector<Refusal> Expire(absl::Time now);
@@ -88,7 +86,10 @@
 
   // Ranks.
   RankState* FindRank(std::string_view name) const;
-  RankState* RankToServe(absl::Time now, int64_t free_slots, int64_t slots);
+  RankState* RankToServe(absl::Time now, const SlotCounts& slots);
+  bool HasRoomFor(const RankState& rank,
+                  absl::Time now,
+                  const SlotCounts& slots) const;
   RankState* RankBelowFloor(absl::Time now) const;
   double FloorRatio(const RankState& rank, absl::Time now) const;
   CallerFlow* FlowToServe(const RankState& rank, absl::Time now) const;
@@ -205,13 +206,12 @@
 }
 
 std::optional<QueuedRequest> RankQueue::Impl::Take(absl::Time now,
-                                                   int64_t free_slots,
-                                                   int64_t slots) {
+                                                   const SlotCounts& slots) {
   Advance(now);
   for (const auto& rank : ranks_) {
     GiveUpOverdue(rank.get(), now);
   }
-  RankState* rank = RankToServe(now, free_slots, slots);
+  RankState* rank = RankToServe(now, slots);
   if (rank == nullptr) {
     return std::nullopt;
   }
@@ -346,21 +346,30 @@
 }
 
 RankState* RankQueue::Impl::RankToServe(absl::Time now,
-                                        int64_t free_slots,
-                                        int64_t slots) {
-  if (RankState* below = RankBelowFloor(now)) {
-    return below;
+                                        const SlotCounts& slots) {
+  if (slots.claimable > 0) {
+    if (RankState* below = RankBelowFloor(now)) {
+      return below;
+    }
   }
   for (const auto& rank : ranks_) {
-    if (rank->tokens == 0) {
-      continue;
+    if (rank->tokens > 0) {
+      return HasRoomFor(*rank, now, slots) ? rank.get() : nullptr;
     }
-    const bool spare = free_slots > ReservedSlots(*rank, now, slots);
-    return spare ? rank.get() : nullptr;
   }
   return nullptr;
 }
 
+bool RankQueue::Impl::HasRoomFor(const RankState& rank,
+                                 absl::Time now,
+                                 const SlotCounts& slots) const {
+  if (&rank == ranks_.front().get()) {
+    return slots.claimable > 0 || slots.idle > 0;
+  }
+  const int64_t reserved = ReservedSlots(rank, now, slots.all);
+  return slots.claimable > 0 && (reserved == 0 || slots.idle > reserved);
+}
+
 RankState* RankQueue::Impl::RankBelowFloor(absl::Time now) const {
   RankState* lowest = nullptr;
   double lowest_ratio = 1;
@@ -717,13 +726,12 @@
 }
 
 std::optional<QueuedRequest> RankQueue::Take(absl::Time now) {
-  return impl_->Take(now, /*free_slots=*/1, /*slots=*/1);
+  return impl_->Take(now, {.claimable = 1, .idle = 1, .all = 1});
 }
 
 std::optional<QueuedRequest> RankQueue::Take(absl::Time now,
-                                             int64_t free_slots,
-                                             int64_t slots) {
-  return impl_->Take(now, free_slots, slots);
+                                             const SlotCounts& slots) {
+  return impl_->Take(now, slots);
 }
 
 void RankQueue::PutBack(const QueuedRequest& request) {
--- a/hawthornhollow/scheduling/rank_queue_test.cc
+++ b/hawthornhollow/scheduling/rank_queue_test.cc
@@ -257,10 +257,10 @@
     queue_.Take(now_);
   }
   Offer("can-wait");
-  EXPECT_FALSE(queue_.Take(now_, 1, 100).has_value());
-  EXPECT_TRUE(queue_.Take(now_, 20, 100).has_value());
+  EXPECT_FALSE(queue_.Take(now_, {1, 1, 100}).has_value());
+  EXPECT_TRUE(queue_.Take(now_, {20, 20, 100}).has_value());
   Offer("urgent");
-  EXPECT_TRUE(queue_.Take(now_, 1, 100).has_value());
+  EXPECT_TRUE(queue_.Take(now_, {1, 1, 100}).has_value());
 }
 
 TEST_F(RankQueueTest, RandomOperations_EachRequestEndsOnce) {
--- a/hawthornhollow/scheduling/scheduling.h
+++ b/hawthornhollow/scheduling/scheduling.h
@@ -87,6 +87,14 @@
   friend bool operator==(const Refusal&, const Refusal&) = default;
 };
 
+// The room for requests on the servers, as this router knows it.
+struct SlotCounts {
+  int64_t claimable = 0;  // free slots that this router may take now
+  int64_t idle = 0;       // free slots by the last reports, of all routers
+  int64_t all = 0;
+  friend bool operator==(const SlotCounts&, const SlotCounts&) = default;
+};
+
 // The waiting requests of one model or service. Ranks in order, each with its
 // floor; within a rank deficit round robin over members, and within a member
 // over callers, in tokens. Ids are unique among the waiting requests. Call
@@ -105,11 +113,10 @@
   std::optional<Refusal> Offer(const QueuedRequest& request, absl::Time now);
   // The next request to dispatch; the caller has room for one.
   std::optional<QueuedRequest> Take(absl::Time now);
-  // As above, when `free_slots` of `slots` are free: a few of them are kept for
-  // ranks that go first, if these have been seen of late.
-  std::optional<QueuedRequest> Take(absl::Time now,
-                                    int64_t free_slots,
-                                    int64_t slots);
+  // As above, with what is known of the slots: a few idle ones are kept for
+  // ranks that go first, if these have been seen of late. The first rank may
+  // take an idle slot that is not claimable.
+  std::optional<QueuedRequest> Take(absl::Time now, const SlotCounts& slots);
   // Puts back a request that could not be dispatched, at the head of its flow.
   void PutBack(const QueuedRequest& request);
   // Takes out a request whose caller has gone. False if it is not here.
@@ -190,7 +197,8 @@
   void SetRouters(int64_t routers);
 
   // The server for a request with this affinity key (empty: none), leaving out
-  // those in `avoid`; nullopt if none has room. Counts it as in flight.
+  // those in `avoid`; nullopt if none has room. Counts it as in flight. Servers
+  // with an idle slot go first; if none is claimable, any idle one is taken.
   std::optional<std::string> Choose(std::string_view affinity,
                                     const std::set<std::string>& avoid,
                                     absl::Time now);
@@ -206,16 +214,19 @@
   bool IsEjected(std::string_view server, absl::Time now) const;
   // Slots of servers that may be used, less what is in flight.
   int64_t FreeSlots(absl::Time now) const;
+  // Slots that are free by the last reports and what is in flight from here.
+  int64_t IdleSlots(absl::Time now) const;
 
  private:
   struct State {
     ServerView view;
     int64_t in_flight = 0;
-    double others = 0;  // in flight from other routers, as of the last report
-    double first_token_s = 0;  // smoothed
-    double failures = 0;       // share of recent requests, smoothed
-    int64_t first_tokens = 0;  // samples
-    int64_t outcomes = 0;      // samples
+    double others = 0;  // in flight from other routers, smoothed over reports
+    int64_t others_reported = 0;  // the same, by the last report
+    double first_token_s = 0;     // smoothed
+    double failures = 0;          // share of recent requests, smoothed
+    int64_t first_tokens = 0;     // samples
+    int64_t outcomes = 0;         // samples
     absl::Time first_token_at = absl::InfinitePast();
     absl::Time outcome_at = absl::InfinitePast();
     absl::Time reported_at = absl::InfinitePast();
@@ -235,6 +246,9 @@
   double OthersOf(const State& state, absl::Time now) const;
   double RoomOf(const State& state, bool ramps, absl::Time now) const;
   int64_t ClaimAfterReport(const State& state);
+  int64_t IdleOf(const State& state, bool ramps, absl::Time now) const;
+  std::vector<Servers::iterator> Candidates(const std::set<std::string>& avoid,
+                                            absl::Time now);
   double LoadOf(const State& state, absl::Time now) const;
   double Weight(const State& state, absl::Time now) const;
   Servers::iterator Favoured(std::string_view affinity,
--- a/hawthornhollow/scheduling/server_chooser.cc
+++ b/hawthornhollow/scheduling/server_chooser.cc
@@ -83,6 +83,7 @@
   state.view.reported_running = running;
   const auto sample =
       static_cast<double>(std::max<int64_t>(0, running - state.in_flight));
+  state.others_reported = std::max<int64_t>(0, running - state.in_flight);
   const double before = OthersOf(state, now);
   state.others = before + kReportWeight * (sample - before);
   state.reported_at = now;
@@ -226,6 +227,27 @@
   return static_cast<int64_t>(free);
 }
 
+// A report that has grown old counts for nothing: the router then has only its
+// claim.
+int64_t ServerChooser::IdleOf(const State& state,
+                              bool ramps,
+                              absl::Time now) const {
+  if (IgnoresSlots() || now - state.reported_at >= options_.half_life) {
+    return static_cast<int64_t>(RoomOf(state, ramps, now));
+  }
+  const auto slots = static_cast<int64_t>(SlotsOf(state, ramps, now));
+  return std::max<int64_t>(0, slots - state.in_flight - state.others_reported);
+}
+
+int64_t ServerChooser::IdleSlots(absl::Time now) const {
+  const bool ramps = AnySettled(now);
+  int64_t idle = 0;
+  for (const auto& [name, state] : servers_) {
+    idle += IdleOf(state, ramps, now);
+  }
+  return idle;
+}
+
 bool ServerChooser::HasRoom(absl::Time now) const {
   return FreeSlots(now) > 0;
 }
@@ -238,17 +260,39 @@
 // ---------------------------------------------------------------------------
 // Choice
 
-std::optional<std::string> ServerChooser::Choose(
-    std::string_view affinity,
+// Servers that are claimable and idle; without any, those that are either.
+std::vector<ServerChooser::Servers::iterator> ServerChooser::Candidates(
     const std::set<std::string>& avoid,
     absl::Time now) {
   const bool ramps = AnySettled(now);
-  std::vector<Servers::iterator> candidates;
+  std::vector<Servers::iterator> both;
+  std::vector<Servers::iterator> claimable;
+  std::vector<Servers::iterator> idle;
   for (auto it = servers_.begin(); it != servers_.end(); ++it) {
-    if (RoomOf(it->second, ramps, now) >= 1 && !avoid.contains(it->first)) {
-      candidates.push_back(it);
+    if (avoid.contains(it->first)) {
+      continue;
+    }
+    const bool has_room = RoomOf(it->second, ramps, now) >= 1;
+    const bool is_idle = IdleOf(it->second, ramps, now) >= 1;
+    if (has_room && is_idle) {
+      both.push_back(it);
+    } else if (has_room) {
+      claimable.push_back(it);
+    } else if (is_idle) {
+      idle.push_back(it);
     }
   }
+  if (!both.empty()) {
+    return both;
+  }
+  return idle.empty() ? claimable : idle;
+}
+
+std::optional<std::string> ServerChooser::Choose(
+    std::string_view affinity,
+    const std::set<std::string>& avoid,
+    absl::Time now) {
+  const std::vector<Servers::iterator> candidates = Candidates(avoid, now);
   if (candidates.empty()) {
     return std::nullopt;
   }
--- a/tools/load/experiment.cc
+++ b/tools/load/experiment.cc
@@ -106,8 +106,7 @@
   if (!fleet.ok())
     return fleet.status();
   absl::SleepFor(kSettle);
-  auto traffic =
-      Traffic::Create(scenario, TargetsOf(**fleet, scenario.fleet));
+  auto traffic = Traffic::Create(scenario, TargetsOf(**fleet, scenario.fleet));
   if (!traffic.ok())
     return traffic.status();
   double cpu_before = RouterCpuSeconds(**fleet, scenario.fleet);
--- a/tools/load/load_test.cc
+++ b/tools/load/load_test.cc
@@ -56,7 +56,9 @@
         BadScenario{
             R"({"name":"x","streams":[{"name":"s","per_second":1,"rank":"r"}]})",
             "streams[0].rank: names no rank"},
-        BadScenario{R"({"name":"x","sconds":3})", "sconds: is not known"},
+        BadScenario{R"({"name":"x","sconds":3,
+                "streams":[{"name":"s","per_second":1}]})",
+                    "sconds: is not known"},
         BadScenario{R"({"name":"x","seconds":1000})",
                     "seconds: must be a number from 1 to 120"},
         BadScenario{
@@ -120,9 +122,9 @@
       {"late", "urgent", "first_token_p50_ms", "", "can-wait", 0, 0.5},
       {"late", "urgent", "first_token_p50_ms", "", "can-wait", 0, 0.1},
       {"late", "urgent", "no_such_figure", "", "", 0, 0}};
-  std::vector<Summary> summaries = Summarize(
-      scenario, {{0, 3, Outcome::kAnswered, 200, 100, 500, 20, 1},
-                 {1, 3, Outcome::kAnswered, 200, 400, 800, 20, 1}});
+  std::vector<Summary> summaries =
+      Summarize(scenario, {{0, 3, Outcome::kAnswered, 200, 100, 500, 20, 1},
+                           {1, 3, Outcome::kAnswered, 200, 400, 800, 20, 1}});
   auto checks = Check(scenario, summaries);
   EXPECT_DOUBLE_EQ(checks[0].value, 0.25);
   EXPECT_TRUE(checks[0].met);
--- a/tools/load/report.cc
+++ b/tools/load/report.cc
@@ -53,11 +53,11 @@
 }
 
 double RequestsPerCpuSecond(const RunResult& result) {
-  int64_t routed = std::count_if(
-      result.records.begin(), result.records.end(),
-      [&](const RequestRecord& record) {
-        return !result.scenario.streams[record.stream].direct;
-      });
+  int64_t routed =
+      std::count_if(result.records.begin(), result.records.end(),
+                    [&](const RequestRecord& record) {
+                      return !result.scenario.streams[record.stream].direct;
+                    });
   return result.router_cpu_s > 0
              ? static_cast<double>(routed) / result.router_cpu_s
              : 0;
@@ -132,9 +132,10 @@
                  double y,
                  const std::string& anchor,
                  const std::string& text) {
-  return absl::StrFormat("<text x=\"%.0f\" y=\"%.0f\" text-anchor=\"%s\">%s"
-                         "</text>\n",
-                         x, y, anchor, text);
+  return absl::StrFormat(
+      "<text x=\"%.0f\" y=\"%.0f\" text-anchor=\"%s\">%s"
+      "</text>\n",
+      x, y, anchor, text);
 }
 
 std::string Polyline(const Line& line,
@@ -165,13 +166,12 @@
                         "<rect x=\"%.0f\" y=\"%.0f\" width=\"%.0f\" "
                         "height=\"%.0f\" fill=\"none\" stroke=\"#999\"/>\n",
                         kLeft, top, kWidth, kHeight);
-  absl::StrAppend(&svg,
-                  Text(kLeft - 6, top + 10, "end",
-                       absl::StrFormat("%.0f", highest)),
-                  Text(kLeft - 6, top + kHeight, "end", "0"),
-                  Text(kLeft, top + kHeight + 16, "start", "0 s"),
-                  Text(kLeft + kWidth, top + kHeight + 16, "end",
-                       absl::StrFormat("%.0f s", scenario.seconds)));
+  absl::StrAppend(
+      &svg, Text(kLeft - 6, top + 10, "end", absl::StrFormat("%.0f", highest)),
+      Text(kLeft - 6, top + kHeight, "end", "0"),
+      Text(kLeft, top + kHeight + 16, "start", "0 s"),
+      Text(kLeft + kWidth, top + kHeight + 16, "end",
+           absl::StrFormat("%.0f s", scenario.seconds)));
   for (const FaultEvent& event : scenario.events) {
     double x = kLeft + kWidth * event.at_s / scenario.seconds;
     absl::StrAppendFormat(&svg,
@@ -289,9 +289,9 @@
       "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"820\" "
       "height=\"900\" font-family=\"sans-serif\" font-size=\"12\">\n"
       "<rect width=\"820\" height=\"900\" fill=\"white\"/>\n");
-  absl::StrAppend(&svg, Text(kLeft, 20, "start",
-                             absl::StrCat(scenario.name, ", policy ",
-                                          result.policy)),
+  absl::StrAppend(&svg,
+                  Text(kLeft, 20, "start",
+                       absl::StrCat(scenario.name, ", policy ", result.policy)),
                   Legend(scenario));
   svg += Plot(scenario, "First token, median, ms",
               LinesOf(result, quantile(0.5)), 0);
--- a/tools/load/scenario.cc
+++ b/tools/load/scenario.cc
@@ -20,9 +20,9 @@
 constexpr int64_t kMaxTokens = 10'000;
 constexpr int64_t kMaxPromptChars = 100'000;
 const char* const kActions[] = {
-    "kill_router",   "term_router",  "stop_router",   "continue_router",
-    "start_router",  "kill_server",  "slow_engine",   "freeze_engine",
-    "outage_engine", "cut_domain",   "restore_domain"};
+    "kill_router",   "term_router", "stop_router",   "continue_router",
+    "start_router",  "kill_server", "slow_engine",   "freeze_engine",
+    "outage_engine", "cut_domain",  "restore_domain"};
 
 // Reads one object's fields and notes the first fault.
 class Reader {
@@ -52,9 +52,8 @@
                   int64_t fallback,
                   int64_t min,
                   int64_t max) {
-    double number =
-        Number(field, static_cast<double>(fallback), static_cast<double>(min),
-               static_cast<double>(max));
+    double number = Number(field, static_cast<double>(fallback),
+                           static_cast<double>(min), static_cast<double>(max));
     return static_cast<int64_t>(number);
   }
 
@@ -199,7 +198,8 @@
 }
 
 std::vector<RankShape> DefaultRanks() {
-  return {{"urgent", 1800, 0}, {"middling", 4000, 0.1}, {"can-wait", 10000, 0.05}};
+  return {
+      {"urgent", 1800, 0}, {"middling", 4000, 0.1}, {"can-wait", 10000, 0.05}};
 }
 
 void ReadAll(Reader& reader, const std::string& file, Scenario* scenario) {
--- a/tools/load/statistics.cc
+++ b/tools/load/statistics.cc
@@ -58,9 +58,9 @@
 
   Summary Finish(double seconds) {
     auto share = [](int64_t part, int64_t whole) {
-      return whole == 0 ? 1.0
-                        : static_cast<double>(part) /
-                              static_cast<double>(whole);
+      return whole == 0
+                 ? 1.0
+                 : static_cast<double>(part) / static_cast<double>(whole);
     };
     sum_.attained = share(in_target_, sum_.offered);
     sum_.attained_answers = share(in_target_, sum_.answered);
@@ -85,8 +85,8 @@
     ++sum_.answered;
     first_tokens_.push_back(record.first_token_ms);
     totals_.push_back(record.total_ms);
-    auto target = static_cast<double>(
-        scenario_.FindRank(stream.rank)->target_ms);
+    auto target =
+        static_cast<double>(scenario_.FindRank(stream.rank)->target_ms);
     if (record.first_token_ms <= target) {
       ++in_target_;
       callers_[stream.caller] += 1;
@@ -190,12 +190,11 @@
     check.value = figure(expectation.phase, expectation.subject);
     bool known = check.value >= 0;
     if (!expectation.over_phase.empty() || !expectation.over_subject.empty()) {
-      double base = figure(expectation.over_phase.empty()
-                               ? expectation.phase
-                               : expectation.over_phase,
-                           expectation.over_subject.empty()
-                               ? expectation.subject
-                               : expectation.over_subject);
+      double base =
+          figure(expectation.over_phase.empty() ? expectation.phase
+                                                : expectation.over_phase,
+                 expectation.over_subject.empty() ? expectation.subject
+                                                  : expectation.over_subject);
       known = known && base > 0;
       check.value = known ? check.value / base : -1;
     }
--- a/tools/load/traffic.cc
+++ b/tools/load/traffic.cc
@@ -56,10 +56,9 @@
          at += gap(random))
       arrivals.push_back({i, at});
   }
-  std::stable_sort(arrivals.begin(), arrivals.end(),
-                   [](const Arrival& a, const Arrival& b) {
-                     return a.at_s < b.at_s;
-                   });
+  std::stable_sort(
+      arrivals.begin(), arrivals.end(),
+      [](const Arrival& a, const Arrival& b) { return a.at_s < b.at_s; });
   return arrivals;
 }
 
@@ -175,8 +174,8 @@
       hawthornhollow::SleepFor(kAttemptPause);
     ++record.attempts;
     Attempt(arrival, number, &record);
-  } while (record.outcome == Outcome::kLost &&
-           record.attempts < kMaxAttempts && absl::Now() < give_up);
+  } while (record.outcome == Outcome::kLost && record.attempts < kMaxAttempts &&
+           absl::Now() < give_up);
   record.total_ms = Milliseconds(absl::Now() - arrived);
   ++finished_;
 }
