--- a/hawthornhollow/router/scheduler.cc
+++ b/hawthornhollow/router/scheduler.cc
@@ -224,7 +224,11 @@
     if (found == pool.tickets.end())
       continue;
     const Ticket& ticket = *found->second;
-    auto server = pool.chooser.Choose(ticket.affinity, ticket.avoid, now);
+    ChoiceScope scope = pool.queue.IsFirstRank(request->rank)
+                            ? ChoiceScope::kAnyIdle
+                            : ChoiceScope::kClaimable;
+    auto server =
+        pool.chooser.Choose(ticket.affinity, ticket.avoid, now, scope);
     if (!server) {
       pool.queue.PutBack(*request);
       return;
--- a/hawthornhollow/scheduling/rank_queue.cc
+++ b/hawthornhollow/scheduling/rank_queue.cc
@@ -53,6 +53,9 @@
 constexpr double kReserveMiss = 0.02;
 constexpr double kMaxReserveShare = 0.05;
 constexpr double kMaxReserveLoad = 0.9;
+// How long the first rank waits for a slot that is idle by the reports before
+// it takes one that is only claimable.
+constexpr absl::Duration kIdleWait = absl::Milliseconds(60);
 
 }  // namespace
 
@@ -71,6 +74,9 @@
   void OnFirstToken(absl::Duration took);
   void SetRanks(const std::vector<RankPolicy>& ranks);
 
+  bool IsFirstRank(std::string_view rank) const {
+    return FindRank(rank) == ranks_.front().get();
+  }
   size_t waiting() const { return flow_by_id_.size(); }
   int64_t WaitingTokens(std::string_view rank) const;
   absl::Duration PredictedWait(std::string_view rank, absl::Time now) const;
@@ -364,7 +370,8 @@
                                  absl::Time now,
                                  const SlotCounts& slots) const {
   if (&rank == ranks_.front().get()) {
-    return slots.claimable > 0 || slots.idle > 0;
+    const absl::Duration waited = now - rank.arrivals.begin()->first;
+    return slots.idle > 0 || (slots.claimable > 0 && waited >= kIdleWait);
   }
   const int64_t reserved = ReservedSlots(rank, now, slots.all);
   return slots.claimable > 0 && (reserved == 0 || slots.idle > reserved);
@@ -734,6 +741,10 @@
   return impl_->Take(now, slots);
 }
 
+bool RankQueue::IsFirstRank(std::string_view rank) const {
+  return impl_->IsFirstRank(rank);
+}
+
 void RankQueue::PutBack(const QueuedRequest& request) {
   impl_->PutBack(request);
 }
--- a/hawthornhollow/scheduling/scheduling.h
+++ b/hawthornhollow/scheduling/scheduling.h
@@ -113,10 +113,12 @@
   std::optional<Refusal> Offer(const QueuedRequest& request, absl::Time now);
   // The next request to dispatch; the caller has room for one.
   std::optional<QueuedRequest> Take(absl::Time now);
-  // As above, with what is known of the slots: a few idle ones are kept for
-  // ranks that go first, if these have been seen of late. The first rank may
-  // take an idle slot that is not claimable.
+  // As above, with what is known of the slots. A few idle ones are kept for
+  // ranks that go first, if these have been seen of late. The first rank takes
+  // any idle slot, and one that is only claimable after a short wait.
   std::optional<QueuedRequest> Take(absl::Time now, const SlotCounts& slots);
+  // Whether requests of this rank are served before all others.
+  bool IsFirstRank(std::string_view rank) const;
   // Puts back a request that could not be dispatched, at the head of its flow.
   void PutBack(const QueuedRequest& request);
   // Takes out a request whose caller has gone. False if it is not here.
@@ -181,6 +183,8 @@
   uint64_t seed = 0;
 };
 
+enum class ChoiceScope { kClaimable, kAnyIdle };
+
 // Chooses among the servers of one model or service. In-flight counts are this
 // router's own; reports of the whole load correct them.
 class ServerChooser {
@@ -198,10 +202,13 @@
 
   // The server for a request with this affinity key (empty: none), leaving out
   // those in `avoid`; nullopt if none has room. Counts it as in flight. Servers
-  // with an idle slot go first; if none is claimable, any idle one is taken.
-  std::optional<std::string> Choose(std::string_view affinity,
-                                    const std::set<std::string>& avoid,
-                                    absl::Time now);
+  // with an idle slot go first. With kAnyIdle an idle slot need not be
+  // claimable.
+  std::optional<std::string> Choose(
+      std::string_view affinity,
+      const std::set<std::string>& avoid,
+      absl::Time now,
+      ChoiceScope scope = ChoiceScope::kClaimable);
   // Whether Choose would find one.
   bool HasRoom(absl::Time now) const;
   // Ends what Choose began.
@@ -248,7 +255,8 @@
   int64_t ClaimAfterReport(const State& state);
   int64_t IdleOf(const State& state, bool ramps, absl::Time now) const;
   std::vector<Servers::iterator> Candidates(const std::set<std::string>& avoid,
-                                            absl::Time now);
+                                            absl::Time now,
+                                            ChoiceScope scope);
   double LoadOf(const State& state, absl::Time now) const;
   double Weight(const State& state, absl::Time now) const;
   Servers::iterator Favoured(std::string_view affinity,
--- a/hawthornhollow/scheduling/server_chooser.cc
+++ b/hawthornhollow/scheduling/server_chooser.cc
@@ -260,10 +260,12 @@
 // ---------------------------------------------------------------------------
 // Choice
 
-// Servers that are claimable and idle; without any, those that are either.
+// Servers that are claimable and idle; without any, those that are idle, if the
+// scope allows it, or else claimable.
 std::vector<ServerChooser::Servers::iterator> ServerChooser::Candidates(
     const std::set<std::string>& avoid,
-    absl::Time now) {
+    absl::Time now,
+    ChoiceScope scope) {
   const bool ramps = AnySettled(now);
   std::vector<Servers::iterator> both;
   std::vector<Servers::iterator> claimable;
@@ -278,7 +280,7 @@
       both.push_back(it);
     } else if (has_room) {
       claimable.push_back(it);
-    } else if (is_idle) {
+    } else if (is_idle && scope == ChoiceScope::kAnyIdle) {
       idle.push_back(it);
     }
   }
@@ -291,8 +293,10 @@
 std::optional<std::string> ServerChooser::Choose(
     std::string_view affinity,
     const std::set<std::string>& avoid,
-    absl::Time now) {
-  const std::vector<Servers::iterator> candidates = Candidates(avoid, now);
+    absl::Time now,
+    ChoiceScope scope) {
+  const std::vector<Servers::iterator> candidates =
+      Candidates(avoid, now, scope);
   if (candidates.empty()) {
     return std::nullopt;
   }
