--- a/hawthornhollow/gate/gate_book.cc
+++ b/hawthornhollow/gate/gate_book.cc
@@ -713,6 +713,15 @@
   entries_.erase(request);
 }
 
+fb::LoadT GateBook::Load(std::string_view router) const {
+  fb::LoadT load = Load();
+  load.from_receiver = static_cast<int32_t>(
+      std::count_if(running_.begin(), running_.end(), [&](const auto& entry) {
+        return entry.second->dispatch.router == router;
+      }));
+  return load;
+}
+
 fb::LoadT GateBook::Load() const {
   fb::LoadT load;
   load.running = static_cast<int32_t>(std::min(running(), options_.slots));
--- a/hawthornhollow/gate/gate_book.h
+++ b/hawthornhollow/gate/gate_book.h
@@ -154,6 +154,8 @@
   void OnBilled(const DueBill& bill);
   void OnBillFailed(const DueBill& bill);
 
+  // The load, as told to the router of this incarnation.
+  fb::LoadT Load(std::string_view router) const;
   fb::LoadT Load() const;
   int64_t running() const { return static_cast<int64_t>(running_.size()); }
   int64_t kept_bytes() const { return kept_bytes_; }
--- a/hawthornhollow/gate/router_links.cc
+++ b/hawthornhollow/gate/router_links.cc
@@ -50,6 +50,7 @@
   events.on_end = [this](int64_t run, const RunEnd& end) {
     Lock lock(mutex_);
     Perform(book_.OnEnd(run, end, absl::Now()));
+    BroadcastIfChanged();
   };
   return events;
 }
@@ -135,7 +136,11 @@
   hello.server = identity_.server;
   hello.protocol = kFrameProtocol;
   SendTo(id, MakeFrame(std::move(hello)));
-  fb::LoadT load = book_.Load();
+  SendLoad(id);
+}
+
+void RouterLinks::SendLoad(int64_t id) {
+  fb::LoadT load = book_.Load(links_.at(id).router);
   load.kv_used = static_cast<float>(kv_used_);
   SendTo(id, MakeFrame(std::move(load)));
 }
@@ -157,6 +162,7 @@
                                  const fb::FrameT& frame) {
   if (const fb::DispatchT* dispatch = frame.body.AsDispatch()) {
     Perform(book_.OnDispatch(link, *dispatch, absl::Now()));
+    BroadcastIfChanged();
   } else if (const fb::AttachT* attach = frame.body.AsAttach()) {
     Perform(book_.OnAttach(link, *attach));
   } else if (const fb::CancelT* cancel = frame.body.AsCancel()) {
@@ -250,15 +256,18 @@
   }
 }
 
+void RouterLinks::BroadcastIfChanged() {
+  if (!sent_load_.has_value() || *sent_load_ != book_.Load()) {
+    BroadcastLoad(absl::Now());
+  }
+}
+
 void RouterLinks::BroadcastLoad(absl::Time now) {
-  fb::LoadT load = book_.Load();
-  sent_load_ = load;
+  sent_load_ = book_.Load();
   load_sent_at_ = now;
-  load.kv_used = static_cast<float>(kv_used_);
-  const fb::FrameT frame = MakeFrame(std::move(load));
   for (const auto& [id, link] : links_) {
     if (ready_ && !link.router.empty()) {
-      SendTo(id, frame);
+      SendLoad(id);
     }
   }
 }
--- a/hawthornhollow/gate/router_links.h
+++ b/hawthornhollow/gate/router_links.h
@@ -88,6 +88,8 @@
   void SendTo(int64_t id, const fb::FrameT& frame);
   void SealLocked(const std::string& router);
   void Perform(GateActions actions);
+  void SendLoad(int64_t id);
+  void BroadcastIfChanged();
   void BroadcastLoad(absl::Time now);
   RunEvents MakeRunEvents();
 
--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -157,7 +157,9 @@
     scheduler_.SetConnected(server, connected);
   };
   events.on_load = [this](const std::string& server, const fb::LoadT& load) {
-    scheduler_.OnLoad(server, load.running + load.waiting, load.leaving);
+    scheduler_.OnLoad(server, {.running = load.running + load.waiting,
+                               .from_here = load.from_receiver,
+                               .leaving = load.leaving});
   };
   return events;
 }
--- a/hawthornhollow/router/scheduler.cc
+++ b/hawthornhollow/router/scheduler.cc
@@ -156,17 +156,15 @@
   Pump(*pool, absl::Now());
 }
 
-void Scheduler::OnLoad(const std::string& server,
-                       int64_t running,
-                       bool leaving) {
+void Scheduler::OnLoad(const std::string& server, const ServerLoad& load) {
   auto pool = PoolOfServer(server);
   if (!pool)
     return;
   std::lock_guard lock(pool->mutex);
-  pool->chooser.OnReport(server, running, absl::Now());
+  pool->chooser.OnReport(server, load.running, absl::Now(), load.from_here);
   bool was_marked =
       pool->views[server].leaving || pool->leaving_vms.contains(server);
-  pool->chooser.SetLeaving(server, leaving || was_marked);
+  pool->chooser.SetLeaving(server, load.leaving || was_marked);
   Pump(*pool, absl::Now());
 }
 
--- a/hawthornhollow/router/scheduler.h
+++ b/hawthornhollow/router/scheduler.h
@@ -36,6 +36,14 @@
 };
 using ScheduleResult = std::variant<Assignment, Refusal, CallerLeft>;
 
+// What a side process reports of its server.
+struct ServerLoad {
+  int64_t running = 0;     // and waiting there
+  int64_t from_here = -1;  // those that this router dispatched; -1: not told
+  bool leaving = false;
+  friend bool operator==(const ServerLoad&, const ServerLoad&) = default;
+};
+
 // A request that waits. Shared by its fiber and the scheduler.
 struct Ticket {
   std::string pool;
@@ -63,7 +71,7 @@
 
   void SetConfig(const Configuration& config, absl::Time now);
   void SetConnected(const std::string& server, bool connected);
-  void OnLoad(const std::string& server, int64_t running, bool leaving);
+  void OnLoad(const std::string& server, const ServerLoad& load);
   // Marks servers that the VM list names as leaving.
   void SetLeavingVms(const std::set<std::string>& servers);
 
--- a/hawthornhollow/scheduling/scheduling.h
+++ b/hawthornhollow/scheduling/scheduling.h
@@ -193,7 +193,12 @@
 
   // Adds, changes or removes servers. A server new here is warmed up.
   void SetServers(const std::vector<ServerView>& servers, absl::Time now);
-  void OnReport(std::string_view server, int64_t running, absl::Time now);
+  // `from_here`: how many of the running came from this router, as the server
+  // counts them; if negative, what is in flight here is taken.
+  void OnReport(std::string_view server,
+                int64_t running,
+                absl::Time now,
+                int64_t from_here = -1);
   void SetConnected(std::string_view server, bool connected, absl::Time now);
   void SetLeaving(std::string_view server, bool leaving);
   // How many routers share the servers, with this one. Between two reports a
--- a/hawthornhollow/scheduling/server_chooser.cc
+++ b/hawthornhollow/scheduling/server_chooser.cc
@@ -74,16 +74,17 @@
 
 void ServerChooser::OnReport(std::string_view server,
                              int64_t running,
-                             absl::Time now) {
+                             absl::Time now,
+                             int64_t from_here) {
   auto found = servers_.find(server);
   if (found == servers_.end()) {
     return;
   }
   State& state = found->second;
   state.view.reported_running = running;
-  const auto sample =
-      static_cast<double>(std::max<int64_t>(0, running - state.in_flight));
-  state.others_reported = std::max<int64_t>(0, running - state.in_flight);
+  const int64_t own = from_here < 0 ? state.in_flight : from_here;
+  state.others_reported = std::max<int64_t>(0, running - own);
+  const auto sample = static_cast<double>(state.others_reported);
   const double before = OthersOf(state, now);
   state.others = before + kReportWeight * (sample - before);
   state.reported_at = now;
--- a/hawthornhollow/wire/frames_generated.h
+++ b/hawthornhollow/wire/frames_generated.h
@@ -1968,6 +1968,7 @@
   int32_t slots = 0;
   bool leaving = false;
   float kv_used = 0.0f;
+  int32_t from_receiver = -1;
 };
 
 struct Load FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1979,7 +1980,8 @@
     VT_WAITING = 6,
     VT_SLOTS = 8,
     VT_LEAVING = 10,
-    VT_KV_USED = 12
+    VT_KV_USED = 12,
+    VT_FROM_RECEIVER = 14
   };
   int32_t running() const {
     return GetField<int32_t>(VT_RUNNING, 0);
@@ -1996,6 +1998,9 @@
   float kv_used() const {
     return GetField<float>(VT_KV_USED, 0.0f);
   }
+  int32_t from_receiver() const {
+    return GetField<int32_t>(VT_FROM_RECEIVER, -1);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int32_t>(verifier, VT_RUNNING, 4) &&
@@ -2003,6 +2008,7 @@
            VerifyField<int32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<float>(verifier, VT_KV_USED, 4) &&
+           VerifyField<int32_t>(verifier, VT_FROM_RECEIVER, 4) &&
            verifier.EndTable();
   }
   LoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2029,6 +2035,9 @@
   void add_kv_used(float kv_used) {
     fbb_.AddElement<float>(Load::VT_KV_USED, kv_used, 0.0f);
   }
+  void add_from_receiver(int32_t from_receiver) {
+    fbb_.AddElement<int32_t>(Load::VT_FROM_RECEIVER, from_receiver, -1);
+  }
   explicit LoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2046,8 +2055,10 @@
     int32_t waiting = 0,
     int32_t slots = 0,
     bool leaving = false,
-    float kv_used = 0.0f) {
+    float kv_used = 0.0f,
+    int32_t from_receiver = -1) {
   LoadBuilder builder_(_fbb);
+  builder_.add_from_receiver(from_receiver);
   builder_.add_kv_used(kv_used);
   builder_.add_slots(slots);
   builder_.add_waiting(waiting);
@@ -2945,7 +2956,8 @@
       (lhs.waiting == rhs.waiting) &&
       (lhs.slots == rhs.slots) &&
       (lhs.leaving == rhs.leaving) &&
-      (lhs.kv_used == rhs.kv_used);
+      (lhs.kv_used == rhs.kv_used) &&
+      (lhs.from_receiver == rhs.from_receiver);
 }
 
 inline bool operator!=(const LoadT &lhs, const LoadT &rhs) {
@@ -2967,6 +2979,7 @@
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = kv_used(); _o->kv_used = _e; }
+  { auto _e = from_receiver(); _o->from_receiver = _e; }
 }
 
 inline flatbuffers::Offset<Load> Load::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2982,13 +2995,15 @@
   auto _slots = _o->slots;
   auto _leaving = _o->leaving;
   auto _kv_used = _o->kv_used;
+  auto _from_receiver = _o->from_receiver;
   return hawthornhollow::fb::CreateLoad(
       _fbb,
       _running,
       _waiting,
       _slots,
       _leaving,
-      _kv_used);
+      _kv_used,
+      _from_receiver);
 }
 
 
