--- a/hawthornhollow/scheduling/rank_queue.cc
+++ b/hawthornhollow/scheduling/rank_queue.cc
@@ -51,7 +51,7 @@
 // Free slots kept for ranks above: enough that they are all taken at once with
 // at most this probability, but no more than this share of all slots.
 constexpr double kReserveMiss = 0.02;
-constexpr double kMaxReserveShare = 0.05;
+constexpr double kMaxReserveShare = 0.1;
 constexpr double kMaxReserveLoad = 0.9;
 // How long the first rank waits for a slot that is idle by the reports before
 // it takes one that is only claimable.
