--- a/tools/load/scenario.h
+++ b/tools/load/scenario.h
@@ -73,7 +73,7 @@
   std::string name;
   uint64_t seed = 1;
   double seconds = 0;
-  double client_timeout_s = 15;
+  double client_timeout_s = 15;  // of one attempt that stays silent
   FleetShape fleet;
   std::vector<RankShape> ranks;
   std::vector<StreamShape> streams;
--- a/tools/load/traffic.cc
+++ b/tools/load/traffic.cc
@@ -17,6 +17,8 @@
 constexpr absl::Duration kWaitStep = absl::Milliseconds(20);
 // Connections that one request may use, the first included.
 constexpr int kMaxAttempts = 6;
+// How often a caller's timeout may pass before it gives up its request.
+constexpr double kMaxTimeouts = 3;
 constexpr absl::Duration kAttemptPause = absl::Milliseconds(100);
 constexpr char kToken[] = "\"content\"";
 constexpr char kEnd[] = "data: [DONE]";
@@ -160,15 +162,17 @@
   return request;
 }
 
-// As a caller does: a request whose connection is refused or breaks goes to
-// another router under its key, until it has an answer or its time is up.
+// As a caller does: a request whose connection is refused, breaks or stays
+// silent goes to another router under its key, until it has an answer or its
+// time is up.
 void Traffic::Run(size_t number) {
   const Arrival& arrival = arrivals_[number];
   RequestRecord& record = records_[number];
   record.stream = arrival.stream;
   record.arrived_s = arrival.at_s;
   absl::Time arrived = started_ + absl::Seconds(arrival.at_s);
-  absl::Time give_up = arrived + absl::Seconds(scenario_.client_timeout_s);
+  absl::Time give_up =
+      arrived + kMaxTimeouts * absl::Seconds(scenario_.client_timeout_s);
   do {
     if (record.attempts > 0)
       hawthornhollow::SleepFor(kAttemptPause);
