--- a/tools/load/load_test.cc
+++ b/tools/load/load_test.cc
@@ -31,10 +31,15 @@
 }
 
 struct BadScenario {
+  const char* name;
   const char* text;
   const char* reason;
 };
 
+void PrintTo(const BadScenario& scenario, std::ostream* out) {
+  *out << scenario.name;
+}
+
 class BadScenarioTest : public ::testing::TestWithParam<BadScenario> {};
 
 TEST_P(BadScenarioTest, Fault_Read_NamesFileFieldAndReason) {
@@ -49,22 +54,25 @@
     Faults,
     BadScenarioTest,
     ::testing::Values(
-        BadScenario{"{", "bad.json"},
-        BadScenario{R"({"name":"x"})", "streams: must not be empty"},
-        BadScenario{R"({"name":"x","streams":[{"name":"s"}]})",
+        BadScenario{"NotJson", "{", "bad.json"},
+        BadScenario{"NoStreams", R"({"name":"x"})",
+                    "streams: must not be empty"},
+        BadScenario{"NoRate", R"({"name":"x","streams":[{"name":"s"}]})",
                     "streams[0].per_second: or capacity must be above 0"},
         BadScenario{
+            "UnknownRank",
             R"({"name":"x","streams":[{"name":"s","per_second":1,"rank":"r"}]})",
             "streams[0].rank: names no rank"},
-        BadScenario{R"({"name":"x","sconds":3,
+        BadScenario{"UnknownField", R"({"name":"x","sconds":3,
                 "streams":[{"name":"s","per_second":1}]})",
                     "sconds: is not known"},
-        BadScenario{R"({"name":"x","seconds":1000})",
+        BadScenario{"TooLong", R"({"name":"x","seconds":1000})",
                     "seconds: must be a number from 1 to 120"},
-        BadScenario{
-            R"({"name":"x","streams":[{"name":"s","per_second":1}],
+        BadScenario{"UnknownAction",
+                    R"({"name":"x","streams":[{"name":"s","per_second":1}],
                 "events":[{"at_s":1,"action":"melt"}]})",
-            "events[0].action: is not known"}));
+                    "events[0].action: is not known"}),
+    [](const auto& info) { return info.param.name; });
 
 TEST(ArrivalsTest, SameSeed_Drawn_AreAlikeInOrderAndAtTheirRate) {
   Scenario scenario = Small();
