--- a/hawthornhollow/router/request_runner.cc
+++ b/hawthornhollow/router/request_runner.cc
@@ -349,8 +349,7 @@
   dispatch.fence = fence;
   dispatch.budget = context.caller->budget;
   dispatch.caller = context.caller->name;
-  dispatch.rank_order =
-      parts_.scheduler.EnginePriority(context.rank->order);
+  dispatch.rank_order = parts_.scheduler.EnginePriority(context.rank->order);
   dispatch.prompt_tokens = context.prompt_tokens;
   dispatch.max_output_tokens = context.max_output_tokens;
   dispatch.reserved_tokens = context.reserved_tokens;
