--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -59,7 +59,10 @@
       settings_(settings),
       incarnation_(settings.name + "-" + RandomId()),
       fibers_(runtime),
-      scheduler_(settings.name, RouterCount(settings)),
+      scheduler_(settings.name,
+                 RouterCount(settings),
+                 SchedulingPolicyNamed(settings.policy)
+                     .value_or(SchedulingPolicy::kRanks)),
       classify_(incarnation_) {}
 
 RouterInstance::~RouterInstance() = default;
@@ -196,7 +199,9 @@
     scheduler_.SetConnected(server, connected);
   };
   events.on_load = [this](const std::string& server, const fb::LoadT& load) {
-    scheduler_.OnLoad(server, load.running, load.leaving);
+    scheduler_.OnLoad(server, {.running = load.running + load.waiting,
+                               .from_here = load.from_receiver,
+                               .leaving = load.leaving});
   };
   return events;
 }
--- a/hawthornhollow/router/scheduler.cc
+++ b/hawthornhollow/router/scheduler.cc
@@ -29,6 +29,7 @@
   std::set<std::string> leaving_vms;
   std::map<uint64_t, std::shared_ptr<Ticket>> tickets;  // waiting
   int64_t slots = 0;                                    // of all servers
+  int64_t routers = 1;                                  // that share them
 
   // Takes a waiting ticket out; null if it is not here.
   std::shared_ptr<Ticket> TakeTicket(uint64_t id) {
@@ -63,8 +64,16 @@
 
 }  // namespace
 
-Scheduler::Scheduler(std::string_view router, size_t routers)
-    : seed_(StableHash(router)), routers_(static_cast<int64_t>(routers)) {}
+Scheduler::Scheduler(std::string_view router,
+                     size_t routers,
+                     SchedulingPolicy policy)
+    : seed_(StableHash(router)),
+      routers_(static_cast<int64_t>(routers)),
+      policy_(policy) {}
+
+int32_t Scheduler::EnginePriority(int32_t rank_order) const {
+  return policy_ == SchedulingPolicy::kRanks ? rank_order : 0;
+}
 
 void Scheduler::SetConfig(const Configuration& config, absl::Time now) {
   std::vector<RankPolicy> policies = PoliciesOf(config);
@@ -89,10 +98,13 @@
     if (!pool) {
       RankQueueOptions options;
       options.ranks = policies;
+      options.policy = policy_;
       ServerChooserOptions chooser_options;
       chooser_options.seed = seed_;
+      chooser_options.policy = policy_;
       pool = std::make_shared<Pool>(name, options, chooser_options);
       pool->chooser.SetRouters(routers_);
+      pool->routers = routers_;
     }
     std::lock_guard pool_lock(pool->mutex);
     pool->queue.SetRanks(policies);
@@ -146,17 +158,15 @@
   Pump(*pool, absl::Now());
 }
 
-void Scheduler::OnLoad(const std::string& server,
-                       int64_t running,
-                       bool leaving) {
+void Scheduler::OnLoad(const std::string& server, const ServerLoad& load) {
   auto pool = PoolOfServer(server);
   if (!pool)
     return;
   std::lock_guard lock(pool->mutex);
-  pool->chooser.OnReport(server, running, absl::Now());
+  pool->chooser.OnReport(server, load.running, absl::Now(), load.from_here);
   bool was_marked =
       pool->views[server].leaving || pool->leaving_vms.contains(server);
-  pool->chooser.SetLeaving(server, leaving || was_marked);
+  pool->chooser.SetLeaving(server, load.leaving || was_marked);
   Pump(*pool, absl::Now());
 }
 
@@ -202,16 +212,26 @@
 }
 
 void Scheduler::Pump(Pool& pool, absl::Time now) {
-  while (pool.chooser.HasRoom(now)) {
-    auto request =
-        pool.queue.Take(now, pool.chooser.FreeSlots(now), pool.slots);
+  while (true) {
+    SlotCounts slots{.claimable = pool.chooser.FreeSlots(now),
+                     .idle = pool.chooser.IdleSlots(now),
+                     .all = pool.slots,
+                     .in_flight = pool.chooser.InFlight(),
+                     .routers = pool.routers};
+    if (slots.claimable <= 0 && slots.idle <= 0)
+      return;
+    auto request = pool.queue.Take(now, slots);
     if (!request)
       return;
     auto found = pool.tickets.find(request->id);
     if (found == pool.tickets.end())
       continue;
     const Ticket& ticket = *found->second;
-    auto server = pool.chooser.Choose(ticket.affinity, ticket.avoid, now);
+    ChoiceScope scope = pool.queue.IsFirstRank(request->rank)
+                            ? ChoiceScope::kAnyIdle
+                            : ChoiceScope::kClaimable;
+    auto server =
+        pool.chooser.Choose(ticket.affinity, ticket.avoid, now, scope);
     if (!server) {
       pool.queue.PutBack(*request);
       return;
--- a/hawthornhollow/router/scheduler.h
+++ b/hawthornhollow/router/scheduler.h
@@ -36,6 +36,14 @@
 };
 using ScheduleResult = std::variant<Assignment, Refusal, CallerLeft>;
 
+// What a side process reports of its server.
+struct ServerLoad {
+  int64_t running = 0;     // and waiting there
+  int64_t from_here = -1;  // those that this router dispatched; -1: not told
+  bool leaving = false;
+  friend bool operator==(const ServerLoad&, const ServerLoad&) = default;
+};
+
 // A request that waits. Shared by its fiber and the scheduler.
 struct Ticket {
   std::string pool;
@@ -57,11 +65,13 @@
 class Scheduler {
  public:
   // `router` is this router's name, `routers` how many share the servers.
-  Scheduler(std::string_view router, size_t routers);
+  Scheduler(std::string_view router,
+            size_t routers,
+            SchedulingPolicy policy = SchedulingPolicy::kRanks);
 
   void SetConfig(const Configuration& config, absl::Time now);
   void SetConnected(const std::string& server, bool connected);
-  void OnLoad(const std::string& server, int64_t running, bool leaving);
+  void OnLoad(const std::string& server, const ServerLoad& load);
   // Marks servers that the VM list names as leaving.
   void SetLeavingVms(const std::set<std::string>& servers);
 
@@ -83,6 +93,10 @@
   // Call it every few milliseconds.
   void Tick();
 
+  // The priority that a rank's requests get from engines; the lowest goes
+  // first.
+  int32_t EnginePriority(int32_t rank_order) const;
+
   std::vector<PoolStatus> Status() const;
 
  private:
@@ -95,6 +109,7 @@
 
   const uint64_t seed_;
   const int64_t routers_;
+  const SchedulingPolicy policy_;
   mutable std::shared_mutex mutex_;  // the two maps, not the pools' content
   std::map<std::string, std::shared_ptr<Pool>> pools_;
   std::map<std::string, std::string> pool_of_server_;
--- a/hawthornhollow/scheduling/rank_queue.cc
+++ b/hawthornhollow/scheduling/rank_queue.cc
@@ -51,8 +51,11 @@
 // Free slots kept for ranks above: enough that they are all taken at once with
 // at most this probability, but no more than this share of all slots.
 constexpr double kReserveMiss = 0.02;
-constexpr double kMaxReserveShare = 0.05;
+constexpr double kMaxReserveShare = 0.15;
 constexpr double kMaxReserveLoad = 0.9;
+// How long the first rank waits for a slot that is idle by the reports before
+// it takes one that is only claimable.
+constexpr absl::Duration kIdleWait = absl::Milliseconds(60);
 
 }  // namespace
 
@@ -63,9 +66,7 @@
   }
 
   std::optional<Refusal> Offer(QueuedRequest request, absl::Time now);
-  std::optional<QueuedRequest> Take(absl::Time now,
-                                    int64_t free_slots,
-                                    int64_t slots);
+  std::optional<QueuedRequest> Take(absl::Time now, const SlotCounts& slots);
   void PutBack(QueuedRequest request);
   bool Remove(uint64_t id);
   std::vector<Refusal> Expire(absl::Time now);
@@ -73,14 +74,28 @@
   void OnFirstToken(absl::Duration took);
   void SetRanks(const std::vector<RankPolicy>& ranks);
 
+  bool IsFirstRank(std::string_view rank) const {
+    return FindRank(rank) == ranks_.front().get();
+  }
   size_t waiting() const { return flow_by_id_.size(); }
   int64_t WaitingTokens(std::string_view rank) const;
   absl::Duration PredictedWait(std::string_view rank, absl::Time now) const;
 
  private:
+  // Whether all requests are one flow in order of arrival, with no admission.
+  bool IsFirstCome() const {
+    return options_.policy != SchedulingPolicy::kRanks;
+  }
+  std::optional<Refusal> Admit(RankState* rank,
+                               const QueuedRequest& request,
+                               absl::Time now);
+
   // Ranks.
   RankState* FindRank(std::string_view name) const;
-  RankState* RankToServe(absl::Time now, int64_t free_slots, int64_t slots);
+  RankState* RankToServe(absl::Time now, const SlotCounts& slots);
+  bool HasRoomFor(const RankState& rank,
+                  absl::Time now,
+                  const SlotCounts& slots) const;
   RankState* RankBelowFloor(absl::Time now) const;
   double FloorRatio(const RankState& rank, absl::Time now) const;
   CallerFlow* FlowToServe(const RankState& rank, absl::Time now) const;
@@ -145,16 +160,40 @@
                                               absl::Time now) {
   Advance(now);
   request.cost_tokens = std::max<int64_t>(request.cost_tokens, 1);
+  if (IsFirstCome()) {
+    request.rank = ranks_.back()->policy.name;
+    request.member.clear();
+    request.caller.clear();
+  }
   RankState* rank = FindRank(request.rank);
   rank->offered.Add(static_cast<double>(request.cost_tokens), now);
+  if (auto refusal = Admit(rank, request, now)) {
+    return refusal;
+  }
+  CallerFlow* flow = FlowOf(rank, request);
+  flow->requests.push_back({request, GiveUpAt(request, rank->policy)});
+  Link(flow, request, flow->requests.back().give_up);
+  return std::nullopt;
+}
+
+// Says why a request is not taken in; may displace another to make room.
+std::optional<Refusal> RankQueue::Impl::Admit(RankState* rank,
+                                              const QueuedRequest& request,
+                                              absl::Time now) {
   const absl::Duration wait =
       WaitBehind(*rank, TokensAhead(*rank, request), request.cost_tokens, now);
   auto refuse = [&](RefusalCause cause) {
     return Refusal{request.id, cause, RetryAfter(*rank, wait, now)};
   };
-  if (request.deadline <= now || now + wait > request.deadline) {
+  if (request.deadline <= now ||
+      (!IsFirstCome() && now + wait > request.deadline)) {
     return refuse(RefusalCause::kDeadline);
   }
+  if (IsFirstCome()) {
+    const bool full = waiting() >= options_.max_waiting;
+    return full ? std::optional(refuse(RefusalCause::kQueueFull))
+                : std::nullopt;
+  }
   const absl::Duration allowed =
       WaitAllowed(rank->policy, options_.admit_share);
   const absl::Duration waited = now - request.arrived;
@@ -169,20 +208,16 @@
   if (waiting() >= options_.max_waiting && !MakeRoom(rank, request)) {
     return refuse(RefusalCause::kQueueFull);
   }
-  CallerFlow* flow = FlowOf(rank, request);
-  flow->requests.push_back({request, GiveUpAt(request, rank->policy)});
-  Link(flow, request, flow->requests.back().give_up);
   return std::nullopt;
 }
 
 std::optional<QueuedRequest> RankQueue::Impl::Take(absl::Time now,
-                                                   int64_t free_slots,
-                                                   int64_t slots) {
+                                                   const SlotCounts& slots) {
   Advance(now);
   for (const auto& rank : ranks_) {
     GiveUpOverdue(rank.get(), now);
   }
-  RankState* rank = RankToServe(now, free_slots, slots);
+  RankState* rank = RankToServe(now, slots);
   if (rank == nullptr) {
     return std::nullopt;
   }
@@ -317,21 +352,39 @@
 }
 
 RankState* RankQueue::Impl::RankToServe(absl::Time now,
-                                        int64_t free_slots,
-                                        int64_t slots) {
-  if (RankState* below = RankBelowFloor(now)) {
-    return below;
+                                        const SlotCounts& slots) {
+  if (slots.claimable > 0) {
+    if (RankState* below = RankBelowFloor(now)) {
+      return below;
+    }
   }
   for (const auto& rank : ranks_) {
-    if (rank->tokens == 0) {
-      continue;
+    if (rank->tokens > 0) {
+      return HasRoomFor(*rank, now, slots) ? rank.get() : nullptr;
     }
-    const bool spare = free_slots > ReservedSlots(*rank, now, slots);
-    return spare ? rank.get() : nullptr;
   }
   return nullptr;
 }
 
+bool RankQueue::Impl::HasRoomFor(const RankState& rank,
+                                 absl::Time now,
+                                 const SlotCounts& slots) const {
+  if (&rank == ranks_.front().get()) {
+    const absl::Duration waited = now - rank.arrivals.begin()->first;
+    return slots.idle > 0 || (slots.claimable > 0 && waited >= kIdleWait);
+  }
+  const int64_t reserved = ReservedSlots(rank, now, slots.all);
+  if (slots.claimable <= 0) {
+    return false;
+  }
+  // A router with less than its part of what is not kept may go ahead, or the
+  // others, who see their own slots become idle first, would starve it.
+  const bool below_part =
+      (slots.in_flight + 1) * slots.routers <= slots.all - reserved;
+  return reserved == 0 || slots.idle > reserved ||
+         (slots.idle > 0 && slots.routers > 1 && below_part);
+}
+
 RankState* RankQueue::Impl::RankBelowFloor(absl::Time now) const {
   RankState* lowest = nullptr;
   double lowest_ratio = 1;
@@ -412,6 +465,9 @@
 
 absl::Time RankQueue::Impl::GiveUpAt(const QueuedRequest& request,
                                      const RankPolicy& policy) const {
+  if (IsFirstCome()) {
+    return request.deadline;
+  }
   return std::min(request.arrived + WaitAllowed(policy, 1), request.deadline);
 }
 
@@ -644,7 +700,7 @@
 }
 
 void RankQueue::Impl::GiveUpExcess(RankState* rank, absl::Time now) {
-  if (!rate_.Known(now)) {
+  if (IsFirstCome() || !rate_.Known(now)) {
     return;
   }
   const absl::Duration allowed = WaitAllowed(rank->policy, LateShare());
@@ -685,13 +741,16 @@
 }
 
 std::optional<QueuedRequest> RankQueue::Take(absl::Time now) {
-  return impl_->Take(now, /*free_slots=*/1, /*slots=*/1);
+  return impl_->Take(now, {.claimable = 1, .idle = 1, .all = 1});
 }
 
 std::optional<QueuedRequest> RankQueue::Take(absl::Time now,
-                                             int64_t free_slots,
-                                             int64_t slots) {
-  return impl_->Take(now, free_slots, slots);
+                                             const SlotCounts& slots) {
+  return impl_->Take(now, slots);
+}
+
+bool RankQueue::IsFirstRank(std::string_view rank) const {
+  return impl_->IsFirstRank(rank);
 }
 
 void RankQueue::PutBack(const QueuedRequest& request) {
--- a/hawthornhollow/scheduling/scheduling.h
+++ b/hawthornhollow/scheduling/scheduling.h
@@ -26,6 +26,21 @@
 
 namespace hawthornhollow {
 
+// ---------------------------------------------------------------------------
+// Policy
+
+// How requests are ordered and placed. All but kRanks are plain baselines, for
+// comparison only.
+enum class SchedulingPolicy {
+  kRanks,        // as described below
+  kFifo,         // one queue in order of arrival; servers by free slots
+  kLeastLoaded,  // no queue: the server with the fewest requests from here
+  kRandom,       // no queue: any server
+};
+
+// "ranks", "fifo", "least_loaded" or "random"; nullopt for other names.
+std::optional<SchedulingPolicy> SchedulingPolicyNamed(std::string_view name);
+
 // ---------------------------------------------------------------------------
 // Queueing by rank, with floors, fair within a rank
 
@@ -38,6 +53,7 @@
 };
 
 struct RankQueueOptions {
+  SchedulingPolicy policy = SchedulingPolicy::kRanks;
   std::vector<RankPolicy> ranks;
   // Window over which floors are accounted.
   absl::Duration floor_window = absl::Seconds(2);
@@ -71,6 +87,16 @@
   friend bool operator==(const Refusal&, const Refusal&) = default;
 };
 
+// The room for requests on the servers, as this router knows it.
+struct SlotCounts {
+  int64_t claimable = 0;  // free slots that this router may take now
+  int64_t idle = 0;       // free slots by the last reports, of all routers
+  int64_t all = 0;
+  int64_t in_flight = 0;  // from this router
+  int64_t routers = 1;    // that share the servers
+  friend bool operator==(const SlotCounts&, const SlotCounts&) = default;
+};
+
 // The waiting requests of one model or service. Ranks in order, each with its
 // floor; within a rank deficit round robin over members, and within a member
 // over callers, in tokens. Ids are unique among the waiting requests. Call
@@ -89,11 +115,12 @@
   std::optional<Refusal> Offer(const QueuedRequest& request, absl::Time now);
   // The next request to dispatch; the caller has room for one.
   std::optional<QueuedRequest> Take(absl::Time now);
-  // As above, when `free_slots` of `slots` are free: a few of them are kept for
-  // ranks that go first, if these have been seen of late.
-  std::optional<QueuedRequest> Take(absl::Time now,
-                                    int64_t free_slots,
-                                    int64_t slots);
+  // As above, with what is known of the slots. A few idle ones are kept for
+  // ranks that go first, if these have been seen of late. The first rank takes
+  // any idle slot, and one that is only claimable after a short wait.
+  std::optional<QueuedRequest> Take(absl::Time now, const SlotCounts& slots);
+  // Whether requests of this rank are served before all others.
+  bool IsFirstRank(std::string_view rank) const;
   // Puts back a request that could not be dispatched, at the head of its flow.
   void PutBack(const QueuedRequest& request);
   // Takes out a request whose caller has gone. False if it is not here.
@@ -133,6 +160,7 @@
 };
 
 struct ServerChooserOptions {
+  SchedulingPolicy policy = SchedulingPolicy::kRanks;
   // A favoured server is passed over when its in-flight count is above this
   // many times the mean.
   double bounded_load = 1.25;
@@ -157,6 +185,8 @@
   uint64_t seed = 0;
 };
 
+enum class ChoiceScope { kClaimable, kAnyIdle };
+
 // Chooses among the servers of one model or service. In-flight counts are this
 // router's own; reports of the whole load correct them.
 class ServerChooser {
@@ -165,7 +195,12 @@
 
   // Adds, changes or removes servers. A server new here is warmed up.
   void SetServers(const std::vector<ServerView>& servers, absl::Time now);
-  void OnReport(std::string_view server, int64_t running, absl::Time now);
+  // `from_here`: how many of the running came from this router, as the server
+  // counts them; if negative, what is in flight here is taken.
+  void OnReport(std::string_view server,
+                int64_t running,
+                absl::Time now,
+                int64_t from_here = -1);
   void SetConnected(std::string_view server, bool connected, absl::Time now);
   void SetLeaving(std::string_view server, bool leaving);
   // How many routers share the servers, with this one. Between two reports a
@@ -173,10 +208,14 @@
   void SetRouters(int64_t routers);
 
   // The server for a request with this affinity key (empty: none), leaving out
-  // those in `avoid`; nullopt if none has room. Counts it as in flight.
-  std::optional<std::string> Choose(std::string_view affinity,
-                                    const std::set<std::string>& avoid,
-                                    absl::Time now);
+  // those in `avoid`; nullopt if none has room. Counts it as in flight. Servers
+  // with an idle slot go first. With kAnyIdle an idle slot need not be
+  // claimable.
+  std::optional<std::string> Choose(
+      std::string_view affinity,
+      const std::set<std::string>& avoid,
+      absl::Time now,
+      ChoiceScope scope = ChoiceScope::kClaimable);
   // Whether Choose would find one.
   bool HasRoom(absl::Time now) const;
   // Ends what Choose began.
@@ -186,19 +225,23 @@
   void OnFinished(std::string_view server, bool failed, absl::Time now);
 
   int64_t InFlight(std::string_view server) const;
+  int64_t InFlight() const;  // on all servers
   bool IsEjected(std::string_view server, absl::Time now) const;
   // Slots of servers that may be used, less what is in flight.
   int64_t FreeSlots(absl::Time now) const;
+  // Slots that are free by the last reports and what is in flight from here.
+  int64_t IdleSlots(absl::Time now) const;
 
  private:
   struct State {
     ServerView view;
     int64_t in_flight = 0;
-    double others = 0;  // in flight from other routers, as of the last report
-    double first_token_s = 0;  // smoothed
-    double failures = 0;       // share of recent requests, smoothed
-    int64_t first_tokens = 0;  // samples
-    int64_t outcomes = 0;      // samples
+    double others = 0;  // in flight from other routers, smoothed over reports
+    int64_t others_reported = 0;  // the same, by the last report
+    double first_token_s = 0;     // smoothed
+    double failures = 0;          // share of recent requests, smoothed
+    int64_t first_tokens = 0;     // samples
+    int64_t outcomes = 0;         // samples
     absl::Time first_token_at = absl::InfinitePast();
     absl::Time outcome_at = absl::InfinitePast();
     absl::Time reported_at = absl::InfinitePast();
@@ -210,6 +253,7 @@
   };
   using Servers = std::map<std::string, State, std::less<>>;
 
+  bool IgnoresSlots() const;
   bool IsUsable(const State& state) const;
   bool IsRamping(const State& state, absl::Time now) const;
   bool AnySettled(absl::Time now) const;
@@ -217,6 +261,10 @@
   double OthersOf(const State& state, absl::Time now) const;
   double RoomOf(const State& state, bool ramps, absl::Time now) const;
   int64_t ClaimAfterReport(const State& state);
+  int64_t IdleOf(const State& state, bool ramps, absl::Time now) const;
+  std::vector<Servers::iterator> Candidates(const std::set<std::string>& avoid,
+                                            absl::Time now,
+                                            ChoiceScope scope);
   double LoadOf(const State& state, absl::Time now) const;
   double Weight(const State& state, absl::Time now) const;
   Servers::iterator Favoured(std::string_view affinity,
@@ -225,6 +273,8 @@
   Servers::iterator LeastLoaded(
       const std::vector<Servers::iterator>& candidates,
       absl::Time now);
+  Servers::iterator ChooseByBaseline(
+      const std::vector<Servers::iterator>& candidates);
   double MedianFirstToken() const;
   bool IsSick(const State& state) const;
   void EjectIfSick(State& state, absl::Time now);
--- a/hawthornhollow/scheduling/server_chooser.cc
+++ b/hawthornhollow/scheduling/server_chooser.cc
@@ -74,15 +74,17 @@
 
 void ServerChooser::OnReport(std::string_view server,
                              int64_t running,
-                             absl::Time now) {
+                             absl::Time now,
+                             int64_t from_here) {
   auto found = servers_.find(server);
   if (found == servers_.end()) {
     return;
   }
   State& state = found->second;
   state.view.reported_running = running;
-  const auto sample =
-      static_cast<double>(std::max<int64_t>(0, running - state.in_flight));
+  const int64_t own = from_here < 0 ? state.in_flight : from_here;
+  state.others_reported = std::max<int64_t>(0, running - own);
+  const auto sample = static_cast<double>(state.others_reported);
   const double before = OthersOf(state, now);
   state.others = before + kReportWeight * (sample - before);
   state.reported_at = now;
@@ -145,6 +147,11 @@
 // ---------------------------------------------------------------------------
 // Slots and load
 
+bool ServerChooser::IgnoresSlots() const {
+  return options_.policy == SchedulingPolicy::kLeastLoaded ||
+         options_.policy == SchedulingPolicy::kRandom;
+}
+
 bool ServerChooser::IsUsable(const State& state) const {
   return state.view.connected && !state.view.leaving && state.view.slots > 0;
 }
@@ -197,6 +204,9 @@
 double ServerChooser::RoomOf(const State& state,
                              bool ramps,
                              absl::Time now) const {
+  if (IgnoresSlots()) {
+    return IsUsable(state) ? 1 : 0;
+  }
   const double slots = SlotsOf(state, ramps, now);
   const double own = std::max(1.0, std::floor(options_.own_share * slots));
   const auto in_flight = static_cast<double>(state.in_flight);
@@ -218,6 +228,27 @@
   return static_cast<int64_t>(free);
 }
 
+// A report that has grown old counts for nothing: the router then has only its
+// claim.
+int64_t ServerChooser::IdleOf(const State& state,
+                              bool ramps,
+                              absl::Time now) const {
+  if (IgnoresSlots() || now - state.reported_at >= options_.half_life) {
+    return static_cast<int64_t>(RoomOf(state, ramps, now));
+  }
+  const auto slots = static_cast<int64_t>(SlotsOf(state, ramps, now));
+  return std::max<int64_t>(0, slots - state.in_flight - state.others_reported);
+}
+
+int64_t ServerChooser::IdleSlots(absl::Time now) const {
+  const bool ramps = AnySettled(now);
+  int64_t idle = 0;
+  for (const auto& [name, state] : servers_) {
+    idle += IdleOf(state, ramps, now);
+  }
+  return idle;
+}
+
 bool ServerChooser::HasRoom(absl::Time now) const {
   return FreeSlots(now) > 0;
 }
@@ -227,25 +258,61 @@
   return found == servers_.end() ? 0 : found->second.in_flight;
 }
 
+int64_t ServerChooser::InFlight() const {
+  int64_t in_flight = 0;
+  for (const auto& [name, state] : servers_) {
+    in_flight += state.in_flight;
+  }
+  return in_flight;
+}
+
 // ---------------------------------------------------------------------------
 // Choice
 
-std::optional<std::string> ServerChooser::Choose(
-    std::string_view affinity,
+// Servers that are claimable and idle; without any, those that are idle, if the
+// scope allows it, or else claimable.
+std::vector<ServerChooser::Servers::iterator> ServerChooser::Candidates(
     const std::set<std::string>& avoid,
-    absl::Time now) {
+    absl::Time now,
+    ChoiceScope scope) {
   const bool ramps = AnySettled(now);
-  std::vector<Servers::iterator> candidates;
+  std::vector<Servers::iterator> both;
+  std::vector<Servers::iterator> claimable;
+  std::vector<Servers::iterator> idle;
   for (auto it = servers_.begin(); it != servers_.end(); ++it) {
-    if (RoomOf(it->second, ramps, now) >= 1 && !avoid.contains(it->first)) {
-      candidates.push_back(it);
+    if (avoid.contains(it->first)) {
+      continue;
     }
+    const bool has_room = RoomOf(it->second, ramps, now) >= 1;
+    const bool is_idle = IdleOf(it->second, ramps, now) >= 1;
+    if (has_room && is_idle) {
+      both.push_back(it);
+    } else if (has_room) {
+      claimable.push_back(it);
+    } else if (is_idle && scope == ChoiceScope::kAnyIdle) {
+      idle.push_back(it);
+    }
+  }
+  if (!both.empty()) {
+    return both;
   }
+  return idle.empty() ? claimable : idle;
+}
+
+std::optional<std::string> ServerChooser::Choose(
+    std::string_view affinity,
+    const std::set<std::string>& avoid,
+    absl::Time now,
+    ChoiceScope scope) {
+  const std::vector<Servers::iterator> candidates =
+      Candidates(avoid, now, scope);
   if (candidates.empty()) {
     return std::nullopt;
   }
   auto chosen = servers_.end();
-  if (!affinity.empty()) {
+  if (IgnoresSlots()) {
+    chosen = ChooseByBaseline(candidates);
+  } else if (!affinity.empty()) {
     chosen = Favoured(affinity, candidates, now);
   }
   if (chosen == servers_.end()) {
@@ -314,6 +381,21 @@
   return candidates[second_weight < first_weight ? second : first];
 }
 
+ServerChooser::Servers::iterator ServerChooser::ChooseByBaseline(
+    const std::vector<Servers::iterator>& candidates) {
+  const size_t first = random_() % candidates.size();
+  if (options_.policy == SchedulingPolicy::kRandom) {
+    return candidates[first];
+  }
+  auto best = candidates[first];
+  for (auto candidate : candidates) {
+    if (candidate->second.in_flight < best->second.in_flight) {
+      best = candidate;
+    }
+  }
+  return best;
+}
+
 // ---------------------------------------------------------------------------
 // Outcomes and ejection
 
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -255,6 +255,8 @@
                                 ? log().ToString()
                                 : relay->second->endpoint().ToString();
   settings["vm_list"] = vms().ToString();
+  if (!options_.router_policy.empty())
+    settings["policy"] = options_.router_policy;
   return json::serialize(settings);
 }
 
