Router: an order refused as stale or lost on its way is tried again at its server

Cause: after a refusal UnknownRequest (the dispatch was lost with a silent connection) or StaleFence (another router had been told that the key did not run) the runner avoided the server. Where it is the only one, the request waited for another until it was refused as overloaded, and so did every later ask. Change: neither reason counts against the server; after StaleFence the router first takes the key over at the gate, without a claim, and claims anew. Ruled out: free slots and the admission estimate; other keys were served.

--- a/hawthornhollow/router/request_runner.cc
+++ b/hawthornhollow/router/request_runner.cc
@@ -25,6 +25,7 @@
 constexpr int kMaxAttempts = 4;
 constexpr absl::Duration kRetrySoon = absl::Seconds(1);
 constexpr absl::Duration kAskAgain = absl::Seconds(2);
+constexpr absl::Duration kTakeOverWait = absl::Seconds(2);
 constexpr absl::Duration kLocalRunWait = absl::Seconds(10);
 // Bytes of text per token, for the estimate that queues work with.
 constexpr int64_t kBytesPerToken = 4;
@@ -498,8 +499,18 @@
                                                  Progress& progress,
                                                  const std::string& server,
                                                  const fb::RefusedT& refused) {
-  progress.avoid.insert(server);
+  // These two say nothing against the server: the dispatch was lost on its way,
+  // or the gate expects the key from another router.
+  bool stale = refused.reason == fb::RefusalReason::StaleFence;
+  if (!stale && refused.reason != fb::RefusalReason::UnknownRequest)
+    progress.avoid.insert(server);
   ReleaseOwnClaim(context);
+  if (stale && !TakeOverAtGate(context, server)) {
+    GiveUp(context, writer, progress,
+           {409, "in_progress", "another router was given this key; ask again",
+            RunState::kUnknown, Spread(kRetrySoon)});
+    return Next::kDone;
+  }
   bool sealed = refused.reason == fb::RefusalReason::Sealed;
   if (!sealed && progress.attempts < kMaxAttempts && !context.presence->gone())
     return Next::kRetry;
@@ -539,6 +550,18 @@
   return Next::kDone;
 }
 
+bool RequestRunner::TakeOverAtGate(const RequestContext& context,
+                                   const std::string& server) {
+  auto link = parts_.gates.Find(server);
+  auto call = std::make_shared<Call>(context.request_key, attempts_.Next());
+  if (!link || !link->Attach(call).ok())
+    return false;
+  CallEvent event = call->Next(kTakeOverWait);
+  link->Forget(*call);
+  const auto* refused = std::get_if<fb::RefusedT>(&event);
+  return refused && refused->reason == fb::RefusalReason::UnknownRequest;
+}
+
 void RequestRunner::ReleaseOwnClaim(const RequestContext& context) {
   if (!context.keyed)
     return;
--- a/hawthornhollow/router/request_runner.h
+++ b/hawthornhollow/router/request_runner.h
@@ -147,6 +147,10 @@
                   const std::string& server,
                   const RelayEnd& end,
                   const std::string& reason);
+  // Asks the gate for the key; returns whether it confirms that the key has not
+  // run. It then takes the key's dispatch from this router only. To be called
+  // without a claim: one made before might have been released and replaced.
+  bool TakeOverAtGate(const RequestContext& context, const std::string& server);
   // The gate confirmed that the claimed attempt never ran.
   void ReleaseOwnClaim(const RequestContext& context);
   bool MayRetry(const Progress& progress);
