A claim's release names the claim by its offset

Change: ClaimReleased has the claim's offset; the fold voids one that names another claim. A router's own release may leave it out.

--- a/hawthornhollow/ledger/budget_fold.cc
+++ b/hawthornhollow/ledger/budget_fold.cc
@@ -198,6 +198,8 @@
     return Void("no claim");
   if (claim->incarnation != released.incarnation)
     return Void(absl::StrCat("taken by ", claim->incarnation));
+  if (released.claim >= 0 && claim->offset != released.claim)
+    return Void("another claim");
   if (bills_.contains(released.request))
     return Void("billed already");
   const int64_t offset = claim->offset;
--- a/hawthornhollow/ledger/ledger.h
+++ b/hawthornhollow/ledger/ledger.h
@@ -131,6 +131,7 @@
 struct ClaimReleasedRecord {
   std::string request;
   std::string incarnation;
+  int64_t claim = -1;  // its offset; -1: whichever the router holds
   friend auto operator<=>(const ClaimReleasedRecord&,
                           const ClaimReleasedRecord&) = default;
 };
--- a/hawthornhollow/ledger/records.cc
+++ b/hawthornhollow/ledger/records.cc
@@ -193,11 +193,12 @@
   fb::ClaimReleasedT table;
   table.request = record.request;
   table.incarnation = record.incarnation;
+  table.claim = record.claim;
   return table;
 }
 
 ClaimReleasedRecord FromTable(const fb::ClaimReleasedT& table) {
-  return {table.request, table.incarnation};
+  return {table.request, table.incarnation, table.claim};
 }
 
 fb::BillT ToTable(const BillRecord& record) {
--- a/hawthornhollow/router/budget_controller.cc
+++ b/hawthornhollow/router/budget_controller.cc
@@ -436,10 +436,11 @@
         .Add("reason", sequence.status());
 }
 
-absl::Status BudgetController::ReleaseClaim(const ClaimRecord& claim) {
+absl::Status BudgetController::ReleaseClaim(const ClaimRecord& claim,
+                                            int64_t offset) {
   Shard& shard = ShardOf(claim.budget);
   return shard.writer
-      ->Append(ClaimReleasedRecord{claim.request, claim.incarnation},
+      ->Append(ClaimReleasedRecord{claim.request, claim.incarnation, offset},
                Urgency::kUrgent)
       .status();
 }
--- a/hawthornhollow/router/budget_controller.h
+++ b/hawthornhollow/router/budget_controller.h
@@ -101,8 +101,9 @@
   absl::StatusOr<int64_t> Claim(const ClaimRecord& claim);
   // As Claim, without waiting for the verdict.
   void ClaimLazily(const ClaimRecord& claim);
-  // Releases a claim that certainly never ran, whoever made it.
-  absl::Status ReleaseClaim(const ClaimRecord& claim);
+  // Releases a claim that certainly never ran. One of another router must be
+  // named by its offset: that router may have claimed anew since.
+  absl::Status ReleaseClaim(const ClaimRecord& claim, int64_t offset = -1);
 
   std::optional<BudgetFold::ClaimState> FindClaim(
       const std::string& budget,
--- a/hawthornhollow/router/request_runner.cc
+++ b/hawthornhollow/router/request_runner.cc
@@ -242,7 +242,7 @@
   claim.request = context.request_key;
   claim.budget = context.caller->budget;
   claim.incarnation = prior.claim->incarnation;
-  parts_.budgets.ReleaseClaim(claim).IgnoreError();
+  parts_.budgets.ReleaseClaim(claim, prior.claim->offset).IgnoreError();
   return Continue{};
 }
 
--- a/hawthornhollow/wire/records_generated.h
+++ b/hawthornhollow/wire/records_generated.h
@@ -1943,6 +1943,7 @@
   typedef ClaimReleased TableType;
   std::string request{};
   std::string incarnation{};
+  int64_t claim = -1LL;
 };
 
 struct ClaimReleased FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1951,7 +1952,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4,
-    VT_INCARNATION = 6
+    VT_INCARNATION = 6,
+    VT_CLAIM = 8
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -1959,12 +1961,16 @@
   const flatbuffers::String *incarnation() const {
     return GetPointer<const flatbuffers::String *>(VT_INCARNATION);
   }
+  int64_t claim() const {
+    return GetField<int64_t>(VT_CLAIM, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
            verifier.VerifyString(request()) &&
            VerifyOffset(verifier, VT_INCARNATION) &&
            verifier.VerifyString(incarnation()) &&
+           VerifyField<int64_t>(verifier, VT_CLAIM, 8) &&
            verifier.EndTable();
   }
   ClaimReleasedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1982,6 +1988,9 @@
   void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
     fbb_.AddOffset(ClaimReleased::VT_INCARNATION, incarnation);
   }
+  void add_claim(int64_t claim) {
+    fbb_.AddElement<int64_t>(ClaimReleased::VT_CLAIM, claim, -1LL);
+  }
   explicit ClaimReleasedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1996,8 +2005,10 @@
 inline flatbuffers::Offset<ClaimReleased> CreateClaimReleased(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> request = 0,
-    flatbuffers::Offset<flatbuffers::String> incarnation = 0) {
+    flatbuffers::Offset<flatbuffers::String> incarnation = 0,
+    int64_t claim = -1LL) {
   ClaimReleasedBuilder builder_(_fbb);
+  builder_.add_claim(claim);
   builder_.add_incarnation(incarnation);
   builder_.add_request(request);
   return builder_.Finish();
@@ -2011,13 +2022,15 @@
 inline flatbuffers::Offset<ClaimReleased> CreateClaimReleasedDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *request = nullptr,
-    const char *incarnation = nullptr) {
+    const char *incarnation = nullptr,
+    int64_t claim = -1LL) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
   return hawthornhollow::fb::CreateClaimReleased(
       _fbb,
       request__,
-      incarnation__);
+      incarnation__,
+      claim);
 }
 
 flatbuffers::Offset<ClaimReleased> CreateClaimReleased(flatbuffers::FlatBufferBuilder &_fbb, const ClaimReleasedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3308,7 +3321,8 @@
 inline bool operator==(const ClaimReleasedT &lhs, const ClaimReleasedT &rhs) {
   return
       (lhs.request == rhs.request) &&
-      (lhs.incarnation == rhs.incarnation);
+      (lhs.incarnation == rhs.incarnation) &&
+      (lhs.claim == rhs.claim);
 }
 
 inline bool operator!=(const ClaimReleasedT &lhs, const ClaimReleasedT &rhs) {
@@ -3327,6 +3341,7 @@
   (void)_resolver;
   { auto _e = request(); if (_e) _o->request = _e->str(); }
   { auto _e = incarnation(); if (_e) _o->incarnation = _e->str(); }
+  { auto _e = claim(); _o->claim = _e; }
 }
 
 inline flatbuffers::Offset<ClaimReleased> ClaimReleased::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimReleasedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3339,10 +3354,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimReleasedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _request = _o->request.empty() ? 0 : _fbb.CreateString(_o->request);
   auto _incarnation = _o->incarnation.empty() ? 0 : _fbb.CreateString(_o->incarnation);
+  auto _claim = _o->claim;
   return hawthornhollow::fb::CreateClaimReleased(
       _fbb,
       _request,
-      _incarnation);
+      _incarnation,
+      _claim);
 }
 
 
