--- a/hawthornhollow/gate/gate_book_test.cc
+++ b/hawthornhollow/gate/gate_book_test.cc
@@ -151,6 +151,20 @@
   EXPECT_EQ(book_->counters().runs, 1);
 }
 
+TEST_F(GateBookTest, TwoAttemptsOfOneRouterBothReceiveTheRun) {
+  Dispatch(a_, MakeDispatch("r1", "router-a", 1));
+  book_->OnHead(run_, 200, "");
+  fb::AttachT attach;
+  attach.request = "r1";
+  attach.attempt = 2;
+  attach.router = "router-a";
+  book_->OnAttach(a_, attach);
+  EXPECT_THAT(Describe(book_->OnData(run_, "t0")),
+              ElementsAre("1: data 0 t0", "1: data 0 t0"));
+  EXPECT_THAT(End(fb::EndKind::Completed),
+              ElementsAre("1: end Completed 2", "1: end Completed 2"));
+}
+
 TEST_F(GateBookTest, FinishedServiceIsReplayedWhateverItsEnd) {
   for (fb::EndKind kind : {fb::EndKind::Completed, fb::EndKind::Unknown}) {
     Reset(GateBookOptions());
@@ -361,6 +375,14 @@
   EXPECT_EQ(book_->UnsettledRuns("router-a"), 0);
 }
 
+TEST_F(GateBookTest, RunWhosePayerHasLeftIsBilledAfterTheShortGrace) {
+  Finish(a_, MakeDispatch("r1", "router-a"),
+         Ended(fb::EndKind::Completed, 3, 4));
+  book_->OnLinkClosed(a_.id, now_);
+  EXPECT_THAT(book_->TakeDueBills(now_, false), IsEmpty());
+  EXPECT_EQ(book_->TakeDueBills(now_ + absl::Seconds(1), false).size(), 1U);
+}
+
 TEST_F(GateBookTest, SettledAndNotRunOweNoBill) {
   Finish(a_, MakeDispatch("r1", "router-a"), Ended(fb::EndKind::Completed));
   book_->OnSettled("r1");
--- a/hawthornhollow/router/request_runner.cc
+++ b/hawthornhollow/router/request_runner.cc
@@ -25,6 +25,7 @@
 constexpr int kMaxAttempts = 4;
 constexpr absl::Duration kRetrySoon = absl::Seconds(1);
 constexpr absl::Duration kAskAgain = absl::Seconds(2);
+constexpr absl::Duration kTakeOverWait = absl::Seconds(2);
 constexpr absl::Duration kLocalRunWait = absl::Seconds(10);
 // Bytes of text per token, for the estimate that queues work with.
 constexpr int64_t kBytesPerToken = 4;
@@ -39,7 +40,16 @@
           Spread(kAskAgain)};
 }
 
-ApiError AlreadyRun() {
+// What is told of a billed request whose answer cannot be had again. It is
+// final: asking again with the key tells no more.
+ApiError AlreadyBilled(Outcome outcome) {
+  if (outcome == Outcome::kUnknown)
+    return {409,
+            "outcome_unknown",
+            "the request with this key was billed, but whether it ran to its "
+            "end cannot be told; its answer is lost",
+            RunState::kUnknown,
+            {}};
   return {409,
           "already_run",
           "the request with this key was run and billed; its answer is no "
@@ -176,7 +186,8 @@
   prior.server = claim ? claim->server : bill->server;
   prior.gate_incarnation = claim ? claim->gate_incarnation : "";
   prior.claim = claim;
-  prior.billed = bill.has_value();
+  if (bill)
+    prior.billed_as = bill->outcome;
   return prior;
 }
 
@@ -220,8 +231,8 @@
 FilterResult ReplayFilter::OnUnknownAtGate(const RequestContext& context,
                                            const Prior& prior,
                                            const std::string& gate) {
-  if (prior.billed)
-    return AlreadyRun();
+  if (prior.billed_as)
+    return AlreadyBilled(*prior.billed_as);
   if (IsRepeatable(context))
     return Continue{};
   if (!prior.claim || prior.gate_incarnation != gate)
@@ -231,14 +242,16 @@
   claim.request = context.request_key;
   claim.budget = context.caller->budget;
   claim.incarnation = prior.claim->incarnation;
-  parts_.budgets.ReleaseClaim(claim).IgnoreError();
+  parts_.budgets.ReleaseClaim(claim, prior.claim->offset).IgnoreError();
   return Continue{};
 }
 
 FilterResult ReplayFilter::OnUnreachable(const RequestContext& context,
                                          const Prior& prior) {
-  if (prior.billed)
-    return AlreadyRun();
+  if (prior.billed_as == Outcome::kUnknown)
+    return Unknown("the side process that may know cannot be reached");
+  if (prior.billed_as)
+    return AlreadyBilled(*prior.billed_as);
   if (IsRepeatable(context))
     return Continue{};
   return Unknown("the side process that was given this call cannot be reached");
@@ -486,8 +499,21 @@
                                                  Progress& progress,
                                                  const std::string& server,
                                                  const fb::RefusedT& refused) {
-  progress.avoid.insert(server);
+  // These two say nothing against the server: the dispatch was lost on its way,
+  // or the gate expects the key from another router.
+  bool stale = refused.reason == fb::RefusalReason::StaleFence;
+  if (!stale && refused.reason != fb::RefusalReason::UnknownRequest)
+    progress.avoid.insert(server);
   ReleaseOwnClaim(context);
+  if (stale) {
+    // Whoever was told that the key did not run may release this router's claim
+    // late, and so a second one: the caller's next ask claims anew.
+    TakeOverAtGate(context, server);
+    GiveUp(context, writer, progress,
+           {409, "in_progress", "another router was given this key; ask again",
+            RunState::kUnknown, Spread(kRetrySoon)});
+    return Next::kDone;
+  }
   bool sealed = refused.reason == fb::RefusalReason::Sealed;
   if (!sealed && progress.attempts < kMaxAttempts && !context.presence->gone())
     return Next::kRetry;
@@ -527,6 +553,18 @@
   return Next::kDone;
 }
 
+bool RequestRunner::TakeOverAtGate(const RequestContext& context,
+                                   const std::string& server) {
+  auto link = parts_.gates.Find(server);
+  auto call = std::make_shared<Call>(context.request_key, attempts_.Next());
+  if (!link || !link->Attach(call).ok())
+    return false;
+  CallEvent event = call->Next(kTakeOverWait);
+  link->Forget(*call);
+  const auto* refused = std::get_if<fb::RefusedT>(&event);
+  return refused && refused->reason == fb::RefusalReason::UnknownRequest;
+}
+
 void RequestRunner::ReleaseOwnClaim(const RequestContext& context) {
   if (!context.keyed)
     return;
--- a/hawthornhollow/router/request_runner.h
+++ b/hawthornhollow/router/request_runner.h
@@ -75,7 +75,7 @@
     std::string server;
     std::string gate_incarnation;  // empty if not known
     std::optional<BudgetFold::ClaimState> claim;
-    bool billed = false;
+    std::optional<Outcome> billed_as;
   };
   FilterResult Register(RequestContext& context, ResponseWriter& writer);
   std::optional<Prior> FindPrior(const RequestContext& context) const;
@@ -147,6 +147,10 @@
                   const std::string& server,
                   const RelayEnd& end,
                   const std::string& reason);
+  // Asks the gate for the key; returns whether it confirms that the key has not
+  // run. It then takes the key's dispatch from this router only. To be called
+  // without a claim: one made before might have been released and replaced.
+  bool TakeOverAtGate(const RequestContext& context, const std::string& server);
   // The gate confirmed that the claimed attempt never ran.
   void ReleaseOwnClaim(const RequestContext& context);
   bool MayRetry(const Progress& progress);
