A gate buries the claim that a router named, not the router

The second request on the same router found the first one's claim in the log before its dispatch had left, asked the gate for the key, was told that it is unknown, and released the claim. The gate took the delayed dispatch all the same, because it came from the router it had told last; another router had claimed anew and ran the order elsewhere. Change: Attach names the claim (budget and fence). A gate that does not know the key refuses every dispatch under that claim or an older one from then on, whoever sends it. Releases name the claim. A router looks at its own runs before the log. Ruled out: binding the key to the router told last (what failed); a wait between claim and release (a clock decides). New unit test OrderOfTheAskingRouterDoesNotRunUnder- TheClaimItNamed; the random test now draws fences.

--- a/hawthornhollow/gate/gate_book.cc
+++ b/hawthornhollow/gate/gate_book.cc
@@ -12,10 +12,10 @@
 // goes out only to the followers of the entry that its run belongs to.
 //
 // A router that asks for a key of which no dispatch has come is told so, and
-// may release the claim and have the call run elsewhere. A dispatch by another
-// router that was delayed must then not run: of such a key, a service's
-// dispatch is taken only from the router that was told last. Its own older
-// dispatches cannot follow, since a router has one link at a time.
+// may release the claim that it named and have the call run elsewhere. A
+// delayed dispatch under that claim must then not run, whoever sends it, the
+// asking router included (it may have been asked twice at once): of such a key
+// a dispatch is taken only under a claim newer than every one named so far.
 //
 // Who pays is fixed when a run starts: the dispatching router, from whose grant
 // the worst case was reserved. An entry stays open until a durable bill is
@@ -103,8 +103,10 @@
   std::unique_ptr<StableHasher> hasher = std::make_unique<StableHasher>();
   uint64_t checksum = 0;
   std::vector<Follower> followers;
-  // Set if no dispatch of the key had come when this router asked for it.
-  std::string told_unknown;
+  // No dispatch of the key had come when a router asked for it, naming a claim
+  // of up to `dead_fence`.
+  bool told_unknown = false;
+  int64_t dead_fence = 0;
 
   const std::string& request() const { return dispatch.request; }
   bool idempotent() const { return dispatch.kind == fb::CallKind::Chat; }
@@ -234,7 +236,7 @@
                               const RouterLink& link,
                               const fb::DispatchT& dispatch,
                               absl::Time now) {
-  if (!entry.told_unknown.empty()) {
+  if (entry.told_unknown) {
     return OnToldUnknown(entry, link, dispatch, now);
   }
   if (dispatch.caller != entry.dispatch.caller ||
@@ -257,11 +259,10 @@
                                     const RouterLink& link,
                                     const fb::DispatchT& dispatch,
                                     absl::Time now) {
-  if (dispatch.kind == fb::CallKind::Service &&
-      dispatch.router != entry.told_unknown) {
+  if (dispatch.fence != 0 && dispatch.fence <= entry.dead_fence) {
     return Refuse(link, dispatch.request, dispatch.attempt,
                   fb::RefusalReason::StaleFence,
-                  "another router was told that it did not run");
+                  "a router was told that this claim did not run");
   }
   return StartRun(link, dispatch, now);
 }
@@ -328,8 +329,8 @@
                   fb::RefusalReason::Sealed, attach.router);
   }
   Entry* entry = Find(attach.request);
-  if (entry == nullptr || !entry->told_unknown.empty()) {
-    RememberToldUnknown(attach.request, link.router);
+  if (entry == nullptr || entry->told_unknown) {
+    RememberToldUnknown(attach);
     return Refuse(link, attach.request, attach.attempt,
                   fb::RefusalReason::UnknownRequest, "");
   }
@@ -338,18 +339,20 @@
                 std::max<int64_t>(attach.from_sequence, 0));
 }
 
-void GateBook::RememberToldUnknown(const std::string& request,
-                                   const std::string& router) {
+void GateBook::RememberToldUnknown(const fb::AttachT& attach) {
+  const std::string& request = attach.request;
   std::unique_ptr<Entry>& slot = entries_[request];
   if (slot == nullptr) {
     slot = std::make_unique<Entry>();
     slot->dispatch.request = request;
+    slot->dispatch.budget = attach.budget;
     slot->running = false;
     slot->settled = true;
     slot->end.kind = fb::EndKind::NotRun;
     closed_.emplace_back(request, slot->run);
   }
-  slot->told_unknown = router;
+  slot->told_unknown = true;
+  slot->dead_fence = std::max(slot->dead_fence, attach.fence);
   EnforceMaxKeys();
 }
 
@@ -722,11 +725,11 @@
 void GateBook::Forget(const std::string& request) {
   Entry& entry = *Find(request);
   DropPieces(entry);
-  if (entry.dispatch.kind == fb::CallKind::Service) {
+  if (entry.told_unknown || entry.dispatch.kind == fb::CallKind::Service) {
     const size_t shard =
         ShardOfBudget(entry.dispatch.budget, options_.ledger_shards);
     int64_t& fence = forgotten_fence_[shard];
-    fence = std::max(fence, entry.dispatch.fence);
+    fence = std::max({fence, entry.dispatch.fence, entry.dead_fence});
   }
   entries_.erase(request);
 }
--- a/hawthornhollow/gate/gate_book.h
+++ b/hawthornhollow/gate/gate_book.h
@@ -184,8 +184,7 @@
                             const RouterLink& link,
                             const fb::DispatchT& dispatch,
                             absl::Time now);
-  void RememberToldUnknown(const std::string& request,
-                           const std::string& router);
+  void RememberToldUnknown(const fb::AttachT& attach);
   GateActions StartRun(const RouterLink& link,
                        const fb::DispatchT& dispatch,
                        absl::Time now);
--- a/hawthornhollow/gate/gate_book_random_test.cc
+++ b/hawthornhollow/gate/gate_book_random_test.cc
@@ -13,6 +13,7 @@
 namespace hawthornhollow {
 namespace {
 
+constexpr int kFences = 20;
 constexpr int kSeeds = 40;
 constexpr int kSteps = 3'000;
 constexpr int kRouters = 3;
@@ -107,6 +108,9 @@
     dispatch.reserved_tokens = 50;
     dispatch.kind = IsService(dispatch.request) ? fb::CallKind::Service
                                                 : fb::CallKind::Chat;
+    if (IsService(dispatch.request)) {
+      dispatch.fence = 1 + Pick(kFences);
+    }
     Check(book_->OnDispatch(links_[router], dispatch, now_));
   }
 
@@ -116,6 +120,9 @@
     attach.attempt = ++attempts_;
     attach.router = Router(router);
     attach.from_sequence = Pick(4);
+    attach.budget = "b";
+    attach.fence = IsService(attach.request) ? 1 + Pick(kFences) : 0;
+    asked_fence_ = attach.fence;
     Check(book_->OnAttach(links_[router], attach));
   }
 
@@ -212,9 +219,8 @@
     }
     const auto told = told_unknown_.find(request);
     if (told != told_unknown_.end() && IsService(request)) {
-      EXPECT_EQ(start.dispatch.router, told->second) << "delayed dispatch ran";
+      EXPECT_GT(start.dispatch.fence, told->second) << "delayed dispatch ran";
     }
-    told_unknown_.erase(request);
     EXPECT_EQ(start.run, static_cast<int64_t>(runs_.size()) + 1);
     ReferenceRun& started = runs_[start.run];
     started.request = request;
@@ -235,7 +241,8 @@
     if (refused != nullptr &&
         refused->reason == fb::RefusalReason::UnknownRequest) {
       EXPECT_FALSE(latest_.contains(refused->request));
-      told_unknown_[refused->request] = RouterOf(send.link);
+      int64_t& told = told_unknown_[refused->request];
+      told = std::max(told, asked_fence_);
     }
     if (const auto* end = send.frame.body.AsEnd()) {
       CheckEnd(send.link, *end);
@@ -279,8 +286,9 @@
   std::map<int64_t, ReferenceRun> runs_;
   std::map<std::string, int64_t> latest_;
   std::map<std::tuple<int64_t, std::string, int32_t>, Received> received_;
-  // Who was told last that a key is unknown.
-  std::map<std::string, std::string> told_unknown_;
+  // The newest claim of a key that a router was told is unknown here.
+  std::map<std::string, int64_t> told_unknown_;
+  int64_t asked_fence_ = 0;
   std::set<int64_t> billed_;
   std::vector<DueBill> in_flight_;
   int whole_ = 0;
--- a/hawthornhollow/gate/gate_book_test.cc
+++ b/hawthornhollow/gate/gate_book_test.cc
@@ -300,10 +300,26 @@
               ElementsAre("1: refused UnknownRequest"));
 }
 
+TEST_F(GateBookTest, OrderOfTheAskingRouterDoesNotRunUnderTheClaimItNamed) {
+  fb::AttachT attach;
+  attach.request = "r1";
+  attach.router = "router-a";
+  attach.budget = "b";
+  attach.fence = 10;
+  EXPECT_THAT(Describe(book_->OnAttach(a_, attach)),
+              ElementsAre("1: refused UnknownRequest"));
+  EXPECT_THAT(Dispatch(a_, MakeService("r1", "router-a", 10)),
+              ElementsAre("1: refused StaleFence"));
+  EXPECT_THAT(Dispatch(a_, MakeService("r1", "router-a", 11)),
+              ElementsAre("start r1"));
+}
+
 TEST_F(GateBookTest, DelayedOrderDoesNotRunOnceAnotherRouterWasToldUnknown) {
   fb::AttachT attach;
   attach.request = "r1";
   attach.router = "router-b";
+  attach.budget = "b";
+  attach.fence = 10;
   for (int i = 0; i < 2; ++i) {
     EXPECT_THAT(Describe(book_->OnAttach(b_, attach)),
                 ElementsAre("2: refused UnknownRequest"));
--- a/hawthornhollow/router/call.cc
+++ b/hawthornhollow/router/call.cc
@@ -5,8 +5,11 @@
 
 namespace hawthornhollow {
 
-Call::Call(std::string request, int32_t attempt)
-    : request_(request), attempt_(attempt), assembler_(std::move(request)) {}
+Call::Call(std::string request, int32_t attempt, CallClaim claim)
+    : request_(request),
+      attempt_(attempt),
+      claim_(std::move(claim)),
+      assembler_(std::move(request)) {}
 
 bool Call::OnHead(fb::HeadT head) {
   std::lock_guard lock(mutex_);
--- a/hawthornhollow/router/call.h
+++ b/hawthornhollow/router/call.h
@@ -36,13 +36,21 @@
                                CallTimeout,
                                CallerGone>;
 
+// The claim under which a call runs or is asked for. Fence 0: none.
+struct CallClaim {
+  std::string budget;
+  int64_t fence = 0;
+  friend bool operator==(const CallClaim&, const CallClaim&) = default;
+};
+
 // Thread-safe.
 class Call {
  public:
-  Call(std::string request, int32_t attempt);
+  Call(std::string request, int32_t attempt, CallClaim claim = {});
 
   const std::string& request() const { return request_; }
   int32_t attempt() const { return attempt_; }
+  const CallClaim& claim() const { return claim_; }
 
   // From the link. Returns false if frames are missing and the link should
   // attach again from next_sequence().
@@ -65,6 +73,7 @@
 
   const std::string request_;
   const int32_t attempt_;
+  const CallClaim claim_;
   mutable std::mutex mutex_;
   boost::fibers::condition_variable_any changed_;
   ReplyAssembler assembler_;
--- a/hawthornhollow/router/gate_link.cc
+++ b/hawthornhollow/router/gate_link.cc
@@ -243,6 +243,8 @@
   attach.attempt = call.attempt();
   attach.router = self_.incarnation;
   attach.from_sequence = call.next_sequence();
+  attach.budget = call.claim().budget;
+  attach.fence = call.claim().fence;
   return attach;
 }
 
--- a/hawthornhollow/router/request_runner.cc
+++ b/hawthornhollow/router/request_runner.cc
@@ -25,7 +25,6 @@
 constexpr int kMaxAttempts = 4;
 constexpr absl::Duration kRetrySoon = absl::Seconds(1);
 constexpr absl::Duration kAskAgain = absl::Seconds(2);
-constexpr absl::Duration kTakeOverWait = absl::Seconds(2);
 constexpr absl::Duration kLocalRunWait = absl::Seconds(10);
 // Bytes of text per token, for the estimate that queues work with.
 constexpr int64_t kBytesPerToken = 4;
@@ -145,24 +144,23 @@
                                  ResponseWriter& writer) {
   if (!context.keyed)
     return Continue{};
-  if (auto prior = FindPrior(context)) {
-    FilterResult result = Attach(context, writer, *prior);
-    if (!std::holds_alternative<Continue>(result))
-      return result;
-  }
-  return Register(context, writer);
+  // This router's own run comes first: its claim may be in the log before its
+  // dispatch has left.
+  LocalKeys::Location location = parts_.keys.FindOrAdd(context.request_key);
+  if (location)
+    return AttachToLocal(context, writer, *location);
+  context.on_end.push_back([keys = &parts_.keys, key = context.request_key] {
+    keys->RemoveUnlessRun(key);
+  });
+  if (auto prior = FindPrior(context))
+    return Attach(context, writer, *prior);
+  return Continue{};
 }
 
-FilterResult ReplayFilter::Register(RequestContext& context,
-                                    ResponseWriter& writer) {
-  LocalKeys::Location location = parts_.keys.FindOrAdd(context.request_key);
-  if (!location) {
-    context.on_end.push_back([keys = &parts_.keys, key = context.request_key] {
-      keys->RemoveUnlessRun(key);
-    });
-    return Continue{};
-  }
-  auto server = location->Wait(kLocalRunWait);
+FilterResult ReplayFilter::AttachToLocal(RequestContext& context,
+                                         ResponseWriter& writer,
+                                         OneShot<std::string>& location) {
+  auto server = location.Wait(kLocalRunWait);
   if (!server || server->empty())
     return ApiError{409, "in_progress",
                     "another request with this key is in progress",
@@ -196,7 +194,10 @@
                                   const Prior& prior) {
   auto link = parts_.gates.Find(prior.server);
   std::string gate = EmptyIfNull(link);
-  auto call = std::make_shared<Call>(context.request_key, attempts_.Next());
+  CallClaim claim{context.caller->budget,
+                  prior.claim ? prior.claim->offset : 0};
+  auto call = std::make_shared<Call>(context.request_key, attempts_.Next(),
+                                     std::move(claim));
   if (gate.empty() || !link->Attach(call).ok())
     return OnUnreachable(context, prior);
   RelayOptions options;
@@ -353,13 +354,12 @@
 }
 
 fb::DispatchT RequestRunner::DispatchFrame(const RequestContext& context,
-                                           const Call& call,
-                                           int64_t fence) const {
+                                           const Call& call) const {
   fb::DispatchT dispatch;
   dispatch.request = call.request();
   dispatch.attempt = call.attempt();
   dispatch.router = parts_.incarnation;
-  dispatch.fence = fence;
+  dispatch.fence = call.claim().fence;
   dispatch.budget = context.caller->budget;
   dispatch.caller = context.caller->name;
   dispatch.rank_order = parts_.scheduler.EnginePriority(context.rank->order);
@@ -393,15 +393,16 @@
                                               const Ticket& ticket) {
   auto link = parts_.gates.Find(server);
   std::string gate = EmptyIfNull(link);
-  int64_t fence = 0;
+  progress.fence = 0;
   std::optional<ApiError> refused;
   if (!gate.empty())
-    refused = ClaimFor(context, server, gate, &fence);
-  auto call = std::make_shared<Call>(context.request_key, attempts_.Next());
+    refused = ClaimFor(context, server, gate, &progress.fence);
+  auto call =
+      std::make_shared<Call>(context.request_key, attempts_.Next(),
+                             CallClaim{context.caller->budget, progress.fence});
   bool sent = false;
   if (!gate.empty() && !refused)
-    sent =
-        link->Dispatch(call, DispatchFrame(context, *call, fence), gate).ok();
+    sent = link->Dispatch(call, DispatchFrame(context, *call), gate).ok();
   if (!sent) {
     parts_.scheduler.OnFinished(ticket, server, 0, !refused);
     if (refused) {
@@ -504,11 +505,9 @@
   bool stale = refused.reason == fb::RefusalReason::StaleFence;
   if (!stale && refused.reason != fb::RefusalReason::UnknownRequest)
     progress.avoid.insert(server);
-  ReleaseOwnClaim(context);
+  ReleaseOwnClaim(context, progress.fence);
   if (stale) {
-    // Whoever was told that the key did not run may release this router's claim
-    // late, and so a second one: the caller's next ask claims anew.
-    TakeOverAtGate(context, server);
+    // A router was told that this claim did not run, and may have claimed anew.
     GiveUp(context, writer, progress,
            {409, "in_progress", "another router was given this key; ask again",
             RunState::kUnknown, Spread(kRetrySoon)});
@@ -553,26 +552,15 @@
   return Next::kDone;
 }
 
-bool RequestRunner::TakeOverAtGate(const RequestContext& context,
-                                   const std::string& server) {
-  auto link = parts_.gates.Find(server);
-  auto call = std::make_shared<Call>(context.request_key, attempts_.Next());
-  if (!link || !link->Attach(call).ok())
-    return false;
-  CallEvent event = call->Next(kTakeOverWait);
-  link->Forget(*call);
-  const auto* refused = std::get_if<fb::RefusedT>(&event);
-  return refused && refused->reason == fb::RefusalReason::UnknownRequest;
-}
-
-void RequestRunner::ReleaseOwnClaim(const RequestContext& context) {
-  if (!context.keyed)
+void RequestRunner::ReleaseOwnClaim(const RequestContext& context,
+                                    int64_t fence) {
+  if (fence == 0)
     return;
   ClaimRecord claim;
   claim.request = context.request_key;
   claim.budget = context.caller->budget;
   claim.incarnation = parts_.incarnation;
-  parts_.budgets.ReleaseClaim(claim).IgnoreError();
+  parts_.budgets.ReleaseClaim(claim, fence).IgnoreError();
 }
 
 bool RequestRunner::MayRetry(const Progress& progress) {
--- a/hawthornhollow/router/request_runner.h
+++ b/hawthornhollow/router/request_runner.h
@@ -77,7 +77,9 @@
     std::optional<BudgetFold::ClaimState> claim;
     std::optional<Outcome> billed_as;
   };
-  FilterResult Register(RequestContext& context, ResponseWriter& writer);
+  FilterResult AttachToLocal(RequestContext& context,
+                             ResponseWriter& writer,
+                             OneShot<std::string>& location);
   std::optional<Prior> FindPrior(const RequestContext& context) const;
   FilterResult Attach(RequestContext& context,
                       ResponseWriter& writer,
@@ -106,6 +108,7 @@
     int attempts = 0;
     bool may_have_run = false;
     int64_t tokens_seen = 0;
+    int64_t fence = 0;  // the last attempt's claim, 0 if it has none
   };
   enum class Next { kDone, kRetry };
 
@@ -147,12 +150,8 @@
                   const std::string& server,
                   const RelayEnd& end,
                   const std::string& reason);
-  // Asks the gate for the key; returns whether it confirms that the key has not
-  // run. It then takes the key's dispatch from this router only. To be called
-  // without a claim: one made before might have been released and replaced.
-  bool TakeOverAtGate(const RequestContext& context, const std::string& server);
-  // The gate confirmed that the claimed attempt never ran.
-  void ReleaseOwnClaim(const RequestContext& context);
+  // The gate confirmed that the attempt under that claim never ran.
+  void ReleaseOwnClaim(const RequestContext& context, int64_t fence);
   bool MayRetry(const Progress& progress);
   void Bill(const RequestContext& context,
             const std::string& server,
@@ -165,8 +164,7 @@
               const Progress& progress,
               const ApiError& error);
   fb::DispatchT DispatchFrame(const RequestContext& context,
-                              const Call& call,
-                              int64_t fence) const;
+                              const Call& call) const;
 
   const RunnerParts parts_;
   AttemptNumbers& attempts_;
--- a/hawthornhollow/wire/frames_generated.h
+++ b/hawthornhollow/wire/frames_generated.h
@@ -1175,6 +1175,8 @@
   int32_t attempt = 0;
   std::string router{};
   int64_t from_sequence = 0;
+  std::string budget{};
+  int64_t fence = 0;
 };
 
 struct Attach FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1185,7 +1187,9 @@
     VT_REQUEST = 4,
     VT_ATTEMPT = 6,
     VT_ROUTER = 8,
-    VT_FROM_SEQUENCE = 10
+    VT_FROM_SEQUENCE = 10,
+    VT_BUDGET = 12,
+    VT_FENCE = 14
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -1199,6 +1203,12 @@
   int64_t from_sequence() const {
     return GetField<int64_t>(VT_FROM_SEQUENCE, 0);
   }
+  const flatbuffers::String *budget() const {
+    return GetPointer<const flatbuffers::String *>(VT_BUDGET);
+  }
+  int64_t fence() const {
+    return GetField<int64_t>(VT_FENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -1207,6 +1217,9 @@
            VerifyOffset(verifier, VT_ROUTER) &&
            verifier.VerifyString(router()) &&
            VerifyField<int64_t>(verifier, VT_FROM_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_BUDGET) &&
+           verifier.VerifyString(budget()) &&
+           VerifyField<int64_t>(verifier, VT_FENCE, 8) &&
            verifier.EndTable();
   }
   AttachT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1230,6 +1243,12 @@
   void add_from_sequence(int64_t from_sequence) {
     fbb_.AddElement<int64_t>(Attach::VT_FROM_SEQUENCE, from_sequence, 0);
   }
+  void add_budget(flatbuffers::Offset<flatbuffers::String> budget) {
+    fbb_.AddOffset(Attach::VT_BUDGET, budget);
+  }
+  void add_fence(int64_t fence) {
+    fbb_.AddElement<int64_t>(Attach::VT_FENCE, fence, 0);
+  }
   explicit AttachBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1246,9 +1265,13 @@
     flatbuffers::Offset<flatbuffers::String> request = 0,
     int32_t attempt = 0,
     flatbuffers::Offset<flatbuffers::String> router = 0,
-    int64_t from_sequence = 0) {
+    int64_t from_sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> budget = 0,
+    int64_t fence = 0) {
   AttachBuilder builder_(_fbb);
+  builder_.add_fence(fence);
   builder_.add_from_sequence(from_sequence);
+  builder_.add_budget(budget);
   builder_.add_router(router);
   builder_.add_attempt(attempt);
   builder_.add_request(request);
@@ -1265,15 +1288,20 @@
     const char *request = nullptr,
     int32_t attempt = 0,
     const char *router = nullptr,
-    int64_t from_sequence = 0) {
+    int64_t from_sequence = 0,
+    const char *budget = nullptr,
+    int64_t fence = 0) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto router__ = router ? _fbb.CreateString(router) : 0;
+  auto budget__ = budget ? _fbb.CreateString(budget) : 0;
   return hawthornhollow::fb::CreateAttach(
       _fbb,
       request__,
       attempt,
       router__,
-      from_sequence);
+      from_sequence,
+      budget__,
+      fence);
 }
 
 flatbuffers::Offset<Attach> CreateAttach(flatbuffers::FlatBufferBuilder &_fbb, const AttachT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2797,7 +2825,9 @@
       (lhs.request == rhs.request) &&
       (lhs.attempt == rhs.attempt) &&
       (lhs.router == rhs.router) &&
-      (lhs.from_sequence == rhs.from_sequence);
+      (lhs.from_sequence == rhs.from_sequence) &&
+      (lhs.budget == rhs.budget) &&
+      (lhs.fence == rhs.fence);
 }
 
 inline bool operator!=(const AttachT &lhs, const AttachT &rhs) {
@@ -2818,6 +2848,8 @@
   { auto _e = attempt(); _o->attempt = _e; }
   { auto _e = router(); if (_e) _o->router = _e->str(); }
   { auto _e = from_sequence(); _o->from_sequence = _e; }
+  { auto _e = budget(); if (_e) _o->budget = _e->str(); }
+  { auto _e = fence(); _o->fence = _e; }
 }
 
 inline flatbuffers::Offset<Attach> Attach::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AttachT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2832,12 +2864,16 @@
   auto _attempt = _o->attempt;
   auto _router = _o->router.empty() ? 0 : _fbb.CreateString(_o->router);
   auto _from_sequence = _o->from_sequence;
+  auto _budget = _o->budget.empty() ? 0 : _fbb.CreateString(_o->budget);
+  auto _fence = _o->fence;
   return hawthornhollow::fb::CreateAttach(
       _fbb,
       _request,
       _attempt,
       _router,
-      _from_sequence);
+      _from_sequence,
+      _budget,
+      _fence);
 }
 
 
