--- a/testing/inforce_test.cc
+++ b/testing/inforce_test.cc
@@ -403,13 +403,13 @@
 
 TEST_F(InForceTest, NewRouter_RetentionPassedFirstVersions_TakesTheNewest) {
   FleetOptions options = Options();
-  constexpr int64_t retention = 40;
-  options.log_flags = {"--retention", std::to_string(retention)};
+  constexpr int64_t kRetention = 40;
+  options.log_flags = {"--retention", std::to_string(kRetention)};
   StartFleet(options);
   ASSERT_EQ(RemoveGuest("operator"), 2);
   std::string folder = FetchFolder("operator");
   int64_t version = 2;
-  for (; version < retention + 10; ++version) {
+  for (; version < kRetention + 10; ++version) {
     Write(folder + "/80-racer.json",
           CallerText(absl::StrCat("racer-", version)));
     ASSERT_EQ(VersionOf(PublishWhenReadable(folder)), version + 1);
--- a/tools/capacity.cc
+++ b/tools/capacity.cc
@@ -150,9 +150,9 @@
     for (int i = 0; i < size; ++i)
       filler.Apply(VoteOf(i));
   };
-  constexpr int budgets = 1000;
+  constexpr int kBudgets = 1000;
   auto grant_some = [](FoldFiller& filler, int) {
-    for (int i = 0; i < budgets; ++i) {
+    for (int i = 0; i < kBudgets; ++i) {
       filler.Apply(VoteOf(i));
       filler.Apply(GrantOf(i));
     }
@@ -160,7 +160,7 @@
   MeasureFold("budget", {2000, 8000, 32000}, nothing, VoteOf);
   MeasureFold("account", {2000, 8000, 32000}, vote_all, GrantOf);
   MeasureFold("bill", {10000, 40000, 160000}, grant_some,
-              [](int i) { return BillOf(i, budgets); });
+              [](int i) { return BillOf(i, kBudgets); });
 }
 
 constexpr int kItemsPerFile = 1000;
