--- a/hawthornhollow/config/parse.cc
+++ b/hawthornhollow/config/parse.cc
@@ -14,10 +14,13 @@
 // to find a field given twice; the DOM parser silently keeps the last.
 class DuplicateFinder {
  public:
+  // Boost.Json asks for these names.
+  // NOLINTBEGIN(readability-identifier-naming)
   static constexpr size_t max_object_size = kMaxFileBytes;
   static constexpr size_t max_array_size = kMaxFileBytes;
   static constexpr size_t max_key_size = kMaxFileBytes;
   static constexpr size_t max_string_size = kMaxFileBytes;
+  // NOLINTEND(readability-identifier-naming)
 
   const std::string& duplicate() const { return duplicate_; }
 
