Remove GateController::FindByGate, which nothing calls

Change: the function and its declaration are gone; behaviour is as before. Ruled out: keeping it for later use.

--- a/hawthornhollow/router/gate_controller.cc
+++ b/hawthornhollow/router/gate_controller.cc
@@ -96,16 +96,6 @@
   return found == links_.end() ? nullptr : found->second;
 }
 
-std::shared_ptr<GateLink> GateController::FindByGate(
-    const std::string& gate_incarnation) const {
-  std::lock_guard lock(mutex_);
-  for (const auto& [name, link] : links_) {
-    if (link->gate_incarnation() == gate_incarnation)
-      return link;
-  }
-  return nullptr;
-}
-
 bool GateController::HasCallsThrough(
     const std::string& gate_incarnation) const {
   std::lock_guard lock(mutex_);
--- a/hawthornhollow/router/gate_controller.h
+++ b/hawthornhollow/router/gate_controller.h
@@ -34,9 +34,6 @@
 
   // Null if the server is not in the configuration.
   std::shared_ptr<GateLink> Find(const std::string& server) const;
-  // The link through which that gate incarnation is connected; null if none.
-  std::shared_ptr<GateLink> FindByGate(
-      const std::string& gate_incarnation) const;
 
   bool HasCallsThrough(const std::string& gate_incarnation) const;
   // Tells every gate that may know the request that its bill is durable.
