Near a total's end it is divided by demand, and bursts wait for old records

Cause: idle routers held 5% / N of each total each and could not give it within their schedules; a killed router was charged two usual requests per workspace.

--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -96,7 +96,7 @@
         return Refuse(absl::StatusCode::kUnavailable, workspace, tokens);
       wanted_.Notify();
       if (waited >= options_.ask_after)
-        StartAsking(workspace, tokens);
+        StartAsking(workspace);
       changed_.WaitBeyond(seen,
                           std::min(timeout - waited, options_.ask_after));
     }
@@ -184,7 +184,16 @@
         book_.ApplyRecord(*std::move(record));
     }
     end_ = page->end;
-    book_.Start(previous, BootTime());
+    for (const Inheritance& inherited : book_.Start(previous, BootTime())) {
+      LogEvent("total.inherited")
+          .Add("workspace", inherited.workspace)
+          .Add("recorded", inherited.recorded)
+          .Add("charged", inherited.charged)
+          .Add("authority", inherited.authority)
+          .Add("record_age_ms",
+               (absl::ToInt64Microseconds(BootTime()) - previous->written_us) /
+                   1000);
+    }
     LogEvent("total.started")
         .Add("routers", static_cast<int64_t>(book_.router_count()))
         .Add("previous_epoch", previous.has_value() ? previous->epoch : 0)
@@ -277,20 +286,20 @@
 
   // Asks the other routers for what requests of the workspace wait for, one
   // round at a time.
-  void StartAsking(const std::string& workspace, int64_t tokens) {
+  void StartAsking(const std::string& workspace) {
     if (!asking_.insert(workspace).second)
       return;
-    spawn_([this, workspace, tokens] {
-      AskOthers(workspace, tokens);
+    spawn_([this, workspace] {
+      AskOthers(workspace);
       asking_.erase(workspace);
       changed_.Notify();
     });
   }
 
-  void AskOthers(const std::string& workspace, int64_t tokens) {
-    int64_t missing = tokens;
+  void AskOthers(const std::string& workspace) {
     for (const std::string& address : peers()) {
       const absl::Time now = absl::Now();
+      const int64_t missing = book_.Missing(workspace, BootTime());
       if (missing <= 0)
         return;
       if (paused_[address] > now)
@@ -306,7 +315,6 @@
       if (*given > 0) {
         book_.ReceiveGift(workspace, *given);
         changed_.Notify();
-        missing -= *given;
       }
     }
   }
--- a/hawthornhollow/totals/router_record.cc
+++ b/hawthornhollow/totals/router_record.cc
@@ -8,12 +8,12 @@
 namespace hawthornhollow {
 
 int64_t SpendingLimit(const fb::TotalShareT& share, absl::Duration age) {
-  const double seconds =
-      std::max(0.0, absl::ToDoubleSeconds(age)) *
-      static_cast<double>(std::max<int64_t>(0, share.per_second));
-  const double allowance = static_cast<double>(share.burst) + seconds;
-  const int64_t headroom = std::max<int64_t>(
-      0, share.authority - share.committed);
+  double allowance = std::max(0.0, absl::ToDoubleSeconds(age)) *
+                     static_cast<double>(std::max<int64_t>(0, share.per_second));
+  if (age >= absl::Milliseconds(share.burst_after_ms))
+    allowance += static_cast<double>(std::max<int64_t>(0, share.burst));
+  const int64_t headroom =
+      std::max<int64_t>(0, share.authority - share.committed);
   if (allowance >= static_cast<double>(headroom))
     return share.committed + headroom;
   return share.committed + static_cast<int64_t>(allowance);
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -30,6 +30,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
@@ -65,12 +66,18 @@
   // Times the recent rate, since a cut-off router may get others' callers too.
   double headroom = 1.5;
   // Of a total, divided by the number of routers: held without any demand, so
-  // that the first requests need not wait for the store.
+  // that the first requests of an outage are not refused.
   double idle_share = 0.05;
+  // Of what is left of a total, kept out of the division by demand for requests
+  // that wait.
+  double reserve_share = 0.2;
   // The time over which demand is averaged.
   absl::Duration demand_time = absl::Seconds(5);
-  // Requests of the usual size that may be reserved at once between records.
+  // Requests of the usual size that may be reserved at once without a record,
+  // when the last one is older than `burst_after`. A killed router is back
+  // before that, and is charged nothing for them.
   int64_t burst_requests = 2;
+  absl::Duration burst_after = absl::Milliseconds(1200);
   friend auto operator<=>(const TotalsOptions&, const TotalsOptions&) = default;
 };
 
@@ -83,6 +90,15 @@
   friend auto operator<=>(const TotalState&, const TotalState&) = default;
 };
 
+// What an incarnation was charged for the commitments of the one before it.
+struct Inheritance {
+  std::string workspace;
+  int64_t recorded = 0;   // committed, as the last record said
+  int64_t charged = 0;    // at most committed by its end
+  int64_t authority = 0;  // of the last record
+  friend auto operator<=>(const Inheritance&, const Inheritance&) = default;
+};
+
 class TotalsBook {
  public:
   explicit TotalsBook(const TotalsOptions& options);
@@ -102,8 +118,9 @@
   // Begins an incarnation with the record that the last one on this VM left, if
   // any. Nothing may be reserved from the authority before the first record is
   // durable.
-  void Start(const std::optional<fb::RouterRecordT>& previous,
-             absl::Duration now);
+  std::vector<Inheritance> Start(
+      const std::optional<fb::RouterRecordT>& previous,
+      absl::Duration now);
   bool started() const { return started_; }
 
   // Takes `tokens` if they are at hand now.
@@ -122,6 +139,8 @@
   // committed leaves less of the total.
   bool IsSpent(const std::string& workspace, int64_t tokens) const;
   TotalState state(const std::string& workspace, absl::Duration now) const;
+  // What waiting requests lack.
+  int64_t Missing(const std::string& workspace, absl::Duration now) const;
 
   // The record to be put into the store next, on the condition that no record
   // has come after those applied here. Until the outcome is known spending
@@ -163,6 +182,10 @@
   int64_t DurableAuthority(const std::string& workspace) const;
   int64_t OthersAuthority(const std::string& workspace) const;
   int64_t OthersCommitted(const std::string& workspace) const;
+  int64_t OthersDemand(const std::string& workspace) const;
+  int64_t FairHeadroom(const std::string& workspace,
+                       const Holding& holding,
+                       absl::Duration now) const;
   double DemandRate(const Holding& holding, absl::Duration now) const;
   void NoteDemand(Holding* holding, int64_t tokens, absl::Duration now);
   int64_t WantedHeadroom(const std::string& workspace,
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -46,6 +46,17 @@
   return found == record.shares.end() ? nullptr : found->get();
 }
 
+int64_t SumOf(const std::map<std::string, fb::RouterRecordT>& records,
+              const std::string& workspace,
+              int64_t fb::TotalShareT::*field) {
+  int64_t sum = 0;
+  for (const auto& [router, record] : records) {
+    if (const fb::TotalShareT* share = FindShare(record, workspace))
+      sum += share->*field;
+  }
+  return sum;
+}
+
 absl::Duration AgeOf(const fb::RouterRecordT& record, absl::Duration now) {
   return now - absl::Microseconds(record.written_us);
 }
@@ -71,13 +82,15 @@
   others_.insert_or_assign(std::move(router), std::move(record));
 }
 
-void TotalsBook::Start(const std::optional<fb::RouterRecordT>& previous,
-                       absl::Duration now) {
+std::vector<Inheritance> TotalsBook::Start(
+    const std::optional<fb::RouterRecordT>& previous,
+    absl::Duration now) {
   started_ = true;
   if (!previous.has_value()) {
     epoch_ = 1;
-    return;
+    return {};
   }
+  std::vector<Inheritance> inherited;
   epoch_ = previous->epoch + 1;
   const bool same_clock = !options_.boot.empty() &&
                           previous->boot == options_.boot &&
@@ -88,11 +101,16 @@
                                 ? SpendingLimit(*share, AgeOf(*previous, now))
                                 : share->authority;
     HoldingOf(share->workspace).committed += charged;
+    inherited.push_back({.workspace = share->workspace,
+                         .recorded = share->committed,
+                         .charged = charged,
+                         .authority = share->authority});
     // Nothing is left of the old schedule: see Reserve.
     share->committed = charged;
     share->burst = 0;
     share->per_second = 0;
   }
+  return inherited;
 }
 
 TotalsBook::Holding& TotalsBook::HoldingOf(const std::string& workspace) {
@@ -132,21 +150,15 @@
 }
 
 int64_t TotalsBook::OthersAuthority(const std::string& workspace) const {
-  int64_t sum = 0;
-  for (const auto& [router, record] : others_) {
-    if (const fb::TotalShareT* share = FindShare(record, workspace))
-      sum += share->authority;
-  }
-  return sum;
+  return SumOf(others_, workspace, &fb::TotalShareT::authority);
 }
 
 int64_t TotalsBook::OthersCommitted(const std::string& workspace) const {
-  int64_t sum = 0;
-  for (const auto& [router, record] : others_) {
-    if (const fb::TotalShareT* share = FindShare(record, workspace))
-      sum += share->committed;
-  }
-  return sum;
+  return SumOf(others_, workspace, &fb::TotalShareT::committed);
+}
+
+int64_t TotalsBook::OthersDemand(const std::string& workspace) const {
+  return SumOf(others_, workspace, &fb::TotalShareT::demand);
 }
 
 double TotalsBook::DemandRate(const Holding& holding,
@@ -229,6 +241,15 @@
   return state;
 }
 
+int64_t TotalsBook::Missing(const std::string& workspace,
+                            absl::Duration now) const {
+  const Holding* holding = FindHolding(workspace);
+  if (holding == nullptr)
+    return 0;
+  return std::max<int64_t>(
+      0, holding->waiting - state(workspace, now).available);
+}
+
 int64_t TotalsBook::WantedHeadroom(const std::string& workspace,
                                    const Holding& holding,
                                    absl::Duration now) const {
@@ -237,7 +258,23 @@
   const double idle = static_cast<double>(TotalOf(workspace)) *
                       options_.idle_share /
                       static_cast<double>(router_count());
-  return holding.waiting + static_cast<int64_t>(std::max(by_demand, idle));
+  const auto wanted = static_cast<int64_t>(std::max(by_demand, idle));
+  return holding.waiting +
+         std::min(wanted, FairHeadroom(workspace, holding, now));
+}
+
+// What is left of the total, divided among the routers by demand: near its end
+// nobody holds what others ask for.
+int64_t TotalsBook::FairHeadroom(const std::string& workspace,
+                                 const Holding& holding,
+                                 absl::Duration now) const {
+  const double left = static_cast<double>(std::max<int64_t>(
+      0, TotalOf(workspace) - OthersCommitted(workspace) - holding.committed));
+  const double own = DemandRate(holding, now);
+  const double all = own + static_cast<double>(OthersDemand(workspace));
+  const double share = all < 1 ? 1 / static_cast<double>(router_count())
+                               : own / all;
+  return static_cast<int64_t>(left * share * (1 - options_.reserve_share));
 }
 
 fb::TotalShareT TotalsBook::MakeShare(const std::string& workspace,
@@ -250,7 +287,6 @@
       holding.committed + WantedHeadroom(workspace, holding, now);
   fb::TotalShareT share;
   share.workspace = workspace;
-  share.committed = holding.committed;
   share.authority = std::max(wanted, holding.committed);
   if (wanted > durable) {
     const int64_t part = std::max<int64_t>(
@@ -261,11 +297,14 @@
         std::min({wanted - durable, part, unassigned});
     share.authority = std::max(durable + growth, holding.committed);
   }
+  // What waits is written ahead, to be reserved once the record is durable.
+  share.committed =
+      std::min(share.authority, holding.committed + holding.waiting);
   const int64_t headroom = share.authority - share.committed;
-  share.burst =
-      holding.waiting +
-      static_cast<int64_t>(holding.usual_request *
-                           static_cast<double>(options_.burst_requests));
+  share.burst = static_cast<int64_t>(
+      holding.usual_request * static_cast<double>(options_.burst_requests));
+  share.burst_after_ms = absl::ToInt64Milliseconds(options_.burst_after);
+  share.demand = static_cast<int64_t>(DemandRate(holding, now));
   const double by_horizon = static_cast<double>(headroom) /
                             absl::ToDoubleSeconds(options_.horizon);
   share.per_second = static_cast<int64_t>(std::max(
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -46,8 +46,10 @@
   std::string workspace{};
   int64_t committed = 0;
   int64_t authority = 0;
-  int64_t burst = 0;
   int64_t per_second = 0;
+  int64_t burst = 0;
+  int64_t burst_after_ms = 0;
+  int64_t demand = 0;
 };
 
 struct TotalShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -58,8 +60,10 @@
     VT_WORKSPACE = 4,
     VT_COMMITTED = 6,
     VT_AUTHORITY = 8,
-    VT_BURST = 10,
-    VT_PER_SECOND = 12
+    VT_PER_SECOND = 10,
+    VT_BURST = 12,
+    VT_BURST_AFTER_MS = 14,
+    VT_DEMAND = 16
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -70,11 +74,17 @@
   int64_t authority() const {
     return GetField<int64_t>(VT_AUTHORITY, 0);
   }
+  int64_t per_second() const {
+    return GetField<int64_t>(VT_PER_SECOND, 0);
+  }
   int64_t burst() const {
     return GetField<int64_t>(VT_BURST, 0);
   }
-  int64_t per_second() const {
-    return GetField<int64_t>(VT_PER_SECOND, 0);
+  int64_t burst_after_ms() const {
+    return GetField<int64_t>(VT_BURST_AFTER_MS, 0);
+  }
+  int64_t demand() const {
+    return GetField<int64_t>(VT_DEMAND, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -82,8 +92,10 @@
            verifier.VerifyString(workspace()) &&
            VerifyField<int64_t>(verifier, VT_COMMITTED, 8) &&
            VerifyField<int64_t>(verifier, VT_AUTHORITY, 8) &&
-           VerifyField<int64_t>(verifier, VT_BURST, 8) &&
            VerifyField<int64_t>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<int64_t>(verifier, VT_BURST, 8) &&
+           VerifyField<int64_t>(verifier, VT_BURST_AFTER_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_DEMAND, 8) &&
            verifier.EndTable();
   }
   TotalShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -104,11 +116,17 @@
   void add_authority(int64_t authority) {
     fbb_.AddElement<int64_t>(TotalShare::VT_AUTHORITY, authority, 0);
   }
+  void add_per_second(int64_t per_second) {
+    fbb_.AddElement<int64_t>(TotalShare::VT_PER_SECOND, per_second, 0);
+  }
   void add_burst(int64_t burst) {
     fbb_.AddElement<int64_t>(TotalShare::VT_BURST, burst, 0);
   }
-  void add_per_second(int64_t per_second) {
-    fbb_.AddElement<int64_t>(TotalShare::VT_PER_SECOND, per_second, 0);
+  void add_burst_after_ms(int64_t burst_after_ms) {
+    fbb_.AddElement<int64_t>(TotalShare::VT_BURST_AFTER_MS, burst_after_ms, 0);
+  }
+  void add_demand(int64_t demand) {
+    fbb_.AddElement<int64_t>(TotalShare::VT_DEMAND, demand, 0);
   }
   explicit TotalShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -126,11 +144,15 @@
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
     int64_t committed = 0,
     int64_t authority = 0,
+    int64_t per_second = 0,
     int64_t burst = 0,
-    int64_t per_second = 0) {
+    int64_t burst_after_ms = 0,
+    int64_t demand = 0) {
   TotalShareBuilder builder_(_fbb);
-  builder_.add_per_second(per_second);
+  builder_.add_demand(demand);
+  builder_.add_burst_after_ms(burst_after_ms);
   builder_.add_burst(burst);
+  builder_.add_per_second(per_second);
   builder_.add_authority(authority);
   builder_.add_committed(committed);
   builder_.add_workspace(workspace);
@@ -147,16 +169,20 @@
     const char *workspace = nullptr,
     int64_t committed = 0,
     int64_t authority = 0,
+    int64_t per_second = 0,
     int64_t burst = 0,
-    int64_t per_second = 0) {
+    int64_t burst_after_ms = 0,
+    int64_t demand = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return hawthornhollow::fb::CreateTotalShare(
       _fbb,
       workspace__,
       committed,
       authority,
+      per_second,
       burst,
-      per_second);
+      burst_after_ms,
+      demand);
 }
 
 flatbuffers::Offset<TotalShare> CreateTotalShare(flatbuffers::FlatBufferBuilder &_fbb, const TotalShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -486,8 +512,10 @@
       (lhs.workspace == rhs.workspace) &&
       (lhs.committed == rhs.committed) &&
       (lhs.authority == rhs.authority) &&
+      (lhs.per_second == rhs.per_second) &&
       (lhs.burst == rhs.burst) &&
-      (lhs.per_second == rhs.per_second);
+      (lhs.burst_after_ms == rhs.burst_after_ms) &&
+      (lhs.demand == rhs.demand);
 }
 
 inline bool operator!=(const TotalShareT &lhs, const TotalShareT &rhs) {
@@ -507,8 +535,10 @@
   { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
   { auto _e = committed(); _o->committed = _e; }
   { auto _e = authority(); _o->authority = _e; }
-  { auto _e = burst(); _o->burst = _e; }
   { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = burst(); _o->burst = _e; }
+  { auto _e = burst_after_ms(); _o->burst_after_ms = _e; }
+  { auto _e = demand(); _o->demand = _e; }
 }
 
 inline flatbuffers::Offset<TotalShare> TotalShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TotalShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -522,15 +552,19 @@
   auto _workspace = _o->workspace.empty() ? 0 : _fbb.CreateString(_o->workspace);
   auto _committed = _o->committed;
   auto _authority = _o->authority;
-  auto _burst = _o->burst;
   auto _per_second = _o->per_second;
+  auto _burst = _o->burst;
+  auto _burst_after_ms = _o->burst_after_ms;
+  auto _demand = _o->demand;
   return hawthornhollow::fb::CreateTotalShare(
       _fbb,
       _workspace,
       _committed,
       _authority,
+      _per_second,
       _burst,
-      _per_second);
+      _burst_after_ms,
+      _demand);
 }
 
 
