--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -53,7 +53,8 @@
             store,
             {.book = {.router = settings.router,
                       .boot = BootId(),
-                      .address = settings.peers.ToString()}},
+                      .address = settings.peers.ToString(),
+                      .failure_domain = settings.failure_domain}},
             [&runtime](std::function<void()> task) {
               runtime.Spawn(std::move(task));
             },
@@ -109,7 +110,8 @@
                  &caller_server_);
     if (!status.ok())
       return status;
-    runtime_.Spawn([this] { catalog_.Run(stop_); });
+    runtime_.Spawn([this] { catalog_.FollowConfiguration(stop_); });
+    runtime_.Spawn([this] { catalog_.FollowServers(stop_); });
     runtime_.Spawn([this] { totals_.Run(stop_); });
     LogEvent("router.started").Add("callers", settings_.callers.ToString());
     return absl::OkStatus();
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -8,6 +8,7 @@
 // next record, other routers' gifts, other requests' unused tokens, or the
 // schedule of the record, which allows more with time.
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -16,8 +17,10 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/cleanup/cleanup.h"
+#include "absl/random/random.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
 #include "hawthornhollow/relay/fiber_signal.h"
@@ -39,6 +42,15 @@
   // A request waits this long for a record before other routers are asked.
   absl::Duration ask_after = absl::Milliseconds(25);
   absl::Duration ask_timeout = absl::Milliseconds(150);
+  // What a router asks for at a time: what its requests lack, and its demand
+  // over this time.
+  absl::Duration ask_ahead = absl::Milliseconds(300);
+  // Routers asked in one round, at most.
+  size_t ask_most = 5;
+  // A record older than this shows that the store is out of reach.
+  absl::Duration cut_off_after = absl::Milliseconds(900);
+  // How long a reserve may take to answer.
+  absl::Duration reserve_patience = absl::Milliseconds(80);
   // A router that did not answer is not asked again for this long.
   absl::Duration ask_pause = absl::Seconds(1);
 };
@@ -95,7 +107,8 @@
       if (waited >= timeout)
         return Refuse(absl::StatusCode::kUnavailable, workspace, tokens);
       wanted_.Notify();
-      if (waited >= options_.ask_after)
+      if (!options_.book.reserve &&
+          (waited >= options_.ask_after || IsCutOff()))
         StartAsking(workspace);
       changed_.WaitBeyond(seen,
                           std::min(timeout - waited, options_.ask_after));
@@ -107,23 +120,19 @@
     changed_.Notify();
   }
 
-  // Another router asks.
+  // Another router asks. A reserve takes from the store what it does not hold.
   int64_t Give(const std::string& workspace, int64_t tokens) {
-    return book_.Give(workspace, tokens, BootTime());
+    const int64_t given = book_.Give(workspace, tokens, BootTime());
+    if (given >= tokens || !options_.book.reserve)
+      return given;
+    const auto rest =
+        Acquire(workspace, tokens - given, options_.reserve_patience);
+    return given + (rest.ok() ? rest->tokens() : 0);
   }
 
   TotalState state(const std::string& workspace) const {
     return book_.state(workspace, BootTime());
   }
-  // Addresses of the other routers.
-  std::vector<std::string> peers() const {
-    std::vector<std::string> addresses;
-    for (const auto& [router, record] : book_.others()) {
-      if (!record.address.empty())
-        addresses.push_back(record.address);
-    }
-    return addresses;
-  }
 
   // Keeps the record until `stop`. One fiber runs this.
   void Run(const std::atomic<bool>& stop) {
@@ -160,6 +169,10 @@
     return ErrorAt(code, "totals.acquire", workspace, "not enough tokens");
   }
 
+  bool IsCutOff() const {
+    return BootTime() - last_durable_ > options_.cut_off_after;
+  }
+
   // Reads all records and begins this incarnation.
   bool Join() {
     auto page = store_.Newest(StoreSubject::kRouterRecords,
@@ -296,15 +309,41 @@
     });
   }
 
+  // Reserves first, those of the own failure domain before others, and among
+  // equals in a new order each time.
+  std::vector<std::string> AddressesToAsk() {
+    std::vector<std::pair<int, std::string>> ordered;
+    for (const auto& [router, record] : book_.others()) {
+      if (record.address.empty())
+        continue;
+      const int distance =
+          record.failure_domain == options_.book.failure_domain ? 0 : 1;
+      ordered.emplace_back(distance + (record.reserve ? 0 : 2),
+                           record.address);
+    }
+    std::shuffle(ordered.begin(), ordered.end(), random_);
+    std::stable_sort(
+        ordered.begin(), ordered.end(),
+        [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<std::string> addresses;
+    for (auto& [distance, address] : ordered)
+      addresses.push_back(std::move(address));
+    return addresses;
+  }
+
   void AskOthers(const std::string& workspace) {
-    for (const std::string& address : peers()) {
+    size_t asked = 0;
+    for (const std::string& address : AddressesToAsk()) {
       const absl::Time now = absl::Now();
       const int64_t missing = book_.Missing(workspace, BootTime());
-      if (missing <= 0)
+      if (missing <= 0 || asked == options_.ask_most)
         return;
       if (paused_[address] > now)
         continue;
-      const auto given = ask_(address, workspace, missing);
+      ++asked;
+      const int64_t ahead =
+          book_.ExpectedDemand(workspace, options_.ask_ahead, BootTime());
+      const auto given = ask_(address, workspace, missing + ahead);
       if (!given.ok()) {
         paused_[address] = now + options_.ask_pause;
         LogEvent("total.ask_failed", LogSeverity::kWarning)
@@ -331,6 +370,7 @@
   int64_t record_at_ = 0;
   bool own_seen_ = false;
   absl::Duration last_durable_ = absl::ZeroDuration();
+  absl::BitGen random_;
   std::set<std::string> asking_;
   std::map<std::string, absl::Time> paused_;
 };
