--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -51,6 +51,8 @@
   absl::Duration cut_off_after = absl::Milliseconds(900);
   // How long a reserve may take to answer.
   absl::Duration reserve_patience = absl::Milliseconds(80);
+  // A record older than this shows that the store is out of reach.
+  absl::Duration cut_off_after = absl::Milliseconds(900);
   // A router that did not answer is not asked again for this long.
   absl::Duration ask_pause = absl::Seconds(1);
 };
@@ -173,6 +175,10 @@
     return BootTime() - last_durable_ > options_.cut_off_after;
   }
 
+  bool IsCutOff() const {
+    return BootTime() - last_durable_ > options_.cut_off_after;
+  }
+
   // Reads all records and begins this incarnation.
   bool Join() {
     auto page = store_.Newest(StoreSubject::kRouterRecords,
