--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -22,7 +22,11 @@
 
 struct CatalogOptions {
   absl::Duration poll = absl::Milliseconds(400);
-  absl::Duration call_timeout = absl::Milliseconds(1000);
+  // A connection to the store may have gone silent: better a new one soon than
+  // a long wait.
+  absl::Duration call_timeout = absl::Milliseconds(400);
+  // After a failed call.
+  absl::Duration retry = absl::Milliseconds(100);
   // Without an answer of the store for this long, entries that are missing
   // after it are kept for `lapse_grace`.
   absl::Duration outage_after = absl::Milliseconds(1500);
@@ -49,13 +53,18 @@
   // Whether requests can be routed.
   bool ready() const { return table_ != nullptr && !servers_.empty(); }
 
-  // Polls until `stop`. One fiber runs this.
-  void Run(const std::atomic<bool>& stop) {
+  // Each polls until `stop`, on a fiber of its own.
+  void FollowConfiguration(const std::atomic<bool>& stop) {
     while (!stop) {
-      const bool configured = PollConfiguration();
-      const bool listed = PollServers();
-      NoteReach(configured && listed);
-      hawthornhollow::SleepFor(options_.poll);
+      const bool reached = PollConfiguration();
+      NoteReach(reached);
+      hawthornhollow::SleepFor(reached ? options_.poll : options_.retry);
+    }
+  }
+  void FollowServers(const std::atomic<bool>& stop) {
+    while (!stop) {
+      const bool reached = PollServers();
+      hawthornhollow::SleepFor(reached ? options_.poll : options_.retry);
     }
   }
 
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -53,8 +53,7 @@
             store,
             {.book = {.router = settings.router,
                       .boot = BootId(),
-                      .address = settings.peers.ToString(),
-                      .failure_domain = settings.failure_domain}},
+                      .address = settings.peers.ToString()}},
             [&runtime](std::function<void()> task) {
               runtime.Spawn(std::move(task));
             },
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -8,7 +8,6 @@
 // next record, other routers' gifts, other requests' unused tokens, or the
 // schedule of the record, which allows more with time.
 
-#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -17,10 +16,8 @@
 #include <set>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "absl/cleanup/cleanup.h"
-#include "absl/random/random.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
 #include "hawthornhollow/relay/fiber_signal.h"
@@ -42,15 +39,6 @@
   // A request waits this long for a record before other routers are asked.
   absl::Duration ask_after = absl::Milliseconds(25);
   absl::Duration ask_timeout = absl::Milliseconds(150);
-  // What a router asks for at a time: what its requests lack, and its demand
-  // over this time.
-  absl::Duration ask_ahead = absl::Milliseconds(300);
-  // Routers asked in one round, at most.
-  size_t ask_most = 5;
-  // A record older than this shows that the store is out of reach.
-  absl::Duration cut_off_after = absl::Milliseconds(900);
-  // How long a reserve may take to answer.
-  absl::Duration reserve_patience = absl::Milliseconds(80);
   // A record older than this shows that the store is out of reach.
   absl::Duration cut_off_after = absl::Milliseconds(900);
   // A router that did not answer is not asked again for this long.
@@ -109,8 +97,7 @@
       if (waited >= timeout)
         return Refuse(absl::StatusCode::kUnavailable, workspace, tokens);
       wanted_.Notify();
-      if (!options_.book.reserve &&
-          (waited >= options_.ask_after || IsCutOff()))
+      if (waited >= options_.ask_after || IsCutOff())
         StartAsking(workspace);
       changed_.WaitBeyond(seen,
                           std::min(timeout - waited, options_.ask_after));
@@ -122,19 +109,23 @@
     changed_.Notify();
   }
 
-  // Another router asks. A reserve takes from the store what it does not hold.
+  // Another router asks.
   int64_t Give(const std::string& workspace, int64_t tokens) {
-    const int64_t given = book_.Give(workspace, tokens, BootTime());
-    if (given >= tokens || !options_.book.reserve)
-      return given;
-    const auto rest =
-        Acquire(workspace, tokens - given, options_.reserve_patience);
-    return given + (rest.ok() ? rest->tokens() : 0);
+    return book_.Give(workspace, tokens, BootTime());
   }
 
   TotalState state(const std::string& workspace) const {
     return book_.state(workspace, BootTime());
   }
+  // Addresses of the other routers.
+  std::vector<std::string> peers() const {
+    std::vector<std::string> addresses;
+    for (const auto& [router, record] : book_.others()) {
+      if (!record.address.empty())
+        addresses.push_back(record.address);
+    }
+    return addresses;
+  }
 
   // Keeps the record until `stop`. One fiber runs this.
   void Run(const std::atomic<bool>& stop) {
@@ -175,10 +166,6 @@
     return BootTime() - last_durable_ > options_.cut_off_after;
   }
 
-  bool IsCutOff() const {
-    return BootTime() - last_durable_ > options_.cut_off_after;
-  }
-
   // Reads all records and begins this incarnation.
   bool Join() {
     auto page = store_.Newest(StoreSubject::kRouterRecords,
@@ -315,41 +302,15 @@
     });
   }
 
-  // Reserves first, those of the own failure domain before others, and among
-  // equals in a new order each time.
-  std::vector<std::string> AddressesToAsk() {
-    std::vector<std::pair<int, std::string>> ordered;
-    for (const auto& [router, record] : book_.others()) {
-      if (record.address.empty())
-        continue;
-      const int distance =
-          record.failure_domain == options_.book.failure_domain ? 0 : 1;
-      ordered.emplace_back(distance + (record.reserve ? 0 : 2),
-                           record.address);
-    }
-    std::shuffle(ordered.begin(), ordered.end(), random_);
-    std::stable_sort(
-        ordered.begin(), ordered.end(),
-        [](const auto& a, const auto& b) { return a.first < b.first; });
-    std::vector<std::string> addresses;
-    for (auto& [distance, address] : ordered)
-      addresses.push_back(std::move(address));
-    return addresses;
-  }
-
   void AskOthers(const std::string& workspace) {
-    size_t asked = 0;
-    for (const std::string& address : AddressesToAsk()) {
+    for (const std::string& address : peers()) {
       const absl::Time now = absl::Now();
       const int64_t missing = book_.Missing(workspace, BootTime());
-      if (missing <= 0 || asked == options_.ask_most)
+      if (missing <= 0)
         return;
       if (paused_[address] > now)
         continue;
-      ++asked;
-      const int64_t ahead =
-          book_.ExpectedDemand(workspace, options_.ask_ahead, BootTime());
-      const auto given = ask_(address, workspace, missing + ahead);
+      const auto given = ask_(address, workspace, missing);
       if (!given.ok()) {
         paused_[address] = now + options_.ask_pause;
         LogEvent("total.ask_failed", LogSeverity::kWarning)
@@ -376,7 +337,6 @@
   int64_t record_at_ = 0;
   bool own_seen_ = false;
   absl::Duration last_durable_ = absl::ZeroDuration();
-  absl::BitGen random_;
   std::set<std::string> asking_;
   std::map<std::string, absl::Time> paused_;
 };
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -60,20 +60,9 @@
   std::string router;   // the VM's name: one router runs on a VM
   std::string boot;     // identifies the run of the clock; empty if unknown
   std::string address;  // for other routers
-  std::string failure_domain;
-  // Serves no callers, but keeps tokens for routers that cannot reach the store.
-  bool reserve = false;
   // How long a router cut off from the store shall be able to go on at the rate
-  // at which tokens were asked for lately. What it holds is lost if its VM loses
-  // power, so most of what an outage needs lies with the reserves.
-  absl::Duration horizon = absl::Seconds(3);
-  // How long all reserves together shall be able to serve all routers' demand
-  // while nobody reaches the store.
-  absl::Duration reserve_horizon = absl::Seconds(6);
-  // Of what is left of a total, held by all reserves together at most; and the
-  // share of a total below which they hold nothing.
-  double reserves_share = 0.5;
-  double reserves_end = 0.04;
+  // at which tokens were asked for lately.
+  absl::Duration horizon = absl::Seconds(8);
   // Times the recent rate, since a cut-off router may get others' callers too.
   double headroom = 1.5;
   // Of a total, divided by the number of routers: held without any demand, so
@@ -150,10 +139,6 @@
   // committed leaves less of the total.
   bool IsSpent(const std::string& workspace, int64_t tokens) const;
   TotalState state(const std::string& workspace, absl::Duration now) const;
-  // What will be asked for within `time`, by the recent rate.
-  int64_t ExpectedDemand(const std::string& workspace,
-                         absl::Duration time,
-                         absl::Duration now) const;
   // What waiting requests lack.
   int64_t Missing(const std::string& workspace, absl::Duration now) const;
 
@@ -198,9 +183,6 @@
   int64_t OthersAuthority(const std::string& workspace) const;
   int64_t OthersCommitted(const std::string& workspace) const;
   int64_t OthersDemand(const std::string& workspace) const;
-  int64_t ReserveHeadroom(const std::string& workspace,
-                          const Holding& holding) const;
-  size_t ReserveCount() const;
   int64_t FairHeadroom(const std::string& workspace,
                        const Holding& holding,
                        absl::Duration now) const;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -241,16 +241,6 @@
   return state;
 }
 
-int64_t TotalsBook::ExpectedDemand(const std::string& workspace,
-                                   absl::Duration time,
-                                   absl::Duration now) const {
-  const Holding* holding = FindHolding(workspace);
-  if (holding == nullptr)
-    return 0;
-  return static_cast<int64_t>(DemandRate(*holding, now) *
-                              absl::ToDoubleSeconds(time));
-}
-
 int64_t TotalsBook::Missing(const std::string& workspace,
                             absl::Duration now) const {
   const Holding* holding = FindHolding(workspace);
@@ -263,41 +253,16 @@
 int64_t TotalsBook::WantedHeadroom(const std::string& workspace,
                                    const Holding& holding,
                                    absl::Duration now) const {
-  if (options_.reserve)
-    return holding.waiting + ReserveHeadroom(workspace, holding);
   const double by_demand = DemandRate(holding, now) * options_.headroom *
                            absl::ToDoubleSeconds(options_.horizon);
   const double idle = static_cast<double>(TotalOf(workspace)) *
                       options_.idle_share /
-                      static_cast<double>(router_count() - ReserveCount());
+                      static_cast<double>(router_count());
   const auto wanted = static_cast<int64_t>(std::max(by_demand, idle));
   return holding.waiting +
          std::min(wanted, FairHeadroom(workspace, holding, now));
 }
 
-size_t TotalsBook::ReserveCount() const {
-  const auto others =
-      std::count_if(others_.begin(), others_.end(),
-                    [](const auto& item) { return item.second.reserve; });
-  return static_cast<size_t>(others) + (options_.reserve ? 1 : 0);
-}
-
-// This reserve's part of what all routers would ask for in an outage.
-int64_t TotalsBook::ReserveHeadroom(const std::string& workspace,
-                                    const Holding& holding) const {
-  const auto total = static_cast<double>(TotalOf(workspace));
-  const double left = total -
-                      static_cast<double>(OthersCommitted(workspace)) -
-                      static_cast<double>(holding.committed);
-  if (left < total * options_.reserves_end)
-    return 0;
-  const double by_demand = static_cast<double>(OthersDemand(workspace)) *
-                           absl::ToDoubleSeconds(options_.reserve_horizon);
-  return static_cast<int64_t>(
-      std::min(by_demand, left * options_.reserves_share) /
-      static_cast<double>(ReserveCount()));
-}
-
 // What is left of the total, divided among the routers by demand: near its end
 // nobody holds what others ask for.
 int64_t TotalsBook::FairHeadroom(const std::string& workspace,
@@ -307,9 +272,8 @@
       0, TotalOf(workspace) - OthersCommitted(workspace) - holding.committed));
   const double own = DemandRate(holding, now);
   const double all = own + static_cast<double>(OthersDemand(workspace));
-  const auto routers =
-      static_cast<double>(std::max<size_t>(1, router_count() - ReserveCount()));
-  const double share = all < 1 ? 1 / routers : own / all;
+  const double share = all < 1 ? 1 / static_cast<double>(router_count())
+                               : own / all;
   return static_cast<int64_t>(left * share * (1 - options_.reserve_share));
 }
 
@@ -341,10 +305,8 @@
       holding.usual_request * static_cast<double>(options_.burst_requests));
   share.burst_after_ms = absl::ToInt64Milliseconds(options_.burst_after);
   share.demand = static_cast<int64_t>(DemandRate(holding, now));
-  const double by_horizon =
-      static_cast<double>(headroom) /
-      absl::ToDoubleSeconds(options_.reserve ? options_.reserve_horizon
-                                             : options_.horizon);
+  const double by_horizon = static_cast<double>(headroom) /
+                            absl::ToDoubleSeconds(options_.horizon);
   share.per_second = static_cast<int64_t>(std::max(
       by_horizon, DemandRate(holding, now) * options_.headroom));
   return share;
@@ -358,8 +320,6 @@
   record.boot = options_.boot;
   record.written_us = absl::ToInt64Microseconds(now);
   record.address = options_.address;
-  record.reserve = options_.reserve;
-  record.failure_domain = options_.failure_domain;
   for (const auto& [workspace, holding] : holdings_) {
     record.shares.push_back(std::make_unique<fb::TotalShareT>(
         MakeShare(workspace, holding, now)));
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -195,8 +195,6 @@
   std::string boot{};
   int64_t written_us = 0;
   std::string address{};
-  bool reserve = false;
-  std::string failure_domain{};
   std::vector<std::unique_ptr<hawthornhollow::fb::TotalShareT>> shares{};
   RouterRecordT() = default;
   RouterRecordT(const RouterRecordT &o);
@@ -215,9 +213,7 @@
     VT_BOOT = 10,
     VT_WRITTEN_US = 12,
     VT_ADDRESS = 14,
-    VT_RESERVE = 16,
-    VT_FAILURE_DOMAIN = 18,
-    VT_SHARES = 20
+    VT_SHARES = 16
   };
   const flatbuffers::String *router() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTER);
@@ -237,12 +233,6 @@
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
-  bool reserve() const {
-    return GetField<uint8_t>(VT_RESERVE, 0) != 0;
-  }
-  const flatbuffers::String *failure_domain() const {
-    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
-  }
   const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>> *shares() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>> *>(VT_SHARES);
   }
@@ -257,9 +247,6 @@
            VerifyField<int64_t>(verifier, VT_WRITTEN_US, 8) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
-           VerifyField<uint8_t>(verifier, VT_RESERVE, 1) &&
-           VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
-           verifier.VerifyString(failure_domain()) &&
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
            verifier.VerifyVectorOfTables(shares()) &&
@@ -292,12 +279,6 @@
   void add_address(flatbuffers::Offset<flatbuffers::String> address) {
     fbb_.AddOffset(RouterRecord::VT_ADDRESS, address);
   }
-  void add_reserve(bool reserve) {
-    fbb_.AddElement<uint8_t>(RouterRecord::VT_RESERVE, static_cast<uint8_t>(reserve), 0);
-  }
-  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
-    fbb_.AddOffset(RouterRecord::VT_FAILURE_DOMAIN, failure_domain);
-  }
   void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>>> shares) {
     fbb_.AddOffset(RouterRecord::VT_SHARES, shares);
   }
@@ -320,19 +301,15 @@
     flatbuffers::Offset<flatbuffers::String> boot = 0,
     int64_t written_us = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    bool reserve = false,
-    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>>> shares = 0) {
   RouterRecordBuilder builder_(_fbb);
   builder_.add_written_us(written_us);
   builder_.add_sequence(sequence);
   builder_.add_epoch(epoch);
   builder_.add_shares(shares);
-  builder_.add_failure_domain(failure_domain);
   builder_.add_address(address);
   builder_.add_boot(boot);
   builder_.add_router(router);
-  builder_.add_reserve(reserve);
   return builder_.Finish();
 }
 
@@ -349,13 +326,10 @@
     const char *boot = nullptr,
     int64_t written_us = 0,
     const char *address = nullptr,
-    bool reserve = false,
-    const char *failure_domain = nullptr,
     const std::vector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>> *shares = nullptr) {
   auto router__ = router ? _fbb.CreateString(router) : 0;
   auto boot__ = boot ? _fbb.CreateString(boot) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
-  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>>(*shares) : 0;
   return hawthornhollow::fb::CreateRouterRecord(
       _fbb,
@@ -365,8 +339,6 @@
       boot__,
       written_us,
       address__,
-      reserve,
-      failure_domain__,
       shares__);
 }
 
@@ -604,8 +576,6 @@
       (lhs.boot == rhs.boot) &&
       (lhs.written_us == rhs.written_us) &&
       (lhs.address == rhs.address) &&
-      (lhs.reserve == rhs.reserve) &&
-      (lhs.failure_domain == rhs.failure_domain) &&
       (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::TotalShareT> const &a, std::unique_ptr<hawthornhollow::fb::TotalShareT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
@@ -620,9 +590,7 @@
         sequence(o.sequence),
         boot(o.boot),
         written_us(o.written_us),
-        address(o.address),
-        reserve(o.reserve),
-        failure_domain(o.failure_domain) {
+        address(o.address) {
   shares.reserve(o.shares.size());
   for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new hawthornhollow::fb::TotalShareT(*shares_) : nullptr); }
 }
@@ -634,8 +602,6 @@
   std::swap(boot, o.boot);
   std::swap(written_us, o.written_us);
   std::swap(address, o.address);
-  std::swap(reserve, o.reserve);
-  std::swap(failure_domain, o.failure_domain);
   std::swap(shares, o.shares);
   return *this;
 }
@@ -655,8 +621,6 @@
   { auto _e = boot(); if (_e) _o->boot = _e->str(); }
   { auto _e = written_us(); _o->written_us = _e; }
   { auto _e = address(); if (_e) _o->address = _e->str(); }
-  { auto _e = reserve(); _o->reserve = _e; }
-  { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
   { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<hawthornhollow::fb::TotalShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -674,8 +638,6 @@
   auto _boot = _o->boot.empty() ? 0 : _fbb.CreateString(_o->boot);
   auto _written_us = _o->written_us;
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
-  auto _reserve = _o->reserve;
-  auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
   auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateTotalShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
   return hawthornhollow::fb::CreateRouterRecord(
       _fbb,
@@ -685,8 +647,6 @@
       _boot,
       _written_us,
       _address,
-      _reserve,
-      _failure_domain,
       _shares);
 }
 
