Time from the system's steady clock, not from processor cycles

Ruled out by traces: late epoll waits, the fibers' sleep queue, slow calls to the store. SteadyNow() also keeps timeouts apart from jumps of the time of day.

--- /dev/null
+++ b/hawthornhollow/base/steady_now.cc
@@ -0,0 +1,12 @@
+#include <chrono>
+
+#include "hawthornhollow/base/base.h"
+
+namespace hawthornhollow {
+
+absl::Time SteadyNow() {
+  return absl::UnixEpoch() +
+         absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+}  // namespace hawthornhollow
--- a/hawthornhollow/http/connection_pool.cc
+++ b/hawthornhollow/http/connection_pool.cc
@@ -4,6 +4,7 @@
 
 #include "hawthornhollow/http/connection_pool_internal.h"
 
+#include "hawthornhollow/base/base.h"
 #include "hawthornhollow/http/beast_internal.h"
 
 namespace hawthornhollow {
@@ -14,7 +15,7 @@
 constexpr absl::Duration kIdleMargin = absl::Milliseconds(500);
 
 bool IsReusable(ClientConnection* connection) {
-  if (absl::Now() - connection->idle_since >
+  if (SteadyNow() - connection->idle_since >
       connection->idle_limit - kIdleMargin)
     return false;
   Socket& socket = connection->stream.socket();
@@ -35,7 +36,7 @@
 
 void ConnectionPool::Put(const Endpoint& endpoint,
                          std::unique_ptr<ClientConnection> connection) {
-  connection->idle_since = absl::Now();
+  connection->idle_since = SteadyNow();
   const absl::Time oldest = connection->idle_since - kMaxIdleAge;
   const std::lock_guard<std::mutex> lock(mutex_);
   auto& idle = idle_[{connection->thread.get(), endpoint}];
--- a/hawthornhollow/http/http_client.cc
+++ b/hawthornhollow/http/http_client.cc
@@ -63,7 +63,7 @@
 HttpClient::Impl::ExchangeOr HttpClient::Impl::Open(const Endpoint& endpoint,
                                                     const HttpRequest& request,
                                                     absl::Duration timeout) {
-  const absl::Time deadline = absl::Now() + timeout;
+  const absl::Time deadline = SteadyNow() + timeout;
   std::shared_ptr<IoThread> thread = IoThread::Current();
   if (thread == nullptr) {
     return ErrorAt(absl::StatusCode::kFailedPrecondition, "http.send",
@@ -78,13 +78,13 @@
     if (error == boost::beast::error::timeout)
       return WriteError(error, endpoint);
   }
-  ConnectionOr connection = Connect(thread, endpoint, deadline - absl::Now());
+  ConnectionOr connection = Connect(thread, endpoint, deadline - SteadyNow());
   if (!connection.ok())
     return connection.status();
   auto exchange =
       std::make_unique<HttpExchange::Impl>(&pool_, endpoint, request);
   const error_code error =
-      exchange->Write(*std::move(connection), deadline - absl::Now());
+      exchange->Write(*std::move(connection), deadline - SteadyNow());
   if (error)
     return WriteError(error, endpoint);
   return std::make_unique<HttpExchange>(std::move(exchange));
@@ -107,9 +107,9 @@
 absl::StatusOr<HttpResponse> HttpClient::Call(const Endpoint& endpoint,
                                               const HttpRequest& request,
                                               absl::Duration timeout) {
-  const absl::Time deadline = absl::Now() + timeout;
+  const absl::Time deadline = SteadyNow() + timeout;
   const auto remaining = [deadline] {
-    return std::max(absl::ZeroDuration(), deadline - absl::Now());
+    return std::max(absl::ZeroDuration(), deadline - SteadyNow());
   };
   auto exchange = impl_->Open(endpoint, request, timeout);
   if (!exchange.ok())
--- a/hawthornhollow/http/http_server.cc
+++ b/hawthornhollow/http/http_server.cc
@@ -201,12 +201,12 @@
 }
 
 absl::Status HttpServer::Impl::Drain(absl::Duration timeout) {
-  const absl::Time deadline = absl::Now() + timeout;
+  const absl::Time deadline = SteadyNow() + timeout;
   shared_->StartDraining();
   ForEach([](ThreadServer* server) { server->StopListening(); });
   hawthornhollow::SleepFor(std::min(kDrainIdleGrace, timeout));
   ForEach([](ThreadServer* server) { server->CloseIdle(); });
-  if (shared_->AwaitNoRequests(deadline - absl::Now()))
+  if (shared_->AwaitNoRequests(deadline - SteadyNow()))
     return absl::OkStatus();
   return ErrorAt(absl::StatusCode::kDeadlineExceeded, "http.drain",
                  local().ToString(), "requests are still in progress");
--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -105,12 +105,20 @@
 
   bool PollServers() {
     auto page = store_.Newest(StoreSubject::kServers, options_.call_timeout);
-    if (!page.ok())
+    if (!page.ok()) {
+      LogEvent("store.read_failed", LogSeverity::kWarning)
+          .Add("of", "servers")
+          .Add("reason", page.status());
       return false;
-    const absl::Time now = absl::Now();
+    }
+    const absl::Time now = SteadyNow();
     if (now - servers_read_ > options_.outage_after &&
-        servers_read_ != absl::InfinitePast())
+        servers_read_ != absl::InfinitePast()) {
       grace_until_ = now + options_.lapse_grace;
+      LogEvent("server.grace")
+          .Add("unread_ms", absl::ToInt64Milliseconds(now - servers_read_))
+          .Add("for_ms", absl::ToInt64Milliseconds(options_.lapse_grace));
+    }
     servers_read_ = now;
     std::map<std::string, RelayServer> present;
     for (const StoredValue& value : page->values) {
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -118,13 +118,13 @@
 
   // Finishes what is in progress, within the settings' bound. On a fiber.
   void Shutdown() {
-    const absl::Time end = absl::Now() + settings_.shutdown;
+    const absl::Time end = SteadyNow() + settings_.shutdown;
     LogEvent("router.stopping");
     leaving_ = true;
     hawthornhollow::SleepFor(settings_.leaving);
     constexpr absl::Duration kLastSteps = absl::Milliseconds(300);
     const absl::Status drained =
-        caller_server_->Drain(end - absl::Now() - kLastSteps);
+        caller_server_->Drain(end - SteadyNow() - kLastSteps);
     stop_ = true;
     totals_.Close();
     LogEvent("router.stopped").Add("drained", drained);
@@ -155,7 +155,7 @@
   }
 
   void ServeCaller(const HttpRequest& request, ResponseWriter& writer) {
-    const absl::Time arrived = absl::Now();
+    const absl::Time arrived = SteadyNow();
     auto call = D::DecodeCall(request);
     if (!call.ok()) {
       LogEvent("request.rejected", LogSeverity::kWarning)
@@ -241,7 +241,7 @@
   absl::Duration PatienceForTokens(const RunRequest& run) const {
     constexpr double kShareOfTarget = 0.6;
     return std::min(run.route->target * kShareOfTarget,
-                    run.deadline - absl::Now());
+                    run.deadline - SteadyNow());
   }
 
   static int64_t UsedTokens(const RunRequest& run, const RunSummary& summary) {
@@ -276,7 +276,7 @@
         .Add("reserved", reserved)
         .Add("used", used)
         .Add("took_ms",
-             absl::ToInt64Milliseconds(absl::Now() - run.arrived))
+             absl::ToInt64Milliseconds(SteadyNow() - run.arrived))
         .Add("first_ms",
              summary.first_event == absl::InfiniteDuration()
                  ? -1
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -116,7 +116,7 @@
       exchange_->Cancel();
   }
 
-  absl::Duration TimeLeft() const { return request_.deadline - absl::Now(); }
+  absl::Duration TimeLeft() const { return request_.deadline - SteadyNow(); }
   bool is_stream() const { return request_.route->kind == RouteKind::kStream; }
   // Whether the request may be run again after it may have run.
   bool may_repeat() const {
@@ -137,7 +137,7 @@
     if (TimeLeft() < options_.min_try)
       return Refuse(summary_.may_have_run ? RelayError::kTimedOut
                                           : RelayError::kNoServer);
-    auto choice = shared_.placement->Choose(Query(), absl::Now());
+    auto choice = shared_.placement->Choose(Query(), SteadyNow());
     if (!choice.ok())
       return EndWithoutServer();
     summary_.server = choice->server.id;
@@ -173,7 +173,7 @@
       outcome = Outcome::kSilent;
     if (client_gone_)
       outcome = Outcome::kAbandoned;
-    shared_.placement->OnFinished(choice, got_first_, outcome, absl::Now());
+    shared_.placement->OnFinished(choice, got_first_, outcome, SteadyNow());
     if (end == TryEnd::kAnswered)
       return;
     LogEvent("request.try_failed")
@@ -395,7 +395,7 @@
       return;
     shared_.placement->OnFirstToken(choice);
     if (summary_.first_event == absl::InfiniteDuration())
-      summary_.first_event = absl::Now() - request_.arrived;
+      summary_.first_event = SteadyNow() - request_.arrived;
   }
 
   absl::Duration EventPatience() const {
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -86,14 +86,14 @@
     const absl::Cleanup withdraw = [&] {
       book_.RemoveWaiting(workspace, tokens);
     };
-    const absl::Time begun = absl::Now();
+    const absl::Time begun = SteadyNow();
     while (true) {
       const uint64_t seen = changed_.changes();
       if (auto reserved = book_.Reserve(workspace, tokens, BootTime()))
         return *std::move(reserved);
       if (book_.started() && book_.IsSpent(workspace, tokens))
         return Refuse(absl::StatusCode::kResourceExhausted, workspace, tokens);
-      const absl::Duration waited = absl::Now() - begun;
+      const absl::Duration waited = SteadyNow() - begun;
       if (waited >= timeout)
         return Refuse(absl::StatusCode::kUnavailable, workspace, tokens);
       wanted_.Notify();
@@ -304,7 +304,7 @@
 
   void AskOthers(const std::string& workspace) {
     for (const std::string& address : peers()) {
-      const absl::Time now = absl::Now();
+      const absl::Time now = SteadyNow();
       const int64_t missing = book_.Missing(workspace, BootTime());
       if (missing <= 0)
         return;
--- a/hawthornhollow/runtime/io_thread.cc
+++ b/hawthornhollow/runtime/io_thread.cc
@@ -112,8 +112,8 @@
 }
 
 void IoThread::AwaitFibers() {
-  const absl::Time deadline = absl::Now() + kStopGrace;
-  while (live_fibers_ > 0 && absl::Now() < deadline)
+  const absl::Time deadline = SteadyNow() + kStopGrace;
+  while (live_fibers_ > 0 && SteadyNow() < deadline)
     hawthornhollow::SleepFor(kStopCheckInterval);
   polling_ = false;
   while (!poller_ended_)
