--- a/hawthornhollow/http/server_connection.cc
+++ b/hawthornhollow/http/server_connection.cc
@@ -140,7 +140,16 @@
   SetTimeout(&stream_, shared_->options().idle_timeout);
   error_code error;
   const size_t bytes = Await(&error, [&](auto done) {
-    stream_.async_read_some(buffer_.prepare(kReadBytes), std::move(done));
+    // Counted before this fiber runs again: bytes that were read must not look
+    // like an idle connection to CloseIfIdle.
+    stream_.async_read_some(
+        buffer_.prepare(kReadBytes),
+        [this, done = std::move(done)](const error_code& result,
+                                       size_t count) mutable {
+          if (count > 0)
+            BeginRequest();
+          done(result, count);
+        });
   });
   buffer_.commit(bytes);
   if (!error)
--- /dev/null
+++ b/hawthornhollow/relay/event_splitter_test.cc
@@ -0,0 +1,53 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "hawthornhollow/relay/relay.h"
+
+namespace hawthornhollow {
+namespace {
+
+using testing::ElementsAre;
+
+class EventSplitterTest : public testing::Test {
+ protected:
+  EventSplitter splitter_;
+};
+
+TEST_F(EventSplitterTest, WholeEvents_ComeWithTheirIdsAndBytes) {
+  const auto events = splitter_.Feed("id: 3\ndata: a\n\ndata: b\n\n");
+  EXPECT_THAT(events,
+              ElementsAre(StreamEvent{3, "id: 3\ndata: a\n\n"},
+                          StreamEvent{std::nullopt, "data: b\n\n"}));
+  EXPECT_EQ(splitter_.rest(), "");
+}
+
+TEST_F(EventSplitterTest, BrokenOffEvent_StaysInTheRest) {
+  EXPECT_THAT(splitter_.Feed("id: 1\ndata: a\n\nid: 2\nda"),
+              ElementsAre(StreamEvent{1, "id: 1\ndata: a\n\n"}));
+  EXPECT_EQ(splitter_.rest(), "id: 2\nda");
+}
+
+TEST_F(EventSplitterTest, AnyPieces_GiveTheSameEventsAsOne) {
+  std::string stream;
+  for (int i = 0; i < 40; ++i)
+    stream += "id: " + std::to_string(i) + "\ndata: " + std::string(i, 'x') +
+              "\n\n";
+  const auto expected = EventSplitter().Feed(stream);
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 200; ++round) {
+    EventSplitter splitter;
+    std::vector<StreamEvent> events;
+    for (size_t at = 0; at < stream.size();) {
+      const size_t size = std::uniform_int_distribution<size_t>(1, 30)(random);
+      for (StreamEvent& event : splitter.Feed(stream.substr(at, size)))
+        events.push_back(std::move(event));
+      at += size;
+    }
+    EXPECT_EQ(events, expected);
+  }
+}
+
+}  // namespace
+}  // namespace hawthornhollow
--- /dev/null
+++ b/hawthornhollow/relay/prompt_placement_test.cc
@@ -0,0 +1,105 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "hawthornhollow/relay/relay.h"
+
+namespace hawthornhollow {
+namespace {
+
+using Outcome = PromptPlacement::Outcome;
+
+constexpr int64_t kSharedTokens = 13'300;
+constexpr int64_t kOwnTokens = 3'720;
+
+class PromptPlacementTest : public testing::Test {
+ protected:
+  PromptPlacementTest() {
+    for (int i = 0; i < 9; ++i) {
+      servers_.push_back({.id = "engine-" + std::to_string(i),
+                          .service = "engine",
+                          .failure_domain = "d" + std::to_string(i % 3)});
+    }
+    placement_.SetServers(servers_);
+  }
+
+  PlacementQuery Query(int topic, int request) const {
+    return {.service = "engine",
+            .prompt = {{"topic-" + std::to_string(topic), kSharedTokens},
+                       {"own-" + std::to_string(request), kOwnTokens}},
+            .prompt_tokens = kSharedTokens + kOwnTokens,
+            .failure_domain = "d0"};
+  }
+
+  PromptPlacement::Choice Choose(const PlacementQuery& query) {
+    auto choice = placement_.Choose(query, now_);
+    EXPECT_TRUE(choice.ok()) << choice.status();
+    return *choice;
+  }
+
+  void Finish(const PromptPlacement::Choice& choice, Outcome outcome) {
+    placement_.OnFinished(choice, /*had_first_token=*/false, outcome, now_);
+  }
+
+  std::vector<RelayServer> servers_;
+  PromptPlacement placement_{PlacementOptions()};
+  absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
+};
+
+TEST_F(PromptPlacementTest, RequestsOfOneTopicWhileIdle_StayOnOneServer) {
+  const std::string first = Choose(Query(1, 0)).server.id;
+  for (int i = 1; i < 20; ++i) {
+    const auto choice = Choose(Query(1, i));
+    Finish(choice, Outcome::kAnswered);
+    placement_.OnFirstToken(choice);
+  }
+  PromptPlacement other{PlacementOptions()};
+  other.SetServers(servers_);
+  // Another router, which has seen nothing, agrees on the home.
+  EXPECT_EQ(other.Choose(Query(1, 99), now_)->server.id, first);
+}
+
+TEST_F(PromptPlacementTest, BurstOfOneTopic_SpillsOverWhenWaitingCostsMore) {
+  std::set<std::string> used;
+  for (int i = 0; i < 30; ++i)
+    used.insert(Choose(Query(1, i)).server.id);
+  EXPECT_GT(used.size(), 3);
+}
+
+TEST_F(PromptPlacementTest, SilentServer_IsLeftOutUntilItsPauseEnds) {
+  const auto choice = Choose(Query(1, 0));
+  Finish(choice, Outcome::kSilent);
+  EXPECT_TRUE(placement_.IsSuspect(choice.server.id, now_));
+  EXPECT_NE(Choose(Query(1, 1)).server.id, choice.server.id);
+  now_ += absl::Seconds(30);
+  EXPECT_EQ(Choose(Query(1, 2)).server.id, choice.server.id);
+}
+
+TEST_F(PromptPlacementTest, AllServersSilent_StillChoosesOne) {
+  for (int i = 0; i < 9; ++i)
+    Finish(Choose(Query(i, i)), Outcome::kSilent);
+  EXPECT_TRUE(placement_.Choose(Query(1, 50), now_).ok());
+}
+
+TEST_F(PromptPlacementTest, LeavingOrAvoidedServers_AreNeverChosen) {
+  for (RelayServer& server : servers_)
+    server.leaving = server.id != "engine-4";
+  placement_.SetServers(servers_);
+  PlacementQuery query = Query(1, 0);
+  EXPECT_EQ(Choose(query).server.id, "engine-4");
+  query.avoid = {"engine-4"};
+  EXPECT_EQ(placement_.Choose(query, now_).status().code(),
+            absl::StatusCode::kNotFound);
+}
+
+TEST_F(PromptPlacementTest, FinishedRequests_LeaveNothingInFlight) {
+  const auto a = Choose(Query(1, 0));
+  const auto b = Choose(Query(1, 1));
+  placement_.OnFirstToken(a);
+  placement_.OnFinished(a, /*had_first_token=*/true, Outcome::kAnswered, now_);
+  Finish(b, Outcome::kAbandoned);
+  EXPECT_EQ(placement_.in_flight(a.server.id), 0);
+  EXPECT_EQ(placement_.in_flight(b.server.id), 0);
+}
+
+}  // namespace
+}  // namespace hawthornhollow
--- /dev/null
+++ b/hawthornhollow/totals/totals_random_test.cc
@@ -0,0 +1,296 @@
+// Random days of several routers and one store, compared with a counter that
+// sees everything. Routers are killed, lose power, are frozen, cut off from the
+// store, and their appends get lost, answered too late or done too late.
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <random>
+
+#include "hawthornhollow/totals/totals.h"
+
+namespace hawthornhollow {
+namespace {
+
+constexpr char kWard[] = "ward-7";
+constexpr int64_t kTotal = 400'000;
+constexpr int kSteps = 1'500;
+constexpr absl::Duration kStep = absl::Milliseconds(20);
+constexpr int64_t kUsualRequest = 3'000;
+
+// The store: the newest record of each router, and when records came.
+class Store {
+ public:
+  int64_t end() const { return static_cast<int64_t>(log_.size()); }
+  const std::vector<std::string>& log() const { return log_; }
+
+  // Appends if `at` is the end.
+  bool Append(const std::string& record, int64_t at) {
+    if (at != end())
+      return false;
+    log_.push_back(record);
+    return true;
+  }
+
+ private:
+  std::vector<std::string> log_;
+};
+
+// The obvious reference: what was really spent or may be, by anyone.
+struct Counter {
+  int64_t spent = 0;
+  int64_t most = 0;
+  void Add(int64_t tokens) {
+    spent += tokens;
+    most = std::max(most, spent);
+  }
+};
+
+struct Running {
+  Reservation reservation;
+  int64_t used = 0;
+  absl::Duration ends;
+};
+
+// One VM and its router's incarnations.
+struct Vm {
+  std::string name;
+  std::string boot = "boot-0";
+  absl::Duration clock_offset;
+  std::unique_ptr<TotalsBook> book;
+  std::vector<Running> running;
+  int64_t read = 0;  // of the store's log
+  std::string pending;
+  int64_t pending_at = 0;
+  absl::Duration cut_until;
+  absl::Duration frozen_until;
+  absl::Duration down_until;
+};
+
+class RandomDay {
+ public:
+  RandomDay(uint64_t seed, size_t vms) : random_(seed) {
+    for (size_t i = 0; i < vms; ++i) {
+      vms_.emplace_back();
+      vms_.back().name = "router-" + std::to_string(i);
+    }
+  }
+
+  void Run() {
+    for (int step = 0; step < kSteps; ++step) {
+      now_ += kStep;
+      if (step == kSteps / 2)
+        total_ += kTotal / 4;
+      DoLateAppends();
+      for (Vm& vm : vms_)
+        Step(vm);
+      if (counter_.spent > total_)
+        overdrawn_ = true;
+    }
+  }
+
+  bool overdrawn() const { return overdrawn_; }
+  int64_t most() const { return counter_.most; }
+
+ private:
+  bool Chance(double probability) {
+    return std::bernoulli_distribution(probability)(random_);
+  }
+  int64_t Pick(int64_t low, int64_t high) {
+    return std::uniform_int_distribution<int64_t>(low, high)(random_);
+  }
+  absl::Duration UpTo(absl::Duration most) {
+    return most * std::uniform_real_distribution<double>(0, 1)(random_);
+  }
+
+  void Step(Vm& vm) {
+    if (now_ < vm.down_until || now_ < vm.frozen_until)
+      return;
+    if (vm.book == nullptr)
+      StartBook(vm);
+    Disturb(vm);
+    if (vm.book == nullptr || now_ < vm.frozen_until)
+      return;
+    vm.book->SetTotal(kWard, total_);
+    EndRequests(vm);
+    if (now_ >= vm.cut_until)
+      Sync(vm);
+    if (Chance(0.5))
+      BeginRequest(vm);
+    if (Chance(0.1))
+      Ask(vm);
+  }
+
+  absl::Duration ClockOf(const Vm& vm) const { return now_ + vm.clock_offset; }
+
+  void Disturb(Vm& vm) {
+    if (Chance(0.002))
+      vm.cut_until = now_ + UpTo(absl::Seconds(9));
+    if (Chance(0.001))
+      vm.frozen_until = now_ + UpTo(absl::Seconds(4));
+    if (Chance(0.003))
+      Kill(vm, /*power=*/Chance(0.4));
+  }
+
+  // What runs at that moment is spent at its worst.
+  void Kill(Vm& vm, bool power) {
+    vm.book.reset();
+    vm.running.clear();
+    vm.pending.clear();
+    vm.down_until = now_ + UpTo(absl::Seconds(3));
+    if (power) {
+      vm.boot = "boot-" + std::to_string(++boots_);
+      vm.clock_offset = UpTo(absl::Seconds(1000)) - absl::Seconds(500);
+    }
+  }
+
+  void StartBook(Vm& vm) {
+    vm.book = std::make_unique<TotalsBook>(
+        TotalsOptions{.router = vm.name, .boot = vm.boot});
+    vm.read = 0;
+  }
+
+  void Follow(Vm& vm, bool* own_seen) {
+    std::optional<fb::RouterRecordT> own;
+    for (; vm.read < store_.end(); ++vm.read) {
+      auto record = DecodeRouterRecord(store_.log()[vm.read]);
+      ASSERT_TRUE(record.ok());
+      if (store_.log()[vm.read] == vm.pending)
+        *own_seen = true;
+      if (record->router == vm.name)
+        own = *std::move(record);
+      else
+        vm.book->ApplyRecord(*std::move(record));
+    }
+    if (!vm.book->started())
+      vm.book->Start(own, ClockOf(vm));
+  }
+
+  void Sync(Vm& vm) {
+    bool own_seen = false;
+    if (vm.book->has_pending_record()) {
+      Put(vm, /*again=*/true);
+      return;
+    }
+    Follow(vm, &own_seen);
+    if (!vm.book->WantsRecord(ClockOf(vm)) && !Chance(0.1))
+      return;
+    vm.pending = EncodeRouterRecord(vm.book->MakeRecord(ClockOf(vm)));
+    vm.pending_at = vm.read;
+    Put(vm, /*again=*/false);
+  }
+
+  void Put(Vm& vm, bool again) {
+    if (Chance(0.05)) {  // no answer, and it may be done late or never
+      if (Chance(0.5))
+        late_.push_back({now_ + UpTo(absl::Seconds(6)), vm.pending,
+                         vm.pending_at});
+      return;
+    }
+    const bool done = store_.Append(vm.pending, vm.pending_at);
+    if (Chance(0.05))
+      return;  // the answer is lost
+    if (done) {
+      vm.read = store_.end();
+      Durable(vm);
+      return;
+    }
+    bool own_seen = false;
+    if (again)
+      Follow(vm, &own_seen);
+    if (own_seen)
+      Durable(vm);
+    else
+      vm.book->OnRecordRefused();
+    vm.pending.clear();
+  }
+
+  static void Durable(Vm& vm) {
+    vm.book->OnRecordDurable();
+    vm.pending.clear();
+  }
+
+  void DoLateAppends() {
+    std::erase_if(late_, [&](const Late& late) {
+      if (late.due > now_)
+        return false;
+      store_.Append(late.record, late.at);
+      return true;
+    });
+  }
+
+  void BeginRequest(Vm& vm) {
+    const int64_t tokens = Pick(1, 2 * kUsualRequest);
+    auto reserved = vm.book->Reserve(kWard, tokens, ClockOf(vm));
+    if (!reserved.has_value()) {
+      // Waits until the next try.
+      vm.book->AddWaiting(kWard, tokens);
+      if (now_ >= vm.cut_until)
+        Sync(vm);
+      vm.book->RemoveWaiting(kWard, tokens);
+      reserved = vm.book->Reserve(kWard, tokens, ClockOf(vm));
+    }
+    if (!reserved.has_value())
+      return;
+    counter_.Add(tokens);
+    vm.running.push_back({.reservation = *reserved,
+                          .used = Pick(0, tokens),
+                          .ends = now_ + UpTo(absl::Seconds(2))});
+  }
+
+  void EndRequests(Vm& vm) {
+    std::erase_if(vm.running, [&](const Running& running) {
+      if (running.ends > now_)
+        return false;
+      vm.book->Settle(running.reservation, running.used);
+      counter_.Add(running.used - running.reservation.tokens());
+      return true;
+    });
+  }
+
+  // Another router hands tokens over; the answer may be lost.
+  void Ask(Vm& vm) {
+    Vm& other = vms_[Pick(0, static_cast<int64_t>(vms_.size()) - 1)];
+    if (&other == &vm || other.book == nullptr || now_ < other.frozen_until)
+      return;
+    const int64_t given =
+        other.book->Give(kWard, Pick(1, kUsualRequest), ClockOf(other));
+    if (!Chance(0.1))
+      vm.book->ReceiveGift(kWard, given);
+  }
+
+  struct Late {
+    absl::Duration due;
+    std::string record;
+    int64_t at;
+  };
+
+  std::mt19937_64 random_;
+  std::vector<Vm> vms_;
+  Store store_;
+  Counter counter_;
+  std::vector<Late> late_;
+  absl::Duration now_ = absl::Seconds(100);
+  int64_t total_ = kTotal;
+  int boots_ = 0;
+  bool overdrawn_ = false;
+};
+
+class TotalsRandomTest : public testing::TestWithParam<size_t> {};
+
+TEST_P(TotalsRandomTest, RoutersUnderFaults_NeverOverdraw) {
+  constexpr uint64_t kSeeds = 60;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RandomDay day(seed, GetParam());
+    day.Run();
+    EXPECT_FALSE(day.overdrawn()) << "seed " << seed;
+    // The test is worth little if hardly anything is spent.
+    EXPECT_GT(day.most(), kTotal / 4) << "seed " << seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Routers, TotalsRandomTest, testing::Values(1, 4, 28));
+
+}  // namespace
+}  // namespace hawthornhollow
--- /dev/null
+++ b/testing/entry_test.cc
@@ -0,0 +1,313 @@
+// The program of the entry VMs as a process, before stand-ins of the users'
+// platform.
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/substitute.h"
+#include "testing/platform_standin.h"
+#include "testing/processes.h"
+
+namespace hawthornhollow {
+namespace {
+
+using standins::ReplicaStandin;
+using standins::StoreStandin;
+using testing::HasSubstr;
+
+constexpr int64_t kPromptTokens = 100;
+constexpr int64_t kMaxOutputTokens = 60;
+constexpr int64_t kTokensPerEvent = 4;
+constexpr int64_t kUsedTokens =
+    kPromptTokens + ReplicaStandin::kEvents * kTokensPerEvent;
+constexpr absl::Duration kWait = absl::Seconds(10);
+
+// The events of a whole answer.
+std::string WholeStream() {
+  std::string stream;
+  for (int i = 1; i <= ReplicaStandin::kEvents; ++i)
+    absl::StrAppend(&stream, "id: ", i, "\ndata: piece ", i, "\n\n");
+  return stream;
+}
+
+class EntryTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    auto runtime = Runtime::Create({.threads = 1});
+    ASSERT_TRUE(runtime.ok()) << runtime.status();
+    runtime_ = *std::move(runtime);
+    store_server_ = Listen(store_.Handler());
+    for (auto& replica : replicas_)
+      replica_servers_.push_back(Listen(replica->Handler()));
+    callers_ = {"127.0.0.1", FreePort()};
+    readiness_ = {"127.0.0.1", FreePort()};
+    peers_ = {"127.0.0.1", FreePort()};
+    folder_ = testing::TempDir() + "/entry-" + std::to_string(callers_.port);
+  }
+
+  void TearDown() override {
+    entry_.reset();
+    replica_servers_.clear();
+    store_server_.reset();
+    runtime_.reset();
+  }
+
+  std::unique_ptr<HttpServer> Listen(HttpHandler handler) {
+    auto server = HttpServer::Start(*runtime_, {.local = {"127.0.0.1", 0}},
+                                    std::move(handler));
+    EXPECT_TRUE(server.ok()) << server.status();
+    return *std::move(server);
+  }
+
+  void PutConfiguration(int64_t prepaid, int64_t version = 1) {
+    store_.Put("keyed.op", "config", absl::Substitute(R"({"version":$0,
+      "routes":[
+       {"name":"s","host":"h.example","path_prefix":"/stream/","kind":"stream",
+        "timeout_ms":8000,"target_latency_ms":500,"service":"engine",
+        "max_attempts":2,"resumable":true},
+       {"name":"o","host":"h.example","path_prefix":"/order/",
+        "kind":"non_idempotent","timeout_ms":3000,"service":"engine",
+        "max_attempts":1},
+       {"name":"l","host":"h.example","path_prefix":"/lookup/",
+        "kind":"idempotent","timeout_ms":3000,"service":"engine",
+        "max_attempts":2}],
+      "services":[{"name":"engine","engine":{"stride":$2}}],
+      "tenants":[{"name":"ward-7","api_keys":["k1"],"prepaid":$1}]})",
+                                                      version, prepaid,
+                                                      kTokensPerEvent));
+  }
+
+  void PutServers() {
+    for (size_t i = 0; i < replicas_.size(); ++i) {
+      const std::string id = absl::StrCat("i-", i);
+      store_.Put("keyed.servers", id, absl::Substitute(R"({"service":"engine",
+        "address":"$0","zone":"z","version":"v1","slots":8,"state":"ready",
+        "cold_remaining_ms":0,"sequence":1})",
+                                                       replica_servers_[i]
+                                                           ->local()
+                                                           .ToString()));
+    }
+  }
+
+  void StartEntry() {
+    const std::string file = folder_ + ".json";
+    std::ofstream(file) << absl::Substitute(
+        R"({"node":"entry-1","zone":"z",
+        "listen":{"front":"$0","ready":"$1","control":"$2"},
+        "bounds":{"grace_s":8},"platform":{"address":"$3"}})",
+        callers_.ToString(), readiness_.ToString(), peers_.ToString(),
+        store_server_->local().ToString());
+    auto process = ChildProcess::Start({ENTRY, "--settings", file},
+                                       folder_ + ".err");
+    ASSERT_TRUE(process.ok()) << process.status();
+    entry_ = *std::move(process);
+  }
+
+  int Readiness() {
+    const auto response =
+        PlainHttp(readiness_, {.target = "/ready"}, absl::Seconds(1));
+    return response.ok() ? response->status : 0;
+  }
+
+  void StartReady(int64_t prepaid = 1'000'000) {
+    PutConfiguration(prepaid);
+    PutServers();
+    StartEntry();
+    AwaitReady();
+  }
+
+  void AwaitReady() {
+    const absl::Time end = absl::Now() + kWait;
+    while (Readiness() != 200 && absl::Now() < end)
+      absl::SleepFor(absl::Milliseconds(20));
+    ASSERT_EQ(Readiness(), 200);
+  }
+
+  absl::StatusOr<HttpResponse> Send(const std::string& path,
+                                    const std::string& key = "k1") {
+    HttpRequest request{.method = "POST",
+                        .target = path,
+                        .headers = {{"Host", "h.example"},
+                                    {"Attempt-Id", NextId()},
+                                    {"Deadline-Ms", "8000"},
+                                    {"Authorization", "Token " + key}},
+                        .body = "text"};
+    if (path.starts_with("/stream/")) {
+      request.headers.emplace_back(
+          "Token-Counts", absl::StrCat(kPromptTokens, ",", kMaxOutputTokens));
+      request.headers.emplace_back("Prompt-Prefix", "aa:80,bb:20");
+    }
+    return PlainHttp(callers_, request, kWait);
+  }
+
+  int StatusOf(const std::string& path, const std::string& key = "k1") {
+    const auto response = Send(path, key);
+    return response.ok() ? response->status : 0;
+  }
+
+  std::string NextId() { return absl::StrCat("id-", ++ids_); }
+
+  int MostRunsOfOne() const {
+    std::map<std::string, int> all;
+    for (const auto& replica : replicas_) {
+      for (const auto& [id, runs] : replica->runs())
+        all[id] += runs;
+    }
+    int most = 0;
+    for (const auto& [id, runs] : all)
+      most = std::max(most, runs);
+    return most;
+  }
+
+  std::unique_ptr<Runtime> runtime_;
+  StoreStandin store_;
+  std::vector<std::unique_ptr<ReplicaStandin>> replicas_ = [] {
+    std::vector<std::unique_ptr<ReplicaStandin>> replicas;
+    replicas.push_back(std::make_unique<ReplicaStandin>("i-0"));
+    replicas.push_back(std::make_unique<ReplicaStandin>("i-1"));
+    return replicas;
+  }();
+  std::unique_ptr<HttpServer> store_server_;
+  std::vector<std::unique_ptr<HttpServer>> replica_servers_;
+  Endpoint callers_;
+  Endpoint readiness_;
+  Endpoint peers_;
+  std::string folder_;
+  std::unique_ptr<ChildProcess> entry_;
+  int ids_ = 0;
+};
+
+TEST_F(EntryTest, EntryWithoutConfiguration_IsNotReadyAndAnswers503) {
+  StartEntry();
+  const absl::Time end = absl::Now() + kWait;
+  while (Readiness() == 0 && absl::Now() < end)
+    absl::SleepFor(absl::Milliseconds(20));
+  EXPECT_EQ(Readiness(), 503);
+  const auto response = Send("/stream/a");
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_EQ(response->status, 503);
+  EXPECT_NE(response->Header("Retry-After"), "");
+  PutConfiguration(1'000'000);
+  PutServers();
+  AwaitReady();
+}
+
+TEST_F(EntryTest, CalmTraffic_IsAnsweredWholeAndRunOnce) {
+  StartReady();
+  for (int i = 0; i < 40; ++i) {
+    const auto stream = Send("/stream/a");
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    EXPECT_EQ(stream->status, 200) << stream->body;
+    EXPECT_EQ(stream->body, WholeStream());
+    EXPECT_THAT(stream->Header("Replica-Seal"), HasSubstr("i-"));
+    const auto order = Send("/order/a");
+    ASSERT_TRUE(order.ok()) << order.status();
+    EXPECT_EQ(order->body, absl::StrCat("done id-", ids_));
+  }
+  EXPECT_EQ(MostRunsOfOne(), 1);
+}
+
+TEST_F(EntryTest, UnknownKeyOrRoute_IsRefusedAndNothingRuns) {
+  StartReady();
+  EXPECT_EQ(StatusOf("/stream/a", "k2"), 401);
+  EXPECT_EQ(StatusOf("/nowhere/a"), 404);
+  EXPECT_EQ(MostRunsOfOne(), 0);
+}
+
+TEST_F(EntryTest, TotalOfFiveRequests_ServesFiveAndThenAnswers402) {
+  StartReady(5 * kUsedTokens + kMaxOutputTokens);
+  int served = 0;
+  for (int i = 0; i < 8; ++i)
+    served += StatusOf("/stream/a") == 200 ? 1 : 0;
+  EXPECT_EQ(served, 5);
+  EXPECT_EQ(StatusOf("/stream/a"), 402);
+  // Work without tokens goes on, and a top-up is in force within seconds.
+  EXPECT_EQ(StatusOf("/order/a"), 200);
+  PutConfiguration(20 * kUsedTokens, 2);
+  absl::SleepFor(absl::Milliseconds(900));
+  EXPECT_EQ(StatusOf("/stream/a"), 200);
+}
+
+TEST_F(EntryTest, KilledEntry_DoesNotSpendItsTotalAgain) {
+  StartReady(5 * kUsedTokens + kMaxOutputTokens);
+  int served = 0;
+  for (int i = 0; i < 3; ++i)
+    served += StatusOf("/stream/a") == 200 ? 1 : 0;
+  ASSERT_TRUE(entry_->Signal(SIGKILL).ok());
+  ASSERT_TRUE(entry_->Wait(kWait).ok());
+  StartEntry();
+  AwaitReady();
+  for (int i = 0; i < 8; ++i)
+    served += StatusOf("/stream/a") == 200 ? 1 : 0;
+  EXPECT_LE(served, 5);
+  EXPECT_GE(served, 4);
+}
+
+TEST_F(EntryTest, StreamThatBreaksOff_GoesOnAtAnotherServer) {
+  StartReady();
+  for (auto& replica : replicas_)
+    replica->SetFaults({.break_after_events = 6});
+  const auto stream = Send("/stream/a");
+  ASSERT_TRUE(stream.ok()) << stream.status();
+  EXPECT_EQ(stream->body, WholeStream());
+}
+
+TEST_F(EntryTest, LostAnswerOfAnOrder_Is502AndNotRunAgain) {
+  StartReady();
+  for (auto& replica : replicas_)
+    replica->SetFaults({.lose_answers = true});
+  EXPECT_EQ(StatusOf("/order/a"), 502);
+  EXPECT_EQ(MostRunsOfOne(), 1);
+  EXPECT_EQ(StatusOf("/lookup/a"), 502);
+  EXPECT_EQ(MostRunsOfOne(), 2);
+}
+
+TEST_F(EntryTest, FullServers_GiveA503ThatSaysWhenToComeBack) {
+  StartReady();
+  for (auto& replica : replicas_)
+    replica->SetFaults({.refuse = true});
+  const auto response = Send("/order/a");
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_EQ(response->status, 503);
+  EXPECT_NE(response->Header("Retry-After"), "");
+  EXPECT_EQ(MostRunsOfOne(), 0);
+}
+
+TEST_F(EntryTest, StoreOutage_DoesNotStopServing) {
+  StartReady();
+  for (int i = 0; i < 5; ++i)
+    EXPECT_EQ(StatusOf("/stream/a"), 200);
+  store_.SetOutage(true);
+  absl::SleepFor(absl::Milliseconds(1500));
+  for (int i = 0; i < 3; ++i)
+    EXPECT_EQ(StatusOf("/stream/a"), 200);
+}
+
+TEST_F(EntryTest, SigtermDuringAStream_FinishesItAndExits) {
+  StartReady();
+  for (auto& replica : replicas_)
+    replica->SetEventPause(absl::Milliseconds(300));
+  absl::StatusOr<HttpResponse> stream;
+  std::thread caller([&] { stream = Send("/stream/a"); });
+  absl::SleepFor(absl::Milliseconds(500));
+  ASSERT_TRUE(entry_->Signal(SIGHUP).ok());
+  ASSERT_TRUE(entry_->Signal(SIGTERM).ok());
+  absl::SleepFor(absl::Milliseconds(200));
+  EXPECT_EQ(Readiness(), 503);
+  // New connections are served until the balancer has noticed.
+  EXPECT_EQ(StatusOf("/order/a"), 200);
+  caller.join();
+  ASSERT_TRUE(stream.ok()) << stream.status();
+  EXPECT_EQ(stream->body, WholeStream());
+  const auto exit = entry_->Wait(kWait);
+  ASSERT_TRUE(exit.ok()) << exit.status();
+  EXPECT_EQ(*exit, 0);
+}
+
+}  // namespace
+}  // namespace hawthornhollow
--- /dev/null
+++ b/testing/platform_standin.cc
@@ -0,0 +1,219 @@
+#include "testing/platform_standin.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "absl/strings/escaping.h"
+#include "hawthornhollow/runtime/runtime.h"
+#include "testing/standin_support.h"
+
+namespace hawthornhollow::standins {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kPreconditionFailed = 412;
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+constexpr size_t kLengthBytes = 4;
+constexpr size_t kOffsetBytes = 8;
+
+void AppendNumber(std::string* out, uint64_t value, size_t bytes) {
+  for (size_t i = bytes; i-- > 0;)
+    out->push_back(static_cast<char>(value >> (8 * i) & 0xff));
+}
+
+std::string Topic(const HttpRequest& request) {
+  return request.Query("topic").value_or("");
+}
+
+}  // namespace
+
+HttpHandler StoreStandin::Handler() {
+  return [this](const HttpRequest& request, ResponseWriter& writer) {
+    Serve(request, writer);
+  };
+}
+
+void StoreStandin::Put(const std::string& topic,
+                       const std::string& key,
+                       const std::string& value) {
+  const std::lock_guard lock(mutex_);
+  topics_[topic].push_back({key, value});
+}
+
+void StoreStandin::SetOutage(bool outage) {
+  const std::lock_guard lock(mutex_);
+  outage_ = outage;
+}
+
+int64_t StoreStandin::calls() const {
+  const std::lock_guard lock(mutex_);
+  return calls_;
+}
+
+void StoreStandin::Serve(const HttpRequest& request, ResponseWriter& writer) {
+  bool outage = false;
+  {
+    const std::lock_guard lock(mutex_);
+    ++calls_;
+    outage = outage_;
+  }
+  if (outage)
+    return SendError(writer, kUnavailable, "outage");
+  if (request.Path() == "/log-append")
+    return Append(request, writer);
+  if (request.Path() == "/log-read")
+    return Read(request, writer);
+  if (request.Path() == "/log-newest")
+    return Newest(request, writer);
+  SendError(writer, kNotFound, "no such call");
+}
+
+// Takes one keyed record.
+void StoreStandin::Append(const HttpRequest& request, ResponseWriter& writer) {
+  boost::json::object answer;
+  int status = kOk;
+  {
+    const std::lock_guard lock(mutex_);
+    std::vector<Record>& records = topics_[Topic(request)];
+    const auto end = static_cast<int64_t>(records.size());
+    if (QueryInt(request, "at", end) != end) {
+      status = kPreconditionFailed;
+    } else {
+      const std::string& body = request.body;
+      const auto key_bytes =
+          static_cast<size_t>(static_cast<unsigned char>(body[kLengthBytes]));
+      records.push_back({body.substr(kLengthBytes + 1, key_bytes),
+                         body.substr(kLengthBytes + 1 + key_bytes)});
+      answer["offset"] = end;
+    }
+    answer["end"] = static_cast<int64_t>(records.size());
+  }
+  SendJson(writer, status, answer);
+}
+
+void StoreStandin::Read(const HttpRequest& request, ResponseWriter& writer) {
+  std::string body;
+  {
+    const std::lock_guard lock(mutex_);
+    const std::vector<Record>& records = topics_[Topic(request)];
+    AppendNumber(&body, records.size(), kOffsetBytes);
+    AppendNumber(&body, 0, kOffsetBytes);
+    const auto from = static_cast<size_t>(QueryInt(request, "from", 0));
+    for (size_t i = from; i < records.size(); ++i) {
+      const Record& record = records[i];
+      AppendNumber(&body, 1 + record.key.size() + record.value.size(),
+                   kLengthBytes);
+      AppendNumber(&body, record.key.size(), 1);
+      body += record.key + record.value;
+    }
+  }
+  writer.Send({.body = body}).IgnoreError();
+}
+
+void StoreStandin::Newest(const HttpRequest& request, ResponseWriter& writer) {
+  boost::json::object answer;
+  {
+    const std::lock_guard lock(mutex_);
+    const std::vector<Record>& records = topics_[Topic(request)];
+    std::map<std::string, size_t> newest;
+    for (size_t i = 0; i < records.size(); ++i)
+      newest[records[i].key] = i;
+    boost::json::array items;
+    for (const auto& [key, offset] : newest) {
+      const std::string value = absl::Base64Escape(records[offset].value);
+      items.push_back({{"key", key}, {"value", value}, {"offset", offset}});
+    }
+    answer["items"] = std::move(items);
+    answer["has_more"] = false;
+    answer["end"] = static_cast<int64_t>(records.size());
+  }
+  SendJson(writer, kOk, answer);
+}
+
+HttpHandler ReplicaStandin::Handler() {
+  return [this](const HttpRequest& request, ResponseWriter& writer) {
+    Serve(request, writer);
+  };
+}
+
+void ReplicaStandin::SetFaults(const Faults& faults) {
+  const std::lock_guard lock(mutex_);
+  faults_ = faults;
+}
+
+void ReplicaStandin::SetEventPause(absl::Duration pause) {
+  const std::lock_guard lock(mutex_);
+  event_pause_ = pause;
+}
+
+std::map<std::string, int> ReplicaStandin::runs() const {
+  const std::lock_guard lock(mutex_);
+  return runs_;
+}
+
+void ReplicaStandin::Serve(const HttpRequest& request, ResponseWriter& writer) {
+  const std::string id(request.Header("Attempt-Id"));
+  Faults faults;
+  {
+    const std::lock_guard lock(mutex_);
+    faults = faults_;
+  }
+  if (request.Header("Expect-Replica") != id_) {
+    writer.Send({.status = kMisdirected, .headers = {{"Replica-Id", id_}}})
+        .IgnoreError();
+    return;
+  }
+  if (faults.refuse) {
+    writer.Send({.status = kUnavailable, .headers = {{"Not-Executed", "1"}}})
+        .IgnoreError();
+    return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    ++runs_[id];
+  }
+  if (request.Path().starts_with("/stream/"))
+    return ServeStream(request, faults, writer);
+  if (faults.lose_answers)
+    return writer.Abort();
+  writer
+      .Send({.headers = {{"Attempt-Id", id}, {"Replica-Seal", id_}},
+             .body = "done " + id})
+      .IgnoreError();
+}
+
+void ReplicaStandin::ServeStream(const HttpRequest& request,
+                                 const Faults& faults,
+                                 ResponseWriter& writer) {
+  absl::Duration pause;
+  {
+    const std::lock_guard lock(mutex_);
+    pause = event_pause_;
+  }
+  const std::string resume(request.Header("Last-Event-Id"));
+  int64_t next = resume.empty() ? 1 : std::stoll(resume) + 1;
+  if (!writer
+           .StartStream(kOk, {{"Content-Type", "text/event-stream"},
+                              {"Attempt-Id",
+                               std::string(request.Header("Attempt-Id"))},
+                              {"Replica-Seal", id_}})
+           .ok())
+    return;
+  for (int sent = 0; next <= kEvents; ++next, ++sent) {
+    if (sent == faults.break_after_events) {
+      writer.Write("id: " + std::to_string(next) + "\nda").IgnoreError();
+      return writer.Abort();
+    }
+    hawthornhollow::SleepFor(pause);
+    const std::string event = "id: " + std::to_string(next) + "\ndata: piece " +
+                              std::to_string(next) + "\n\n";
+    if (!writer.Write(event).ok())
+      return;
+  }
+  writer.Finish().IgnoreError();
+}
+
+}  // namespace hawthornhollow::standins
--- /dev/null
+++ b/testing/platform_standin.h
@@ -0,0 +1,87 @@
+#ifndef TESTING_PLATFORM_STANDIN_H_
+#define TESTING_PLATFORM_STANDIN_H_
+
+// Stands in for the users' platform: its store, and backend servers that speak
+// its protocol. Both run inside the test, on a runtime of one thread, so that
+// their state needs no lock but towards the test.
+//
+//   StoreStandin store;
+//   auto server = HttpServer::Start(runtime, {...}, store.Handler());
+//   store.Put("keyed.op", "config", document);
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "hawthornhollow/http/http.h"
+
+namespace hawthornhollow::standins {
+
+// A log with topics of one partition.
+class StoreStandin {
+ public:
+  HttpHandler Handler();
+
+  void Put(const std::string& topic,
+           const std::string& key,
+           const std::string& value);
+  // During an outage every call is answered 503.
+  void SetOutage(bool outage);
+  int64_t calls() const;
+
+ private:
+  struct Record {
+    std::string key;
+    std::string value;
+  };
+  void Serve(const HttpRequest& request, ResponseWriter& writer);
+  void Append(const HttpRequest& request, ResponseWriter& writer);
+  void Read(const HttpRequest& request, ResponseWriter& writer);
+  void Newest(const HttpRequest& request, ResponseWriter& writer);
+
+  mutable std::mutex mutex_;
+  std::map<std::string, std::vector<Record>> topics_;
+  bool outage_ = false;
+  int64_t calls_ = 0;
+};
+
+// One backend server. Paths that begin with "/stream/" answer with `events`
+// events, others with a short body.
+class ReplicaStandin {
+ public:
+  struct Faults {
+    // Breaks each stream off after this many events; negative: never.
+    int break_after_events = -1;
+    // Breaks each other answer off after the request has run.
+    bool lose_answers = false;
+    bool refuse = false;  // answers 503 and does not run
+  };
+
+  explicit ReplicaStandin(std::string id) : id_(std::move(id)) {}
+  HttpHandler Handler();
+
+  void SetFaults(const Faults& faults);
+  void SetEventPause(absl::Duration pause);
+  // How often each request ran, by its id.
+  std::map<std::string, int> runs() const;
+
+  static constexpr int64_t kEvents = 10;
+
+ private:
+  void Serve(const HttpRequest& request, ResponseWriter& writer);
+  void ServeStream(const HttpRequest& request,
+                   const Faults& faults,
+                   ResponseWriter& writer);
+
+  const std::string id_;
+  mutable std::mutex mutex_;
+  Faults faults_;
+  absl::Duration event_pause_ = absl::Milliseconds(2);
+  std::map<std::string, int> runs_;
+};
+
+}  // namespace hawthornhollow::standins
+
+#endif  // TESTING_PLATFORM_STANDIN_H_
