--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -36,6 +36,8 @@
   absl::Duration call_timeout = absl::Milliseconds(500);
   // After a failed call.
   absl::Duration retry = absl::Milliseconds(100);
+  // Tries to write the last record.
+  int close_tries = 5;
   // A request waits this long for a record before other routers are asked.
   absl::Duration ask_after = absl::Milliseconds(25);
   absl::Duration ask_timeout = absl::Milliseconds(150);
@@ -129,6 +131,11 @@
 
   // Keeps the record until `stop`. One fiber runs this.
   void Run(const std::atomic<bool>& stop) {
+    running_ = true;
+    const absl::Cleanup ended = [this] {
+      running_ = false;
+      changed_.Notify();
+    };
     while (!stop) {
       const uint64_t seen = wanted_.changes();
       const bool ok = book_.started() ? Sync() : Join();
@@ -140,8 +147,16 @@
   }
 
   // Writes what is committed, and gives the rest back. For the end of the
-  // process.
-  void Close() { Sync(); }
+  // process, once no request is in progress and Run was told to stop.
+  void Close() {
+    AwaitRunEnd();
+    bool closed = false;
+    for (int i = 0; i < options_.close_tries && !closed; ++i)
+      closed = TryClose();
+    LogEvent("total.closed",
+             closed ? LogSeverity::kInfo : LogSeverity::kWarning)
+        .Add("written", closed ? 1 : 0);
+  }
 
  private:
   absl::Status Refuse(absl::StatusCode code,
@@ -162,6 +177,27 @@
     return ErrorAt(code, "totals.acquire", workspace, "not enough tokens");
   }
 
+  void AwaitRunEnd() {
+    wanted_.Notify();
+    const absl::Time end = SteadyNow() + options_.call_timeout * 2;
+    while (running_ && SteadyNow() < end)
+      changed_.WaitBeyond(changed_.changes(), end - SteadyNow());
+  }
+
+  bool TryClose() {
+    if (running_)
+      return false;
+    if (!book_.started())
+      return true;
+    if (book_.has_pending_record() && !Resolve())
+      return false;
+    if (!Follow())
+      return false;
+    record_ = EncodeRouterRecord(book_.MakeLastRecord(BootTime()));
+    record_at_ = end_;
+    return Put(/*again=*/false) && !book_.has_pending_record() && put_;
+  }
+
   bool IsCutOff() const {
     return BootTime() - last_durable_ > options_.cut_off_after;
   }
@@ -227,7 +263,9 @@
   // under the same condition finds it out.
   bool Resolve() { return Put(/*again=*/true); }
 
+  // Whether the store answered. `put_` tells whether the record is durable.
   bool Put(bool again) {
+    put_ = false;
     auto end = store_.PutAt(StoreSubject::kRouterRecords, options_.book.router,
                             record_, record_at_, options_.call_timeout);
     if (end.ok()) {
@@ -250,6 +288,7 @@
   }
 
   void OnDurable() {
+    put_ = true;
     last_durable_ = absl::Microseconds(book_.pending_record()->written_us);
     book_.OnRecordDurable();
     changed_.Notify();
@@ -336,6 +375,8 @@
   std::string record_;   // the pending one's bytes
   int64_t record_at_ = 0;
   bool own_seen_ = false;
+  bool put_ = false;
+  bool running_ = false;
   absl::Duration last_durable_ = absl::ZeroDuration();
   std::set<std::string> asking_;
   std::map<std::string, absl::Time> paused_;
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -146,6 +146,9 @@
   // has come after those applied here. Until the outcome is known spending
   // stays within both this record and the durable one.
   fb::RouterRecordT MakeRecord(absl::Duration now);
+  // The last record of an incarnation that ends in order: nothing more may be
+  // committed under it, so that the next incarnation inherits what was.
+  fb::RouterRecordT MakeLastRecord(absl::Duration now);
   bool has_pending_record() const { return pending_.has_value(); }
   const std::optional<fb::RouterRecordT>& pending_record() const {
     return pending_;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -328,6 +328,16 @@
   return record;
 }
 
+fb::RouterRecordT TotalsBook::MakeLastRecord(absl::Duration now) {
+  fb::RouterRecordT record = MakeRecord(now);
+  for (auto& share : record.shares) {
+    share->committed = HoldingOf(share->workspace).committed;
+    share->authority = share->committed;
+  }
+  pending_ = record;
+  return record;
+}
+
 void TotalsBook::OnRecordDurable() {
   durable_ = std::move(pending_);
   pending_.reset();
--- a/hawthornhollow/totals/totals_book_test.cc
+++ b/hawthornhollow/totals/totals_book_test.cc
@@ -125,6 +125,18 @@
   EXPECT_LT(inherited[0].charged, share.authority);
 }
 
+TEST_F(TotalsBookTest, NewIncarnationAfterALastRecord_IsChargedWhatWasUsed) {
+  book_.Start(std::nullopt, absl::ZeroDuration());
+  const auto reserved = ReserveWritten(10'000, absl::Seconds(1));
+  ASSERT_TRUE(reserved.has_value());
+  book_.Settle(*reserved, 4'000);
+  const fb::RouterRecordT last = book_.MakeLastRecord(absl::Seconds(2));
+  TotalsBook next({.router = "router-1", .boot = "boot-2"});
+  const auto inherited = next.Start(last, absl::Seconds(60));
+  ASSERT_EQ(inherited.size(), 1);
+  EXPECT_EQ(inherited[0].charged, 4'000);
+}
+
 TEST_F(TotalsBookTest, NewIncarnationAfterAReboot_IsChargedTheAuthority) {
   book_.Start(std::nullopt, absl::ZeroDuration());
   ASSERT_TRUE(ReserveWritten(10'000, absl::Seconds(1)).has_value());
--- a/hawthornhollow/totals/totals_random_test.cc
+++ b/hawthornhollow/totals/totals_random_test.cc
@@ -131,6 +131,23 @@
       vm.frozen_until = now_ + UpTo(absl::Seconds(4));
     if (Chance(0.003))
       Kill(vm, /*power=*/Chance(0.4));
+    else if (Chance(0.003) && now_ >= vm.cut_until)
+      Close(vm);
+  }
+
+  // Ends in order: requests are finished, and a last record is written.
+  void Close(Vm& vm) {
+    for (Running& running : vm.running)
+      running.ends = now_;
+    EndRequests(vm);
+    bool own_seen = false;
+    if (!vm.book->has_pending_record()) {
+      Follow(vm, &own_seen);
+      vm.pending = EncodeRouterRecord(vm.book->MakeLastRecord(ClockOf(vm)));
+      vm.pending_at = vm.read;
+      Put(vm, /*again=*/false);
+    }
+    Kill(vm, /*power=*/Chance(0.5));
   }
 
   // What runs at that moment is spent at its worst.
