--- a/hawthornhollow/http/exchange.cc
+++ b/hawthornhollow/http/exchange.cc
@@ -55,9 +55,12 @@
   return absl::InfiniteDuration();
 }
 
+// Whether what arrived is no response, rather than one that broke off.
 bool IsMalformed(const error_code& error) {
   return error.category() ==
-         http::make_error_code(http::error::bad_target).category();
+             http::make_error_code(http::error::bad_target).category() &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message;
 }
 
 }  // namespace
@@ -185,7 +188,7 @@
   absl::StatusCode code = absl::StatusCode::kAborted;
   if (error == boost::beast::error::timeout)
     code = absl::StatusCode::kDeadlineExceeded;
-  else if (IsMalformed(error) && error != http::error::end_of_stream)
+  else if (IsMalformed(error))
     code = absl::StatusCode::kDataLoss;
   if (cancelled_)
     code = absl::StatusCode::kCancelled;
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -164,7 +164,7 @@
   absl::StatusOr<HttpHead> ReadHead(absl::Duration timeout);
 
   // The next piece of the body, valid until the next call; empty at the end of
-  // a whole body. Errors as ReadHead's; DATA_LOSS also if the body broke off.
+  // a whole body. Errors as ReadHead's; ABORTED if the body broke off.
   absl::StatusOr<std::string_view> ReadSome(absl::Duration timeout);
 
   // Fails the reads in progress and all later ones with CANCELLED and closes
