--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -245,7 +245,8 @@
   }
 
   static int64_t UsedTokens(const RunRequest& run, const RunSummary& summary) {
-    if (!summary.may_have_run)
+    // A caller who got nothing has consumed nothing.
+    if (!summary.may_have_run || summary.events == 0)
       return 0;
     const RelayService* service = run.table->FindService(run.service);
     const int64_t per_event = service == nullptr ? 0 : service->tokens_per_event;
