--- a/hawthornhollow/base/base.h
+++ b/hawthornhollow/base/base.h
@@ -89,9 +89,9 @@
   absl::Time Now() const { return absl::Now(); }
 };
 
-// A time that only goes forward, at the rate of real time: for timeouts and ages
-// within one process. Its zero means nothing, and it has nothing to do with the
-// time of day, which may jump. Not absl::Now(), which reckons with the
+// A time that only goes forward, at the rate of real time: for timeouts and
+// ages within one process. Its zero means nothing, and it has nothing to do
+// with the time of day, which may jump. Not absl::Now(), which reckons with the
 // processor's cycles between looks at the system's clock and so goes by a clock
 // of its own where the system's is a virtual one.
 absl::Time SteadyNow();
--- a/hawthornhollow/http/connection_pool.cc
+++ b/hawthornhollow/http/connection_pool.cc
@@ -41,8 +41,8 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   auto& idle = idle_[{connection->thread.get(), endpoint}];
   idle.push_back(std::move(connection));
-  while (!idle.empty() && (idle.size() > max_per_endpoint_ ||
-                           idle.front()->idle_since < oldest))
+  while (!idle.empty() &&
+         (idle.size() > max_per_endpoint_ || idle.front()->idle_since < oldest))
     idle.pop_front();
 }
 
--- a/hawthornhollow/http/exchange_internal.h
+++ b/hawthornhollow/http/exchange_internal.h
@@ -34,8 +34,8 @@
   void Cancel();
 
  private:
-  using Message = boost::beast::http::request<
-      boost::beast::http::span_body<const char>>;
+  using Message =
+      boost::beast::http::request<boost::beast::http::span_body<const char>>;
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
   static constexpr size_t kPieceBytes = 16 * 1024;
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -199,10 +199,9 @@
 
   // Sends the request within `timeout` and returns once it is written, or the
   // server has begun to answer. Errors as Call's.
-  absl::StatusOr<std::unique_ptr<HttpExchange>> Open(
-      const Endpoint& endpoint,
-      const HttpRequest& request,
-      absl::Duration timeout);
+  absl::StatusOr<std::unique_ptr<HttpExchange>> Open(const Endpoint& endpoint,
+                                                     const HttpRequest& request,
+                                                     absl::Duration timeout);
 
   // A whole exchange within `timeout`. UNAVAILABLE if no connection could be
   // made (the request was not sent); ABORTED if the connection broke after the
--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -89,8 +89,8 @@
 
  private:
   bool PollConfiguration() {
-    auto page = store_.Newest(StoreSubject::kConfiguration,
-                              options_.call_timeout);
+    auto page =
+        store_.Newest(StoreSubject::kConfiguration, options_.call_timeout);
     if (!page.ok())
       return false;
     for (const StoredValue& value : page->values) {
--- a/hawthornhollow/relay/event_splitter_test.cc
+++ b/hawthornhollow/relay/event_splitter_test.cc
@@ -17,9 +17,8 @@
 
 TEST_F(EventSplitterTest, WholeEvents_ComeWithTheirIdsAndBytes) {
   const auto events = splitter_.Feed("id: 3\ndata: a\n\ndata: b\n\n");
-  EXPECT_THAT(events,
-              ElementsAre(StreamEvent{3, "id: 3\ndata: a\n\n"},
-                          StreamEvent{std::nullopt, "data: b\n\n"}));
+  EXPECT_THAT(events, ElementsAre(StreamEvent{3, "id: 3\ndata: a\n\n"},
+                                  StreamEvent{std::nullopt, "data: b\n\n"}));
   EXPECT_EQ(splitter_.rest(), "");
 }
 
@@ -32,8 +31,8 @@
 TEST_F(EventSplitterTest, AnyPieces_GiveTheSameEventsAsOne) {
   std::string stream;
   for (int i = 0; i < 40; ++i)
-    stream += "id: " + std::to_string(i) + "\ndata: " + std::string(i, 'x') +
-              "\n\n";
+    stream +=
+        "id: " + std::to_string(i) + "\ndata: " + std::string(i, 'x') + "\n\n";
   const auto expected = EventSplitter().Feed(stream);
   std::mt19937_64 random(7);
   for (int round = 0; round < 200; ++round) {
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -22,8 +22,8 @@
 absl::StatusOr<typename Table::NativeTableType> Decode(
     const std::string& bytes,
     const std::string& peer) {
-  flatbuffers::Verifier verifier(
-      reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size());
+  flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()),
+                                 bytes.size());
   if (!verifier.VerifyBuffer<Table>()) {
     return ErrorAt(absl::StatusCode::kDataLoss, "peer.decode", peer,
                    "not the message that was expected");
@@ -45,12 +45,11 @@
   fb::TokensWantedT wanted;
   wanted.workspace = workspace;
   wanted.tokens = tokens;
-  const auto response =
-      client.Call(*endpoint,
-                  {.method = "POST",
-                   .target = kTokensTarget,
-                   .body = Encode<fb::TokensWanted>(wanted)},
-                  kAskTimeout);
+  const auto response = client.Call(*endpoint,
+                                    {.method = "POST",
+                                     .target = kTokensTarget,
+                                     .body = Encode<fb::TokensWanted>(wanted)},
+                                    kAskTimeout);
   if (!response.ok())
     return response.status();
   if (response->status != kOk) {
@@ -63,11 +62,10 @@
   return given->tokens;
 }
 
-void ServePeer(
-    const HttpRequest& request,
-    const std::function<int64_t(const std::string& workspace, int64_t tokens)>&
-        give,
-    ResponseWriter& writer) {
+void ServePeer(const HttpRequest& request,
+               const std::function<int64_t(const std::string& workspace,
+                                           int64_t tokens)>& give,
+               ResponseWriter& writer) {
   if (request.method != "POST" || request.Path() != kTokensTarget) {
     writer.Send({.status = 404}).IgnoreError();
     return;
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -20,11 +20,10 @@
                                 int64_t tokens);
 
 // Answers another router's question; `give` returns the tokens handed over.
-void ServePeer(
-    const HttpRequest& request,
-    const std::function<int64_t(const std::string& workspace, int64_t tokens)>&
-        give,
-    ResponseWriter& writer);
+void ServePeer(const HttpRequest& request,
+               const std::function<int64_t(const std::string& workspace,
+                                           int64_t tokens)>& give,
+               ResponseWriter& writer);
 
 }  // namespace hawthornhollow
 
--- a/hawthornhollow/relay/prompt_placement.cc
+++ b/hawthornhollow/relay/prompt_placement.cc
@@ -50,9 +50,8 @@
 double PromptPlacement::FailureShare(const State& state, absl::Time now) const {
   if (state.failures == 0)
     return 0;
-  return state.failures *
-         std::exp(-absl::FDivDuration(now - state.failures_at,
-                                      options_.failure_time));
+  return state.failures * std::exp(-absl::FDivDuration(now - state.failures_at,
+                                                       options_.failure_time));
 }
 
 std::vector<PromptPlacement::State*> PromptPlacement::Candidates(
@@ -114,8 +113,7 @@
   const State* home = nullptr;
   uint64_t home_score = 0;
   for (const State* state : candidates) {
-    const uint64_t score =
-        StableHash(home_key, StableHash(state->server.id));
+    const uint64_t score = StableHash(home_key, StableHash(state->server.id));
     if (home == nullptr || score > home_score) {
       home = state;
       home_score = score;
@@ -180,9 +178,8 @@
   state.failures = share + kFailureSampleWeight * (sample - share);
   state.failures_at = now;
   if (outcome == Outcome::kSilent) {
-    state.suspect_for =
-        std::clamp(state.suspect_for * 2, options_.suspect_min,
-                   options_.suspect_max);
+    state.suspect_for = std::clamp(state.suspect_for * 2, options_.suspect_min,
+                                   options_.suspect_max);
     state.suspect_until = now + state.suspect_for;
   } else {
     state.suspect_for = absl::ZeroDuration();
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -56,7 +56,7 @@
 struct RelayRoute {
   std::string name;
   std::string host;
-  std::string path_prefix;
+  std::string prefix;
   RouteKind kind = RouteKind::kNonIdempotent;
   // The longest that a request is kept waiting for its answer.
   absl::Duration timeout = absl::Seconds(30);
@@ -318,12 +318,12 @@
   kUnknownRoute,
   kUnknownKey,
   kTotalSpent,
-  kNotReady,       // no configuration yet
-  kNoServer,       // none that may be used; the request did not run
-  kRefused,        // servers refused; the request did not run
-  kTotalNotAtHand, // tokens may be left, but not here and now
-  kOutcomeUnknown, // it may have run, and there is no answer
-  kTimedOut,       // it may have run, and time is up
+  kNotReady,        // no configuration yet
+  kNoServer,        // none that may be used; the request did not run
+  kRefused,         // servers refused; the request did not run
+  kTotalNotAtHand,  // tokens may be left, but not here and now
+  kOutcomeUnknown,  // it may have run, and there is no answer
+  kTimedOut,        // it may have run, and time is up
 };
 struct RelayErrorTraits {
   int status;
@@ -352,7 +352,8 @@
 //   Newest     the newest record of each key.
 //   ReadFrom   records from an offset on, at once; OUT_OF_RANGE if some of them
 //              are gone.
-//   PutAt      puts a record if `at` is the end; ABORTED if it is not. After any
+//   PutAt      puts a record if `at` is the end; ABORTED if it is not. After
+//   any
 //              other error it may have been put, or may be for a while.
 template <typename T>
 concept SharedStore = requires(T store, const std::string& text) {
@@ -380,9 +381,7 @@
     } -> std::same_as<absl::StatusOr<std::shared_ptr<const RoutingTable>>>;
   { T::DecodeServer(value) } -> std::same_as<absl::StatusOr<RelayServer>>;
   { T::DecodeCall(request) } -> std::same_as<absl::StatusOr<RelayCall>>;
-  {
-    T::EncodeAttempt(request, call, attempt)
-    } -> std::same_as<HttpRequest>;
+  { T::EncodeAttempt(request, call, attempt) } -> std::same_as<HttpRequest>;
   { T::DecodeReply(head) } -> std::same_as<ReplyHead>;
   {
     T::EncodeRefusal(call, RelayError::kNoServer, absl::Duration())
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -83,30 +83,31 @@
   RelayInstance& operator=(const RelayInstance&) = delete;
 
   absl::Status Start() {
-    absl::Status status =
-        Listen(settings_.peers,
-               [this](const HttpRequest& request, ResponseWriter& writer) {
-                 ServePeer(
-                     request,
-                     [this](const std::string& workspace, int64_t tokens) {
-                       return totals_.Give(workspace, tokens);
-                     },
-                     writer);
-               },
-               &peer_server_);
+    absl::Status status = Listen(
+        settings_.peers,
+        [this](const HttpRequest& request, ResponseWriter& writer) {
+          ServePeer(
+              request,
+              [this](const std::string& workspace, int64_t tokens) {
+                return totals_.Give(workspace, tokens);
+              },
+              writer);
+        },
+        &peer_server_);
     if (status.ok())
-      status = Listen(settings_.readiness,
-                      [this](const HttpRequest&, ResponseWriter& writer) {
-                        AnswerReadiness(writer);
-                      },
-                      &readiness_server_);
+      status = Listen(
+          settings_.readiness,
+          [this](const HttpRequest&, ResponseWriter& writer) {
+            AnswerReadiness(writer);
+          },
+          &readiness_server_);
     if (status.ok())
-      status =
-          Listen(settings_.callers,
-                 [this](const HttpRequest& request, ResponseWriter& writer) {
-                   ServeCaller(request, writer);
-                 },
-                 &caller_server_);
+      status = Listen(
+          settings_.callers,
+          [this](const HttpRequest& request, ResponseWriter& writer) {
+            ServeCaller(request, writer);
+          },
+          &caller_server_);
     if (!status.ok())
       return status;
     runtime_.Spawn([this] { catalog_.FollowConfiguration(stop_); });
@@ -119,7 +120,8 @@
   // Finishes what is in progress, within the settings' bound. On a fiber.
   void Shutdown() {
     const absl::Time end = SteadyNow() + settings_.shutdown;
-    LogEvent("router.stopping");
+    LogEvent("router.stopping")
+        .Add("bound_ms", absl::ToInt64Milliseconds(settings_.shutdown));
     leaving_ = true;
     hawthornhollow::SleepFor(settings_.leaving);
     constexpr absl::Duration kLastSteps = absl::Milliseconds(300);
@@ -134,15 +136,14 @@
   absl::Status Listen(const Endpoint& local,
                       HttpHandler handler,
                       std::unique_ptr<HttpServer>* server) {
-    auto started = HttpServer::Start(
-        runtime_,
-        {.local = local,
-         .max_header_bytes = 64 * 1024,
-         .max_body_bytes = 8 * 1024 * 1024,
-         .request_timeout = absl::Seconds(10),
-         .idle_timeout = absl::Seconds(120),
-         .write_timeout = absl::Seconds(5)},
-        std::move(handler));
+    auto started = HttpServer::Start(runtime_,
+                                     {.local = local,
+                                      .max_header_bytes = 64 * 1024,
+                                      .max_body_bytes = 8 * 1024 * 1024,
+                                      .request_timeout = absl::Seconds(10),
+                                      .idle_timeout = absl::Seconds(120),
+                                      .write_timeout = absl::Seconds(5)},
+                                     std::move(handler));
     if (!started.ok())
       return started.status();
     *server = *std::move(started);
@@ -166,8 +167,9 @@
     RunRequest run{.request = &request, .call = *call, .arrived = arrived};
     if (const auto error = Resolve(&run)) {
       Refuse(run.call, *error, writer);
-      LogEnd(run, {.outcome = std::string(TraitsOf(*error).code),
-                   .status = TraitsOf(*error).status},
+      LogEnd(run,
+             {.outcome = std::string(TraitsOf(*error).code),
+              .status = TraitsOf(*error).status},
              0, 0);
       return;
     }
@@ -201,7 +203,8 @@
     int64_t sum = 0;
     for (const WeightedService& service : route.services)
       sum += service.weight;
-    int64_t draw = absl::Uniform<int64_t>(random_, 0, std::max<int64_t>(1, sum));
+    int64_t draw =
+        absl::Uniform<int64_t>(random_, 0, std::max<int64_t>(1, sum));
     for (const WeightedService& service : route.services) {
       draw -= service.weight;
       if (draw < 0)
@@ -223,8 +226,9 @@
                 ? RelayError::kTotalSpent
                 : RelayError::kTotalNotAtHand;
         Refuse(run.call, error, writer);
-        LogEnd(run, {.outcome = std::string(TraitsOf(error).code),
-                     .status = TraitsOf(error).status},
+        LogEnd(run,
+               {.outcome = std::string(TraitsOf(error).code),
+                .status = TraitsOf(error).status},
                0, 0);
         return;
       }
@@ -249,7 +253,8 @@
     if (!summary.may_have_run || summary.events == 0)
       return 0;
     const RelayService* service = run.table->FindService(run.service);
-    const int64_t per_event = service == nullptr ? 0 : service->tokens_per_event;
+    const int64_t per_event =
+        service == nullptr ? 0 : service->tokens_per_event;
     return run.call.prompt_tokens +
            std::min(run.call.max_output_tokens, summary.events * per_event);
   }
@@ -276,12 +281,10 @@
         .Add("events", summary.events)
         .Add("reserved", reserved)
         .Add("used", used)
-        .Add("took_ms",
-             absl::ToInt64Milliseconds(SteadyNow() - run.arrived))
-        .Add("first_ms",
-             summary.first_event == absl::InfiniteDuration()
-                 ? -1
-                 : absl::ToInt64Milliseconds(summary.first_event));
+        .Add("took_ms", absl::ToInt64Milliseconds(SteadyNow() - run.arrived))
+        .Add("first_ms", summary.first_event == absl::InfiniteDuration()
+                             ? -1
+                             : absl::ToInt64Milliseconds(summary.first_event));
   }
 
   const RelaySettings settings_;
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -4,10 +4,10 @@
 // One caller's request: its tries at backend servers, and the one answer.
 //
 // What the caller is told follows from what is known of the tries. "Not run"
-// (503) needs certainty: no try was written to a server, or its server said that
-// it did not run it. After anything else a request without an answer ends as
-// "outcome unknown" (502) or "timed out" (504), or, in the middle of a stream,
-// with a closed connection.
+// (503) needs certainty: no try was written to a server, or its server said
+// that it did not run it. After anything else a request without an answer ends
+// as "outcome unknown" (502) or "timed out" (504), or, in the middle of a
+// stream, with a closed connection.
 
 #include <algorithm>
 #include <memory>
@@ -269,17 +269,16 @@
   }
 
   TryEnd TryAt(const PromptPlacement::Choice& choice) {
-    const RelayAttempt attempt{
-        .server_id = choice.server.id,
-        .workspace =
-            request_.workspace == nullptr ? "" : request_.workspace->name,
-        .time_left = TimeLeft(),
-        .urgency = Urgency(),
-        .resume_after = last_event_};
+    const RelayAttempt attempt{.server_id = choice.server.id,
+                               .workspace = request_.workspace == nullptr
+                                                ? ""
+                                                : request_.workspace->name,
+                               .time_left = TimeLeft(),
+                               .urgency = Urgency(),
+                               .resume_after = last_event_};
     const HttpRequest sent =
         D::EncodeAttempt(*request_.request, request_.call, attempt);
-    auto opened =
-        shared_.client->Open(choice.server.address, sent, TimeLeft());
+    auto opened = shared_.client->Open(choice.server.address, sent, TimeLeft());
     if (!opened.ok()) {
       detail_ = std::string(opened.status().message());
       return opened.status().code() == absl::StatusCode::kUnavailable
@@ -298,21 +297,20 @@
   int64_t Urgency() const {
     constexpr int64_t kRoutePriorities = 3;
     constexpr int64_t kLast = 9;
-    const int64_t route = std::min(request_.route->priority,
-                                   kRoutePriorities - 1);
-    const int64_t workspace =
-        request_.workspace == nullptr
-            ? 0
-            : request_.workspace->priority.value_or(0);
+    const int64_t route =
+        std::min(request_.route->priority, kRoutePriorities - 1);
+    const int64_t workspace = request_.workspace == nullptr
+                                  ? 0
+                                  : request_.workspace->priority.value_or(0);
     return std::clamp<int64_t>(workspace * kRoutePriorities + route, 0, kLast);
   }
 
   absl::Duration HeadPatience() const {
     if (!may_repeat() || LastAttempt())
       return TimeLeft();
-    return std::min(TimeLeft(),
-                    std::max(options_.silence_min,
-                             request_.route->target * options_.silence_targets));
+    return std::min(TimeLeft(), std::max(options_.silence_min,
+                                         request_.route->target *
+                                             options_.silence_targets));
   }
   bool LastAttempt() const {
     return summary_.attempts + 1 >= request_.route->max_attempts;
@@ -401,8 +399,8 @@
   absl::Duration EventPatience() const {
     if (!may_repeat() || LastAttempt())
       return TimeLeft();
-    return std::min(TimeLeft(), got_first_ ? options_.event_silence
-                                           : HeadPatience());
+    return std::min(TimeLeft(),
+                    got_first_ ? options_.event_silence : HeadPatience());
   }
 
   TryEnd RelayStream(const PromptPlacement::Choice& choice,
--- a/hawthornhollow/relay/routing_table.cc
+++ b/hawthornhollow/relay/routing_table.cc
@@ -25,7 +25,7 @@
   }
   for (auto& [host, routes] : table->by_host_) {
     std::stable_sort(routes.begin(), routes.end(), [](auto* a, auto* b) {
-      return a->path_prefix.size() > b->path_prefix.size();
+      return a->prefix.size() > b->prefix.size();
     });
   }
   for (const RelayWorkspace& workspace : table->parts_.workspaces) {
@@ -47,7 +47,7 @@
   if (found == by_host_.end())
     return nullptr;
   for (const RelayRoute* route : found->second) {
-    if (path.starts_with(route->path_prefix))
+    if (path.starts_with(route->prefix))
       return route;
   }
   return nullptr;
--- a/hawthornhollow/relay/routing_table_test.cc
+++ b/hawthornhollow/relay/routing_table_test.cc
@@ -11,7 +11,7 @@
 RelayRoute Route(const std::string& name, const std::string& prefix) {
   return {.name = name,
           .host = "a.example",
-          .path_prefix = prefix,
+          .prefix = prefix,
           .services = {{.service = "engine"}}};
 }
 
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -49,10 +49,10 @@
 
 // Asks the router at an address for tokens of a workspace; returns how many it
 // gave.
-using AskForTokens = std::function<absl::StatusOr<int64_t>(
-    const std::string& address,
-    const std::string& workspace,
-    int64_t tokens)>;
+using AskForTokens =
+    std::function<absl::StatusOr<int64_t>(const std::string& address,
+                                          const std::string& workspace,
+                                          int64_t tokens)>;
 
 template <SharedStore Store>
 class TotalsController {
@@ -101,8 +101,7 @@
       wanted_.Notify();
       if (waited >= options_.ask_after || IsCutOff())
         StartAsking(workspace);
-      changed_.WaitBeyond(seen,
-                          std::min(timeout - waited, options_.ask_after));
+      changed_.WaitBeyond(seen, std::min(timeout - waited, options_.ask_after));
     }
   }
 
@@ -165,15 +164,14 @@
     const TotalState state = book_.state(workspace, BootTime());
     LogEvent("total.refused")
         .Add("workspace", workspace)
-        .Add("spent",
-             code == absl::StatusCode::kResourceExhausted ? 1 : 0)
+        .Add("spent", code == absl::StatusCode::kResourceExhausted ? 1 : 0)
         .Add("wanted", tokens)
         .Add("total", state.total)
         .Add("committed", state.committed)
         .Add("unassigned", state.unassigned)
         .Add("available", state.available)
-        .Add("record_age_ms", absl::ToInt64Milliseconds(
-                                  BootTime() - last_durable_));
+        .Add("record_age_ms",
+             absl::ToInt64Milliseconds(BootTime() - last_durable_));
     return ErrorAt(code, "totals.acquire", workspace, "not enough tokens");
   }
 
@@ -204,8 +202,8 @@
 
   // Reads all records and begins this incarnation.
   bool Join() {
-    auto page = store_.Newest(StoreSubject::kRouterRecords,
-                              options_.call_timeout);
+    auto page =
+        store_.Newest(StoreSubject::kRouterRecords, options_.call_timeout);
     if (!page.ok())
       return false;
     std::optional<fb::RouterRecordT> previous;
@@ -239,10 +237,9 @@
     LogEvent("total.started")
         .Add("routers", static_cast<int64_t>(book_.router_count()))
         .Add("previous_epoch", previous.has_value() ? previous->epoch : 0)
-        .Add("same_boot", previous.has_value() &&
-                                  previous->boot == options_.book.boot
-                              ? 1
-                              : 0);
+        .Add("same_boot",
+             previous.has_value() && previous->boot == options_.book.boot ? 1
+                                                                          : 0);
     return Sync();
   }
 
--- a/hawthornhollow/totals/router_record.cc
+++ b/hawthornhollow/totals/router_record.cc
@@ -8,8 +8,9 @@
 namespace hawthornhollow {
 
 int64_t SpendingLimit(const fb::TotalShareT& share, absl::Duration age) {
-  double allowance = std::max(0.0, absl::ToDoubleSeconds(age)) *
-                     static_cast<double>(std::max<int64_t>(0, share.per_second));
+  double allowance =
+      std::max(0.0, absl::ToDoubleSeconds(age)) *
+      static_cast<double>(std::max<int64_t>(0, share.per_second));
   if (age >= absl::Milliseconds(share.burst_after_ms))
     allowance += static_cast<double>(std::max<int64_t>(0, share.burst));
   const int64_t headroom =
@@ -27,8 +28,8 @@
 }
 
 absl::StatusOr<fb::RouterRecordT> DecodeRouterRecord(std::string_view bytes) {
-  flatbuffers::Verifier verifier(
-      reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size());
+  flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()),
+                                 bytes.size());
   if (!verifier.VerifyBuffer<fb::RouterRecord>()) {
     return ErrorAt(absl::StatusCode::kDataLoss, "totals.decode", "",
                    "not a router's record");
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -84,9 +84,9 @@
 // How far a workspace's total has been drawn on, as known here.
 struct TotalState {
   int64_t total = 0;
-  int64_t committed = 0;  // by all routers, as of their newest records
-  int64_t available = 0;  // to this router right now
-  int64_t unassigned = 0; // of the total, to no router
+  int64_t committed = 0;   // by all routers, as of their newest records
+  int64_t available = 0;   // to this router right now
+  int64_t unassigned = 0;  // of the total, to no router
   friend auto operator<=>(const TotalState&, const TotalState&) = default;
 };
 
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -173,9 +173,8 @@
                             int64_t tokens,
                             absl::Duration now) {
   const double rate = DemandRate(*holding, now);
-  holding->recent_tokens =
-      rate * absl::ToDoubleSeconds(options_.demand_time) +
-      static_cast<double>(tokens);
+  holding->recent_tokens = rate * absl::ToDoubleSeconds(options_.demand_time) +
+                           static_cast<double>(tokens);
   holding->decayed_at = now;
   constexpr double kWeight = 0.1;
   if (holding->usual_request == 0)
@@ -189,8 +188,8 @@
                                                int64_t tokens,
                                                absl::Duration now) {
   Holding& holding = HoldingOf(workspace);
-  const int64_t free = std::max<int64_t>(
-      0, LimitNow(workspace, now) - holding.committed);
+  const int64_t free =
+      std::max<int64_t>(0, LimitNow(workspace, now) - holding.committed);
   if (free + holding.gifts < tokens)
     return std::nullopt;
   NoteDemand(&holding, tokens, now);
@@ -230,13 +229,13 @@
   const Holding* holding = FindHolding(workspace);
   TotalState state{.total = TotalOf(workspace),
                    .committed = OthersCommitted(workspace)};
-  state.unassigned = state.total - OthersAuthority(workspace) -
-                     DurableAuthority(workspace);
+  state.unassigned =
+      state.total - OthersAuthority(workspace) - DurableAuthority(workspace);
   if (holding != nullptr) {
     state.committed += holding->committed;
-    state.available = std::max<int64_t>(0, LimitNow(workspace, now) -
-                                               holding->committed) +
-                      holding->gifts;
+    state.available =
+        std::max<int64_t>(0, LimitNow(workspace, now) - holding->committed) +
+        holding->gifts;
   }
   return state;
 }
@@ -246,8 +245,8 @@
   const Holding* holding = FindHolding(workspace);
   if (holding == nullptr)
     return 0;
-  return std::max<int64_t>(
-      0, holding->waiting - state(workspace, now).available);
+  return std::max<int64_t>(0,
+                           holding->waiting - state(workspace, now).available);
 }
 
 int64_t TotalsBook::WantedHeadroom(const std::string& workspace,
@@ -256,8 +255,7 @@
   const double by_demand = DemandRate(holding, now) * options_.headroom *
                            absl::ToDoubleSeconds(options_.horizon);
   const double idle = static_cast<double>(TotalOf(workspace)) *
-                      options_.idle_share /
-                      static_cast<double>(router_count());
+                      options_.idle_share / static_cast<double>(router_count());
   const auto wanted = static_cast<int64_t>(std::max(by_demand, idle));
   return holding.waiting +
          std::min(wanted, FairHeadroom(workspace, holding, now));
@@ -272,8 +270,8 @@
       0, TotalOf(workspace) - OthersCommitted(workspace) - holding.committed));
   const double own = DemandRate(holding, now);
   const double all = own + static_cast<double>(OthersDemand(workspace));
-  const double share = all < 1 ? 1 / static_cast<double>(router_count())
-                               : own / all;
+  const double share =
+      all < 1 ? 1 / static_cast<double>(router_count()) : own / all;
   return static_cast<int64_t>(left * share * (1 - options_.reserve_share));
 }
 
@@ -290,11 +288,9 @@
   share.authority = std::max(wanted, holding.committed);
   if (wanted > durable) {
     const int64_t part = std::max<int64_t>(
-        holding.waiting,
-        static_cast<int64_t>(kPartOfUnassigned *
-                             static_cast<double>(unassigned)));
-    const int64_t growth =
-        std::min({wanted - durable, part, unassigned});
+        holding.waiting, static_cast<int64_t>(kPartOfUnassigned *
+                                              static_cast<double>(unassigned)));
+    const int64_t growth = std::min({wanted - durable, part, unassigned});
     share.authority = std::max(durable + growth, holding.committed);
   }
   // What waits is written ahead, to be reserved once the record is durable.
@@ -305,10 +301,10 @@
       holding.usual_request * static_cast<double>(options_.burst_requests));
   share.burst_after_ms = absl::ToInt64Milliseconds(options_.burst_after);
   share.demand = static_cast<int64_t>(DemandRate(holding, now));
-  const double by_horizon = static_cast<double>(headroom) /
-                            absl::ToDoubleSeconds(options_.horizon);
-  share.per_second = static_cast<int64_t>(std::max(
-      by_horizon, DemandRate(holding, now) * options_.headroom));
+  const double by_horizon =
+      static_cast<double>(headroom) / absl::ToDoubleSeconds(options_.horizon);
+  share.per_second = static_cast<int64_t>(
+      std::max(by_horizon, DemandRate(holding, now) * options_.headroom));
   return share;
 }
 
@@ -321,8 +317,8 @@
   record.written_us = absl::ToInt64Microseconds(now);
   record.address = options_.address;
   for (const auto& [workspace, holding] : holdings_) {
-    record.shares.push_back(std::make_unique<fb::TotalShareT>(
-        MakeShare(workspace, holding, now)));
+    record.shares.push_back(
+        std::make_unique<fb::TotalShareT>(MakeShare(workspace, holding, now)));
   }
   pending_ = record;
   return record;
@@ -375,8 +371,8 @@
   if (known == nullptr || wanted <= 0)
     return 0;
   Holding& holding = HoldingOf(workspace);
-  const int64_t free = std::max<int64_t>(
-      0, LimitNow(workspace, now) - holding.committed);
+  const int64_t free =
+      std::max<int64_t>(0, LimitNow(workspace, now) - holding.committed);
   const int64_t keep = holding.waiting;
   const int64_t spare = std::max<int64_t>(0, free + holding.gifts - keep);
   const int64_t given = std::min(wanted, spare);
--- a/hawthornhollow/totals/totals_book_test.cc
+++ b/hawthornhollow/totals/totals_book_test.cc
@@ -54,9 +54,9 @@
   const struct {
     absl::Duration age;
     int64_t limit;
-  } cases[] = {{absl::Seconds(-3), 1'000}, {absl::ZeroDuration(), 1'000},
+  } cases[] = {{absl::Seconds(-3), 1'000},       {absl::ZeroDuration(), 1'000},
                {absl::Milliseconds(500), 1'250}, {absl::Seconds(1), 3'500},
-               {absl::Seconds(3), 4'500},  {absl::Seconds(60), 5'000},
+               {absl::Seconds(3), 4'500},        {absl::Seconds(60), 5'000},
                {absl::InfiniteDuration(), 5'000}};
   for (const auto& [age, limit] : cases)
     EXPECT_EQ(SpendingLimit(share, age), limit) << age;
--- a/hawthornhollow/totals/totals_random_test.cc
+++ b/hawthornhollow/totals/totals_random_test.cc
@@ -201,8 +201,8 @@
   void Put(Vm& vm, bool again) {
     if (Chance(0.05)) {  // no answer, and it may be done late or never
       if (Chance(0.5))
-        late_.push_back({now_ + UpTo(absl::Seconds(6)), vm.pending,
-                         vm.pending_at});
+        late_.push_back(
+            {now_ + UpTo(absl::Seconds(6)), vm.pending, vm.pending_at});
       return;
     }
     const bool done = store_.Append(vm.pending, vm.pending_at);
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -65,7 +65,8 @@
   }
 
   void PutConfiguration(int64_t prepaid, int64_t version = 1) {
-    store_.Put("keyed.op", "config", absl::Substitute(R"({"version":$0,
+    store_.Put("keyed.op", "config",
+               absl::Substitute(R"({"version":$0,
       "routes":[
        {"name":"s","host":"h.example","path_prefix":"/stream/","kind":"stream",
         "timeout_ms":8000,"target_latency_ms":500,"service":"engine",
@@ -78,19 +79,17 @@
         "max_attempts":2}],
       "services":[{"name":"engine","engine":{"stride":$2}}],
       "tenants":[{"name":"ward-7","api_keys":["k1"],"prepaid":$1}]})",
-                                                      version, prepaid,
-                                                      kTokensPerEvent));
+                                version, prepaid, kTokensPerEvent));
   }
 
   void PutServers() {
     for (size_t i = 0; i < replicas_.size(); ++i) {
       const std::string id = absl::StrCat("i-", i);
-      store_.Put("keyed.servers", id, absl::Substitute(R"({"service":"engine",
+      store_.Put("keyed.servers", id,
+                 absl::Substitute(R"({"service":"engine",
         "address":"$0","zone":"z","version":"v1","slots":8,"state":"ready",
         "cold_remaining_ms":0,"sequence":1})",
-                                                       replica_servers_[i]
-                                                           ->local()
-                                                           .ToString()));
+                                  replica_servers_[i]->local().ToString()));
     }
   }
 
@@ -102,8 +101,8 @@
         "bounds":{"grace_s":8},"platform":{"address":"$3"}})",
         callers_.ToString(), readiness_.ToString(), peers_.ToString(),
         store_server_->local().ToString());
-    auto process = ChildProcess::Start({ENTRY, "--settings", file},
-                                       folder_ + ".err");
+    auto process =
+        ChildProcess::Start({ENTRY, "--settings", file}, folder_ + ".err");
     ASSERT_TRUE(process.ok()) << process.status();
     entry_ = *std::move(process);
   }
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -196,10 +196,10 @@
   const std::string resume(request.Header("Last-Event-Id"));
   int64_t next = resume.empty() ? 1 : std::stoll(resume) + 1;
   if (!writer
-           .StartStream(kOk, {{"Content-Type", "text/event-stream"},
-                              {"Attempt-Id",
-                               std::string(request.Header("Attempt-Id"))},
-                              {"Replica-Seal", id_}})
+           .StartStream(
+               kOk, {{"Content-Type", "text/event-stream"},
+                     {"Attempt-Id", std::string(request.Header("Attempt-Id"))},
+                     {"Replica-Seal", id_}})
            .ok())
     return;
   for (int sent = 0; next <= kEvents; ++next, ++sent) {
