--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -219,7 +219,8 @@
     if (run.workspace != nullptr && run.workspace->prepaid.has_value() &&
         tokens > 0) {
       auto acquired =
-          totals_.Acquire(run.workspace->name, tokens, PatienceForTokens(run));
+          totals_.Acquire(run.call.id, run.workspace->name, tokens,
+                          PatienceForTokens(run));
       if (!acquired.ok()) {
         const RelayError error =
             acquired.status().code() == absl::StatusCode::kResourceExhausted
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -142,6 +142,13 @@
       return EndWithoutServer();
     summary_.server = choice->server.id;
     got_first_ = false;
+    LogEvent("request.placed")
+        .Add("request", request_.call.id)
+        .Add("server", choice->server.id)
+        .Add("prompt", request_.call.prompt_tokens)
+        .Add("uncached", choice->uncached_tokens)
+        .Add("in_flight", shared_.placement->in_flight(choice->server.id))
+        .Add("left_ms", absl::ToInt64Milliseconds(TimeLeft()));
     const TryEnd end = TryAt(*choice);
     Report(*choice, end);
     if (end == TryEnd::kAnswered)
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -79,7 +79,8 @@
 
   // Reserves within `timeout`. RESOURCE_EXHAUSTED if the total is spent,
   // UNAVAILABLE if tokens may be left but could not be had.
-  absl::StatusOr<Reservation> Acquire(const std::string& workspace,
+  absl::StatusOr<Reservation> Acquire(const std::string& request,
+                                      const std::string& workspace,
                                       int64_t tokens,
                                       absl::Duration timeout) {
     if (auto reserved = book_.Reserve(workspace, tokens, BootTime()))
@@ -94,10 +95,10 @@
       if (auto reserved = book_.Reserve(workspace, tokens, BootTime()))
         return *std::move(reserved);
       if (book_.started() && book_.IsSpent(workspace, tokens))
-        return Refuse(absl::StatusCode::kResourceExhausted, workspace, tokens);
+        return Refuse(absl::StatusCode::kResourceExhausted, request, workspace, tokens);
       const absl::Duration waited = SteadyNow() - begun;
       if (waited >= timeout)
-        return Refuse(absl::StatusCode::kUnavailable, workspace, tokens);
+        return Refuse(absl::StatusCode::kUnavailable, request, workspace, tokens);
       wanted_.Notify();
       if (waited >= options_.ask_after || IsCutOff())
         StartAsking(workspace);
@@ -159,10 +160,12 @@
 
  private:
   absl::Status Refuse(absl::StatusCode code,
+                      const std::string& request,
                       const std::string& workspace,
                       int64_t tokens) {
     const TotalState state = book_.state(workspace, BootTime());
     LogEvent("total.refused")
+        .Add("request", request)
         .Add("workspace", workspace)
         .Add("spent", code == absl::StatusCode::kResourceExhausted ? 1 : 0)
         .Add("wanted", tokens)
