--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -65,9 +65,11 @@
   absl::Duration horizon = absl::Seconds(8);
   // Times the recent rate, since a cut-off router may get others' callers too.
   double headroom = 1.5;
-  // Of a total, divided by the number of routers: held without any demand, so
-  // that the first requests of an outage are not refused.
-  double idle_share = 0.05;
+  // While more than this share of a total is left, each router holds its part
+  // of `idle_share` of what is left, asked or not: whoever is asked first in an
+  // outage has something, and what a power loss strands was hardly wanted.
+  double plenty = 0.25;
+  double idle_share = 0.3;
   // Of what is left of a total, kept out of the division by demand for requests
   // that wait.
   double reserve_share = 0.2;
@@ -186,9 +188,9 @@
   int64_t OthersAuthority(const std::string& workspace) const;
   int64_t OthersCommitted(const std::string& workspace) const;
   int64_t OthersDemand(const std::string& workspace) const;
-  int64_t FairHeadroom(const std::string& workspace,
-                       const Holding& holding,
-                       absl::Duration now) const;
+  double DemandShare(const std::string& workspace,
+                     const Holding& holding,
+                     absl::Duration now) const;
   double DemandRate(const Holding& holding, absl::Duration now) const;
   void NoteDemand(Holding* holding, int64_t tokens, absl::Duration now);
   int64_t WantedHeadroom(const std::string& workspace,
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -254,25 +254,28 @@
                                    absl::Duration now) const {
   const double by_demand = DemandRate(holding, now) * options_.headroom *
                            absl::ToDoubleSeconds(options_.horizon);
-  const double idle = static_cast<double>(TotalOf(workspace)) *
-                      options_.idle_share / static_cast<double>(router_count());
-  const auto wanted = static_cast<int64_t>(std::max(by_demand, idle));
+  const auto total = static_cast<double>(TotalOf(workspace));
+  const double left = std::max(
+      0.0, total - static_cast<double>(OthersCommitted(workspace) +
+                                       holding.committed));
+  const double fair = left * DemandShare(workspace, holding, now) *
+                      (1 - options_.reserve_share);
+  const double idle = left < total * options_.plenty
+                          ? 0
+                          : left * options_.idle_share /
+                                static_cast<double>(router_count());
   return holding.waiting +
-         std::min(wanted, FairHeadroom(workspace, holding, now));
+         static_cast<int64_t>(std::max(std::min(by_demand, fair), idle));
 }
 
-// What is left of the total, divided among the routers by demand: near its end
-// nobody holds what others ask for.
-int64_t TotalsBook::FairHeadroom(const std::string& workspace,
-                                 const Holding& holding,
-                                 absl::Duration now) const {
-  const double left = static_cast<double>(std::max<int64_t>(
-      0, TotalOf(workspace) - OthersCommitted(workspace) - holding.committed));
+// This router's part of all routers' demand: near a total's end nobody holds
+// what others ask for.
+double TotalsBook::DemandShare(const std::string& workspace,
+                               const Holding& holding,
+                               absl::Duration now) const {
   const double own = DemandRate(holding, now);
   const double all = own + static_cast<double>(OthersDemand(workspace));
-  const double share =
-      all < 1 ? 1 / static_cast<double>(router_count()) : own / all;
-  return static_cast<int64_t>(left * share * (1 - options_.reserve_share));
+  return all < 1 ? 1 / static_cast<double>(router_count()) : own / all;
 }
 
 fb::TotalShareT TotalsBook::MakeShare(const std::string& workspace,
