--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/keyed_follower.h"
 #include "hawthornhollow/relay/relay.h"
 
 namespace hawthornhollow {
@@ -44,7 +45,10 @@
   CatalogController(Store& store,
                     const CatalogOptions& options,
                     CatalogCallbacks callbacks)
-      : store_(store), options_(options), callbacks_(std::move(callbacks)) {}
+      : options_(options),
+        callbacks_(std::move(callbacks)),
+        configuration_(store, StoreSubject::kConfiguration),
+        entries_(store, StoreSubject::kServers) {}
   CatalogController(const CatalogController&) = delete;
   CatalogController& operator=(const CatalogController&) = delete;
 
@@ -89,28 +93,25 @@
 
  private:
   bool PollConfiguration() {
-    auto page =
-        store_.Newest(StoreSubject::kConfiguration, options_.call_timeout);
-    if (!page.ok())
+    if (!configuration_.Poll(options_.call_timeout).ok())
       return false;
-    for (const StoredValue& value : page->values) {
-      if (value.key == D::kConfigurationKey &&
-          value.offset > configuration_offset_) {
-        configuration_offset_ = value.offset;
-        Offer(value);
-      }
+    const auto found =
+        configuration_.newest().find(std::string(D::kConfigurationKey));
+    if (found != configuration_.newest().end() &&
+        found->second.offset > configuration_offset_) {
+      configuration_offset_ = found->second.offset;
+      Offer(found->second);
     }
     return true;
   }
 
   bool PollServers() {
-    auto page = store_.Newest(StoreSubject::kServers, options_.call_timeout);
-    if (!page.ok()) {
-      LogEvent("store.read_failed", LogSeverity::kWarning)
-          .Add("of", "servers")
-          .Add("reason", page.status());
+    const absl::Status status = entries_.Poll(options_.call_timeout);
+    if (!status.ok()) {
+      NoteServersUnread(status);
       return false;
     }
+    unread_logged_ = false;
     const absl::Time now = SteadyNow();
     if (now - servers_read_ > options_.outage_after &&
         servers_read_ != absl::InfinitePast()) {
@@ -121,10 +122,10 @@
     }
     servers_read_ = now;
     std::map<std::string, RelayServer> present;
-    for (const StoredValue& value : page->values) {
+    for (const auto& [key, value] : entries_.newest()) {
       auto server = D::DecodeServer(value);
       if (server.ok())
-        present.insert_or_assign(value.key, *std::move(server));
+        present.insert_or_assign(key, *std::move(server));
       else
         Reject("server.rejected", value, server.status());
     }
@@ -134,6 +135,15 @@
     return true;
   }
 
+  // One line for each outage.
+  void NoteServersUnread(const absl::Status& status) {
+    if (std::exchange(unread_logged_, true))
+      return;
+    LogEvent("store.read_failed", LogSeverity::kWarning)
+        .Add("of", "servers")
+        .Add("reason", status);
+  }
+
   void Adopt(std::map<std::string, RelayServer> present) {
     if (present == servers_)
       return;
@@ -185,9 +195,10 @@
         .Add("version", table_ == nullptr ? 0 : table_->version());
   }
 
-  Store& store_;
   const CatalogOptions options_;
   const CatalogCallbacks callbacks_;
+  KeyedFollower<Store> configuration_;
+  KeyedFollower<Store> entries_;
   std::shared_ptr<const RoutingTable> table_;
   int64_t configuration_offset_ = -1;
   std::map<std::string, RelayServer> servers_;
@@ -195,6 +206,7 @@
   absl::Time grace_until_ = absl::InfinitePast();
   std::map<std::string, int64_t> rejected_;  // key -> offset + 1
   bool reached_ = false;
+  bool unread_logged_ = false;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -1,6 +1,7 @@
 #include "hawthornhollow/relay/peer_service.h"
 
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/totals/message_bytes.h"
 #include "hawthornhollow/totals/totals_generated.h"
 
 namespace hawthornhollow {
@@ -10,29 +11,6 @@
 constexpr absl::Duration kAskTimeout = absl::Milliseconds(150);
 constexpr int kOk = 200;
 
-template <typename Table>
-std::string Encode(const typename Table::NativeTableType& message) {
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(Table::Pack(builder, &message));
-  return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()),
-                     builder.GetSize());
-}
-
-template <typename Table>
-absl::StatusOr<typename Table::NativeTableType> Decode(
-    const std::string& bytes,
-    const std::string& peer) {
-  flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()),
-                                 bytes.size());
-  if (!verifier.VerifyBuffer<Table>()) {
-    return ErrorAt(absl::StatusCode::kDataLoss, "peer.decode", peer,
-                   "not the message that was expected");
-  }
-  typename Table::NativeTableType message;
-  flatbuffers::GetRoot<Table>(bytes.data())->UnPackTo(&message);
-  return message;
-}
-
 }  // namespace
 
 absl::StatusOr<int64_t> AskPeer(HttpClient& client,
@@ -45,18 +23,19 @@
   fb::TokensWantedT wanted;
   wanted.workspace = workspace;
   wanted.tokens = tokens;
-  const auto response = client.Call(*endpoint,
-                                    {.method = "POST",
-                                     .target = kTokensTarget,
-                                     .body = Encode<fb::TokensWanted>(wanted)},
-                                    kAskTimeout);
+  const auto response =
+      client.Call(*endpoint,
+                  {.method = "POST",
+                   .target = kTokensTarget,
+                   .body = EncodeMessage<fb::TokensWanted>(wanted)},
+                  kAskTimeout);
   if (!response.ok())
     return response.status();
   if (response->status != kOk) {
     return ErrorAt(absl::StatusCode::kUnavailable, "peer.ask", address,
                    "status " + std::to_string(response->status));
   }
-  const auto given = Decode<fb::TokensGiven>(response->body, address);
+  const auto given = DecodeMessage<fb::TokensGiven>(response->body, address);
   if (!given.ok())
     return given.status();
   return given->tokens;
@@ -70,7 +49,8 @@
     writer.Send({.status = 404}).IgnoreError();
     return;
   }
-  const auto wanted = Decode<fb::TokensWanted>(request.body, request.peer);
+  const auto wanted =
+      DecodeMessage<fb::TokensWanted>(request.body, request.peer);
   if (!wanted.ok()) {
     LogEvent("peer.rejected", LogSeverity::kWarning)
         .Add("peer", request.peer)
@@ -86,7 +66,7 @@
       .Add("workspace", wanted->workspace)
       .Add("wanted", wanted->tokens)
       .Add("given", given.tokens);
-  writer.Send({.body = Encode<fb::TokensGiven>(given)}).IgnoreError();
+  writer.Send({.body = EncodeMessage<fb::TokensGiven>(given)}).IgnoreError();
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -35,6 +35,14 @@
   double retry_burst = 50;
   // Among how many routers the retry burst is divided.
   int64_t routers = 8;
+  // Bounds on callers. Wider than what operators configure: those are not in
+  // force here yet.
+  size_t max_header_bytes = 64 * 1024;
+  size_t max_body_bytes = 8 * 1024 * 1024;
+  absl::Duration request_timeout = absl::Seconds(10);
+  absl::Duration idle_timeout = absl::Seconds(120);
+  // For one write to be taken by the caller.
+  absl::Duration write_timeout = absl::Seconds(5);
   RunOptions run;
   CatalogOptions catalog;
   PlacementOptions placement;
@@ -218,9 +226,8 @@
     std::optional<Reservation> reservation;
     if (run.workspace != nullptr && run.workspace->prepaid.has_value() &&
         tokens > 0) {
-      auto acquired =
-          totals_.Acquire(run.call.id, run.workspace->name, tokens,
-                          PatienceForTokens(run));
+      auto acquired = totals_.Acquire(run.call.id, run.workspace->name, tokens,
+                                      PatienceForTokens(run));
       if (!acquired.ok()) {
         const RelayError error =
             acquired.status().code() == absl::StatusCode::kResourceExhausted
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -95,10 +95,12 @@
       if (auto reserved = book_.Reserve(workspace, tokens, BootTime()))
         return *std::move(reserved);
       if (book_.started() && book_.IsSpent(workspace, tokens))
-        return Refuse(absl::StatusCode::kResourceExhausted, request, workspace, tokens);
+        return Refuse(absl::StatusCode::kResourceExhausted, request, workspace,
+                      tokens);
       const absl::Duration waited = SteadyNow() - begun;
       if (waited >= timeout)
-        return Refuse(absl::StatusCode::kUnavailable, request, workspace, tokens);
+        return Refuse(absl::StatusCode::kUnavailable, request, workspace,
+                      tokens);
       wanted_.Notify();
       if (waited >= options_.ask_after || IsCutOff())
         StartAsking(workspace);
@@ -211,12 +213,9 @@
       return false;
     std::optional<fb::RouterRecordT> previous;
     for (const StoredValue& value : page->values) {
-      auto record = DecodeRouterRecord(value.value);
-      if (!record.ok()) {
-        LogEvent("total.record_rejected", LogSeverity::kError)
-            .Add("key", value.key)
-            .Add("offset", value.offset)
-            .Add("reason", record.status());
+      auto record = DecodeStored(value);
+      if (!record.has_value()) {
+        // Without its own record nobody knows what the router has committed.
         if (value.key == options_.book.router)
           return false;
         continue;
@@ -310,15 +309,22 @@
     return true;
   }
 
-  void ApplyStored(const StoredValue& value) {
+  static std::optional<fb::RouterRecordT> DecodeStored(
+      const StoredValue& value) {
     auto record = DecodeRouterRecord(value.value);
-    if (!record.ok()) {
-      LogEvent("total.record_rejected", LogSeverity::kError)
-          .Add("key", value.key)
-          .Add("offset", value.offset)
-          .Add("reason", record.status());
+    if (record.ok())
+      return *std::move(record);
+    LogEvent("total.record_rejected", LogSeverity::kError)
+        .Add("key", value.key)
+        .Add("offset", value.offset)
+        .Add("reason", record.status());
+    return std::nullopt;
+  }
+
+  void ApplyStored(const StoredValue& value) {
+    auto record = DecodeStored(value);
+    if (!record.has_value())
       return;
-    }
     if (record->router != options_.book.router) {
       book_.ApplyRecord(*std::move(record));
       return;
--- a/hawthornhollow/totals/router_record.cc
+++ b/hawthornhollow/totals/router_record.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "hawthornhollow/base/base.h"
+#include "hawthornhollow/totals/message_bytes.h"
 #include "hawthornhollow/totals/totals.h"
 
 namespace hawthornhollow {
@@ -21,22 +21,11 @@
 }
 
 std::string EncodeRouterRecord(const fb::RouterRecordT& record) {
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(fb::RouterRecord::Pack(builder, &record));
-  return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()),
-                     builder.GetSize());
+  return EncodeMessage<fb::RouterRecord>(record);
 }
 
 absl::StatusOr<fb::RouterRecordT> DecodeRouterRecord(std::string_view bytes) {
-  flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()),
-                                 bytes.size());
-  if (!verifier.VerifyBuffer<fb::RouterRecord>()) {
-    return ErrorAt(absl::StatusCode::kDataLoss, "totals.decode", "",
-                   "not a router's record");
-  }
-  fb::RouterRecordT record;
-  flatbuffers::GetRoot<fb::RouterRecord>(bytes.data())->UnPackTo(&record);
-  return record;
+  return DecodeMessage<fb::RouterRecord>(bytes, "");
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -64,7 +64,7 @@
   // at which tokens were asked for lately.
   absl::Duration horizon = absl::Seconds(8);
   // Times the recent rate, since a cut-off router may get others' callers too.
-  double headroom = 1.5;
+  double headroom = 1.2;
   // While more than this share of a total is left, each router holds its part
   // of `idle_share` of what is left, asked or not: whoever is asked first in an
   // outage has something, and what a power loss strands was hardly wanted.
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -255,15 +255,15 @@
   const double by_demand = DemandRate(holding, now) * options_.headroom *
                            absl::ToDoubleSeconds(options_.horizon);
   const auto total = static_cast<double>(TotalOf(workspace));
-  const double left = std::max(
-      0.0, total - static_cast<double>(OthersCommitted(workspace) +
-                                       holding.committed));
+  const double left =
+      std::max(0.0, total - static_cast<double>(OthersCommitted(workspace) +
+                                                holding.committed));
   const double fair = left * DemandShare(workspace, holding, now) *
                       (1 - options_.reserve_share);
-  const double idle = left < total * options_.plenty
-                          ? 0
-                          : left * options_.idle_share /
-                                static_cast<double>(router_count());
+  const double idle =
+      left < total * options_.plenty
+          ? 0
+          : left * options_.idle_share / static_cast<double>(router_count());
   return holding.waiting +
          static_cast<int64_t>(std::max(std::min(by_demand, fair), idle));
 }
