--- a/hawthornhollow/config/config_test.cc
+++ b/hawthornhollow/config/config_test.cc
@@ -366,6 +366,14 @@
   EXPECT_THAT(message, HasSubstr("old: sub-folders"));
 }
 
+TEST_F(FolderTest, ReadFolder_SubFolderAndBadFile_ReportsBoth) {
+  std::filesystem::create_directory(folder_ + "/old");
+  Write("a.json", R"({"kind":"member"})");
+  const std::string message(ReadFolder(folder_).status().message());
+  EXPECT_THAT(message, HasSubstr("old: sub-folders"));
+  EXPECT_THAT(message, HasSubstr("a.json: name"));
+}
+
 TEST_F(FolderTest, ReadFolder_Missing_IsNotFoundWithItsName) {
   auto files = ReadFolder(folder_ + "/none");
   EXPECT_TRUE(absl::IsNotFound(files.status()));
--- a/hawthornhollow/config/folder.cc
+++ b/hawthornhollow/config/folder.cc
@@ -94,9 +94,15 @@
     else
       faults.push_back(absl::StrCat(name, ": ", text.status().message()));
   }
-  if (!faults.empty())
-    return absl::InvalidArgumentError(absl::StrJoin(faults, "\n"));
-  return files;
+  if (faults.empty())
+    return files;
+  // Errors in the files that can be read are told at once, not after the next
+  // try.
+  std::vector<ConfigError> errors;
+  Configuration::Merge(files, &errors);
+  for (const ConfigError& error : errors)
+    faults.push_back(error.ToString());
+  return absl::InvalidArgumentError(absl::StrJoin(faults, "\n"));
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/router/budget_controller.h
+++ b/hawthornhollow/router/budget_controller.h
@@ -19,8 +19,8 @@
 #include "absl/time/time.h"
 #include "hawthornhollow/config/config.h"
 #include "hawthornhollow/ledger/ledger.h"
-#include "hawthornhollow/metrics/metrics.h"
 #include "hawthornhollow/log/log.h"
+#include "hawthornhollow/metrics/metrics.h"
 #include "hawthornhollow/router/fiber_group.h"
 #include "hawthornhollow/router/one_shot.h"
 
