--- a/hawthornhollow/relay/keyed_follower.h
+++ b/hawthornhollow/relay/keyed_follower.h
@@ -2,11 +2,13 @@
 #define HAWTHORNHOLLOW_RELAY_KEYED_FOLLOWER_H_
 
 // Keeps the newest record of each key of one subject of the store. Reads what
-// came since the last time, and everything anew when some of that is gone.
+// came since the last time; and the newest records anew when some of that is
+// gone, or so much may have come since that catching up would take longer.
 
 #include <map>
 #include <string>
 
+#include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/relay.h"
 
 namespace hawthornhollow {
@@ -20,7 +22,7 @@
 
   // Reads once. After an error what was known stays.
   absl::Status Poll(absl::Duration timeout) {
-    if (!has_read_)
+    if (!has_read_ || SteadyNow() - read_at_ > kCatchUpAtMost)
       return ReadAll(timeout);
     auto page = store_.ReadFrom(subject_, end_, timeout);
     if (!page.ok()) {
@@ -31,12 +33,15 @@
     for (StoredValue& value : page->values)
       Apply(std::move(value));
     end_ = page->end;
+    read_at_ = SteadyNow();
     return absl::OkStatus();
   }
 
   const std::map<std::string, StoredValue>& newest() const { return newest_; }
 
  private:
+  static constexpr absl::Duration kCatchUpAtMost = absl::Seconds(2);
+
   absl::Status ReadAll(absl::Duration timeout) {
     auto page = store_.Newest(subject_, timeout);
     if (!page.ok())
@@ -46,6 +51,7 @@
       Apply(std::move(value));
     end_ = page->end;
     has_read_ = true;
+    read_at_ = SteadyNow();
     return absl::OkStatus();
   }
 
@@ -63,6 +69,7 @@
   std::map<std::string, StoredValue> newest_;
   int64_t end_ = 0;
   bool has_read_ = false;
+  absl::Time read_at_;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -36,6 +36,11 @@
   absl::Duration call_timeout = absl::Milliseconds(500);
   // After a failed call.
   absl::Duration retry = absl::Milliseconds(100);
+  // Records of a longer time are not caught up with one by one.
+  absl::Duration catch_up_at_most = absl::Seconds(1);
+  // Between two records, for each router: what all of them write and read grows
+  // with the square of their number.
+  absl::Duration gap_per_router = absl::Milliseconds(4);
   // Tries to write the last record.
   int close_tries = 5;
   // A request waits this long for a record before other routers are asked.
@@ -152,10 +157,14 @@
     while (!stop) {
       const uint64_t seen = wanted_.changes();
       const bool ok = book_.started() ? Sync() : Join();
-      if (!ok)
+      if (!ok) {
         hawthornhollow::SleepFor(options_.retry);
-      else
-        wanted_.WaitBeyond(seen, options_.interval);
+        continue;
+      }
+      wanted_.WaitBeyond(seen, options_.interval);
+      const absl::Duration gap =
+          options_.gap_per_router * static_cast<int64_t>(book_.router_count());
+      hawthornhollow::SleepFor(last_put_ + gap - SteadyNow());
     }
   }
 
@@ -237,6 +246,7 @@
         book_.ApplyRecord(*std::move(record));
     }
     end_ = page->end;
+    followed_at_ = SteadyNow();
     for (const Inheritance& inherited : book_.Start(previous, BootTime())) {
       LogEvent("total.inherited")
           .Add("workspace", inherited.workspace)
@@ -275,6 +285,7 @@
 
   // Whether the store answered. `put_` tells whether the record is durable.
   bool Put(bool again) {
+    last_put_ = SteadyNow();
     put_ = false;
     auto end = store_.PutAt(StoreSubject::kRouterRecords, options_.book.router,
                             record_, record_at_, options_.call_timeout);
@@ -306,8 +317,13 @@
 
   // Reads the records that came since.
   bool Follow() {
-    auto page = store_.ReadFrom(StoreSubject::kRouterRecords, end_,
-                                options_.call_timeout);
+    // After an outage the newest records are fewer than all that came.
+    const bool behind = SteadyNow() - followed_at_ > options_.catch_up_at_most;
+    absl::StatusOr<StoredPage> page = absl::OutOfRangeError("behind");
+    if (!behind) {
+      page = store_.ReadFrom(StoreSubject::kRouterRecords, end_,
+                             options_.call_timeout);
+    }
     if (!page.ok() && page.status().code() == absl::StatusCode::kOutOfRange)
       page = store_.Newest(StoreSubject::kRouterRecords, options_.call_timeout);
     if (!page.ok())
@@ -315,6 +331,7 @@
     for (const StoredValue& value : page->values)
       ApplyStored(value);
     end_ = std::max(end_, page->end);
+    followed_at_ = SteadyNow();
     if (!page->values.empty())
       changed_.Notify();
     return true;
@@ -391,10 +408,12 @@
   FiberSignal wanted_;   // requests wait for a record
   FiberSignal changed_;  // tokens may be at hand
   int64_t end_ = 0;      // of the records, as read
-  std::string record_;   // the pending one's bytes
+  absl::Time followed_at_ = absl::InfinitePast();
+  std::string record_;  // the pending one's bytes
   int64_t record_at_ = 0;
   bool own_seen_ = false;
   bool put_ = false;
+  absl::Time last_put_ = absl::InfinitePast();
   bool running_ = false;
   absl::Duration last_durable_ = absl::ZeroDuration();
   std::set<std::string> asking_;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -137,9 +137,10 @@
   const int64_t limit = SpendingLimit(*durable, AgeOf(*durable_, now));
   if (!pending_.has_value())
     return limit;
+  // A share that a record leaves out is one without authority.
   const fb::TotalShareT* pending = FindShare(*pending_, workspace);
   if (pending == nullptr)
-    return limit;
+    return 0;
   return std::min(limit, SpendingLimit(*pending, AgeOf(*pending_, now)));
 }
 
@@ -350,10 +351,12 @@
   if (!started_ || pending_.has_value())
     return false;
   for (const auto& [workspace, holding] : holdings_) {
-    const fb::TotalShareT* share =
-        durable_.has_value() ? FindShare(*durable_, workspace) : nullptr;
-    if (share == nullptr || holding.waiting > 0)
+    if (holding.waiting > 0)
       return true;
+    static const fb::TotalShareT nothing;
+    const fb::TotalShareT* found =
+        durable_.has_value() ? FindShare(*durable_, workspace) : nullptr;
+    const fb::TotalShareT* share = found == nullptr ? &nothing : found;
     const int64_t moved = std::abs(holding.committed - share->committed);
     const int64_t headroom = share->authority - share->committed;
     if (static_cast<double>(moved) >
