--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -321,8 +321,11 @@
   record.written_us = absl::ToInt64Microseconds(now);
   record.address = options_.address;
   for (const auto& [workspace, holding] : holdings_) {
+    fb::TotalShareT share = MakeShare(workspace, holding, now);
+    if (share.authority == 0 && share.demand == 0)
+      continue;
     record.shares.push_back(
-        std::make_unique<fb::TotalShareT>(MakeShare(workspace, holding, now)));
+        std::make_unique<fb::TotalShareT>(std::move(share)));
   }
   pending_ = record;
   return record;
