--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -110,8 +110,7 @@
 
   // The newest record of another router. Older ones change nothing.
   void ApplyRecord(fb::RouterRecordT record);
-  // Forgets that the router takes part in the division of what is left; what
-  // its record holds stays its own.
+  // With this one, and with those that left a record and are gone.
   size_t router_count() const { return others_.size() + 1; }
   const std::map<std::string, fb::RouterRecordT>& others() const {
     return others_;
