--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/call_timeout.h"
 #include "hawthornhollow/relay/keyed_follower.h"
 #include "hawthornhollow/relay/relay.h"
 
@@ -26,6 +27,8 @@
   // A connection to the store may have gone silent: better a new one soon than
   // a long wait.
   absl::Duration call_timeout = absl::Milliseconds(400);
+  // After failures: a large configuration over a narrow link takes longer.
+  absl::Duration call_timeout_most = absl::Seconds(3);
   // After a failed call.
   absl::Duration retry = absl::Milliseconds(100);
   // Without an answer of the store for this long, entries that are missing
@@ -48,7 +51,9 @@
       : options_(options),
         callbacks_(std::move(callbacks)),
         configuration_(store, StoreSubject::kConfiguration),
-        entries_(store, StoreSubject::kServers) {}
+        entries_(store, StoreSubject::kServers),
+        configuration_timeout_(options.call_timeout, options.call_timeout_most),
+        entries_timeout_(options.call_timeout, options.call_timeout_most) {}
   CatalogController(const CatalogController&) = delete;
   CatalogController& operator=(const CatalogController&) = delete;
 
@@ -61,6 +66,7 @@
   void FollowConfiguration(const std::atomic<bool>& stop) {
     while (!stop) {
       const bool reached = PollConfiguration();
+      Note(reached, &configuration_timeout_);
       NoteReach(reached);
       hawthornhollow::SleepFor(reached ? options_.poll : options_.retry);
     }
@@ -68,6 +74,7 @@
   void FollowServers(const std::atomic<bool>& stop) {
     while (!stop) {
       const bool reached = PollServers();
+      Note(reached, &entries_timeout_);
       hawthornhollow::SleepFor(reached ? options_.poll : options_.retry);
     }
   }
@@ -92,8 +99,15 @@
   }
 
  private:
+  static void Note(bool reached, CallTimeout* timeout) {
+    if (reached)
+      timeout->OnSuccess();
+    else
+      timeout->OnFailure();
+  }
+
   bool PollConfiguration() {
-    if (!configuration_.Poll(options_.call_timeout).ok())
+    if (!configuration_.Poll(configuration_timeout_.next()).ok())
       return false;
     const auto found =
         configuration_.newest().find(std::string(D::kConfigurationKey));
@@ -106,7 +120,7 @@
   }
 
   bool PollServers() {
-    const absl::Status status = entries_.Poll(options_.call_timeout);
+    const absl::Status status = entries_.Poll(entries_timeout_.next());
     if (!status.ok()) {
       NoteServersUnread(status);
       return false;
@@ -199,6 +213,8 @@
   const CatalogCallbacks callbacks_;
   KeyedFollower<Store> configuration_;
   KeyedFollower<Store> entries_;
+  CallTimeout configuration_timeout_;
+  CallTimeout entries_timeout_;
   std::shared_ptr<const RoutingTable> table_;
   int64_t configuration_offset_ = -1;
   std::map<std::string, RelayServer> servers_;
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -5,7 +5,7 @@
 // tokens for requests. TotalsBook decides; this reads, writes and waits.
 //
 // A request whose tokens are not at hand waits for whichever comes first: the
-// next record, other routers' gifts, other requests' unused tokens, or the
+// next record, other routers' transfers, other requests' unused tokens, or the
 // schedule of the record, which allows more with time.
 
 #include <atomic>
@@ -394,7 +394,7 @@
         continue;
       }
       if (*given > 0) {
-        book_.ReceiveGift(workspace, *given);
+        book_.ReceiveTransfer(workspace, *given);
         changed_.Notify();
       }
     }
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -50,9 +50,9 @@
 struct Reservation {
   std::string workspace;
   int64_t from_authority = 0;
-  int64_t from_gifts = 0;
+  int64_t from_transfers = 0;
 
-  int64_t tokens() const { return from_authority + from_gifts; }
+  int64_t tokens() const { return from_authority + from_transfers; }
   friend auto operator<=>(const Reservation&, const Reservation&) = default;
 };
 
@@ -161,17 +161,17 @@
   bool WantsRecord(absl::Duration now) const;
 
   // Hands over up to `wanted` tokens: they count as committed here, and as a
-  // gift to whoever asked.
+  // transfer to whoever asked.
   int64_t Give(const std::string& workspace,
                int64_t wanted,
                absl::Duration now);
-  void ReceiveGift(const std::string& workspace, int64_t tokens);
+  void ReceiveTransfer(const std::string& workspace, int64_t tokens);
 
  private:
   // This router's part of one workspace's total.
   struct Holding {
     int64_t committed = 0;
-    int64_t gifts = 0;  // handed over by other routers, not yet reserved
+    int64_t transfers = 0;  // handed over by other routers, not yet reserved
     int64_t waiting = 0;
     // Demand: tokens asked for, as a decaying sum, and the usual request.
     double recent_tokens = 0;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -20,9 +20,9 @@
 // charged whole. A VM that never comes back keeps its authority: what it has
 // not used of it is lost, at most `headroom` times its demand over `horizon`.
 //
-// A gift is committed by its giver before the receiver hears of it: a lost
+// A transfer is committed by its giver before the receiver hears of it: a lost
 // answer strands it, nothing can double it. The receiver's records do not show
-// gifts; a receiver that dies loses those that it has not used.
+// transfers; a receiver that dies loses those that it has not used.
 
 #include <algorithm>
 #include <cmath>
@@ -191,13 +191,13 @@
   Holding& holding = HoldingOf(workspace);
   const int64_t free =
       std::max<int64_t>(0, LimitNow(workspace, now) - holding.committed);
-  if (free + holding.gifts < tokens)
+  if (free + holding.transfers < tokens)
     return std::nullopt;
   NoteDemand(&holding, tokens, now);
   Reservation reservation{.workspace = workspace};
-  reservation.from_gifts = std::min(holding.gifts, tokens);
-  reservation.from_authority = tokens - reservation.from_gifts;
-  holding.gifts -= reservation.from_gifts;
+  reservation.from_transfers = std::min(holding.transfers, tokens);
+  reservation.from_authority = tokens - reservation.from_transfers;
+  holding.transfers -= reservation.from_transfers;
   holding.committed += reservation.from_authority;
   return reservation;
 }
@@ -205,9 +205,9 @@
 void TotalsBook::Settle(const Reservation& reservation, int64_t used) {
   Holding& holding = HoldingOf(reservation.workspace);
   const int64_t charged = std::clamp<int64_t>(used, 0, reservation.tokens());
-  const int64_t from_gifts = std::min(charged, reservation.from_gifts);
-  holding.gifts += reservation.from_gifts - from_gifts;
-  holding.committed -= reservation.from_authority - (charged - from_gifts);
+  const int64_t from_transfers = std::min(charged, reservation.from_transfers);
+  holding.transfers += reservation.from_transfers - from_transfers;
+  holding.committed -= reservation.from_authority - (charged - from_transfers);
 }
 
 void TotalsBook::AddWaiting(const std::string& workspace, int64_t tokens) {
@@ -221,8 +221,9 @@
 bool TotalsBook::IsSpent(const std::string& workspace, int64_t tokens) const {
   const Holding* holding = FindHolding(workspace);
   const int64_t own = holding == nullptr ? 0 : holding->committed;
-  const int64_t gifts = holding == nullptr ? 0 : holding->gifts;
-  return TotalOf(workspace) - OthersCommitted(workspace) - own + gifts < tokens;
+  const int64_t transfers = holding == nullptr ? 0 : holding->transfers;
+  return TotalOf(workspace) - OthersCommitted(workspace) - own + transfers <
+         tokens;
 }
 
 TotalState TotalsBook::state(const std::string& workspace,
@@ -236,7 +237,7 @@
     state.committed += holding->committed;
     state.available =
         std::max<int64_t>(0, LimitNow(workspace, now) - holding->committed) +
-        holding->gifts;
+        holding->transfers;
   }
   return state;
 }
@@ -383,16 +384,16 @@
   const int64_t free =
       std::max<int64_t>(0, LimitNow(workspace, now) - holding.committed);
   const int64_t keep = holding.waiting;
-  const int64_t spare = std::max<int64_t>(0, free + holding.gifts - keep);
+  const int64_t spare = std::max<int64_t>(0, free + holding.transfers - keep);
   const int64_t given = std::min(wanted, spare);
-  const int64_t from_gifts = std::min(given, holding.gifts);
-  holding.gifts -= from_gifts;
-  holding.committed += given - from_gifts;
+  const int64_t from_transfers = std::min(given, holding.transfers);
+  holding.transfers -= from_transfers;
+  holding.committed += given - from_transfers;
   return given;
 }
 
-void TotalsBook::ReceiveGift(const std::string& workspace, int64_t tokens) {
-  HoldingOf(workspace).gifts += tokens;
+void TotalsBook::ReceiveTransfer(const std::string& workspace, int64_t tokens) {
+  HoldingOf(workspace).transfers += tokens;
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/totals/totals_book_test.cc
+++ b/hawthornhollow/totals/totals_book_test.cc
@@ -200,11 +200,11 @@
   EXPECT_EQ(after.committed, before.committed + before.available);
 }
 
-TEST_F(TotalsBookTest, ReceivedGift_IsReservedWithoutAnyRecord) {
-  book_.ReceiveGift(kWard, 700);
+TEST_F(TotalsBookTest, ReceivedTransfer_IsReservedWithoutAnyRecord) {
+  book_.ReceiveTransfer(kWard, 700);
   const auto reserved = book_.Reserve(kWard, 500, absl::ZeroDuration());
   ASSERT_TRUE(reserved.has_value());
-  EXPECT_EQ(reserved->from_gifts, 500);
+  EXPECT_EQ(reserved->from_transfers, 500);
   book_.Settle(*reserved, 100);
   EXPECT_EQ(book_.state(kWard, absl::ZeroDuration()).available, 600);
 }
--- a/hawthornhollow/totals/totals_random_test.cc
+++ b/hawthornhollow/totals/totals_random_test.cc
@@ -274,7 +274,7 @@
     const int64_t given =
         other.book->Give(kWard, Pick(1, kUsualRequest), ClockOf(other));
     if (!Chance(0.1))
-      vm.book->ReceiveGift(kWard, given);
+      vm.book->ReceiveTransfer(kWard, given);
   }
 
   struct Late {
