--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -79,8 +79,8 @@
     }
   }
 
-  // Takes a configuration, from the store or from another router; false if it
-  // is no newer than the one in force, or cannot be read.
+  // Takes a configuration; false if it is no newer than the one in force, or
+  // cannot be read.
   bool Offer(const StoredValue& value) {
     auto decoded = D::DecodeConfiguration(value);
     if (!decoded.ok()) {
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -18,7 +18,7 @@
 // suspension, so a router that wakes up knows that its record is old. If the
 // VM was booted since, or its clock cannot be told apart, the authority is
 // charged whole. A VM that never comes back keeps its authority: what it has
-// not used of it is lost, at most `headroom` times its demand over `horizon`.
+// not used of it is lost, as much as WantedHeadroom let it hold.
 //
 // A transfer is committed by its giver before the receiver hears of it: a lost
 // answer strands it, nothing can double it. The receiver's records do not show
