Tests: a port is given to one process of all that run tests

Seen: entry/EntryTest.StoreOutage_DoesNotStopServing failed once under ctest -j 6: the router ended with 'Address already in use' on its callers' port. FreePort draws at random among 14,000 ports; a dozen tests at a time draw dozens, and nothing kept two from drawing the same before either listened. Ports drawn are now reserved until the process ends, by byte locks in one file.

--- a/testing/processes.cc
+++ b/testing/processes.cc
@@ -13,9 +13,12 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <filesystem>
 #include <future>
+#include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "absl/time/clock.h"
@@ -77,6 +80,35 @@
   return bound;
 }
 
+// Ports that this process or another that runs tests has drawn, until the
+// process ends: each locks the byte of the port's number in one file.
+class PortReservations {
+ public:
+  PortReservations()
+      : file_(open((std::filesystem::temp_directory_path() /
+                    "hawthornhollow-test-ports.lock")
+                       .c_str(),
+                   O_RDWR | O_CREAT | O_CLOEXEC,
+                   0666)) {}
+
+  bool Take(uint16_t port) {
+    const std::lock_guard lock(mutex_);
+    struct flock range = {};
+    range.l_type = F_WRLCK;
+    range.l_whence = SEEK_SET;
+    range.l_start = port;
+    range.l_len = 1;
+    // Locks of one open file do not conflict with one another.
+    return !own_.contains(port) && fcntl(file_, F_OFD_SETLK, &range) == 0 &&
+           own_.insert(port).second;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::set<uint16_t> own_;
+  const int file_;
+};
+
 }  // namespace
 
 absl::StatusOr<std::unique_ptr<ChildProcess>> ChildProcess::Start(
@@ -187,11 +219,12 @@
 }
 
 uint16_t FreePort() {
+  static PortReservations& reservations = *new PortReservations();
   std::random_device random;
   std::uniform_int_distribution<int> ports(kFirstPort, kLastPort);
   for (int i = 0; i < kPortTries; ++i) {
     const auto port = static_cast<uint16_t>(ports(random));
-    if (CanListenOn(port))
+    if (reservations.Take(port) && CanListenOn(port))
       return port;
   }
   return 0;
--- a/testing/processes.h
+++ b/testing/processes.h
@@ -71,7 +71,8 @@
       absl::Duration timeout = absl::Seconds(10));
 };
 
-// A TCP port on 127.0.0.1 that was free a moment ago; 0 if there is none.
+// A TCP port on 127.0.0.1 that was free a moment ago, and that no process was
+// given by this function while it runs; 0 if there is none.
 uint16_t FreePort();
 
 // One HTTP exchange from a plain thread.
--- a/testing/standins_test.cc
+++ b/testing/standins_test.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <future>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -84,6 +85,15 @@
   std::optional<ReadyProcess> standin_;
 };
 
+TEST(FreePortTest, ManyPortsAreTaken_NoneIsGivenTwice) {
+  constexpr size_t kPorts = 400;
+  std::set<uint16_t> ports;
+  for (size_t i = 0; i < kPorts; ++i)
+    ports.insert(FreePort());
+  EXPECT_EQ(ports.size(), kPorts);
+  EXPECT_FALSE(ports.contains(0));
+}
+
 TEST_F(StandinsTest, ProcessOnSigtermExitsZero) {
   StartStandin({"vms"});
   ASSERT_TRUE(standin_->process->Signal(SIGTERM).ok());
