An order whose service is not connected is refused as no_server; tests wait for services too

Cause: Fleet::WaitReady waited for links to engines, not to services; on a machine just started the second router was asked before its link to the service was up, waited its rank's target and was refused. Shown: with the service's side process stopped the same answer comes, to the retry_after. Ruled out: load (12 runs beside 20 busy processes, 0 failures). The refusal was true, but said 'overloaded' of a fleet without load: it is 'no_server' now (the new test failed first). WaitReady asks for every server.

--- a/hawthornhollow/router/request_runner.cc
+++ b/hawthornhollow/router/request_runner.cc
@@ -65,6 +65,10 @@
     case RefusalCause::kQueueFull:
       return {503, "queue_full", "too many requests are waiting",
               RunState::kNotRun, refusal.retry_after};
+    case RefusalCause::kNoServer:
+      return {503, "no_server",
+              "no server for this request is connected to this router",
+              RunState::kNotRun, refusal.retry_after};
     case RefusalCause::kOverload:
       break;
   }
--- a/hawthornhollow/router/scheduler.cc
+++ b/hawthornhollow/router/scheduler.cc
@@ -31,6 +31,13 @@
   int64_t slots = 0;                                    // of all servers
   int64_t routers = 1;                                  // that share them
 
+  // Servers with a link.
+  int64_t CountConnected() const {
+    return std::count_if(views.begin(), views.end(), [](const auto& view) {
+      return view.second.connected;
+    });
+  }
+
   // Takes a waiting ticket out; null if it is not here.
   std::shared_ptr<Ticket> TakeTicket(uint64_t id) {
     auto found = tickets.find(id);
@@ -187,7 +194,7 @@
   auto pool = FindPool(ticket->pool);
   if (!pool) {
     ticket->result.Set(
-        Refusal{ticket->request.id, RefusalCause::kOverload, absl::Seconds(1)});
+        Refusal{ticket->request.id, RefusalCause::kNoServer, absl::Seconds(1)});
     return;
   }
   std::lock_guard lock(pool->mutex);
@@ -275,7 +282,11 @@
 }
 
 void Scheduler::Expire(Pool& pool, absl::Time now) {
-  for (const Refusal& refusal : pool.queue.Expire(now)) {
+  const bool has_server = pool.CountConnected() > 0;
+  for (Refusal& refusal : pool.queue.Expire(now)) {
+    // The queue knows of time only; without a server it says nothing of load.
+    if (!has_server && refusal.cause == RefusalCause::kOverload)
+      refusal.cause = RefusalCause::kNoServer;
     if (auto ticket = pool.TakeTicket(refusal.id))
       ticket->result.Set(refusal);
   }
@@ -285,11 +296,9 @@
   std::vector<PoolStatus> status;
   for (const auto& pool : Pools()) {
     std::lock_guard lock(pool->mutex);
-    int64_t connected =
-        std::count_if(pool->views.begin(), pool->views.end(),
-                      [](const auto& view) { return view.second.connected; });
     status.push_back({pool->name, pool->queue.waiting(),
-                      pool->chooser.FreeSlots(absl::Now()), connected});
+                      pool->chooser.FreeSlots(absl::Now()),
+                      pool->CountConnected()});
   }
   return status;
 }
--- a/hawthornhollow/scheduling/scheduling.h
+++ b/hawthornhollow/scheduling/scheduling.h
@@ -78,7 +78,12 @@
   friend bool operator==(const QueuedRequest&, const QueuedRequest&) = default;
 };
 
-enum class RefusalCause { kOverload, kDeadline, kQueueFull };
+enum class RefusalCause {
+  kOverload,
+  kDeadline,
+  kQueueFull,
+  kNoServer,  // none that could take it was connected
+};
 
 struct Refusal {
   uint64_t id = 0;
@@ -298,6 +303,8 @@
  public:
   // `ratio` retries per attempt, with a reserve of `burst` retries.
   RetryBudget(double ratio, double burst);
+  // A smaller reserve also takes from what is kept now.
+  void SetBurst(double burst);
   void OnAttempt();
   bool TryRetry();
   double tokens() const { return tokens_; }
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -40,6 +40,14 @@
   return kDomains[number % 3];
 }
 
+// Whether a router's metrics tell of `servers` connected ones in a pool.
+bool HasConnected(const std::string& metrics,
+                  const std::string& pool,
+                  size_t servers) {
+  return metrics.find(absl::StrCat("pool_servers_connected{pool=\"", pool,
+                                   "\"} ", servers, "\n")) != std::string::npos;
+}
+
 }  // namespace
 
 Fleet::Fleet(const FleetOptions& options) : options_(options) {}
@@ -314,13 +322,12 @@
                             absl::Seconds(1));
     auto metrics = PlainHttp(this->router(router), {.target = "/metrics"},
                              absl::Seconds(1));
-    // Ready, and connected to every engine.
+    // Ready, and connected to every server.
     if (health.ok() && health->status == 200 && metrics.ok()) {
       last = metrics->body;
-      std::string connected =
-          absl::StrCat("pool_servers_connected{pool=\"model:permit-drafter\"} ",
-                       options_.engines, "\n");
-      if (last.find(connected) != std::string::npos)
+      if (HasConnected(last, "model:permit-drafter", options_.engines) &&
+          (options_.services == 0 ||
+           HasConnected(last, "service:kit-booking", options_.services)))
         return absl::OkStatus();
     } else if (health.ok()) {
       last = health->body;
--- a/testing/runs_test.cc
+++ b/testing/runs_test.cc
@@ -139,6 +139,24 @@
   }
 }
 
+TEST_F(RunsTest, Order_ItsServiceNotConnected_IsRefusedAsNoServerThenServed) {
+  Start(FleetOptions());
+  const size_t service = FleetOptions().engines;
+  Kill(fleet_->sidecar_process(service));
+  auto refused = fleet_->Order(1, "early");
+  ASSERT_TRUE(refused.ok()) << refused.status();
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_THAT(refused->body, HasSubstr("\"no_server\""));
+  EXPECT_EQ(RunStateOf(*refused), "not_run");
+  EXPECT_NE(refused->Header("Retry-After"), "");
+  ASSERT_TRUE(fleet_->StartSidecar(service).ok());
+  ASSERT_TRUE(fleet_->WaitReady(1, absl::Seconds(10)).ok());
+  auto served = fleet_->Order(1, "early");
+  ASSERT_TRUE(served.ok()) << served.status();
+  EXPECT_EQ(served->status, 200) << served->body;
+  EXPECT_EQ(OrderRuns(*fleet_, RequestOf("early")), 1);
+}
+
 TEST_F(RunsTest, Order_SameKeyOnThreeRoutersAtOnce_RunsOnceAndAnswersAgree) {
   FleetOptions options;
   options.services = 2;
