Logging never blocks: lines wait in a bounded buffer for a thread of their own

A router whose standard output nobody reads stopped serving once the pipe was full (EntryTest.NobodyReadsTheLog hangs on the code before). Lines now go through LogWriter (256 KiB, dropped and counted beyond) and each event has a rate (200/s, 400 at once; log.suppressed tells the rest).

--- a/hawthornhollow/base/base.h
+++ b/hawthornhollow/base/base.h
@@ -45,13 +45,16 @@
 
 enum class LogOutput { kStandardError, kStandardOutput };
 
-// Sets up easylogging++ once per process. `process` is added to every line.
+// Sets up logging once per process. `process` is added to every line. From then
+// on lines are written by a thread of their own: those that a slow reader has
+// no room for are dropped, and told of by `log.dropped`.
 void InitLogging(std::string_view process,
                  LogSeverity minimum,
                  LogOutput output = LogOutput::kStandardError);
 
-// Builds one log line and writes it when destroyed. Values that contain
-// spaces, quotes or '=' are quoted.
+// Builds one log line and writes it when destroyed, unless its event has had
+// more lines than its share lately; `log.suppressed` tells how many were left
+// out. Values that contain spaces, quotes or '=' are quoted.
 class LogEvent {
  public:
   explicit LogEvent(std::string_view event,
@@ -72,6 +75,7 @@
   LogEvent& Add(std::string_view key, const absl::Status& status);
 
  private:
+  std::string event_;
   std::string line_;
   LogSeverity severity_;
 };
