Metrics page, explain command, settings check; latent faults of the relay

- The retry burst is divided by the routers known, at least 8 (28 routers had 3.5 times the allowance).
- A server's entry that goes and comes back under a request no longer makes its counts negative; an error answer followed by a refused second try is passed on (it was a 502).
Both tests failed before.

--- a/hawthornhollow/cli/command_line.cc
+++ b/hawthornhollow/cli/command_line.cc
@@ -34,6 +34,8 @@
     {"budget", "show budgets: voted, spent, held and free", &RunBudgetCommand},
     {"bills", "list bills", &RunBillsCommand},
     {"audit", "list every record of the log and its verdict", &RunAuditCommand},
+    {"explain", "say from the logs what became of a request",
+     &RunExplainCommand},
     {"key", "generate a caller's bearer key", &RunKeyCommand},
 };
 
--- a/hawthornhollow/cli/commands.h
+++ b/hawthornhollow/cli/commands.h
@@ -24,6 +24,7 @@
 int RunBudgetCommand(const Arguments& arguments);
 int RunBillsCommand(const Arguments& arguments);
 int RunAuditCommand(const Arguments& arguments);
+int RunExplainCommand(const Arguments& arguments);
 int RunKeyCommand(const Arguments& arguments);
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/http/beast.cc
+++ b/hawthornhollow/http/beast.cc
@@ -43,6 +43,14 @@
   return SocketState::kClosed;
 }
 
+bool IsMalformed(const boost::beast::error_code& error) {
+  namespace http = boost::beast::http;
+  return error.category() ==
+             http::make_error_code(http::error::bad_target).category() &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
+
 HttpHeaders CopyHeaders(const boost::beast::http::fields& fields) {
   HttpHeaders headers;
   for (const auto& field : fields)
--- a/hawthornhollow/http/beast_internal.h
+++ b/hawthornhollow/http/beast_internal.h
@@ -3,6 +3,7 @@
 
 // Conversions between Beast's messages and this library's. Private to http.
 
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/http/fields.hpp>
 
 #include "hawthornhollow/http/http.h"
@@ -19,6 +20,9 @@
 // Looks at a socket without blocking or taking bytes from it.
 SocketState PeekSocket(int file_descriptor);
 
+// Whether what arrived is no message of HTTP, rather than one that broke off.
+bool IsMalformed(const boost::beast::error_code& error);
+
 HttpHeaders CopyHeaders(const boost::beast::http::fields& fields);
 
 // Adds `headers` but those that frame the message (Content-Length,
--- a/hawthornhollow/http/exchange.cc
+++ b/hawthornhollow/http/exchange.cc
@@ -55,14 +55,6 @@
   return absl::InfiniteDuration();
 }
 
-// Whether what arrived is no response, rather than one that broke off.
-bool IsMalformed(const error_code& error) {
-  return error.category() ==
-             http::make_error_code(http::error::bad_target).category() &&
-         error != http::error::end_of_stream &&
-         error != http::error::partial_message;
-}
-
 }  // namespace
 
 HttpExchange::Impl::Impl(ConnectionPool* pool,
--- a/hawthornhollow/http/server_connection.cc
+++ b/hawthornhollow/http/server_connection.cc
@@ -33,11 +33,6 @@
 constexpr absl::Duration kLingerTime = absl::Seconds(1);
 constexpr size_t kLingerBytes = 8 * 1024 * 1024;
 
-bool IsHttpError(const error_code& error) {
-  return error.category() ==
-         http::make_error_code(http::error::bad_target).category();
-}
-
 uint32_t HeaderLimit(size_t bytes) {
   const size_t maximum = std::numeric_limits<uint32_t>::max();
   return static_cast<uint32_t>(std::min(bytes, maximum));
@@ -240,8 +235,7 @@
   } else if (error == http::error::body_limit) {
     AnswerAndClose(JsonError(413, "body_too_large",
                              "the request's body is over the limit"));
-  } else if (IsHttpError(error) && error != http::error::end_of_stream &&
-             error != http::error::partial_message) {
+  } else if (IsMalformed(error)) {
     AnswerAndClose(JsonError(400, "malformed_request", error.message()));
   }
 }
--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -62,6 +62,11 @@
   // Whether requests can be routed.
   bool ready() const { return table_ != nullptr && !servers_.empty(); }
 
+  // Since each was last read; infinite before.
+  absl::Duration table_age() const { return SteadyNow() - table_read_; }
+  absl::Duration servers_age() const { return SteadyNow() - servers_read_; }
+  size_t server_count() const { return servers_.size(); }
+
   // Each polls until `stop`, on a fiber of its own.
   void FollowConfiguration(const std::atomic<bool>& stop) {
     while (!stop) {
@@ -79,36 +84,36 @@
     }
   }
 
-  // Takes a configuration; false if it is no newer than the one in force, or
+ private:
+  static void Note(bool reached, CallTimeout* timeout) {
+    if (reached)
+      timeout->OnSuccess();
+    else
+      timeout->OnFailure();
+  }
+
+  // Takes a configuration, unless it is no newer than the one in force or
   // cannot be read.
-  bool Offer(const StoredValue& value) {
+  void Offer(const StoredValue& value) {
     auto decoded = D::DecodeConfiguration(value);
     if (!decoded.ok()) {
       Reject("config.rejected", value, decoded.status());
-      return false;
+      return;
     }
     if (table_ != nullptr && (*decoded)->version() <= table_->version())
-      return false;
+      return;
     LogEvent("config.in_force")
         .Add("version", (*decoded)->version())
         .Add("previous", table_ == nullptr ? 0 : table_->version())
         .Add("offset", value.offset);
     table_ = *std::move(decoded);
     callbacks_.on_table(table_);
-    return true;
-  }
-
- private:
-  static void Note(bool reached, CallTimeout* timeout) {
-    if (reached)
-      timeout->OnSuccess();
-    else
-      timeout->OnFailure();
   }
 
   bool PollConfiguration() {
     if (!configuration_.Poll(configuration_timeout_.next()).ok())
       return false;
+    table_read_ = SteadyNow();
     const auto found =
         configuration_.newest().find(std::string(D::kConfigurationKey));
     if (found != configuration_.newest().end() &&
@@ -217,6 +222,7 @@
   CallTimeout entries_timeout_;
   std::shared_ptr<const RoutingTable> table_;
   int64_t configuration_offset_ = -1;
+  absl::Time table_read_ = absl::InfinitePast();
   std::map<std::string, RelayServer> servers_;
   absl::Time servers_read_ = absl::InfinitePast();
   absl::Time grace_until_ = absl::InfinitePast();
--- /dev/null
+++ b/hawthornhollow/relay/counted_store.h
@@ -0,0 +1,59 @@
+#ifndef HAWTHORNHOLLOW_RELAY_COUNTED_STORE_H_
+#define HAWTHORNHOLLOW_RELAY_COUNTED_STORE_H_
+
+// A SharedStore that counts and times the calls to another.
+
+#include <string>
+
+#include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/relay/relay_metrics.h"
+
+namespace hawthornhollow {
+
+template <SharedStore Store>
+class CountedStore {
+ public:
+  // Both must outlive this.
+  CountedStore(Store& store, RelayMetrics& metrics)
+      : store_(store), metrics_(metrics) {}
+  CountedStore(const CountedStore&) = delete;
+  CountedStore& operator=(const CountedStore&) = delete;
+
+  absl::StatusOr<StoredPage> Newest(StoreSubject subject,
+                                    absl::Duration timeout) {
+    return Counted("newest", subject,
+                   [&] { return store_.Newest(subject, timeout); });
+  }
+  absl::StatusOr<StoredPage> ReadFrom(StoreSubject subject,
+                                      int64_t offset,
+                                      absl::Duration timeout) {
+    return Counted("read", subject,
+                   [&] { return store_.ReadFrom(subject, offset, timeout); });
+  }
+  absl::StatusOr<int64_t> PutAt(StoreSubject subject,
+                                const std::string& key,
+                                const std::string& value,
+                                int64_t at,
+                                absl::Duration timeout) {
+    return Counted("put", subject, [&] {
+      return store_.PutAt(subject, key, value, at, timeout);
+    });
+  }
+
+ private:
+  template <typename Call>
+  auto Counted(std::string_view name, StoreSubject subject, Call call) {
+    const absl::Time begun = SteadyNow();
+    auto result = call();
+    metrics_.OnStoreCall(name, subject, result.status(), SteadyNow() - begun);
+    return result;
+  }
+
+  Store& store_;
+  RelayMetrics& metrics_;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_RELAY_COUNTED_STORE_H_
--- a/hawthornhollow/relay/prompt_placement.cc
+++ b/hawthornhollow/relay/prompt_placement.cc
@@ -40,7 +40,10 @@
   std::set<std::string> present;
   for (const RelayServer& server : servers) {
     present.insert(server.id);
-    servers_[server.id].server = server;
+    const auto [found, is_new] = servers_.try_emplace(server.id);
+    found->second.server = server;
+    if (is_new)
+      found->second.entry = ++entries_;
   }
   std::erase_if(servers_, [&](const auto& item) {
     return !present.contains(item.first);
@@ -139,7 +142,9 @@
   ++best->in_flight;
   best->unread_tokens += best_uncached;
   Remember(best, query, now);
-  return Choice{.server = best->server, .uncached_tokens = best_uncached};
+  return Choice{.server = best->server,
+                .uncached_tokens = best_uncached,
+                .entry = best->entry};
 }
 
 void PromptPlacement::Remember(State* state,
@@ -154,20 +159,26 @@
   }
 }
 
-void PromptPlacement::OnFirstToken(const Choice& choice) {
+PromptPlacement::State* PromptPlacement::Find(const Choice& choice) {
   const auto found = servers_.find(choice.server.id);
-  if (found != servers_.end())
-    found->second.unread_tokens -= choice.uncached_tokens;
+  if (found == servers_.end() || found->second.entry != choice.entry)
+    return nullptr;
+  return &found->second;
+}
+
+void PromptPlacement::OnFirstToken(const Choice& choice) {
+  if (State* state = Find(choice))
+    state->unread_tokens -= choice.uncached_tokens;
 }
 
 void PromptPlacement::OnFinished(const Choice& choice,
                                  bool had_first_token,
                                  Outcome outcome,
                                  absl::Time now) {
-  const auto found = servers_.find(choice.server.id);
-  if (found == servers_.end())
+  State* const found = Find(choice);
+  if (found == nullptr)
     return;
-  State& state = found->second;
+  State& state = *found;
   --state.in_flight;
   if (!had_first_token)
     state.unread_tokens -= choice.uncached_tokens;
--- a/hawthornhollow/relay/prompt_placement_test.cc
+++ b/hawthornhollow/relay/prompt_placement_test.cc
@@ -45,12 +45,21 @@
   absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
 };
 
+TEST_F(PromptPlacementTest, EntryGoneAndBackUnderARequest_CountsNothingTwice) {
+  const auto choice = Choose(Query(1, 0));
+  placement_.SetServers({});
+  placement_.SetServers(servers_);
+  Finish(choice, Outcome::kAnswered);
+  EXPECT_EQ(placement_.in_flight(choice.server.id), 0);
+}
+
 TEST_F(PromptPlacementTest, RequestsOfOneTopicWhileIdle_StayOnOneServer) {
   const std::string first = Choose(Query(1, 0)).server.id;
   for (int i = 1; i < 20; ++i) {
     const auto choice = Choose(Query(1, i));
-    Finish(choice, Outcome::kAnswered);
     placement_.OnFirstToken(choice);
+    placement_.OnFinished(choice, /*had_first_token=*/true, Outcome::kAnswered,
+                          now_);
   }
   PromptPlacement other{PlacementOptions()};
   other.SetServers(servers_);
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -200,6 +200,9 @@
     RelayServer server;
     // Of the prompt, as far as known not in the server's cache.
     int64_t uncached_tokens = 0;
+    // Which entry of the server counts the request: one that went and came back
+    // counts anew.
+    uint64_t entry = 0;
     friend auto operator<=>(const Choice&, const Choice&) = default;
   };
   // Counts the request as in flight at the server. NOT_FOUND if no server of
@@ -225,6 +228,7 @@
  private:
   struct State {
     RelayServer server;
+    uint64_t entry = 0;
     int64_t in_flight = 0;
     int64_t unread_tokens = 0;  // of prompts without their first token
     std::map<std::string, absl::Time> cached;  // part -> last use from here
@@ -234,6 +238,8 @@
     absl::Time suspect_until = absl::InfinitePast();
   };
 
+  // The server's state if it still counts the request, else null.
+  State* Find(const Choice& choice);
   std::vector<State*> Candidates(const PlacementQuery& query, absl::Time now);
   int64_t Uncached(const State& state,
                    bool is_home,
@@ -248,6 +254,7 @@
 
   const PlacementOptions options_;
   std::map<std::string, State, std::less<>> servers_;
+  uint64_t entries_ = 0;
 };
 
 // The part of a prompt by which its home is chosen: the last that other
@@ -352,9 +359,9 @@
 //   Newest     the newest record of each key.
 //   ReadFrom   records from an offset on, at once; OUT_OF_RANGE if some of them
 //              are gone.
-//   PutAt      puts a record if `at` is the end; ABORTED if it is not. After
-//   any
-//              other error it may have been put, or may be for a while.
+//   PutAt      puts a record if `at` is the end; FAILED_PRECONDITION if it is
+//              not. After any other error it may have been put, or may be for a
+//              while.
 template <typename T>
 concept SharedStore = requires(T store, const std::string& text) {
   {
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -9,10 +9,13 @@
 #include <string>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/catalog_controller.h"
+#include "hawthornhollow/relay/counted_store.h"
 #include "hawthornhollow/relay/peer_service.h"
 #include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/relay/relay_metrics.h"
 #include "hawthornhollow/relay/request_run.h"
 #include "hawthornhollow/relay/totals_controller.h"
 
@@ -24,6 +27,8 @@
   Endpoint callers;
   Endpoint readiness;
   Endpoint peers;  // for other routers
+  // Where counters are served; they are also served to other routers.
+  std::optional<Endpoint> metrics;
   // The most that a graceful shutdown may take.
   absl::Duration shutdown = absl::Seconds(8);
   // Of it, how long new connections are still taken, until the balancer has
@@ -33,8 +38,9 @@
   // request and `retry_burst` besides.
   double retry_ratio = 0.2;
   double retry_burst = 50;
-  // Among how many routers the retry burst is divided.
-  int64_t routers = 8;
+  // The retry burst is divided among the routers whose records are known, and
+  // among this many before that.
+  int64_t least_routers = 8;
   // Bounds on callers. Wider than what operators configure: those are not in
   // force here yet.
   size_t max_header_bytes = 64 * 1024;
@@ -56,9 +62,11 @@
         runtime_(runtime),
         client_({.connect_timeout = settings.run.connect_timeout,
                  .max_idle_per_endpoint = 64}),
+        store_(store, metrics_),
         placement_(settings.placement),
         totals_(
-            store,
+            store_,
+            metrics_,
             {.book = {.router = settings.router,
                       .boot = BootId(),
                       .address = settings.peers.ToString()}},
@@ -70,7 +78,7 @@
                    int64_t tokens) {
               return AskPeer(client_, address, workspace, tokens);
             }),
-        catalog_(store,
+        catalog_(store_,
                  settings.catalog,
                  {.on_table =
                       [this](const std::shared_ptr<const RoutingTable>& table) {
@@ -82,10 +90,9 @@
                       }}) {
     shared_ = {.client = &client_,
                .placement = &placement_,
+               .metrics = &metrics_,
                .retries = &retries_,
-               .retry_ratio = settings.retry_ratio / 2,
-               .retry_burst = settings.retry_burst /
-                              static_cast<double>(settings.routers)};
+               .retry_ratio = settings.retry_ratio / 2};
   }
   RelayInstance(const RelayInstance&) = delete;
   RelayInstance& operator=(const RelayInstance&) = delete;
@@ -94,14 +101,16 @@
     absl::Status status = Listen(
         settings_.peers,
         [this](const HttpRequest& request, ResponseWriter& writer) {
-          ServePeer(
-              request,
-              [this](const std::string& workspace, int64_t tokens) {
-                return totals_.Give(workspace, tokens);
-              },
-              writer);
+          AnswerPeer(request, writer);
         },
         &peer_server_);
+    if (status.ok() && settings_.metrics.has_value())
+      status = Listen(
+          *settings_.metrics,
+          [this](const HttpRequest&, ResponseWriter& writer) {
+            AnswerMetrics(writer);
+          },
+          &metrics_server_);
     if (status.ok())
       status = Listen(
           settings_.readiness,
@@ -158,6 +167,38 @@
     return absl::OkStatus();
   }
 
+  void AnswerPeer(const HttpRequest& request, ResponseWriter& writer) {
+    if (request.method == "GET" && request.Path() == "/metrics")
+      return AnswerMetrics(writer);
+    ServePeer(
+        request,
+        [this](const std::string& workspace, int64_t tokens) {
+          return totals_.Give(workspace, tokens);
+        },
+        writer);
+  }
+
+  void AnswerMetrics(ResponseWriter& writer) {
+    writer
+        .Send({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+               .body = metrics_.Render(Gauges())})
+        .IgnoreError();
+  }
+
+  RelayGauges Gauges() const {
+    const auto table = catalog_.table();
+    const TotalsSum tokens = totals_.sum();
+    return {.config_version = table == nullptr ? 0 : table->version(),
+            .config_age = catalog_.table_age(),
+            .servers_age = catalog_.servers_age(),
+            .servers = static_cast<int64_t>(catalog_.server_count()),
+            .routers = static_cast<int64_t>(totals_.router_count()),
+            .requests_in_progress = in_progress_,
+            .available_tokens = tokens.available,
+            .waiting_tokens = tokens.waiting,
+            .record_age = totals_.record_age()};
+  }
+
   void AnswerReadiness(ResponseWriter& writer) {
     const bool ready = catalog_.ready() && !leaving_;
     writer.Send({.status = ready ? 200 : 503}).IgnoreError();
@@ -165,6 +206,8 @@
 
   void ServeCaller(const HttpRequest& request, ResponseWriter& writer) {
     const absl::Time arrived = SteadyNow();
+    ++in_progress_;
+    const absl::Cleanup ended = [this] { --in_progress_; };
     auto call = D::DecodeCall(request);
     if (!call.ok()) {
       LogEvent("request.rejected", LogSeverity::kWarning)
@@ -175,10 +218,10 @@
     RunRequest run{.request = &request, .call = *call, .arrived = arrived};
     if (const auto error = Resolve(&run)) {
       Refuse(run.call, *error, writer);
-      LogEnd(run,
-             {.outcome = std::string(TraitsOf(*error).code),
-              .status = TraitsOf(*error).status},
-             0, 0);
+      NoteEnd(run,
+              {.outcome = std::string(TraitsOf(*error).code),
+               .status = TraitsOf(*error).status},
+              0, 0);
       return;
     }
     ReserveAndRun(run, writer);
@@ -221,7 +264,15 @@
     return route.services.back().service;
   }
 
+  // Of the burst that all routers have together.
+  double OwnRetryBurst() const {
+    const int64_t known = static_cast<int64_t>(totals_.router_count());
+    return settings_.retry_burst /
+           static_cast<double>(std::max(known, settings_.least_routers));
+  }
+
   void ReserveAndRun(RunRequest& run, ResponseWriter& writer) {
+    shared_.retry_burst = OwnRetryBurst();
     const int64_t tokens = run.call.prompt_tokens + run.call.max_output_tokens;
     std::optional<Reservation> reservation;
     if (run.workspace != nullptr && run.workspace->prepaid.has_value() &&
@@ -234,10 +285,10 @@
                 ? RelayError::kTotalSpent
                 : RelayError::kTotalNotAtHand;
         Refuse(run.call, error, writer);
-        LogEnd(run,
-               {.outcome = std::string(TraitsOf(error).code),
-                .status = TraitsOf(error).status},
-               0, 0);
+        NoteEnd(run,
+                {.outcome = std::string(TraitsOf(error).code),
+                 .status = TraitsOf(error).status},
+                0, 0);
         return;
       }
       reservation = *std::move(acquired);
@@ -247,7 +298,7 @@
     const int64_t used = UsedTokens(run, summary);
     if (reservation.has_value())
       totals_.Settle(*reservation, used);
-    LogEnd(run, summary, tokens, used);
+    NoteEnd(run, summary, tokens, used);
   }
 
   absl::Duration PatienceForTokens(const RunRequest& run) const {
@@ -273,10 +324,17 @@
     writer.Send(D::EncodeRefusal(call, error, retry_after)).IgnoreError();
   }
 
-  static void LogEnd(const RunRequest& run,
-                     const RunSummary& summary,
-                     int64_t reserved,
-                     int64_t used) {
+  void NoteEnd(const RunRequest& run,
+               const RunSummary& summary,
+               int64_t reserved,
+               int64_t used) {
+    metrics_.OnRequestEnd(
+        {.route = run.route == nullptr ? "" : run.route->name,
+         .priority = run.route == nullptr ? 0 : run.route->priority,
+         .outcome = summary.outcome,
+         .took = SteadyNow() - run.arrived,
+         .first_event = summary.first_event,
+         .used_tokens = used});
     LogEvent("request.end")
         .Add("request", run.call.id)
         .Add("route", run.route == nullptr ? "" : run.route->name)
@@ -298,15 +356,19 @@
   const RelaySettings settings_;
   Runtime& runtime_;
   HttpClient client_;
+  RelayMetrics metrics_;
+  CountedStore<Store> store_;
   PromptPlacement placement_;
-  TotalsController<Store> totals_;
-  CatalogController<Store, D> catalog_;
+  TotalsController<CountedStore<Store>> totals_;
+  CatalogController<CountedStore<Store>, D> catalog_;
   std::map<std::string, RetryBudget> retries_;
   RunShared shared_;
   absl::BitGen random_;
   std::atomic<bool> stop_{false};
   bool leaving_ = false;
+  int64_t in_progress_ = 0;
   std::unique_ptr<HttpServer> peer_server_;
+  std::unique_ptr<HttpServer> metrics_server_;
   std::unique_ptr<HttpServer> readiness_server_;
   std::unique_ptr<HttpServer> caller_server_;
 };
--- /dev/null
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -0,0 +1,87 @@
+#include "hawthornhollow/relay/relay_metrics.h"
+
+namespace hawthornhollow {
+namespace {
+
+std::string_view NameOf(StoreSubject subject) {
+  switch (subject) {
+    case StoreSubject::kConfiguration:
+      return "configuration";
+    case StoreSubject::kServers:
+      return "servers";
+    case StoreSubject::kRouterRecords:
+      return "routers";
+  }
+  return "";
+}
+
+// An age that nothing has begun is left out of the page.
+void SetAge(MetricRegistry& registry,
+            std::string_view name,
+            absl::Duration age) {
+  if (age != absl::InfiniteDuration())
+    registry.Set(name, {}, absl::ToDoubleSeconds(age));
+}
+
+}  // namespace
+
+void RelayMetrics::OnRequestEnd(const EndedRequest& request) {
+  const std::string priority = std::to_string(request.priority);
+  registry_.Count("requests_total", {{"route", request.route},
+                                     {"priority", priority},
+                                     {"outcome", request.outcome}});
+  registry_.Count("used_tokens_total", {{"route", request.route}},
+                  static_cast<double>(request.used_tokens));
+  registry_.Observe("request_seconds", {{"route", request.route}},
+                    absl::ToDoubleSeconds(request.took));
+  if (request.first_event != absl::InfiniteDuration()) {
+    registry_.Observe("first_event_seconds",
+                      {{"route", request.route}, {"priority", priority}},
+                      absl::ToDoubleSeconds(request.first_event));
+  }
+}
+
+void RelayMetrics::OnTry(std::string_view server, std::string_view end) {
+  registry_.Count("tries_total",
+                  {{"server", std::string(server)}, {"end", std::string(end)}});
+}
+
+void RelayMetrics::OnTokensRefused(bool spent) {
+  registry_.Count("tokens_refused_total",
+                  {{"cause", spent ? "spent" : "not_at_hand"}});
+}
+
+void RelayMetrics::OnTokensCharged(int64_t tokens) {
+  registry_.Count("tokens_charged_total", {}, static_cast<double>(tokens));
+}
+
+void RelayMetrics::OnStoreCall(std::string_view call,
+                               StoreSubject subject,
+                               const absl::Status& status,
+                               absl::Duration took) {
+  registry_.Count("store_calls_total",
+                  {{"call", std::string(call)},
+                   {"of", std::string(NameOf(subject))},
+                   {"result", absl::StatusCodeToString(status.code())}});
+  registry_.Observe("store_call_seconds", {{"call", std::string(call)}},
+                    absl::ToDoubleSeconds(took));
+}
+
+std::string RelayMetrics::Render(const RelayGauges& gauges) {
+  const std::pair<std::string_view, int64_t> values[] = {
+      {"config_version", gauges.config_version},
+      {"servers", gauges.servers},
+      {"routers", gauges.routers},
+      {"requests_in_progress", gauges.requests_in_progress},
+      {"tokens_available", gauges.available_tokens},
+      {"tokens_waited_for", gauges.waiting_tokens},
+  };
+  for (const auto& [name, value] : values)
+    registry_.Set(name, {}, static_cast<double>(value));
+  SetAge(registry_, "config_age_seconds", gauges.config_age);
+  SetAge(registry_, "servers_age_seconds", gauges.servers_age);
+  SetAge(registry_, "record_age_seconds", gauges.record_age);
+  return registry_.Render();
+}
+
+}  // namespace hawthornhollow
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -19,6 +19,7 @@
 #include "absl/random/random.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/relay/relay_metrics.h"
 #include "hawthornhollow/scheduling/scheduling.h"
 
 namespace hawthornhollow {
@@ -44,6 +45,7 @@
 struct RunShared {
   HttpClient* client = nullptr;
   PromptPlacement* placement = nullptr;
+  RelayMetrics* metrics = nullptr;
   std::map<std::string, RetryBudget>* retries = nullptr;  // by service
   double retry_ratio = 0.1;
   double retry_burst = 5;
@@ -127,6 +129,7 @@
   RetryBudget& RetryBudgetOf() {
     const auto [found, is_new] = shared_.retries->try_emplace(
         request_.service, shared_.retry_ratio, shared_.retry_burst);
+    found->second.SetBurst(shared_.retry_burst);
     return found->second;
   }
 
@@ -181,6 +184,7 @@
     if (client_gone_)
       outcome = Outcome::kAbandoned;
     shared_.placement->OnFinished(choice, got_first_, outcome, SteadyNow());
+    shared_.metrics->OnTry(choice.server.id, NameOf(end));
     if (end == TryEnd::kAnswered)
       return;
     LogEvent("request.try_failed")
@@ -231,12 +235,9 @@
       writer_.Abort();
       return End("stream_cut", 0);
     }
-    if (end == TryEnd::kFailedAnswer) {
-      const int status = failed_answer_.status;
-      if (!writer_.Send(failed_answer_).ok())
-        return End("caller_gone", 0);
-      return End("server_error", status);
-    }
+    // Of two tries the one with an answer says more.
+    if (failed_answer_.has_value())
+      return PassOnFailure();
     if (!summary_.may_have_run)
       return Refuse(end == TryEnd::kNotRun ? RelayError::kRefused
                                            : RelayError::kNoServer);
@@ -244,13 +245,19 @@
                                                 : RelayError::kOutcomeUnknown);
   }
 
+  bool PassOnFailure() {
+    if (!writer_.Send(*failed_answer_).ok())
+      return End("caller_gone", 0);
+    return End("server_error", failed_answer_->status);
+  }
+
   bool EndWithoutServer() {
     if (streaming_) {
       writer_.Abort();
       return End("stream_cut", 0);
     }
-    if (!failed_answer_.headers.empty())
-      return EndAfter(TryEnd::kFailedAnswer);
+    if (failed_answer_.has_value())
+      return PassOnFailure();
     return Refuse(summary_.may_have_run ? RelayError::kOutcomeUnknown
                                         : RelayError::kNoServer);
   }
@@ -468,7 +475,8 @@
   bool streaming_ = false;
   bool got_first_ = false;
   std::optional<int64_t> last_event_;
-  HttpResponse failed_answer_;
+  // The last server's own error, if one came whole.
+  std::optional<HttpResponse> failed_answer_;
   std::string detail_;
 };
 
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -22,6 +22,7 @@
 #include "hawthornhollow/relay/boot_clock.h"
 #include "hawthornhollow/relay/fiber_signal.h"
 #include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/relay/relay_metrics.h"
 #include "hawthornhollow/totals/totals.h"
 
 namespace hawthornhollow {
@@ -45,7 +46,6 @@
   int close_tries = 5;
   // A request waits this long for a record before other routers are asked.
   absl::Duration ask_after = absl::Milliseconds(25);
-  absl::Duration ask_timeout = absl::Milliseconds(150);
   // A record older than this shows that the store is out of reach.
   absl::Duration cut_off_after = absl::Milliseconds(900);
   // Between two rounds for one workspace.
@@ -65,10 +65,12 @@
 class TotalsController {
  public:
   TotalsController(Store& store,
+                   RelayMetrics& metrics,
                    const TotalsControllerOptions& options,
                    std::function<void(std::function<void()>)> spawn,
                    AskForTokens ask)
       : store_(store),
+        metrics_(metrics),
         options_(options),
         spawn_(std::move(spawn)),
         ask_(std::move(ask)),
@@ -134,9 +136,15 @@
     return book_.Give(workspace, tokens, BootTime());
   }
 
-  TotalState state(const std::string& workspace) const {
-    return book_.state(workspace, BootTime());
+  // Over all workspaces.
+  TotalsSum sum() const { return book_.sum(BootTime()); }
+  // Since this router's record was last durable.
+  absl::Duration record_age() const {
+    return last_durable_ == absl::ZeroDuration() ? absl::InfiniteDuration()
+                                                 : BootTime() - last_durable_;
   }
+  // This one included.
+  size_t router_count() const { return book_.router_count(); }
   // Addresses of the other routers.
   std::vector<std::string> peers() const {
     std::vector<std::string> addresses;
@@ -186,6 +194,7 @@
                       const std::string& workspace,
                       int64_t tokens) {
     const TotalState state = book_.state(workspace, BootTime());
+    metrics_.OnTokensRefused(code == absl::StatusCode::kResourceExhausted);
     LogEvent("total.refused")
         .Add("request", request)
         .Add("workspace", workspace)
@@ -218,7 +227,7 @@
       return false;
     record_ = EncodeRouterRecord(book_.MakeLastRecord(BootTime()));
     record_at_ = end_;
-    return Put(/*again=*/false) && !book_.has_pending_record() && put_;
+    return Put(/*again=*/false) && put_;
   }
 
   bool IsCutOff() const {
@@ -248,6 +257,7 @@
     end_ = page->end;
     followed_at_ = SteadyNow();
     for (const Inheritance& inherited : book_.Start(previous, BootTime())) {
+      metrics_.OnTokensCharged(inherited.charged - inherited.recorded);
       LogEvent("total.inherited")
           .Add("workspace", inherited.workspace)
           .Add("recorded", inherited.recorded)
@@ -401,6 +411,7 @@
   }
 
   Store& store_;
+  RelayMetrics& metrics_;
   const TotalsControllerOptions options_;
   const std::function<void(std::function<void()>)> spawn_;
   const AskForTokens ask_;
--- a/hawthornhollow/relay/totals_controller_test.cc
+++ b/hawthornhollow/relay/totals_controller_test.cc
@@ -86,7 +86,7 @@
     ASSERT_TRUE(table.ok()) << table.status();
     for (int i = 0; i < 3; ++i) {
       controllers_.push_back(std::make_unique<Controller>(
-          store_,
+          store_, metrics_,
           TotalsControllerOptions{
               .book = {.router = "router-" + std::to_string(i), .boot = "b"},
               .interval = absl::Milliseconds(10)},
@@ -110,6 +110,7 @@
   }
 
   FakeStore store_{GetParam()};
+  RelayMetrics metrics_;
   std::unique_ptr<Runtime> runtime_;
   std::vector<std::unique_ptr<Controller>> controllers_;
   std::atomic<bool> stop_{false};
--- a/hawthornhollow/scheduling/limits_test.cc
+++ b/hawthornhollow/scheduling/limits_test.cc
@@ -31,6 +31,16 @@
   EXPECT_EQ(budget.tokens(), 5);
 }
 
+TEST(RetryBudgetTest, BurstIsLowered_ReserveAboveItIsLost) {
+  RetryBudget budget(0.1, 6);
+  budget.SetBurst(2);
+  EXPECT_TRUE(budget.TryRetry());
+  EXPECT_TRUE(budget.TryRetry());
+  EXPECT_FALSE(budget.TryRetry());
+  budget.SetBurst(6);
+  EXPECT_FALSE(budget.TryRetry());
+}
+
 TEST(SpreadRetryAfterTest, ManyDraws_SpreadOverWholeInterval) {
   std::mt19937_64 random(1);
   absl::Duration least = absl::InfiniteDuration();
--- a/hawthornhollow/scheduling/retry_budget.cc
+++ b/hawthornhollow/scheduling/retry_budget.cc
@@ -12,6 +12,11 @@
 RetryBudget::RetryBudget(double ratio, double burst)
     : ratio_(ratio), burst_(burst), tokens_(burst) {}
 
+void RetryBudget::SetBurst(double burst) {
+  burst_ = burst;
+  tokens_ = std::min(tokens_, burst);
+}
+
 void RetryBudget::OnAttempt() {
   tokens_ = std::min(burst_, tokens_ + ratio_);
 }
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -92,6 +92,13 @@
   friend auto operator<=>(const TotalState&, const TotalState&) = default;
 };
 
+// Over all workspaces, at this router.
+struct TotalsSum {
+  int64_t available = 0;  // at hand right now
+  int64_t waiting = 0;    // wanted by requests that wait
+  friend auto operator<=>(const TotalsSum&, const TotalsSum&) = default;
+};
+
 // What an incarnation was charged for the commitments of the one before it.
 struct Inheritance {
   std::string workspace;
@@ -140,6 +147,7 @@
   // committed leaves less of the total.
   bool IsSpent(const std::string& workspace, int64_t tokens) const;
   TotalState state(const std::string& workspace, absl::Duration now) const;
+  TotalsSum sum(absl::Duration now) const;
   // What waiting requests lack.
   int64_t Missing(const std::string& workspace, absl::Duration now) const;
 
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -242,6 +242,15 @@
   return state;
 }
 
+TotalsSum TotalsBook::sum(absl::Duration now) const {
+  TotalsSum sum;
+  for (const auto& [workspace, holding] : holdings_) {
+    sum.available += state(workspace, now).available;
+    sum.waiting += holding.waiting;
+  }
+  return sum;
+}
+
 int64_t TotalsBook::Missing(const std::string& workspace,
                             absl::Duration now) const {
   const Holding* holding = FindHolding(workspace);
--- a/testing/cli_test.cc
+++ b/testing/cli_test.cc
@@ -108,7 +108,7 @@
 
 constexpr const char* kCommands[] = {
     "router",   "sidecar", "check",  "fetch", "diff",  "publish", "history",
-    "rollback", "status",  "budget", "bills", "audit", "key"};
+    "rollback", "status",  "budget", "bills", "audit", "explain", "key"};
 constexpr char kTopUp[] =
     R"({"kind":"budget","name":"permits","tokens":70000000})";
 constexpr char kOtherTopUp[] =
@@ -399,6 +399,11 @@
      "--timeout: must be a whole number from 1 to 600 (found \"0\")"},
     {"RollbackToText", {"rollback", "last"}, 2, "VERSION: must be"},
     {"NoSettings", {"router"}, 2, "--settings: is missing"},
+    {"ExplainWithoutFiles", {"explain", "a1"}, 2, "explain"},
+    {"ExplainMissingLog",
+     {"explain", "a1", "/nonexistent.log"},
+     2,
+     "/nonexistent.log: cannot be opened"},
     {"MissingSettings",
      {"sidecar", "--settings", "/nonexistent.json"},
      2,
@@ -410,6 +415,24 @@
                          testing::ValuesIn(kUsageCases),
                          [](const auto& info) { return info.param.name; });
 
+TEST_F(CliTest, Explain_LogsOfTwoRouters_ShowsTheRequestsLinesAndSummary) {
+  const std::string first = Folder("a.log");
+  const std::string second = Folder("b.log");
+  Write(first,
+        "time=2 level=INFO process=entry-1 event=request.end request=a1 "
+        "outcome=answered status=200 took_ms=5\n"
+        "time=3 level=INFO process=entry-1 event=request.end request=a2\n");
+  Write(second, "time=1 process=entry-2 event=request.placed request=a1\n");
+  CommandResult result = Run({"explain", "a1", first, second});
+  EXPECT_EQ(result.exit_code, 0) << result.err;
+  EXPECT_THAT(result.out, StartsWith("time=1 "));
+  EXPECT_THAT(result.out, Not(HasSubstr("a2")));
+  EXPECT_THAT(result.out,
+              HasSubstr("request a1 was answered (answered, status 200) after "
+                        "5 ms at entry-1\n"));
+  EXPECT_EQ(Run({"explain", "a9", first}).exit_code, 1);
+}
+
 TEST_F(CliTest, Router_WrongSettings_NamesFileFieldAndReason) {
   std::string file = Folder("router.json");
   Write(file, R"({"name":"router-1","failure_domain":"patan",
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -101,8 +101,12 @@
         "bounds":{"grace_s":8},"platform":{"address":"$3"}})",
         callers_.ToString(), readiness_.ToString(), peers_.ToString(),
         store_server_->local().ToString());
-    auto process =
-        ChildProcess::Start({ENTRY, "--settings", file}, folder_ + ".err");
+    std::vector<std::string> command = {ENTRY, "--settings", file};
+    if (metrics_port_ != 0) {
+      command.insert(command.end(),
+                     {"--metrics-port", std::to_string(metrics_port_)});
+    }
+    auto process = ChildProcess::Start(command, folder_ + ".err");
     ASSERT_TRUE(process.ok()) << process.status();
     entry_ = *std::move(process);
   }
@@ -176,11 +180,31 @@
   Endpoint callers_;
   Endpoint readiness_;
   Endpoint peers_;
+  uint16_t metrics_port_ = 0;  // 0: none
   std::string folder_;
   std::unique_ptr<ChildProcess> entry_;
   int ids_ = 0;
 };
 
+TEST_F(EntryTest, SettingsThatCannotBeRead_AreToldByFieldAndStartNothing) {
+  const std::string file = folder_ + ".json";
+  std::ofstream(file) << R"({"node":"entry-1","zone":"z",
+      "listen":{"front":"127.0.0.1"},"platform":{"address":"127.0.0.1:1"}})";
+  for (const char* option : {"--check", "--metrics-port=0"}) {
+    auto process = ChildProcess::Start({ENTRY, "--settings", file, option},
+                                       folder_ + ".err");
+    ASSERT_TRUE(process.ok()) << process.status();
+    const auto exit = (*process)->Wait(kWait);
+    ASSERT_TRUE(exit.ok()) << exit.status();
+    EXPECT_EQ(*exit, 1);
+  }
+  std::ifstream errors(folder_ + ".err");
+  std::string line;
+  ASSERT_TRUE(std::getline(errors, line));
+  EXPECT_THAT(line, HasSubstr("listen"));
+  EXPECT_THAT(line, HasSubstr("front"));
+}
+
 TEST_F(EntryTest, EntryWithoutConfiguration_IsNotReadyAndAnswers503) {
   StartEntry();
   const absl::Time end = absl::Now() + kWait;
@@ -277,6 +301,42 @@
   EXPECT_EQ(MostRunsOfOne(), 0);
 }
 
+TEST_F(EntryTest, ErrorAnswerAndThenARefusal_PassesOnTheErrorAnswer) {
+  StartReady();
+  replicas_[0]->SetFaults({.fail = true});
+  replicas_[1]->SetFaults({.refuse = true});
+  for (int i = 0; i < 3; ++i)
+    EXPECT_EQ(StatusOf("/lookup/a"), 500);
+}
+
+TEST_F(EntryTest, NobodyReadsTheLog_RequestsAreServedAllTheSame) {
+  // The process's standard output is a pipe that this test does not read.
+  StartReady();
+  constexpr int kFillsThePipeTwice = 600;
+  int served = 0;
+  for (int i = 0; i < kFillsThePipeTwice; ++i)
+    served += StatusOf("/order/a") == 200 ? 1 : 0;
+  EXPECT_EQ(served, kFillsThePipeTwice);
+}
+
+TEST_F(EntryTest, ServedAndRefusedRequests_AreCountedOnTheMetricsPage) {
+  metrics_port_ = FreePort();
+  StartReady();
+  EXPECT_EQ(StatusOf("/stream/a"), 200);
+  EXPECT_EQ(StatusOf("/stream/a", "k2"), 401);
+  for (const Endpoint& address :
+       {peers_, Endpoint{"127.0.0.1", metrics_port_}}) {
+    const auto page = PlainHttp(address, {.target = "/metrics"}, kWait);
+    ASSERT_TRUE(page.ok()) << page.status();
+    for (const char* line :
+         {"requests_total{route=\"s\",priority=\"0\",outcome=\"answered\"} 1\n",
+          "outcome=\"unknown_key\"} 1\n", "config_version 1\n", "servers 2\n",
+          "requests_in_progress 0\n",
+          "store_calls_total{call=\"put\",of=\"routers\",result=\"OK\"}"})
+      EXPECT_THAT(page->body, HasSubstr(line));
+  }
+}
+
 TEST_F(EntryTest, StoreOutage_DoesNotStopServing) {
   StartReady();
   for (int i = 0; i < 5; ++i)
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -15,6 +15,7 @@
 constexpr int kNotFound = 404;
 constexpr int kPreconditionFailed = 412;
 constexpr int kMisdirected = 421;
+constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 constexpr size_t kLengthBytes = 4;
 constexpr size_t kOffsetBytes = 8;
@@ -179,6 +180,14 @@
     return ServeStream(request, faults, writer);
   if (faults.lose_answers)
     return writer.Abort();
+  if (faults.fail) {
+    writer
+        .Send({.status = kInternalError,
+               .headers = {{"Attempt-Id", id}, {"Replica-Seal", id_}},
+               .body = "failed"})
+        .IgnoreError();
+    return;
+  }
   writer
       .Send({.headers = {{"Attempt-Id", id}, {"Replica-Seal", id_}},
              .body = "done " + id})
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -57,6 +57,7 @@
     // Breaks each other answer off after the request has run.
     bool lose_answers = false;
     bool refuse = false;  // answers 503 and does not run
+    bool fail = false;    // runs and answers 500
   };
 
   explicit ReplicaStandin(std::string id) : id_(std::move(id)) {}
