--- a/hawthornhollow/http/client_watch.cc
+++ b/hawthornhollow/http/client_watch.cc
@@ -54,7 +54,9 @@
           in_callback_ = false;
           callback_ended_.Done();
         };
-        callback();
+        // The handler may have returned before this fiber had its turn.
+        if (!stopping_)
+          callback();
       });
 }
 
--- a/hawthornhollow/http/client_watch_internal.h
+++ b/hawthornhollow/http/client_watch_internal.h
@@ -19,7 +19,8 @@
   ClientWatch(const ClientWatch&) = delete;
   ClientWatch& operator=(const ClientWatch&) = delete;
 
-  // Begins to watch. `callback` runs at most once, on a fiber of its own.
+  // Begins to watch. `callback` runs at most once, on a fiber of its own, and
+  // does not begin once Stop was called.
   void Start(std::function<void()> callback);
   // Says that the client has gone, as a write has failed.
   void ReportGone();
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -79,8 +79,8 @@
   virtual void Abort() = 0;
   // Sets what runs, at most once and on a fiber of the connection's thread,
   // when the client, or the server's end, closes the connection before the
-  // response is complete. The connection waits for it to return, also after the
-  // handler has.
+  // response is complete. It does not begin after the handler has returned; if
+  // it has begun, the connection waits for it to return.
   virtual void OnClientGone(std::function<void()> callback) = 0;
 };
 
--- a/hawthornhollow/http/http_test.cc
+++ b/hawthornhollow/http/http_test.cc
@@ -303,6 +303,33 @@
             std::future_status::ready);
 }
 
+TEST_F(HttpTest, HandlerThatReturnsAsItsClientGoes_IsNotCalledBackAfterwards) {
+  constexpr int kClients = 100;
+  std::atomic<int> late = 0;
+  std::atomic<int> ended = 0;
+  StartServer([&](const HttpRequest&, ResponseWriter& writer) {
+    const auto returned = std::make_shared<bool>(false);
+    writer.OnClientGone([&late, returned] { late += *returned ? 1 : 0; });
+    writer.StartStream(200, {}).IgnoreError();
+    while (writer.Write(std::string(100'000, 'x')).ok()) {
+    }
+    *returned = true;
+    ++ended;
+  });
+  RunOn(0, [&] {
+    for (int i = 0; i < kClients; ++i) {
+      client_
+          .Stream(
+              Target(), {}, kLong, [](int, const HttpHeaders&) { return true; },
+              [](std::string_view) { return false; })
+          .IgnoreError();
+    }
+  });
+  server_.reset();  // waits for the handlers
+  EXPECT_EQ(ended, kClients);
+  EXPECT_EQ(late, 0);
+}
+
 TEST_F(HttpTest, CallToSilentServerTimesOut) {
   std::atomic<bool> gone = false;
   StartServer([&](const HttpRequest&, ResponseWriter& writer) {
--- a/hawthornhollow/relay/counted_store.h
+++ b/hawthornhollow/relay/counted_store.h
@@ -41,12 +41,30 @@
     });
   }
 
+  absl::Status PutNext(StoreSubject subject,
+                       const std::string& key,
+                       const std::string& value,
+                       const WriterPlace& place,
+                       absl::Duration timeout) {
+    return Counted("put", subject, [&] {
+      return store_.PutNext(subject, key, value, place, timeout);
+    });
+  }
+
  private:
+  static const absl::Status& StatusOf(const absl::Status& status) {
+    return status;
+  }
+  template <typename T>
+  static const absl::Status& StatusOf(const absl::StatusOr<T>& result) {
+    return result.status();
+  }
+
   template <typename Call>
   auto Counted(std::string_view name, StoreSubject subject, Call call) {
     const absl::Time begun = SteadyNow();
     auto result = call();
-    metrics_.OnStoreCall(name, subject, result.status(), SteadyNow() - begun);
+    metrics_.OnStoreCall(name, subject, StatusOf(result), SteadyNow() - begun);
     return result;
   }
 
--- a/hawthornhollow/relay/prompt_placement.cc
+++ b/hawthornhollow/relay/prompt_placement.cc
@@ -144,6 +144,7 @@
   Remember(best, query, now);
   return Choice{.server = best->server,
                 .uncached_tokens = best_uncached,
+                .predicted_wait = best_wait,
                 .entry = best->entry};
 }
 
--- /dev/null
+++ b/hawthornhollow/relay/record_keeper.h
@@ -0,0 +1,406 @@
+#ifndef HAWTHORNHOLLOW_RELAY_RECORD_KEEPER_H_
+#define HAWTHORNHOLLOW_RELAY_RECORD_KEEPER_H_
+
+// Keeps this router's records of prepaid totals in the store, and follows the
+// other routers'. TotalsBook says what is in them and when they are worth
+// writing; this reads and writes: one fiber for authorities, which all routers
+// put in turn, and one for levels, which each router puts on its own and far
+// more often.
+
+#include <algorithm>
+#include <atomic>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/cleanup/cleanup.h"
+#include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/boot_clock.h"
+#include "hawthornhollow/relay/fiber_signal.h"
+#include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/relay/relay_metrics.h"
+#include "hawthornhollow/totals/totals.h"
+
+namespace hawthornhollow {
+
+struct RecordKeeperOptions {
+  // Between two records, and between two looks at the others' levels, unless
+  // requests wait. What all routers write and read grows with the square of
+  // their number: with many it is so long for each of them.
+  absl::Duration interval = absl::Milliseconds(300);
+  absl::Duration interval_per_router = absl::Milliseconds(40);
+  // A record is renewed at this age even if nothing changed, so that the next
+  // incarnation is charged little of its schedule.
+  absl::Duration renewal = absl::Seconds(1);
+  absl::Duration call_timeout = absl::Milliseconds(500);
+  // After a failed call.
+  absl::Duration retry = absl::Milliseconds(100);
+  // Records of a longer time are not caught up with one by one.
+  absl::Duration catch_up_at_most = absl::Seconds(1);
+  // Between two records of a router, for each router.
+  absl::Duration gap_per_router = absl::Milliseconds(4);
+  // Tries to write the last record.
+  int close_tries = 5;
+};
+
+template <SharedStore Store>
+class RecordKeeper {
+ public:
+  // All must outlive this.
+  RecordKeeper(Store& store,
+               RelayMetrics& metrics,
+               const RecordKeeperOptions& options,
+               TotalsBook& book)
+      : store_(store), metrics_(metrics), options_(options), book_(book) {}
+  RecordKeeper(const RecordKeeper&) = delete;
+  RecordKeeper& operator=(const RecordKeeper&) = delete;
+
+  // Requests wait for an authority; answers wait for a level.
+  void WantAuthority() { authority_wanted_.Notify(); }
+  void WantLevel() { level_wanted_.Notify(); }
+  // Notified when the book may allow more, or when it should be asked again.
+  FiberSignal& changed() { return changed_; }
+  // Since the level record was last durable; infinite before the first.
+  absl::Duration age() const {
+    return last_durable_ == absl::ZeroDuration() ? absl::InfiniteDuration()
+                                                 : BootTime() - last_durable_;
+  }
+
+  // Each keeps one of the records until `stop`, on a fiber of its own.
+  void KeepAuthority(const std::atomic<bool>& stop) {
+    Keep(stop, authority_wanted_,
+         [this] { return book_.started() ? SyncAuthority() : Join(); });
+  }
+  void KeepLevel(const std::atomic<bool>& stop) {
+    Keep(stop, level_wanted_,
+         [this] { return !book_.started() || SyncLevel(); });
+  }
+
+  // Writes what is committed, and gives the rest back. For the end of the
+  // process, once no request is in progress and both fibers were told to stop.
+  void Close() {
+    AwaitKeepersEnd();
+    bool closed = false;
+    for (int i = 0; i < options_.close_tries && !closed; ++i)
+      closed = TryClose();
+    LogEvent("total.closed",
+             closed ? LogSeverity::kInfo : LogSeverity::kWarning)
+        .Add("written", closed ? 1 : 0);
+  }
+
+ private:
+  absl::Duration ForAllRouters(absl::Duration each) const {
+    return each * static_cast<int64_t>(book_.router_count());
+  }
+  absl::Duration Interval() const {
+    return std::max(options_.interval,
+                    ForAllRouters(options_.interval_per_router));
+  }
+
+  // Calls `sync` again and again: at once when wanted, else at the interval.
+  template <typename Sync>
+  void Keep(const std::atomic<bool>& stop, FiberSignal& wanted, Sync sync) {
+    ++keepers_;
+    const absl::Cleanup ended = [this] {
+      --keepers_;
+      changed_.Notify();
+    };
+    while (!stop) {
+      const uint64_t seen = wanted.changes();
+      const absl::Time begun = SteadyNow();
+      if (!sync()) {
+        hawthornhollow::SleepFor(options_.retry);
+        continue;
+      }
+      wanted.WaitBeyond(seen, Interval());
+      const absl::Duration gap = ForAllRouters(options_.gap_per_router);
+      hawthornhollow::SleepFor(begun + gap - SteadyNow());
+    }
+  }
+
+  void AwaitKeepersEnd() {
+    authority_wanted_.Notify();
+    level_wanted_.Notify();
+    const absl::Time end = SteadyNow() + options_.call_timeout * 2;
+    while (keepers_ > 0 && SteadyNow() < end)
+      changed_.WaitBeyond(changed_.changes(), end - SteadyNow());
+  }
+
+  // The level goes first: it says that nothing more will be committed, and so
+  // what of the authority was left, should the authority not be written.
+  bool TryClose() {
+    if (keepers_ > 0)
+      return false;
+    if (!book_.started())
+      return true;
+    if (!ResolvePending())
+      return false;
+    book_.BeginClosing();
+    if (!level_closed_) {
+      level_closed_ = PutLevel(book_.MakeLevel(BootTime()));
+      if (!level_closed_)
+        return false;
+    }
+    return FollowAuthorities() && PutAuthority(book_.MakeAuthority(BootTime()));
+  }
+
+  bool ResolvePending() {
+    if (book_.pending_level().has_value() && !PutLevelAgain())
+      return false;
+    return !book_.pending_authority().has_value() || PutAuthorityAgain();
+  }
+
+  // Reads all records and begins this incarnation.
+  bool Join() {
+    auto authorities =
+        store_.Newest(StoreSubject::kAuthorities, options_.call_timeout);
+    if (!authorities.ok())
+      return false;
+    auto levels = store_.Newest(StoreSubject::kLevels, options_.call_timeout);
+    if (!levels.ok())
+      return false;
+    RouterRecords previous;
+    if (!Sort(*authorities, &DecodeAuthority, &previous.authority,
+              [this](auto record) { book_.ApplyAuthority(std::move(record)); }))
+      return false;
+    if (!Sort(*levels, &DecodeLevel, &previous.level,
+              [this](auto record) { book_.ApplyLevel(std::move(record)); }))
+      return false;
+    end_ = authorities->end;
+    followed_at_ = SteadyNow();
+    levels_read_ = SteadyNow();
+    LogInheritance(previous, book_.Start(previous, born_));
+    return SyncAuthority();
+  }
+
+  // Hands others' records to `apply`, and keeps this router's own. False if
+  // that one cannot be read: without it nobody knows what was committed.
+  template <typename Decode, typename Record, typename Apply>
+  bool Sort(const StoredPage& page,
+            Decode decode,
+            std::optional<Record>* own,
+            Apply apply) {
+    for (const StoredValue& value : page.values) {
+      auto record = DecodeStored(value, decode);
+      const bool is_own = value.key == book_.router();
+      if (!record.has_value() && is_own)
+        return false;
+      if (!record.has_value())
+        continue;
+      if (is_own)
+        *own = *std::move(record);
+      else
+        apply(*std::move(record));
+    }
+    return true;
+  }
+
+  void LogInheritance(const RouterRecords& previous,
+                      const std::vector<Inheritance>& inheritance) {
+    const absl::Duration written =
+        previous.level.has_value()
+            ? absl::Microseconds(previous.level->written_us)
+            : absl::ZeroDuration();
+    for (const Inheritance& inherited : inheritance) {
+      metrics_.OnTokensCharged(inherited.charged - inherited.recorded);
+      LogEvent("total.inherited")
+          .Add("workspace", inherited.workspace)
+          .Add("recorded", inherited.recorded)
+          .Add("charged", inherited.charged)
+          .Add("authority", inherited.authority)
+          .Add("record_age_ms", absl::ToInt64Milliseconds(born_ - written));
+    }
+    const bool same_boot =
+        previous.level.has_value() && previous.level->boot == book_.boot();
+    LogEvent("total.started")
+        .Add("routers", static_cast<int64_t>(book_.router_count()))
+        .Add("previous_epoch",
+             previous.authority.has_value() ? previous.authority->epoch : 0)
+        .Add("same_boot", same_boot ? 1 : 0);
+  }
+
+  bool SyncAuthority() {
+    if (book_.pending_authority().has_value())
+      return PutAuthorityAgain();
+    if (!FollowAuthorities() || !FollowLevels())
+      return false;
+    if (!book_.WantsAuthority(BootTime()))
+      return true;
+    // Others may have written meanwhile.
+    constexpr int kTries = 3;
+    for (int i = 0; i < kTries; ++i) {
+      if (PutAuthority(book_.MakeAuthority(BootTime())))
+        return true;
+      if (!answered_ || !FollowAuthorities())
+        return false;
+    }
+    return true;
+  }
+
+  // Whether the record is durable; `answered_` tells whether the store spoke.
+  bool PutAuthority(const fb::AuthorityRecordT& record) {
+    record_ = EncodeAuthority(record);
+    record_at_ = end_;
+    return SendAuthority([] { return false; });
+  }
+
+  // The outcome of the pending record's put is not known: the same put under
+  // the same condition finds it out.
+  bool PutAuthorityAgain() {
+    return SendAuthority([this] { return FollowAuthorities() && own_seen_; });
+  }
+
+  // `took_effect` is asked if the condition does not hold.
+  template <typename TookEffect>
+  bool SendAuthority(TookEffect took_effect) {
+    auto end = store_.PutAt(StoreSubject::kAuthorities, book_.router(), record_,
+                            record_at_, options_.call_timeout);
+    answered_ = end.ok() ||
+                end.status().code() == absl::StatusCode::kFailedPrecondition;
+    if (!answered_)
+      return false;
+    own_seen_ = false;
+    if (end.ok())
+      end_ = *end;
+    const bool durable = end.ok() || took_effect();
+    if (durable)
+      book_.OnAuthorityDurable();
+    else
+      book_.OnAuthorityRefused();
+    level_wanted_.Notify();
+    changed_.Notify();
+    return durable;
+  }
+
+  // Whether the store answered.
+  bool SyncLevel() {
+    if (book_.pending_level().has_value())
+      return PutLevelAgain();
+    const absl::Duration now = BootTime();
+    const bool is_due = now - last_durable_ >= options_.renewal &&
+                        last_durable_ != absl::ZeroDuration();
+    if (!book_.WantsLevel(now) && !is_due)
+      return true;
+    return PutLevel(book_.MakeLevel(now));
+  }
+
+  bool PutLevel(const fb::LevelRecordT& record) {
+    level_ = EncodeLevel(record);
+    return PutLevelAgain();
+  }
+
+  bool PutLevelAgain() {
+    const fb::LevelRecordT& record = *book_.pending_level();
+    const absl::Status status =
+        store_.PutNext(StoreSubject::kLevels, book_.router(), level_,
+                       {.writer = record.router,
+                        .epoch = record.epoch,
+                        .sequence = record.sequence},
+                       options_.call_timeout);
+    if (status.code() == absl::StatusCode::kFailedPrecondition) {
+      LogEvent("total.level_refused", LogSeverity::kError)
+          .Add("epoch", record.epoch)
+          .Add("sequence", record.sequence)
+          .Add("reason", status);
+      book_.OnLevelRefused();
+      return false;
+    }
+    if (!status.ok())
+      return false;
+    last_durable_ = absl::Microseconds(record.written_us);
+    book_.OnLevelDurable();
+    changed_.Notify();
+    return true;
+  }
+
+  // Reads the authority records that came since.
+  bool FollowAuthorities() {
+    // After an outage the newest records are fewer than all that came.
+    const bool behind = SteadyNow() - followed_at_ > options_.catch_up_at_most;
+    absl::StatusOr<StoredPage> page = absl::OutOfRangeError("behind");
+    if (!behind) {
+      page = store_.ReadFrom(StoreSubject::kAuthorities, end_,
+                             options_.call_timeout);
+    }
+    if (!page.ok() && page.status().code() == absl::StatusCode::kOutOfRange)
+      page = store_.Newest(StoreSubject::kAuthorities, options_.call_timeout);
+    if (!page.ok())
+      return false;
+    for (const StoredValue& value : page->values)
+      ApplyAuthority(value);
+    end_ = std::max(end_, page->end);
+    followed_at_ = SteadyNow();
+    if (!page->values.empty())
+      changed_.Notify();
+    return true;
+  }
+
+  void ApplyAuthority(const StoredValue& value) {
+    auto record = DecodeStored(value, &DecodeAuthority);
+    if (!record.has_value())
+      return;
+    if (record->router != book_.router())
+      book_.ApplyAuthority(*std::move(record));
+    else if (book_.pending_authority().has_value() && value.value == record_)
+      own_seen_ = true;
+    else
+      book_.OnStrayAuthority(*record);
+  }
+
+  // Reads how far the others are, at the interval; what all of them read grows
+  // with the square of their number.
+  bool FollowLevels() {
+    if (SteadyNow() - levels_read_ < Interval())
+      return true;
+    auto page = store_.Newest(StoreSubject::kLevels, options_.call_timeout);
+    if (!page.ok())
+      return false;
+    std::optional<fb::LevelRecordT> own;
+    Sort(*page, &DecodeLevel, &own,
+         [this](auto record) { book_.ApplyLevel(std::move(record)); });
+    levels_read_ = SteadyNow();
+    changed_.Notify();
+    return true;
+  }
+
+  template <typename Decode>
+  static auto DecodeStored(const StoredValue& value, Decode decode) {
+    auto record = decode(value.value);
+    std::optional<typename decltype(record)::value_type> decoded;
+    if (record.ok()) {
+      decoded = *std::move(record);
+    } else {
+      LogEvent("total.record_rejected", LogSeverity::kError)
+          .Add("key", value.key)
+          .Add("offset", value.offset)
+          .Add("reason", record.status());
+    }
+    return decoded;
+  }
+
+  Store& store_;
+  RelayMetrics& metrics_;
+  const RecordKeeperOptions options_;
+  TotalsBook& book_;
+  // By when an earlier incarnation on this VM had ended.
+  const absl::Duration born_ = BootTime();
+  FiberSignal authority_wanted_;
+  FiberSignal level_wanted_;
+  FiberSignal changed_;
+  int64_t end_ = 0;  // of the authorities, as read
+  absl::Time followed_at_ = absl::InfinitePast();
+  absl::Time levels_read_ = absl::InfinitePast();
+  std::string record_;  // the pending authority's bytes
+  int64_t record_at_ = 0;
+  bool own_seen_ = false;
+  bool answered_ = false;
+  std::string level_;  // the pending level's bytes
+  bool level_closed_ = false;
+  int keepers_ = 0;
+  absl::Duration last_durable_ = absl::ZeroDuration();
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_RELAY_RECORD_KEEPER_H_
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -200,6 +200,8 @@
     RelayServer server;
     // Of the prompt, as far as known not in the server's cache.
     int64_t uncached_tokens = 0;
+    // For the first token, as far as known here.
+    absl::Duration predicted_wait;
     // Which entry of the server counts the request: one that went and came back
     // counts anew.
     uint64_t entry = 0;
@@ -353,7 +355,21 @@
   int64_t end = 0;  // the offset of the next record
   friend auto operator<=>(const StoredPage&, const StoredPage&) = default;
 };
-enum class StoreSubject { kConfiguration, kServers, kRouterRecords };
+enum class StoreSubject {
+  kConfiguration,
+  kServers,
+  kAuthorities,  // routers' authority records, by router
+  kLevels,       // routers' level records, by router
+};
+
+// A record's place among its writer's: sequences have no gaps within an epoch,
+// and nothing of an epoch is taken once a later one has begun.
+struct WriterPlace {
+  std::string writer;
+  int64_t epoch = 0;
+  int64_t sequence = 0;
+  friend auto operator<=>(const WriterPlace&, const WriterPlace&) = default;
+};
 
 // Records by key that outlive every VM.
 //   Newest     the newest record of each key.
@@ -362,6 +378,10 @@
 //   PutAt      puts a record if `at` is the end; FAILED_PRECONDITION if it is
 //              not. After any other error it may have been put, or may be for a
 //              while.
+//   PutNext    puts a record that follows its writer's last one; a repeat of
+//   the
+//              last changes nothing and is OK. FAILED_PRECONDITION if it does
+//              not follow. Other errors as PutAt's.
 template <typename T>
 concept SharedStore = requires(T store, const std::string& text) {
   {
@@ -371,9 +391,13 @@
     store.ReadFrom(StoreSubject::kServers, int64_t{}, absl::Duration())
     } -> std::same_as<absl::StatusOr<StoredPage>>;
   {
-    store.PutAt(StoreSubject::kRouterRecords, text, text, int64_t{},
+    store.PutAt(StoreSubject::kAuthorities, text, text, int64_t{},
                 absl::Duration())
     } -> std::same_as<absl::StatusOr<int64_t>>;
+  {
+    store.PutNext(StoreSubject::kLevels, text, text, WriterPlace(),
+                  absl::Duration())
+    } -> std::same_as<absl::Status>;
 };
 
 // How a deployment spells its messages.
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -129,7 +129,8 @@
       return status;
     runtime_.Spawn([this] { catalog_.FollowConfiguration(stop_); });
     runtime_.Spawn([this] { catalog_.FollowServers(stop_); });
-    runtime_.Spawn([this] { totals_.Run(stop_); });
+    runtime_.Spawn([this] { totals_.KeepAuthority(stop_); });
+    runtime_.Spawn([this] { totals_.KeepLevel(stop_); });
     LogEvent("router.started").Add("callers", settings_.callers.ToString());
     return absl::OkStatus();
   }
@@ -274,7 +275,7 @@
   void ReserveAndRun(RunRequest& run, ResponseWriter& writer) {
     shared_.retry_burst = OwnRetryBurst();
     const int64_t tokens = run.call.prompt_tokens + run.call.max_output_tokens;
-    std::optional<Reservation> reservation;
+    std::shared_ptr<TokenHold> hold;
     if (run.workspace != nullptr && run.workspace->prepaid.has_value() &&
         tokens > 0) {
       auto acquired = totals_.Acquire(run.call.id, run.workspace->name, tokens,
@@ -291,13 +292,21 @@
                 0, 0);
         return;
       }
-      reservation = *std::move(acquired);
+      hold = *std::move(acquired);
+    }
+    if (hold != nullptr) {
+      run.on_sent = [&](absl::Duration expected) {
+        totals_.Prepare(hold, expected);
+      };
+      run.before_answer = [&] {
+        return totals_.Commit(run.call.id, *hold, run.deadline - SteadyNow());
+      };
     }
     const RunSummary summary =
         RequestRun<D>(settings_.run, shared_, run, writer).Run();
     const int64_t used = UsedTokens(run, summary);
-    if (reservation.has_value())
-      totals_.Settle(*reservation, used);
+    if (hold != nullptr)
+      totals_.Finish(*hold, used);
     NoteEnd(run, summary, tokens, used);
   }
 
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -9,8 +9,10 @@
       return "configuration";
     case StoreSubject::kServers:
       return "servers";
-    case StoreSubject::kRouterRecords:
-      return "routers";
+    case StoreSubject::kAuthorities:
+      return "authorities";
+    case StoreSubject::kLevels:
+      return "levels";
   }
   return "";
 }
--- a/hawthornhollow/relay/relay_metrics_test.cc
+++ b/hawthornhollow/relay/relay_metrics_test.cc
@@ -34,11 +34,11 @@
 }
 
 TEST_F(RelayMetricsTest, FailedStoreCall_IsCountedByItsCode) {
-  metrics_.OnStoreCall("put", StoreSubject::kRouterRecords,
+  metrics_.OnStoreCall("put", StoreSubject::kLevels,
                        absl::AbortedError("broken"), absl::Milliseconds(2));
   EXPECT_THAT(metrics_.Render({}),
               HasSubstr("hawthornhollow_store_calls_total{call=\"put\","
-                        "of=\"routers\",result=\"ABORTED\"} 1\n"));
+                        "of=\"levels\",result=\"ABORTED\"} 1\n"));
 }
 
 TEST_F(RelayMetricsTest, AgeOfWhatWasNeverRead_IsNotOnThePage) {
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -10,6 +10,7 @@
 // stream, with a closed connection.
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -61,6 +62,10 @@
   std::string service;
   absl::Time arrived;
   absl::Time deadline;
+  // If set, is told of each try when its answer is expected.
+  std::function<void(absl::Duration expected)> on_sent;
+  // If set, must have returned OK before anything of an answer is delivered.
+  std::function<absl::Status()> before_answer;
 };
 
 // How a run ended, for the log line and the bill.
@@ -74,6 +79,18 @@
   absl::Duration first_event = absl::InfiniteDuration();
 };
 
+// What the caller's leaving has to do with a run.
+struct CallerState {
+  bool gone = false;
+  HttpExchange* exchange = nullptr;  // the try in progress
+
+  void OnGone() {
+    gone = true;
+    if (exchange != nullptr)
+      exchange->Cancel();
+  }
+};
+
 template <Dialect D>
 class RequestRun {
  public:
@@ -89,7 +106,8 @@
   RequestRun& operator=(const RequestRun&) = delete;
 
   RunSummary Run() {
-    writer_.OnClientGone([this] { OnClientGone(); });
+    // The run may end before the callback has its turn.
+    writer_.OnClientGone([caller = caller_] { caller->OnGone(); });
     RetryBudgetOf().OnAttempt();
     last_event_ = request_.call.resume_after;
     while (!TryOnce()) {
@@ -112,12 +130,6 @@
   static constexpr int kServerError = 500;
   static constexpr int kMisdirected = 421;
 
-  void OnClientGone() {
-    client_gone_ = true;
-    if (exchange_ != nullptr)
-      exchange_->Cancel();
-  }
-
   absl::Duration TimeLeft() const { return request_.deadline - SteadyNow(); }
   bool is_stream() const { return request_.route->kind == RouteKind::kStream; }
   // Whether the request may be run again after it may have run.
@@ -135,7 +147,7 @@
 
   // One try at a server; true if the request has ended.
   bool TryOnce() {
-    if (client_gone_)
+    if (caller_->gone)
       return End("caller_gone", 0);
     if (TimeLeft() < options_.min_try)
       return Refuse(summary_.may_have_run ? RelayError::kTimedOut
@@ -181,7 +193,7 @@
       outcome = Outcome::kFailed;
     if (end == TryEnd::kNotSent || end == TryEnd::kSilent)
       outcome = Outcome::kSilent;
-    if (client_gone_)
+    if (caller_->gone)
       outcome = Outcome::kAbandoned;
     shared_.placement->OnFinished(choice, got_first_, outcome, SteadyNow());
     shared_.metrics->OnTry(choice.server.id, NameOf(end));
@@ -192,7 +204,7 @@
         .Add("server", choice.server.id)
         .Add("end", NameOf(end))
         .Add("events", summary_.events)
-        .Add("caller_gone", client_gone_ ? 1 : 0)
+        .Add("caller_gone", caller_->gone ? 1 : 0)
         .Add("left_ms", absl::ToInt64Milliseconds(TimeLeft()))
         .Add("detail", detail_);
   }
@@ -216,7 +228,7 @@
   }
 
   bool MayTryAgain(TryEnd end) {
-    if (client_gone_ || TimeLeft() < options_.min_try)
+    if (caller_->gone || TimeLeft() < options_.min_try)
       return false;
     if (summary_.attempts >= request_.route->max_attempts)
       return false;
@@ -229,7 +241,7 @@
   }
 
   bool EndAfter(TryEnd end) {
-    if (client_gone_)
+    if (caller_->gone)
       return End("caller_gone", 0);
     if (streaming_) {
       writer_.Abort();
@@ -299,11 +311,13 @@
                  ? TryEnd::kNotSent
                  : TryEnd::kBroken;
     }
-    if (client_gone_)
+    if (caller_->gone)
       return TryEnd::kBroken;
-    exchange_ = opened->get();
+    if (request_.on_sent)
+      request_.on_sent(choice.predicted_wait);
+    caller_->exchange = opened->get();
     const TryEnd end = Receive(choice);
-    exchange_ = nullptr;
+    caller_->exchange = nullptr;
     return end;
   }
 
@@ -332,7 +346,7 @@
 
   TryEnd Receive(const PromptPlacement::Choice& choice) {
     for (int strays = 0; strays <= options_.max_stray_answers; ++strays) {
-      auto head = exchange_->ReadHead(HeadPatience());
+      auto head = caller_->exchange->ReadHead(HeadPatience());
       if (!head.ok())
         return FailedRead(head.status());
       const ReplyHead reply = D::DecodeReply(*head);
@@ -390,7 +404,7 @@
 
   absl::Status ReadWhole(std::string* body) {
     while (true) {
-      auto piece = exchange_->ReadSome(TimeLeft());
+      auto piece = caller_->exchange->ReadSome(TimeLeft());
       if (!piece.ok())
         return piece.status();
       if (piece->empty())
@@ -422,7 +436,7 @@
     summary_.may_have_run = true;
     EventSplitter splitter;
     while (true) {
-      auto piece = exchange_->ReadSome(EventPatience());
+      auto piece = caller_->exchange->ReadSome(EventPatience());
       if (!piece.ok())
         return FailedRead(piece.status());
       if (piece->empty())
@@ -438,9 +452,11 @@
     }
   }
 
-  // False once the caller has gone.
+  // False once the request has ended.
   bool Deliver(const ReplyHead& reply, std::string_view bytes) {
     if (!streaming_) {
+      if (!MayAnswer())
+        return false;
       streaming_ = true;
       if (!writer_.StartStream(reply.status, reply.headers).ok()) {
         End("caller_gone", 0);
@@ -453,6 +469,18 @@
     return false;
   }
 
+  // False, with the request ended, if nothing of its answer may be delivered.
+  bool MayAnswer() {
+    if (!request_.before_answer)
+      return true;
+    const absl::Status status = request_.before_answer();
+    if (status.ok())
+      return true;
+    detail_ = std::string(status.message());
+    Refuse(RelayError::kTimedOut);
+    return false;
+  }
+
   TryEnd FinishStream(const ReplyHead& reply, const std::string& rest) {
     if (!Deliver(reply, rest))
       return TryEnd::kAnswered;
@@ -470,8 +498,7 @@
   absl::BitGen random_;
   RunSummary summary_;
   std::set<std::string> avoid_;
-  HttpExchange* exchange_ = nullptr;
-  bool client_gone_ = false;
+  const std::shared_ptr<CallerState> caller_ = std::make_shared<CallerState>();
   bool streaming_ = false;
   bool got_first_ = false;
   std::optional<int64_t> last_event_;
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -1,12 +1,14 @@
 #ifndef HAWTHORNHOLLOW_RELAY_TOTALS_CONTROLLER_H_
 #define HAWTHORNHOLLOW_RELAY_TOTALS_CONTROLLER_H_
 
-// Keeps this router's record of prepaid totals in the store, and reserves
-// tokens for requests. TotalsBook decides; this reads, writes and waits.
+// Reserves and commits tokens of prepaid totals for requests. TotalsBook
+// decides, RecordKeeper keeps its records in the store; this waits, and asks
+// other routers.
 //
 // A request whose tokens are not at hand waits for whichever comes first: the
 // next record, other routers' transfers, other requests' unused tokens, or the
-// schedule of the record, which allows more with time.
+// schedule of the record, which allows more with time. So does the first piece
+// of an answer whose tokens cannot be committed yet.
 
 #include <atomic>
 #include <functional>
@@ -20,30 +22,20 @@
 #include "absl/cleanup/cleanup.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
-#include "hawthornhollow/relay/fiber_signal.h"
+#include "hawthornhollow/relay/record_keeper.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
+#include "hawthornhollow/relay/token_hold.h"
 #include "hawthornhollow/totals/totals.h"
 
 namespace hawthornhollow {
 
 struct TotalsControllerOptions {
   TotalsOptions book;
-  // Between two records, unless requests wait.
-  absl::Duration interval = absl::Milliseconds(300);
-  // A record is renewed at this age even if nothing changed, so that the next
-  // incarnation is charged little of its schedule.
-  absl::Duration renewal = absl::Seconds(1);
-  absl::Duration call_timeout = absl::Milliseconds(500);
-  // After a failed call.
-  absl::Duration retry = absl::Milliseconds(100);
-  // Records of a longer time are not caught up with one by one.
-  absl::Duration catch_up_at_most = absl::Seconds(1);
-  // Between two records, for each router: what all of them write and read grows
-  // with the square of their number.
-  absl::Duration gap_per_router = absl::Milliseconds(4);
-  // Tries to write the last record.
-  int close_tries = 5;
+  RecordKeeperOptions records;
+  // How long before an answer is expected a record is written for it: what two
+  // calls to a store in another failure domain take.
+  absl::Duration commit_ahead = absl::Milliseconds(250);
   // A request waits this long for a record before other routers are asked.
   absl::Duration ask_after = absl::Milliseconds(25);
   // A record older than this shows that the store is out of reach.
@@ -69,12 +61,12 @@
                    const TotalsControllerOptions& options,
                    std::function<void(std::function<void()>)> spawn,
                    AskForTokens ask)
-      : store_(store),
-        metrics_(metrics),
+      : metrics_(metrics),
         options_(options),
         spawn_(std::move(spawn)),
         ask_(std::move(ask)),
-        book_(options.book) {}
+        book_(options.book),
+        records_(store, metrics, options.records, book_) {}
   TotalsController(const TotalsController&) = delete;
   TotalsController& operator=(const TotalsController&) = delete;
 
@@ -92,26 +84,27 @@
       }
       book_.SetTotal(workspace.name, *workspace.prepaid);
     }
-    changed_.Notify();
+    records_.changed().Notify();
   }
 
   // Reserves within `timeout`. RESOURCE_EXHAUSTED if the total is spent,
   // UNAVAILABLE if tokens may be left but could not be had.
-  absl::StatusOr<Reservation> Acquire(const std::string& request,
-                                      const std::string& workspace,
-                                      int64_t tokens,
-                                      absl::Duration timeout) {
+  absl::StatusOr<std::shared_ptr<TokenHold>> Acquire(
+      const std::string& request,
+      const std::string& workspace,
+      int64_t tokens,
+      absl::Duration timeout) {
     if (auto reserved = book_.Reserve(workspace, tokens, BootTime()))
-      return *std::move(reserved);
+      return std::make_shared<TokenHold>(*std::move(reserved));
     book_.AddWaiting(workspace, tokens);
     const absl::Cleanup withdraw = [&] {
       book_.RemoveWaiting(workspace, tokens);
     };
     const absl::Time begun = SteadyNow();
     while (true) {
-      const uint64_t seen = changed_.changes();
+      const uint64_t seen = records_.changed().changes();
       if (auto reserved = book_.Reserve(workspace, tokens, BootTime()))
-        return *std::move(reserved);
+        return std::make_shared<TokenHold>(*std::move(reserved));
       if (book_.started() && book_.IsSpent(workspace, tokens))
         return Refuse(absl::StatusCode::kResourceExhausted, request, workspace,
                       tokens);
@@ -119,16 +112,58 @@
       if (waited >= timeout)
         return Refuse(absl::StatusCode::kUnavailable, request, workspace,
                       tokens);
-      wanted_.Notify();
+      records_.WantAuthority();
+      records_.WantLevel();
       if (waited >= options_.ask_after || IsCutOff())
         StartAsking(workspace);
-      changed_.WaitBeyond(seen, std::min(timeout - waited, options_.ask_after));
+      records_.changed().WaitBeyond(
+          seen, std::min(timeout - waited, options_.ask_after));
     }
   }
 
-  void Settle(const Reservation& reservation, int64_t used) {
-    book_.Settle(reservation, used);
-    changed_.Notify();
+  // The answer is expected in so long: has a record written just before, if
+  // one is needed, so that the answer need not wait for it.
+  void Prepare(const std::shared_ptr<TokenHold>& hold,
+               absl::Duration expected) {
+    if (expected <= options_.commit_ahead)
+      return Announce(*hold);
+    spawn_([this, hold, delay = expected - options_.commit_ahead] {
+      hawthornhollow::SleepFor(delay);
+      Announce(*hold);
+    });
+  }
+
+  // To be called, until it is OK, before anything of the answer is delivered.
+  // UNAVAILABLE if the tokens cannot be committed within `timeout`.
+  absl::Status Commit(const std::string& request,
+                      TokenHold& hold,
+                      absl::Duration timeout) {
+    const absl::Time begun = SteadyNow();
+    while (true) {
+      const uint64_t seen = records_.changed().changes();
+      if (book_.Commit(hold.reservation_, BootTime())) {
+        Move(hold, TokenHold::State::kCommitted);
+        return absl::OkStatus();
+      }
+      const absl::Duration waited = SteadyNow() - begun;
+      if (waited >= timeout)
+        return RefuseCommit(request, hold.reservation_, waited);
+      Move(hold, TokenHold::State::kCommitting);
+      records_.WantLevel();
+      records_.changed().WaitBeyond(
+          seen, std::min(timeout - waited, options_.ask_after));
+    }
+  }
+
+  // The request has ended, having used so much of what was committed.
+  void Finish(TokenHold& hold, int64_t used) {
+    const bool committed = hold.is_committed();
+    Move(hold, TokenHold::State::kEnded);
+    if (committed)
+      book_.Settle(hold.reservation_, used);
+    else
+      book_.Release(hold.reservation_);
+    records_.changed().Notify();
   }
 
   // Another router asks.
@@ -138,57 +173,49 @@
 
   // Over all workspaces.
   TotalsSum sum() const { return book_.sum(BootTime()); }
-  // Since this router's record was last durable.
-  absl::Duration record_age() const {
-    return last_durable_ == absl::ZeroDuration() ? absl::InfiniteDuration()
-                                                 : BootTime() - last_durable_;
-  }
+  // Since this router's level record was last durable.
+  absl::Duration record_age() const { return records_.age(); }
   // This one included.
   size_t router_count() const { return book_.router_count(); }
   // Addresses of the other routers.
   std::vector<std::string> peers() const {
     std::vector<std::string> addresses;
-    for (const auto& [router, record] : book_.others()) {
-      if (!record.address.empty())
-        addresses.push_back(record.address);
+    for (const auto& [router, records] : book_.others()) {
+      if (records.authority.has_value() && !records.authority->address.empty())
+        addresses.push_back(records.authority->address);
     }
     return addresses;
   }
 
-  // Keeps the record until `stop`. One fiber runs this.
-  void Run(const std::atomic<bool>& stop) {
-    running_ = true;
-    const absl::Cleanup ended = [this] {
-      running_ = false;
-      changed_.Notify();
-    };
-    while (!stop) {
-      const uint64_t seen = wanted_.changes();
-      const bool ok = book_.started() ? Sync() : Join();
-      if (!ok) {
-        hawthornhollow::SleepFor(options_.retry);
-        continue;
-      }
-      wanted_.WaitBeyond(seen, options_.interval);
-      const absl::Duration gap =
-          options_.gap_per_router * static_cast<int64_t>(book_.router_count());
-      hawthornhollow::SleepFor(last_put_ + gap - SteadyNow());
-    }
+  // Each keeps one of the records until `stop`, on a fiber of its own.
+  void KeepAuthority(const std::atomic<bool>& stop) {
+    records_.KeepAuthority(stop);
   }
+  void KeepLevel(const std::atomic<bool>& stop) { records_.KeepLevel(stop); }
 
-  // Writes what is committed, and gives the rest back. For the end of the
-  // process, once no request is in progress and Run was told to stop.
-  void Close() {
-    AwaitRunEnd();
-    bool closed = false;
-    for (int i = 0; i < options_.close_tries && !closed; ++i)
-      closed = TryClose();
-    LogEvent("total.closed",
-             closed ? LogSeverity::kInfo : LogSeverity::kWarning)
-        .Add("written", closed ? 1 : 0);
-  }
+  // Gives back what is not used. For the end of the process, once no request is
+  // in progress and both fibers were told to stop.
+  void Close() { records_.Close(); }
 
  private:
+  void Announce(TokenHold& hold) {
+    if (hold.state_ != TokenHold::State::kHeld ||
+        book_.CanCommitBy(hold.reservation_, BootTime()))
+      return;
+    Move(hold, TokenHold::State::kCommitting);
+    records_.WantLevel();
+  }
+
+  void Move(TokenHold& hold, TokenHold::State state) {
+    const bool was_committing = hold.state_ == TokenHold::State::kCommitting;
+    const bool is_committing = state == TokenHold::State::kCommitting;
+    if (is_committing && !was_committing)
+      book_.AddCommitting(hold.reservation_);
+    if (was_committing && !is_committing)
+      book_.RemoveCommitting(hold.reservation_);
+    hold.state_ = state;
+  }
+
   absl::Status Refuse(absl::StatusCode code,
                       const std::string& request,
                       const std::string& workspace,
@@ -204,174 +231,31 @@
         .Add("committed", state.committed)
         .Add("unassigned", state.unassigned)
         .Add("available", state.available)
-        .Add("record_age_ms",
-             absl::ToInt64Milliseconds(BootTime() - last_durable_));
+        .Add("record_age_ms", RecordAgeMs());
     return ErrorAt(code, "totals.acquire", workspace, "not enough tokens");
   }
 
-  void AwaitRunEnd() {
-    wanted_.Notify();
-    const absl::Time end = SteadyNow() + options_.call_timeout * 2;
-    while (running_ && SteadyNow() < end)
-      changed_.WaitBeyond(changed_.changes(), end - SteadyNow());
-  }
-
-  bool TryClose() {
-    if (running_)
-      return false;
-    if (!book_.started())
-      return true;
-    if (book_.has_pending_record() && !Resolve())
-      return false;
-    if (!Follow())
-      return false;
-    record_ = EncodeRouterRecord(book_.MakeLastRecord(BootTime()));
-    record_at_ = end_;
-    return Put(/*again=*/false) && put_;
-  }
-
-  bool IsCutOff() const {
-    return BootTime() - last_durable_ > options_.cut_off_after;
-  }
-
-  // Reads all records and begins this incarnation.
-  bool Join() {
-    auto page =
-        store_.Newest(StoreSubject::kRouterRecords, options_.call_timeout);
-    if (!page.ok())
-      return false;
-    std::optional<fb::RouterRecordT> previous;
-    for (const StoredValue& value : page->values) {
-      auto record = DecodeStored(value);
-      if (!record.has_value()) {
-        // Without its own record nobody knows what the router has committed.
-        if (value.key == options_.book.router)
-          return false;
-        continue;
-      }
-      if (record->router == options_.book.router)
-        previous = *std::move(record);
-      else
-        book_.ApplyRecord(*std::move(record));
-    }
-    end_ = page->end;
-    followed_at_ = SteadyNow();
-    for (const Inheritance& inherited : book_.Start(previous, BootTime())) {
-      metrics_.OnTokensCharged(inherited.charged - inherited.recorded);
-      LogEvent("total.inherited")
-          .Add("workspace", inherited.workspace)
-          .Add("recorded", inherited.recorded)
-          .Add("charged", inherited.charged)
-          .Add("authority", inherited.authority)
-          .Add("record_age_ms",
-               (absl::ToInt64Microseconds(BootTime()) - previous->written_us) /
-                   1000);
-    }
-    LogEvent("total.started")
-        .Add("routers", static_cast<int64_t>(book_.router_count()))
-        .Add("previous_epoch", previous.has_value() ? previous->epoch : 0)
-        .Add("same_boot",
-             previous.has_value() && previous->boot == options_.book.boot ? 1
-                                                                          : 0);
-    return Sync();
-  }
-
-  bool Sync() {
-    if (book_.has_pending_record())
-      return Resolve();
-    if (!Follow())
-      return false;
-    const absl::Duration now = BootTime();
-    if (!book_.WantsRecord(now) && now - last_durable_ < options_.renewal)
-      return true;
-    record_ = EncodeRouterRecord(book_.MakeRecord(now));
-    record_at_ = end_;
-    return Put(/*again=*/false);
-  }
-
-  // The outcome of the pending record's append is not known: the same append
-  // under the same condition finds it out.
-  bool Resolve() { return Put(/*again=*/true); }
-
-  // Whether the store answered. `put_` tells whether the record is durable.
-  bool Put(bool again) {
-    last_put_ = SteadyNow();
-    put_ = false;
-    auto end = store_.PutAt(StoreSubject::kRouterRecords, options_.book.router,
-                            record_, record_at_, options_.call_timeout);
-    if (end.ok()) {
-      end_ = *end;
-      OnDurable();
-      return true;
-    }
-    if (end.status().code() != absl::StatusCode::kFailedPrecondition)
-      return false;
-    // Others wrote, or an earlier try of this very append took effect.
-    own_seen_ = false;
-    if (again && !Follow())
-      return false;
-    if (again && own_seen_) {
-      OnDurable();
-      return true;
-    }
-    book_.OnRecordRefused();
-    return true;
-  }
-
-  void OnDurable() {
-    put_ = true;
-    last_durable_ = absl::Microseconds(book_.pending_record()->written_us);
-    book_.OnRecordDurable();
-    changed_.Notify();
-  }
-
-  // Reads the records that came since.
-  bool Follow() {
-    // After an outage the newest records are fewer than all that came.
-    const bool behind = SteadyNow() - followed_at_ > options_.catch_up_at_most;
-    absl::StatusOr<StoredPage> page = absl::OutOfRangeError("behind");
-    if (!behind) {
-      page = store_.ReadFrom(StoreSubject::kRouterRecords, end_,
-                             options_.call_timeout);
-    }
-    if (!page.ok() && page.status().code() == absl::StatusCode::kOutOfRange)
-      page = store_.Newest(StoreSubject::kRouterRecords, options_.call_timeout);
-    if (!page.ok())
-      return false;
-    for (const StoredValue& value : page->values)
-      ApplyStored(value);
-    end_ = std::max(end_, page->end);
-    followed_at_ = SteadyNow();
-    if (!page->values.empty())
-      changed_.Notify();
-    return true;
+  absl::Status RefuseCommit(const std::string& request,
+                            const Reservation& reservation,
+                            absl::Duration waited) {
+    LogEvent("total.not_committed", LogSeverity::kWarning)
+        .Add("request", request)
+        .Add("workspace", reservation.workspace)
+        .Add("tokens", reservation.tokens())
+        .Add("waited_ms", absl::ToInt64Milliseconds(waited))
+        .Add("record_age_ms", RecordAgeMs());
+    return ErrorAt(absl::StatusCode::kUnavailable, "totals.commit",
+                   reservation.workspace, "no record in time");
   }
 
-  static std::optional<fb::RouterRecordT> DecodeStored(
-      const StoredValue& value) {
-    auto record = DecodeRouterRecord(value.value);
-    if (record.ok())
-      return *std::move(record);
-    LogEvent("total.record_rejected", LogSeverity::kError)
-        .Add("key", value.key)
-        .Add("offset", value.offset)
-        .Add("reason", record.status());
-    return std::nullopt;
+  // -1: nothing has been written yet.
+  int64_t RecordAgeMs() const {
+    const absl::Duration age = records_.age();
+    return age == absl::InfiniteDuration() ? -1
+                                           : absl::ToInt64Milliseconds(age);
   }
 
-  void ApplyStored(const StoredValue& value) {
-    auto record = DecodeStored(value);
-    if (!record.has_value())
-      return;
-    if (record->router != options_.book.router) {
-      book_.ApplyRecord(*std::move(record));
-      return;
-    }
-    const auto& pending = book_.pending_record();
-    if (pending.has_value() && record->epoch == pending->epoch &&
-        record->sequence == pending->sequence)
-      own_seen_ = true;
-  }
+  bool IsCutOff() const { return records_.age() > options_.cut_off_after; }
 
   // Asks the other routers for what requests of the workspace wait for, one
   // round at a time.
@@ -383,7 +267,7 @@
     spawn_([this, workspace] {
       AskOthers(workspace);
       asking_.erase(workspace);
-      changed_.Notify();
+      records_.changed().Notify();
     });
   }
 
@@ -405,28 +289,17 @@
       }
       if (*given > 0) {
         book_.ReceiveTransfer(workspace, *given);
-        changed_.Notify();
+        records_.changed().Notify();
       }
     }
   }
 
-  Store& store_;
   RelayMetrics& metrics_;
   const TotalsControllerOptions options_;
   const std::function<void(std::function<void()>)> spawn_;
   const AskForTokens ask_;
   TotalsBook book_;
-  FiberSignal wanted_;   // requests wait for a record
-  FiberSignal changed_;  // tokens may be at hand
-  int64_t end_ = 0;      // of the records, as read
-  absl::Time followed_at_ = absl::InfinitePast();
-  std::string record_;  // the pending one's bytes
-  int64_t record_at_ = 0;
-  bool own_seen_ = false;
-  bool put_ = false;
-  absl::Time last_put_ = absl::InfinitePast();
-  bool running_ = false;
-  absl::Duration last_durable_ = absl::ZeroDuration();
+  RecordKeeper<Store> records_;
   std::set<std::string> asking_;
   std::map<std::string, absl::Time> next_ask_;
   std::map<std::string, absl::Time> paused_;
--- a/hawthornhollow/relay/totals_controller_test.cc
+++ b/hawthornhollow/relay/totals_controller_test.cc
@@ -19,58 +19,86 @@
  public:
   explicit FakeStore(double lost_answers) : lost_answers_(lost_answers) {}
 
-  absl::StatusOr<StoredPage> Newest(StoreSubject /*subject*/,
+  absl::StatusOr<StoredPage> Newest(StoreSubject subject,
                                     absl::Duration /*timeout*/) {
     std::map<std::string, StoredValue> newest;
-    for (const StoredValue& value : log_)
+    for (const StoredValue& value : logs_[subject])
       newest[value.key] = value;
-    StoredPage page{.end = end()};
+    StoredPage page{.end = end(subject)};
     for (auto& [key, value] : newest)
       page.values.push_back(value);
     return page;
   }
 
-  absl::StatusOr<StoredPage> ReadFrom(StoreSubject /*subject*/,
+  absl::StatusOr<StoredPage> ReadFrom(StoreSubject subject,
                                       int64_t offset,
                                       absl::Duration /*timeout*/) {
     hawthornhollow::SleepFor(absl::Milliseconds(1));
-    StoredPage page{.end = end()};
-    page.values.assign(log_.begin() + offset, log_.end());
+    StoredPage page{.end = end(subject)};
+    page.values.assign(logs_[subject].begin() + offset, logs_[subject].end());
     return page;
   }
 
-  absl::StatusOr<int64_t> PutAt(StoreSubject /*subject*/,
+  absl::StatusOr<int64_t> PutAt(StoreSubject subject,
                                 const std::string& key,
                                 const std::string& value,
                                 int64_t at,
                                 absl::Duration /*timeout*/) {
     hawthornhollow::SleepFor(absl::Milliseconds(1));
-    if (at != end())
+    if (at != end(subject))
       return absl::FailedPreconditionError("not the end");
-    log_.push_back({.key = key, .value = value, .offset = end()});
-    if (std::bernoulli_distribution(lost_answers_)(random_))
+    logs_[subject].push_back(
+        {.key = key, .value = value, .offset = end(subject)});
+    if (IsAnswerLost())
       return absl::AbortedError("connection reset");
-    return end();
+    return end(subject);
+  }
+
+  absl::Status PutNext(StoreSubject subject,
+                       const std::string& key,
+                       const std::string& value,
+                       const WriterPlace& place,
+                       absl::Duration /*timeout*/) {
+    hawthornhollow::SleepFor(absl::Milliseconds(1));
+    WriterPlace& last = last_[place.writer];
+    const bool follows =
+        place.epoch > last.epoch ||
+        (place.epoch == last.epoch && place.sequence == last.sequence + 1);
+    if (!follows && place != last)
+      return absl::FailedPreconditionError("does not follow");
+    if (follows) {
+      logs_[subject].push_back(
+          {.key = key, .value = value, .offset = end(subject)});
+    }
+    last = place;
+    return IsAnswerLost() ? absl::AbortedError("connection reset")
+                          : absl::OkStatus();
   }
 
   // Of all routers' newest records.
   int64_t Authorities() {
     int64_t sum = 0;
-    const auto page = Newest(StoreSubject::kRouterRecords, {});
+    const auto page = Newest(StoreSubject::kAuthorities, {});
     for (const StoredValue& value : page->values) {
-      const auto record = DecodeRouterRecord(value.value);
+      const auto record = DecodeAuthority(value.value);
       for (const auto& share : record->shares)
-        sum += share->authority;
+        sum += share->tokens;
     }
     return sum;
   }
 
  private:
-  int64_t end() const { return static_cast<int64_t>(log_.size()); }
+  int64_t end(StoreSubject subject) {
+    return static_cast<int64_t>(logs_[subject].size());
+  }
+  bool IsAnswerLost() {
+    return std::bernoulli_distribution(lost_answers_)(random_);
+  }
 
   const double lost_answers_;
   std::mt19937_64 random_{5};
-  std::vector<StoredValue> log_;
+  std::map<StoreSubject, std::vector<StoredValue>> logs_;
+  std::map<std::string, WriterPlace> last_;
 };
 
 class TotalsControllerTest : public testing::TestWithParam<double> {
@@ -89,7 +117,7 @@
           store_, metrics_,
           TotalsControllerOptions{
               .book = {.router = "router-" + std::to_string(i), .boot = "b"},
-              .interval = absl::Milliseconds(10)},
+              .records = {.interval = absl::Milliseconds(10)}},
           [this](std::function<void()> task) {
             runtime_->Spawn(std::move(task));
           },
@@ -119,18 +147,21 @@
 TEST_P(TotalsControllerTest, RoutersDrawingTheTotalDown_NeverOverdrawIt) {
   int64_t granted = 0;
   RunOnFiber([&] {
-    for (auto& controller : controllers_)
-      runtime_->Spawn([&] { controller->Run(stop_); });
+    for (auto& controller : controllers_) {
+      runtime_->Spawn([&] { controller->KeepAuthority(stop_); });
+      runtime_->Spawn([&] { controller->KeepLevel(stop_); });
+    }
     for (int round = 0; round < 120; ++round) {
       for (auto& controller : controllers_) {
         const auto reserved = controller->Acquire("r", kWard, kRequestTokens,
                                                   absl::Milliseconds(20));
         if (!reserved.ok())
           continue;
-        granted += reserved->tokens();
         if (round % 3 == 0) {
-          controller->Settle(*reserved, 0);
-          granted -= reserved->tokens();
+          controller->Finish(**reserved, 0);
+        } else if (controller->Commit("r", **reserved, absl::Milliseconds(50))
+                       .ok()) {
+          granted += (*reserved)->reservation().tokens();
         }
         EXPECT_LE(store_.Authorities(), kTotal);
       }
--- /dev/null
+++ b/hawthornhollow/totals/shares_internal.h
@@ -0,0 +1,37 @@
+#ifndef HAWTHORNHOLLOW_TOTALS_SHARES_INTERNAL_H_
+#define HAWTHORNHOLLOW_TOTALS_SHARES_INTERNAL_H_
+
+// Looking up a workspace in a record. Private to totals.
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+#include "hawthornhollow/totals/totals.h"
+
+namespace hawthornhollow {
+
+// The workspace's share of a record, or null.
+template <typename Record>
+auto FindShare(const Record& record, const std::string& workspace) {
+  const auto found = std::find_if(
+      record.shares.begin(), record.shares.end(),
+      [&](const auto& share) { return share->workspace == workspace; });
+  return found == record.shares.end() ? nullptr : found->get();
+}
+
+template <typename Record>
+auto FindShare(const std::optional<Record>& record,
+               const std::string& workspace) {
+  return record.has_value() ? FindShare(*record, workspace)
+                            : decltype(FindShare(*record, workspace))();
+}
+
+inline absl::Duration AgeOf(const fb::LevelRecordT& record,
+                            absl::Duration now) {
+  return now - absl::Microseconds(record.written_us);
+}
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_TOTALS_SHARES_INTERNAL_H_
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -4,21 +4,33 @@
 // Prepaid totals of workspaces, drawn on by many routers that share only a
 // store of records. Decisions only: no I/O, no clock, no locks.
 //
-// Each router keeps one record in the store: per workspace what it has
-// committed (used, or reserved at the worst case) and an authority, the level
-// to which its commitments may rise. The authorities of all routers together
-// never exceed the total, so nobody overdraws it, whoever is cut off.
+// Each router keeps two records in the store. Its authority record says how far
+// its commitments may rise, for each workspace; the authorities of all routers
+// together never exceed the total, so nobody overdraws it, whoever is cut off.
+// Its level record says how much of that it has committed: what is used, and
+// what is reserved at the worst case for answers on their way to callers.
+// Authorities are written seldom and in turn, levels often and by each router
+// apart.
+//
+// A reservation is held until the first piece of the answer is at hand, then
+// committed, and only then may the piece be delivered. Held tokens die with the
+// router, and nobody is charged for them.
 //
 //   TotalsBook book({.router = "router-1", .boot = boot, .address = "..."});
 //   book.SetTotal("ward-7", 500'000);
-//   book.ApplyRecord(record_of_another_router);
-//   book.Start(previous_record_of_this_router, now);
+//   book.ApplyAuthority(record_of_another_router);
+//   book.ApplyLevel(record_of_another_router);
+//   book.Start(previous_records_of_this_router, born);
 //   std::optional<Reservation> r = book.Reserve("ward-7", 1'700, now);
-//   ... run the request ...
-//   book.Settle(*r, used_tokens);
+//   ... send the request to a server, and with the first piece of its answer
+//   if (book.Commit(*r, now))
+//     ... deliver the answer ...
+//   book.Settle(*r, used_tokens);  // or Release(*r), if it was not committed
 //
-//   fb::RouterRecordT record = book.MakeRecord(now);  // append it, then
-//   book.OnRecordDurable();                           // or OnRecordRefused()
+//   fb::AuthorityRecordT authority = book.MakeAuthority(now);  // put it, then
+//   book.OnAuthorityDurable();                 // or OnAuthorityRefused()
+//   fb::LevelRecordT level = book.MakeLevel(now);              // as well
+//   book.OnLevelDurable();                     // or OnLevelRefused()
 //
 // `now` is always the VM's clock that goes on while the VM is suspended, as the
 // time since its boot. totals_book.cc has the argument of why a router that is
@@ -38,13 +50,21 @@
 
 namespace hawthornhollow {
 
-// The level that a router may have committed to by the time its record is
-// `age` old, as far as the record allows.
-int64_t SpendingLimit(const fb::TotalShareT& share, absl::Duration age);
+// The level that a router may have committed to by the time its level record is
+// `age` old, as far as the record's schedule goes.
+int64_t ScheduleLimit(const fb::LevelShareT& share, absl::Duration age);
 
 // A record's bytes in the store, and back. DATA_LOSS if they are not a record.
-std::string EncodeRouterRecord(const fb::RouterRecordT& record);
-absl::StatusOr<fb::RouterRecordT> DecodeRouterRecord(std::string_view bytes);
+std::string EncodeAuthority(const fb::AuthorityRecordT& record);
+absl::StatusOr<fb::AuthorityRecordT> DecodeAuthority(std::string_view bytes);
+std::string EncodeLevel(const fb::LevelRecordT& record);
+absl::StatusOr<fb::LevelRecordT> DecodeLevel(std::string_view bytes);
+
+// What one router has in the store.
+struct RouterRecords {
+  std::optional<fb::AuthorityRecordT> authority;
+  std::optional<fb::LevelRecordT> level;
+};
 
 // Tokens taken from a workspace's total for one request.
 struct Reservation {
@@ -75,18 +95,25 @@
   double reserve_share = 0.2;
   // The time over which demand is averaged.
   absl::Duration demand_time = absl::Seconds(5);
-  // Requests of the usual size that may be reserved at once without a record,
-  // when the last one is older than `burst_after`. A killed router is back
-  // before that, and is charged nothing for them.
-  int64_t burst_requests = 2;
-  absl::Duration burst_after = absl::Milliseconds(1200);
+  // A level record older than this shows that the store is out of reach: the
+  // schedule goes by demand then, and what was held when it was written may be
+  // committed, with so many requests of the usual size besides.
+  absl::Duration late_after = absl::Milliseconds(750);
+  int64_t late_requests = 2;
+  // Before that the schedule allows no more than this share of a total. A
+  // router that is killed is back sooner, and is charged no more.
+  double kill_share = 0.01;
+  // While the last level record is younger than this, the next one will come in
+  // time, and only the authority bounds what is held. After it the schedule
+  // does.
+  absl::Duration trusted_age = absl::Milliseconds(300);
   friend auto operator<=>(const TotalsOptions&, const TotalsOptions&) = default;
 };
 
 // How far a workspace's total has been drawn on, as known here.
 struct TotalState {
   int64_t total = 0;
-  int64_t committed = 0;   // by all routers, as of their newest records
+  int64_t committed = 0;   // or held, by all routers, by their newest records
   int64_t available = 0;   // to this router right now
   int64_t unassigned = 0;  // of the total, to no router
   friend auto operator<=>(const TotalState&, const TotalState&) = default;
@@ -102,7 +129,7 @@
 // What an incarnation was charged for the commitments of the one before it.
 struct Inheritance {
   std::string workspace;
-  int64_t recorded = 0;   // committed, as the last record said
+  int64_t recorded = 0;   // committed, as the last level record said
   int64_t charged = 0;    // at most committed by its end
   int64_t authority = 0;  // of the last record
   friend auto operator<=>(const Inheritance&, const Inheritance&) = default;
@@ -112,36 +139,52 @@
  public:
   explicit TotalsBook(const TotalsOptions& options);
 
+  const std::string& router() const { return options_.router; }
+  const std::string& boot() const { return options_.boot; }
+
   // The total of a workspace; a top-up raises it.
   void SetTotal(std::string_view workspace, int64_t tokens);
 
-  // The newest record of another router. Older ones change nothing.
-  void ApplyRecord(fb::RouterRecordT record);
+  // The newest records of other routers. Older ones change nothing.
+  void ApplyAuthority(fb::AuthorityRecordT record);
+  void ApplyLevel(fb::LevelRecordT record);
   // With this one, and with those that left a record and are gone.
   size_t router_count() const { return others_.size() + 1; }
-  const std::map<std::string, fb::RouterRecordT>& others() const {
-    return others_;
-  }
+  const std::map<std::string, RouterRecords>& others() const { return others_; }
 
-  // Begins an incarnation with the record that the last one on this VM left, if
-  // any. Nothing may be reserved from the authority before the first record is
-  // durable.
-  std::vector<Inheritance> Start(
-      const std::optional<fb::RouterRecordT>& previous,
-      absl::Duration now);
+  // Begins an incarnation with the records that the last one on this VM left.
+  // `born` is a time by which that one had ended: when this process began.
+  // Nothing may be committed before the first level record is durable.
+  std::vector<Inheritance> Start(const RouterRecords& previous,
+                                 absl::Duration born);
+  // An authority record of this router that this incarnation did not put: the
+  // last one sent it, and it took effect late.
+  void OnStrayAuthority(const fb::AuthorityRecordT& record);
   bool started() const { return started_; }
 
-  // Takes `tokens` if they are at hand now.
+  // Holds `tokens` if they are at hand now.
   std::optional<Reservation> Reserve(const std::string& workspace,
                                      int64_t tokens,
                                      absl::Duration now);
-  // Gives back what was reserved and not used. `used` above the reservation is
+  // Whether Commit would do by then, after those that were added to be
+  // committed.
+  bool CanCommitBy(const Reservation& reservation, absl::Duration then) const;
+  // Whether what is held may be used from now on. At most once for each
+  // reservation; after false it may be tried again.
+  bool Commit(const Reservation& reservation, absl::Duration now);
+  // Gives back a reservation that was not committed.
+  void Release(const Reservation& reservation);
+  // Gives back what was committed and not used. `used` above the reservation is
   // counted as the reservation.
   void Settle(const Reservation& reservation, int64_t used);
 
   // What a request that could not be reserved asks for, until it is withdrawn.
   void AddWaiting(const std::string& workspace, int64_t tokens);
   void RemoveWaiting(const std::string& workspace, int64_t tokens);
+  // A reservation that could not be committed yet, until it is withdrawn. The
+  // next record has room for it.
+  void AddCommitting(const Reservation& reservation);
+  void RemoveCommitting(const Reservation& reservation);
 
   // Whether `tokens` cannot be had from any router: what all of them have
   // committed leaves less of the total.
@@ -151,22 +194,33 @@
   // What waiting requests lack.
   int64_t Missing(const std::string& workspace, absl::Duration now) const;
 
-  // The record to be put into the store next, on the condition that no record
-  // has come after those applied here. Until the outcome is known spending
-  // stays within both this record and the durable one.
-  fb::RouterRecordT MakeRecord(absl::Duration now);
-  // The last record of an incarnation that ends in order: nothing more may be
-  // committed under it, so that the next incarnation inherits what was.
-  fb::RouterRecordT MakeLastRecord(absl::Duration now);
-  bool has_pending_record() const { return pending_.has_value(); }
-  const std::optional<fb::RouterRecordT>& pending_record() const {
-    return pending_;
+  // The authority record to be put next, on the condition that no authority
+  // record has come after those applied here. Until the outcome is known this
+  // stays within both it and the durable one.
+  fb::AuthorityRecordT MakeAuthority(absl::Duration now);
+  const std::optional<fb::AuthorityRecordT>& pending_authority() const {
+    return pending_authority_;
+  }
+  void OnAuthorityDurable();
+  void OnAuthorityRefused();
+  // Whether the durable record allows less than what is needed or more than
+  // what is used, by enough to be worth a record.
+  bool WantsAuthority(absl::Duration now) const;
+
+  // The level record to be put next, on the condition that it follows this
+  // router's last one. Until the outcome is known this stays within both.
+  fb::LevelRecordT MakeLevel(absl::Duration now);
+  const std::optional<fb::LevelRecordT>& pending_level() const {
+    return pending_level_;
   }
-  void OnRecordDurable();
-  void OnRecordRefused();
-  // Whether the durable record says less than what is needed or more than what
-  // is used, by enough to be worth a record.
-  bool WantsRecord(absl::Duration now) const;
+  void OnLevelDurable();
+  // It did not take effect and never will: another epoch begins.
+  void OnLevelRefused();
+  bool WantsLevel(absl::Duration now) const;
+
+  // From now on nothing is committed, and records give back what is not used.
+  // For an incarnation that ends in order.
+  void BeginClosing() { closing_ = true; }
 
   // Hands over up to `wanted` tokens: they count as committed here, and as a
   // transfer to whoever asked.
@@ -179,8 +233,10 @@
   // This router's part of one workspace's total.
   struct Holding {
     int64_t committed = 0;
-    int64_t transfers = 0;  // handed over by other routers, not yet reserved
-    int64_t waiting = 0;
+    int64_t held = 0;
+    int64_t transfers = 0;   // handed over by other routers, not yet reserved
+    int64_t waiting = 0;     // to be held
+    int64_t committing = 0;  // held, waiting to be committed
     // Demand: tokens asked for, as a decaying sum, and the usual request.
     double recent_tokens = 0;
     double usual_request = 0;
@@ -190,9 +246,19 @@
   Holding& HoldingOf(const std::string& workspace);
   const Holding* FindHolding(const std::string& workspace) const;
   int64_t TotalOf(const std::string& workspace) const;
+  // What may be committed by `now`, and what ever may be, by all records.
   int64_t LimitNow(const std::string& workspace, absl::Duration now) const;
+  int64_t AuthorityNow(const std::string& workspace) const;
+  // Of the authority, what may be held or given away.
+  int64_t FreeNow(const std::string& workspace,
+                  const Holding& holding,
+                  absl::Duration now) const;
+  bool IsTrusted(absl::Duration now) const;
+  // Whether an authority record of this epoch is durable.
+  bool HasOwnAuthority() const;
   int64_t DurableAuthority(const std::string& workspace) const;
   int64_t OthersAuthority(const std::string& workspace) const;
+  // Held included.
   int64_t OthersCommitted(const std::string& workspace) const;
   int64_t OthersDemand(const std::string& workspace) const;
   double DemandShare(const std::string& workspace,
@@ -203,19 +269,26 @@
   int64_t WantedHeadroom(const std::string& workspace,
                          const Holding& holding,
                          absl::Duration now) const;
-  fb::TotalShareT MakeShare(const std::string& workspace,
-                            const Holding& holding,
-                            absl::Duration now) const;
+  int64_t WantedAuthority(const std::string& workspace,
+                          const Holding& holding,
+                          absl::Duration now) const;
+  fb::LevelShareT MakeLevelShare(const std::string& workspace,
+                                 const Holding& holding,
+                                 absl::Duration now) const;
 
   const TotalsOptions options_;
   std::map<std::string, int64_t, std::less<>> totals_;
-  std::map<std::string, fb::RouterRecordT> others_;
+  std::map<std::string, RouterRecords> others_;
   std::map<std::string, Holding> holdings_;
-  std::optional<fb::RouterRecordT> durable_;
-  std::optional<fb::RouterRecordT> pending_;
+  std::optional<fb::AuthorityRecordT> durable_authority_;
+  std::optional<fb::AuthorityRecordT> pending_authority_;
+  std::optional<fb::LevelRecordT> durable_level_;
+  std::optional<fb::LevelRecordT> pending_level_;
   bool started_ = false;
+  bool closing_ = false;
   int64_t epoch_ = 0;
-  int64_t sequence_ = 0;
+  int64_t authority_sequence_ = 0;
+  int64_t level_sequence_ = 0;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -1,24 +1,33 @@
 // Why a total is never overdrawn.
 //
-// Let A(r) be the authority of router r's newest record in the store. A record
-// that raises A(r) is appended only on the condition that no record came after
-// those that its writer had read, and MakeRecord raises A(r) by no more than
-// the total less the sum of all A. So the sum of all A never exceeds the total,
-// and each router's commitments stay at or below its A.
+// Let A(r) be what router r's newest authority record in the store allows. A
+// record that raises A(r) is put on the condition that no authority record came
+// after those that its writer had read, and MakeAuthority raises A(r) by no
+// more than the total less the sum of all A. So the sum of all A never exceeds
+// the total, and each router's commitments stay at or below its A. So does what
+// it holds besides, so that what it holds can be committed in the end.
 //
-// Two records of one router may matter at a time: the durable one, and one
-// whose append was sent and whose outcome is not known. Spending stays within
-// both (LimitNow), so it does not matter which of them is in force.
+// Two records of one kind may matter at a time: the durable one, and one that
+// was sent and whose outcome is not known. Commitments stay within both
+// (LimitNow), so it does not matter which of them is in force.
 //
-// A killed router's record stays. Only its next incarnation on the same VM
-// replaces it, and one VM runs one router, so that the dead one's commitments
-// are final by then. They are bounded twice: by its authority, and by the
-// schedule of the record, committed + burst + per_second * age. The age is
-// measured by the VM's clock, which the dead incarnation went by too; it counts
-// suspension, so a router that wakes up knows that its record is old. If the
-// VM was booted since, or its clock cannot be told apart, the authority is
-// charged whole. A VM that never comes back keeps its authority: what it has
-// not used of it is lost, as much as WantedHeadroom let it hold.
+// Only commitments are spent: nothing reaches a caller before Commit. A killed
+// router's records stay. Only its next incarnation on the same VM replaces
+// them, and one VM runs one router, so that the dead one's commitments are
+// final by then. They are bounded twice: by its authority, and by the schedule
+// of its level record. The age that the schedule goes by is measured by the
+// VM's clock, which the dead incarnation went by too, up to the begin of the
+// next process; it counts suspension, so a router that wakes up knows that its
+// record is old. If the VM was booted since, or its clock cannot be told apart,
+// the authority is charged whole, unless the level record was the incarnation's
+// last. A workspace that the level record does not name has no commitments. A
+// VM that never comes back keeps its authority: what it has not used of it is
+// lost, as much as WantedHeadroom let it hold.
+//
+// Each incarnation has an epoch of its own: its first authority record is put
+// after it has read all that came, and only then does it put levels. So no
+// level of an earlier one can be taken for its own, and no router takes an
+// earlier one's record for the newer.
 //
 // A transfer is committed by its giver before the receiver hears of it: a lost
 // answer strands it, nothing can double it. The receiver's records do not show
@@ -27,42 +36,17 @@
 #include <algorithm>
 #include <cmath>
 
+#include "hawthornhollow/totals/shares_internal.h"
 #include "hawthornhollow/totals/totals.h"
 
 namespace hawthornhollow {
 namespace {
 
-// A record is worth writing when a holding moved by this share of its headroom.
-constexpr double kWorthwhileShare = 0.15;
-// What is free of a total is dealt out in parts, so that two routers asking at
-// once do not leave one of them with nothing.
-constexpr double kPartOfUnassigned = 0.5;
-
-const fb::TotalShareT* FindShare(const fb::RouterRecordT& record,
-                                 const std::string& workspace) {
-  const auto found = std::find_if(
-      record.shares.begin(), record.shares.end(),
-      [&](const auto& share) { return share->workspace == workspace; });
-  return found == record.shares.end() ? nullptr : found->get();
-}
-
-int64_t SumOf(const std::map<std::string, fb::RouterRecordT>& records,
-              const std::string& workspace,
-              int64_t fb::TotalShareT::*field) {
-  int64_t sum = 0;
-  for (const auto& [router, record] : records) {
-    if (const fb::TotalShareT* share = FindShare(record, workspace))
-      sum += share->*field;
-  }
-  return sum;
-}
-
-absl::Duration AgeOf(const fb::RouterRecordT& record, absl::Duration now) {
-  return now - absl::Microseconds(record.written_us);
-}
-
-bool IsNewer(const fb::RouterRecordT& a, const fb::RouterRecordT& b) {
-  return std::pair(a.epoch, a.sequence) > std::pair(b.epoch, b.sequence);
+template <typename Record>
+void KeepNewer(std::optional<Record>* kept, Record record) {
+  if (!kept->has_value() || std::pair(record.epoch, record.sequence) >
+                                std::pair((*kept)->epoch, (*kept)->sequence))
+    *kept = std::move(record);
 }
 
 }  // namespace
@@ -74,45 +58,62 @@
   HoldingOf(std::string(workspace));
 }
 
-void TotalsBook::ApplyRecord(fb::RouterRecordT record) {
-  const auto found = others_.find(record.router);
-  if (found != others_.end() && !IsNewer(record, found->second))
-    return;
-  std::string router = record.router;
-  others_.insert_or_assign(std::move(router), std::move(record));
+void TotalsBook::ApplyAuthority(fb::AuthorityRecordT record) {
+  const std::string router = record.router;
+  KeepNewer(&others_[router].authority, std::move(record));
+}
+
+void TotalsBook::ApplyLevel(fb::LevelRecordT record) {
+  const std::string router = record.router;
+  KeepNewer(&others_[router].level, std::move(record));
 }
 
-std::vector<Inheritance> TotalsBook::Start(
-    const std::optional<fb::RouterRecordT>& previous,
-    absl::Duration now) {
+std::vector<Inheritance> TotalsBook::Start(const RouterRecords& previous,
+                                           absl::Duration born) {
   started_ = true;
-  if (!previous.has_value()) {
-    epoch_ = 1;
+  epoch_ = 1 + std::max(previous.authority ? previous.authority->epoch : 0,
+                        previous.level ? previous.level->epoch : 0);
+  if (!previous.authority.has_value())
     return {};
-  }
+  durable_authority_ = previous.authority;
+  const std::optional<fb::LevelRecordT>& level = previous.level;
+  const bool same_clock = level.has_value() && !options_.boot.empty() &&
+                          level->boot == options_.boot &&
+                          AgeOf(*level, born) >= absl::ZeroDuration();
   std::vector<Inheritance> inherited;
-  epoch_ = previous->epoch + 1;
-  const bool same_clock = !options_.boot.empty() &&
-                          previous->boot == options_.boot &&
-                          AgeOf(*previous, now) >= absl::ZeroDuration();
-  durable_ = *previous;
-  for (auto& share : durable_->shares) {
-    const int64_t charged = same_clock
-                                ? SpendingLimit(*share, AgeOf(*previous, now))
-                                : share->authority;
-    HoldingOf(share->workspace).committed += charged;
-    inherited.push_back({.workspace = share->workspace,
+  for (auto& authority : durable_authority_->shares) {
+    const fb::LevelShareT* share = FindShare(level, authority->workspace);
+    if (share == nullptr) {
+      authority->tokens = 0;
+      continue;
+    }
+    int64_t charged = authority->tokens;
+    if (level->final)
+      charged = std::min(charged, share->committed);
+    else if (same_clock)
+      charged = std::min(charged, ScheduleLimit(*share, AgeOf(*level, born)));
+    HoldingOf(authority->workspace).committed += charged;
+    inherited.push_back({.workspace = authority->workspace,
                          .recorded = share->committed,
                          .charged = charged,
-                         .authority = share->authority});
-    // Nothing is left of the old schedule: see Reserve.
-    share->committed = charged;
-    share->burst = 0;
-    share->per_second = 0;
+                         .authority = authority->tokens});
+    // A record that the last incarnation sent may still come and lower this:
+    // only an authority of this one's own allows anything.
+    authority->tokens = charged;
   }
   return inherited;
 }
 
+void TotalsBook::OnStrayAuthority(const fb::AuthorityRecordT& record) {
+  // None can come once a record of this incarnation is durable.
+  if (!HasOwnAuthority())
+    epoch_ = std::max(epoch_, record.epoch + 1);
+}
+
+bool TotalsBook::HasOwnAuthority() const {
+  return durable_authority_.has_value() && durable_authority_->epoch == epoch_;
+}
+
 TotalsBook::Holding& TotalsBook::HoldingOf(const std::string& workspace) {
   return holdings_[workspace];
 }
@@ -130,36 +131,74 @@
 
 int64_t TotalsBook::LimitNow(const std::string& workspace,
                              absl::Duration now) const {
-  const fb::TotalShareT* durable =
-      durable_.has_value() ? FindShare(*durable_, workspace) : nullptr;
+  // A share that a record leaves out allows nothing.
+  const fb::LevelShareT* durable = FindShare(durable_level_, workspace);
   if (durable == nullptr)
     return 0;
-  const int64_t limit = SpendingLimit(*durable, AgeOf(*durable_, now));
-  if (!pending_.has_value())
+  const int64_t limit =
+      std::min(AuthorityNow(workspace),
+               ScheduleLimit(*durable, AgeOf(*durable_level_, now)));
+  if (!pending_level_.has_value())
     return limit;
-  // A share that a record leaves out is one without authority.
-  const fb::TotalShareT* pending = FindShare(*pending_, workspace);
+  const fb::LevelShareT* pending = FindShare(pending_level_, workspace);
   if (pending == nullptr)
     return 0;
-  return std::min(limit, SpendingLimit(*pending, AgeOf(*pending_, now)));
+  return std::min(limit, ScheduleLimit(*pending, AgeOf(*pending_level_, now)));
 }
 
 int64_t TotalsBook::DurableAuthority(const std::string& workspace) const {
-  const fb::TotalShareT* share =
-      durable_.has_value() ? FindShare(*durable_, workspace) : nullptr;
-  return share == nullptr ? 0 : share->authority;
+  const fb::AuthorityShareT* share = FindShare(durable_authority_, workspace);
+  return share == nullptr ? 0 : share->tokens;
+}
+
+int64_t TotalsBook::AuthorityNow(const std::string& workspace) const {
+  const int64_t durable = DurableAuthority(workspace);
+  if (!pending_authority_.has_value())
+    return durable;
+  const fb::AuthorityShareT* pending = FindShare(pending_authority_, workspace);
+  return std::min(durable, pending == nullptr ? 0 : pending->tokens);
+}
+
+bool TotalsBook::IsTrusted(absl::Duration now) const {
+  return durable_level_.has_value() &&
+         AgeOf(*durable_level_, now) <= options_.trusted_age;
+}
+
+int64_t TotalsBook::FreeNow(const std::string& workspace,
+                            const Holding& holding,
+                            absl::Duration now) const {
+  const int64_t taken = holding.committed + holding.held;
+  int64_t free = AuthorityNow(workspace) - taken;
+  if (!IsTrusted(now))
+    free = std::min(free, LimitNow(workspace, now) - taken);
+  return std::max<int64_t>(0, free);
 }
 
 int64_t TotalsBook::OthersAuthority(const std::string& workspace) const {
-  return SumOf(others_, workspace, &fb::TotalShareT::authority);
+  int64_t sum = 0;
+  for (const auto& [router, records] : others_) {
+    if (const auto* share = FindShare(records.authority, workspace))
+      sum += share->tokens;
+  }
+  return sum;
 }
 
 int64_t TotalsBook::OthersCommitted(const std::string& workspace) const {
-  return SumOf(others_, workspace, &fb::TotalShareT::committed);
+  int64_t sum = 0;
+  for (const auto& [router, records] : others_) {
+    if (const auto* share = FindShare(records.level, workspace))
+      sum += share->committed + share->held;
+  }
+  return sum;
 }
 
 int64_t TotalsBook::OthersDemand(const std::string& workspace) const {
-  return SumOf(others_, workspace, &fb::TotalShareT::demand);
+  int64_t sum = 0;
+  for (const auto& [router, records] : others_) {
+    if (const auto* share = FindShare(records.authority, workspace))
+      sum += share->demand;
+  }
+  return sum;
 }
 
 double TotalsBook::DemandRate(const Holding& holding,
@@ -189,19 +228,43 @@
                                                int64_t tokens,
                                                absl::Duration now) {
   Holding& holding = HoldingOf(workspace);
-  const int64_t free =
-      std::max<int64_t>(0, LimitNow(workspace, now) - holding.committed);
-  if (free + holding.transfers < tokens)
+  if (FreeNow(workspace, holding, now) + holding.transfers < tokens)
     return std::nullopt;
   NoteDemand(&holding, tokens, now);
   Reservation reservation{.workspace = workspace};
   reservation.from_transfers = std::min(holding.transfers, tokens);
   reservation.from_authority = tokens - reservation.from_transfers;
   holding.transfers -= reservation.from_transfers;
-  holding.committed += reservation.from_authority;
+  holding.held += reservation.from_authority;
   return reservation;
 }
 
+bool TotalsBook::CanCommitBy(const Reservation& reservation,
+                             absl::Duration then) const {
+  const Holding* holding = FindHolding(reservation.workspace);
+  return reservation.from_authority == 0 ||
+         (holding != nullptr && holding->committed + holding->committing +
+                                        reservation.from_authority <=
+                                    LimitNow(reservation.workspace, then));
+}
+
+bool TotalsBook::Commit(const Reservation& reservation, absl::Duration now) {
+  Holding& holding = HoldingOf(reservation.workspace);
+  const int64_t tokens = reservation.from_authority;
+  if (tokens > 0 &&
+      holding.committed + tokens > LimitNow(reservation.workspace, now))
+    return false;
+  holding.held -= tokens;
+  holding.committed += tokens;
+  return true;
+}
+
+void TotalsBook::Release(const Reservation& reservation) {
+  Holding& holding = HoldingOf(reservation.workspace);
+  holding.held -= reservation.from_authority;
+  holding.transfers += reservation.from_transfers;
+}
+
 void TotalsBook::Settle(const Reservation& reservation, int64_t used) {
   Holding& holding = HoldingOf(reservation.workspace);
   const int64_t charged = std::clamp<int64_t>(used, 0, reservation.tokens());
@@ -218,9 +281,18 @@
   HoldingOf(workspace).waiting -= tokens;
 }
 
+void TotalsBook::AddCommitting(const Reservation& reservation) {
+  HoldingOf(reservation.workspace).committing += reservation.from_authority;
+}
+
+void TotalsBook::RemoveCommitting(const Reservation& reservation) {
+  HoldingOf(reservation.workspace).committing -= reservation.from_authority;
+}
+
 bool TotalsBook::IsSpent(const std::string& workspace, int64_t tokens) const {
   const Holding* holding = FindHolding(workspace);
-  const int64_t own = holding == nullptr ? 0 : holding->committed;
+  const int64_t own =
+      holding == nullptr ? 0 : holding->committed + holding->held;
   const int64_t transfers = holding == nullptr ? 0 : holding->transfers;
   return TotalOf(workspace) - OthersCommitted(workspace) - own + transfers <
          tokens;
@@ -234,10 +306,8 @@
   state.unassigned =
       state.total - OthersAuthority(workspace) - DurableAuthority(workspace);
   if (holding != nullptr) {
-    state.committed += holding->committed;
-    state.available =
-        std::max<int64_t>(0, LimitNow(workspace, now) - holding->committed) +
-        holding->transfers;
+    state.committed += holding->committed + holding->held;
+    state.available = FreeNow(workspace, *holding, now) + holding->transfers;
   }
   return state;
 }
@@ -260,129 +330,6 @@
                            holding->waiting - state(workspace, now).available);
 }
 
-int64_t TotalsBook::WantedHeadroom(const std::string& workspace,
-                                   const Holding& holding,
-                                   absl::Duration now) const {
-  const double by_demand = DemandRate(holding, now) * options_.headroom *
-                           absl::ToDoubleSeconds(options_.horizon);
-  const auto total = static_cast<double>(TotalOf(workspace));
-  const double left =
-      std::max(0.0, total - static_cast<double>(OthersCommitted(workspace) +
-                                                holding.committed));
-  const double fair = left * DemandShare(workspace, holding, now) *
-                      (1 - options_.reserve_share);
-  const double idle =
-      left < total * options_.plenty
-          ? 0
-          : left * options_.idle_share / static_cast<double>(router_count());
-  return holding.waiting +
-         static_cast<int64_t>(std::max(std::min(by_demand, fair), idle));
-}
-
-// This router's part of all routers' demand: near a total's end nobody holds
-// what others ask for.
-double TotalsBook::DemandShare(const std::string& workspace,
-                               const Holding& holding,
-                               absl::Duration now) const {
-  const double own = DemandRate(holding, now);
-  const double all = own + static_cast<double>(OthersDemand(workspace));
-  return all < 1 ? 1 / static_cast<double>(router_count()) : own / all;
-}
-
-fb::TotalShareT TotalsBook::MakeShare(const std::string& workspace,
-                                      const Holding& holding,
-                                      absl::Duration now) const {
-  const int64_t durable = DurableAuthority(workspace);
-  const int64_t unassigned = std::max<int64_t>(
-      0, TotalOf(workspace) - OthersAuthority(workspace) - durable);
-  const int64_t wanted =
-      holding.committed + WantedHeadroom(workspace, holding, now);
-  fb::TotalShareT share;
-  share.workspace = workspace;
-  share.authority = std::max(wanted, holding.committed);
-  if (wanted > durable) {
-    const int64_t part = std::max<int64_t>(
-        holding.waiting, static_cast<int64_t>(kPartOfUnassigned *
-                                              static_cast<double>(unassigned)));
-    const int64_t growth = std::min({wanted - durable, part, unassigned});
-    share.authority = std::max(durable + growth, holding.committed);
-  }
-  // What waits is written ahead, to be reserved once the record is durable.
-  share.committed =
-      std::min(share.authority, holding.committed + holding.waiting);
-  const int64_t headroom = share.authority - share.committed;
-  share.burst = static_cast<int64_t>(
-      holding.usual_request * static_cast<double>(options_.burst_requests));
-  share.burst_after_ms = absl::ToInt64Milliseconds(options_.burst_after);
-  share.demand = static_cast<int64_t>(DemandRate(holding, now));
-  const double by_horizon =
-      static_cast<double>(headroom) / absl::ToDoubleSeconds(options_.horizon);
-  share.per_second = static_cast<int64_t>(
-      std::max(by_horizon, DemandRate(holding, now) * options_.headroom));
-  return share;
-}
-
-fb::RouterRecordT TotalsBook::MakeRecord(absl::Duration now) {
-  fb::RouterRecordT record;
-  record.router = options_.router;
-  record.epoch = epoch_;
-  record.sequence = ++sequence_;
-  record.boot = options_.boot;
-  record.written_us = absl::ToInt64Microseconds(now);
-  record.address = options_.address;
-  for (const auto& [workspace, holding] : holdings_) {
-    fb::TotalShareT share = MakeShare(workspace, holding, now);
-    if (share.authority == 0 && share.demand == 0)
-      continue;
-    record.shares.push_back(
-        std::make_unique<fb::TotalShareT>(std::move(share)));
-  }
-  pending_ = record;
-  return record;
-}
-
-fb::RouterRecordT TotalsBook::MakeLastRecord(absl::Duration now) {
-  fb::RouterRecordT record = MakeRecord(now);
-  for (auto& share : record.shares) {
-    share->committed = HoldingOf(share->workspace).committed;
-    share->authority = share->committed;
-  }
-  pending_ = record;
-  return record;
-}
-
-void TotalsBook::OnRecordDurable() {
-  durable_ = std::move(pending_);
-  pending_.reset();
-}
-
-void TotalsBook::OnRecordRefused() {
-  pending_.reset();
-}
-
-bool TotalsBook::WantsRecord(absl::Duration now) const {
-  if (!started_ || pending_.has_value())
-    return false;
-  for (const auto& [workspace, holding] : holdings_) {
-    if (holding.waiting > 0)
-      return true;
-    static const fb::TotalShareT nothing;
-    const fb::TotalShareT* found =
-        durable_.has_value() ? FindShare(*durable_, workspace) : nullptr;
-    const fb::TotalShareT* share = found == nullptr ? &nothing : found;
-    const int64_t moved = std::abs(holding.committed - share->committed);
-    const int64_t headroom = share->authority - share->committed;
-    if (static_cast<double>(moved) >
-        kWorthwhileShare * static_cast<double>(std::max<int64_t>(headroom, 1)))
-      return true;
-    const int64_t wanted = WantedHeadroom(workspace, holding, now);
-    if (std::abs(wanted - headroom) > wanted / 4 &&
-        (wanted < headroom || state(workspace, now).unassigned > 0))
-      return true;
-  }
-  return false;
-}
-
 int64_t TotalsBook::Give(const std::string& workspace,
                          int64_t wanted,
                          absl::Duration now) {
@@ -390,8 +337,10 @@
   if (known == nullptr || wanted <= 0)
     return 0;
   Holding& holding = HoldingOf(workspace);
-  const int64_t free =
-      std::max<int64_t>(0, LimitNow(workspace, now) - holding.committed);
+  // What is given is committed at once.
+  const int64_t free = std::min(
+      FreeNow(workspace, holding, now),
+      std::max<int64_t>(0, LimitNow(workspace, now) - holding.committed));
   const int64_t keep = holding.waiting;
   const int64_t spare = std::max<int64_t>(0, free + holding.transfers - keep);
   const int64_t given = std::min(wanted, spare);
--- a/hawthornhollow/totals/totals_book_test.cc
+++ b/hawthornhollow/totals/totals_book_test.cc
@@ -8,16 +8,22 @@
 
 constexpr char kWard[] = "ward-7";
 constexpr int64_t kTotal = 100'000;
+// What a router that was killed and is back at once is charged beyond what it
+// committed.
+constexpr int64_t kMostAtAKill = kTotal / 100;
 
 class TotalsBookTest : public testing::Test {
  protected:
   TotalsBookTest() { book_.SetTotal(kWard, kTotal); }
 
-  // Makes a record and lets the store take it.
-  fb::RouterRecordT Record(absl::Duration now) {
-    fb::RouterRecordT record = book_.MakeRecord(now);
-    book_.OnRecordDurable();
-    return record;
+  // Makes both records and lets the store take them.
+  RouterRecords Record(absl::Duration now) {
+    RouterRecords records;
+    records.authority = book_.MakeAuthority(now);
+    book_.OnAuthorityDurable();
+    records.level = book_.MakeLevel(now);
+    book_.OnLevelDurable();
+    return records;
   }
 
   // Reserves what a record has to be written for.
@@ -29,108 +35,195 @@
     return book_.Reserve(kWard, tokens, now);
   }
 
-  static fb::RouterRecordT OtherRecord(int64_t committed, int64_t authority) {
-    fb::RouterRecordT record;
-    record.router = "router-2";
-    record.epoch = 1;
-    record.sequence = 1;
-    record.shares.push_back(std::make_unique<fb::TotalShareT>());
-    record.shares[0]->workspace = kWard;
-    record.shares[0]->committed = committed;
-    record.shares[0]->authority = authority;
-    return record;
+  // Commits what a record has to be written for.
+  bool CommitWritten(const Reservation& reservation, absl::Duration now) {
+    book_.AddCommitting(reservation);
+    Record(now);
+    book_.RemoveCommitting(reservation);
+    return book_.Commit(reservation, now);
+  }
+
+  void ApplyOther(int64_t committed, int64_t authority, int64_t demand = 0) {
+    fb::AuthorityRecordT other;
+    other.router = "router-2";
+    other.epoch = 1;
+    other.sequence = 1;
+    other.shares.push_back(std::make_unique<fb::AuthorityShareT>());
+    other.shares[0]->workspace = kWard;
+    other.shares[0]->tokens = authority;
+    other.shares[0]->demand = demand;
+    book_.ApplyAuthority(std::move(other));
+    fb::LevelRecordT level;
+    level.router = "router-2";
+    level.epoch = 1;
+    level.sequence = 1;
+    level.shares.push_back(std::make_unique<fb::LevelShareT>());
+    level.shares[0]->workspace = kWard;
+    level.shares[0]->committed = committed;
+    book_.ApplyLevel(std::move(level));
   }
 
   TotalsBook book_{{.router = "router-1", .boot = "boot-1"}};
 };
 
-TEST(SpendingLimitTest, RecordsOfAnyAge_NeverAllowMoreThanTheAuthority) {
-  fb::TotalShareT share;
+TEST(ScheduleLimitTest, RecordsOfAnyAge_AllowWhatTheirScheduleSays) {
+  fb::LevelShareT share;
   share.committed = 1'000;
-  share.authority = 5'000;
   share.per_second = 500;
-  share.burst = 2'000;
-  share.burst_after_ms = 1'000;
+  share.late_after_ms = 1'000;
+  share.late_per_second = 600;
+  share.late_burst = 2'000;
   const struct {
     absl::Duration age;
     int64_t limit;
-  } cases[] = {{absl::Seconds(-3), 1'000},       {absl::ZeroDuration(), 1'000},
-               {absl::Milliseconds(500), 1'250}, {absl::Seconds(1), 3'500},
-               {absl::Seconds(3), 4'500},        {absl::Seconds(60), 5'000},
-               {absl::InfiniteDuration(), 5'000}};
+  } cases[] = {
+      {absl::Seconds(-3), 1'000},       {absl::ZeroDuration(), 1'000},
+      {absl::Milliseconds(500), 1'250}, {absl::Milliseconds(999), 1'499},
+      {absl::Seconds(1), 3'600},        {absl::Seconds(3), 4'800}};
   for (const auto& [age, limit] : cases)
-    EXPECT_EQ(SpendingLimit(share, age), limit) << age;
+    EXPECT_EQ(ScheduleLimit(share, age), limit) << age;
+  EXPECT_GT(ScheduleLimit(share, absl::InfiniteDuration()), 1'000'000'000);
 }
 
 TEST(RouterRecordTest, BytesOfNoRecord_AreDataLoss) {
-  EXPECT_EQ(DecodeRouterRecord("").status().code(),
-            absl::StatusCode::kDataLoss);
-  EXPECT_EQ(DecodeRouterRecord("not a record").status().code(),
-            absl::StatusCode::kDataLoss);
+  for (const char* bytes : {"", "not a record"}) {
+    EXPECT_EQ(DecodeAuthority(bytes).status().code(),
+              absl::StatusCode::kDataLoss);
+    EXPECT_EQ(DecodeLevel(bytes).status().code(), absl::StatusCode::kDataLoss);
+  }
 }
 
-TEST_F(TotalsBookTest, RecordEncodedAndDecoded_IsTheSame) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
-  const fb::RouterRecordT record = Record(absl::Seconds(1));
-  const auto decoded = DecodeRouterRecord(EncodeRouterRecord(record));
-  ASSERT_TRUE(decoded.ok()) << decoded.status();
-  EXPECT_EQ(*decoded, record);
+TEST_F(TotalsBookTest, RecordsEncodedAndDecoded_AreTheSame) {
+  book_.Start({}, absl::ZeroDuration());
+  const RouterRecords records = Record(absl::Seconds(1));
+  const auto authority = DecodeAuthority(EncodeAuthority(*records.authority));
+  ASSERT_TRUE(authority.ok()) << authority.status();
+  EXPECT_EQ(*authority, *records.authority);
+  const auto level = DecodeLevel(EncodeLevel(*records.level));
+  ASSERT_TRUE(level.ok()) << level.status();
+  EXPECT_EQ(*level, *records.level);
 }
 
 TEST_F(TotalsBookTest, ReserveBeforeAnyRecordIsDurable_IsRefused) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
+  book_.Start({}, absl::ZeroDuration());
   EXPECT_FALSE(book_.Reserve(kWard, 1, absl::Seconds(5)).has_value());
-  book_.MakeRecord(absl::Seconds(5));
+  book_.MakeAuthority(absl::Seconds(5));
   EXPECT_FALSE(book_.Reserve(kWard, 1, absl::Seconds(9)).has_value());
 }
 
-TEST_F(TotalsBookTest, WaitingTokensWrittenAhead_CanBeReservedAtOnce) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
+TEST_F(TotalsBookTest, WaitingTokensOfTheNextRecord_CanBeReservedAtOnce) {
+  book_.Start({}, absl::ZeroDuration());
   EXPECT_TRUE(ReserveWritten(20'000, absl::Seconds(1)).has_value());
 }
 
+TEST_F(TotalsBookTest, HeldTokensWrittenAhead_CanBeCommittedAtOnce) {
+  book_.Start({}, absl::ZeroDuration());
+  const auto reserved = ReserveWritten(20'000, absl::Seconds(1));
+  ASSERT_TRUE(reserved.has_value());
+  EXPECT_FALSE(book_.Commit(*reserved, absl::Seconds(1)));
+  EXPECT_TRUE(CommitWritten(*reserved, absl::Seconds(1)));
+}
+
+TEST_F(TotalsBookTest, ReleasedReservation_GivesBackAllOfIt) {
+  book_.Start({}, absl::ZeroDuration());
+  const auto reserved = ReserveWritten(20'000, absl::Seconds(1));
+  ASSERT_TRUE(reserved.has_value());
+  EXPECT_EQ(book_.state(kWard, absl::Seconds(1)).committed, 20'000);
+  book_.Release(*reserved);
+  EXPECT_EQ(book_.state(kWard, absl::Seconds(1)).committed, 0);
+}
+
+TEST_F(TotalsBookTest, RouterKilledWithTokensHeld_NobodyIsChargedForThem) {
+  book_.Start({}, absl::ZeroDuration());
+  const auto delivered = ReserveWritten(3'000, absl::Seconds(1));
+  const auto held = ReserveWritten(30'000, absl::Seconds(1));
+  ASSERT_TRUE(delivered.has_value() && held.has_value());
+  ASSERT_TRUE(CommitWritten(*delivered, absl::Seconds(1)));
+  TotalsBook next({.router = "router-1", .boot = "boot-1"});
+  next.SetTotal(kWard, kTotal);
+  const auto inherited =
+      next.Start(Record(absl::Seconds(2)), absl::Milliseconds(2'700));
+  ASSERT_EQ(inherited.size(), 1);
+  EXPECT_GE(inherited[0].charged, 3'000);
+  EXPECT_LE(inherited[0].charged, 3'000 + kMostAtAKill);
+}
+
+TEST_F(TotalsBookTest, OldRecord_HoldsNoMoreThanItsScheduleWillAllow) {
+  book_.Start({}, absl::ZeroDuration());
+  Record(absl::ZeroDuration());
+  const int64_t young = book_.state(kWard, absl::Milliseconds(300)).available;
+  const int64_t older = book_.state(kWard, absl::Milliseconds(700)).available;
+  EXPECT_EQ(young, Record(absl::ZeroDuration()).authority->shares[0]->tokens);
+  EXPECT_GT(older, 0);
+  EXPECT_LE(older, kMostAtAKill);
+}
+
 TEST_F(TotalsBookTest, SettledReservation_GivesBackWhatWasNotUsed) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
+  book_.Start({}, absl::ZeroDuration());
   const auto reserved = ReserveWritten(20'000, absl::Seconds(1));
   ASSERT_TRUE(reserved.has_value());
+  ASSERT_TRUE(CommitWritten(*reserved, absl::Seconds(1)));
   EXPECT_EQ(book_.state(kWard, absl::Seconds(1)).committed, 20'000);
   book_.Settle(*reserved, 5'000);
   EXPECT_EQ(book_.state(kWard, absl::Seconds(1)).committed, 5'000);
 }
 
-TEST_F(TotalsBookTest, RecordOfUnknownOutcome_BindsBesideTheDurableOne) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
+TEST_F(TotalsBookTest, LevelOfUnknownOutcome_BindsBesideTheDurableOne) {
+  book_.Start({}, absl::ZeroDuration());
   Record(absl::ZeroDuration());
   const absl::Duration later = absl::Seconds(30);
-  const int64_t before = book_.state(kWard, later).available;
-  ASSERT_GT(before, 0);
-  book_.MakeRecord(later);
+  ASSERT_GT(book_.state(kWard, later).available, 0);
+  book_.MakeLevel(later);
   // The pending record is new: its schedule has allowed nothing yet.
   EXPECT_EQ(book_.state(kWard, later).available, 0);
-  book_.OnRecordRefused();
-  EXPECT_EQ(book_.state(kWard, later).available, before);
 }
 
-TEST_F(TotalsBookTest, NewIncarnationOnTheSameClock_IsChargedByTheSchedule) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
-  ASSERT_TRUE(ReserveWritten(10'000, absl::Seconds(1)).has_value());
-  const fb::RouterRecordT last = Record(absl::Seconds(2));
-  const fb::TotalShareT& share = *last.shares[0];
+TEST_F(TotalsBookTest, AuthorityOfUnknownOutcome_BindsBesideTheDurableOne) {
+  book_.Start({}, absl::ZeroDuration());
+  Record(absl::ZeroDuration());
+  const int64_t before = book_.state(kWard, absl::Seconds(30)).available;
+  ApplyOther(95'000, 95'000, /*demand=*/10'000);
+  // Nobody asked here: the new record gives everything back.
+  book_.MakeAuthority(absl::Seconds(30));
+  EXPECT_EQ(book_.state(kWard, absl::Seconds(30)).available, 0);
+  book_.OnAuthorityRefused();
+  EXPECT_EQ(book_.state(kWard, absl::Seconds(30)).available, before);
+}
 
-  TotalsBook next({.router = "router-1", .boot = "boot-1"});
-  next.SetTotal(kWard, kTotal);
-  const auto inherited = next.Start(last, absl::Seconds(3));
-  ASSERT_EQ(inherited.size(), 1);
-  EXPECT_EQ(inherited[0].charged, SpendingLimit(share, absl::Seconds(1)));
-  EXPECT_LT(inherited[0].charged, share.authority);
+TEST_F(TotalsBookTest, NewIncarnationOnTheSameClock_IsChargedByTheSchedule) {
+  book_.Start({}, absl::ZeroDuration());
+  const auto reserved = ReserveWritten(10'000, absl::Seconds(1));
+  ASSERT_TRUE(reserved.has_value());
+  ASSERT_TRUE(CommitWritten(*reserved, absl::Seconds(1)));
+  const RouterRecords last = Record(absl::Seconds(2));
+  const struct {
+    absl::Duration age;
+    int64_t charged;
+  } cases[] = {{absl::Milliseconds(700),
+                ScheduleLimit(*last.level->shares[0], absl::Milliseconds(700))},
+               {absl::Seconds(1),
+                ScheduleLimit(*last.level->shares[0], absl::Seconds(1))},
+               {absl::Seconds(100), last.authority->shares[0]->tokens}};
+  EXPECT_LE(cases[0].charged, 10'000 + kMostAtAKill);
+  EXPECT_GT(cases[1].charged, cases[0].charged);
+  for (const auto& [age, charged] : cases) {
+    TotalsBook next({.router = "router-1", .boot = "boot-1"});
+    next.SetTotal(kWard, kTotal);
+    const auto inherited = next.Start(last, absl::Seconds(2) + age);
+    ASSERT_EQ(inherited.size(), 1);
+    EXPECT_EQ(inherited[0].charged, charged) << age;
+  }
 }
 
-TEST_F(TotalsBookTest, NewIncarnationAfterALastRecord_IsChargedWhatWasUsed) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
+TEST_F(TotalsBookTest, NewIncarnationAfterLastRecords_IsChargedWhatWasUsed) {
+  book_.Start({}, absl::ZeroDuration());
   const auto reserved = ReserveWritten(10'000, absl::Seconds(1));
   ASSERT_TRUE(reserved.has_value());
+  ASSERT_TRUE(CommitWritten(*reserved, absl::Seconds(1)));
   book_.Settle(*reserved, 4'000);
-  const fb::RouterRecordT last = book_.MakeLastRecord(absl::Seconds(2));
+  book_.BeginClosing();
+  const RouterRecords last = Record(absl::Seconds(2));
+  EXPECT_EQ(last.authority->shares[0]->tokens, 4'000);
   TotalsBook next({.router = "router-1", .boot = "boot-2"});
   const auto inherited = next.Start(last, absl::Seconds(60));
   ASSERT_EQ(inherited.size(), 1);
@@ -138,9 +231,9 @@
 }
 
 TEST_F(TotalsBookTest, NewIncarnationAfterAReboot_IsChargedTheAuthority) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
+  book_.Start({}, absl::ZeroDuration());
   ASSERT_TRUE(ReserveWritten(10'000, absl::Seconds(1)).has_value());
-  const fb::RouterRecordT last = Record(absl::Seconds(2));
+  const RouterRecords last = Record(absl::Seconds(2));
   for (const auto& [boot, now] :
        {std::pair<std::string, absl::Duration>("boot-2", absl::Seconds(3)),
         {"boot-1", absl::Seconds(1)},  // the clock went back: it is another
@@ -148,20 +241,53 @@
     TotalsBook next({.router = "router-1", .boot = boot});
     const auto inherited = next.Start(last, now);
     ASSERT_EQ(inherited.size(), 1);
-    EXPECT_EQ(inherited[0].charged, last.shares[0]->authority) << boot;
+    EXPECT_EQ(inherited[0].charged, last.authority->shares[0]->tokens) << boot;
   }
 }
 
+TEST_F(TotalsBookTest, NewIncarnation_CommitsNothingBeforeRecordsOfItsOwn) {
+  book_.Start({}, absl::ZeroDuration());
+  const RouterRecords last = Record(absl::Seconds(2));
+  TotalsBook next({.router = "router-1", .boot = "boot-1"});
+  next.SetTotal(kWard, kTotal);
+  next.Start(last, absl::Seconds(3));
+  EXPECT_FALSE(next.WantsLevel(absl::Seconds(3)));
+  EXPECT_TRUE(next.WantsAuthority(absl::Seconds(3)));
+  EXPECT_FALSE(next.Reserve(kWard, 1, absl::Seconds(3)).has_value());
+}
+
+TEST_F(TotalsBookTest, LateRecordOfTheLastIncarnation_IsOlderThanThisOnes) {
+  book_.Start({}, absl::ZeroDuration());
+  const RouterRecords last = Record(absl::Seconds(1));
+  TotalsBook next({.router = "router-1", .boot = "boot-1"});
+  next.Start(last, absl::Seconds(3));
+  // It took effect after it was sent, and after the next one had read.
+  fb::AuthorityRecordT late = *last.authority;
+  late.epoch += 1;
+  late.sequence = 7;
+  next.OnStrayAuthority(late);
+  EXPECT_GT(next.MakeAuthority(absl::Seconds(3)).epoch, late.epoch);
+}
+
+TEST_F(TotalsBookTest, LevelThatWasRefused_IsFollowedByAnEpochOfItsOwn) {
+  book_.Start({}, absl::ZeroDuration());
+  Record(absl::Seconds(1));
+  const fb::LevelRecordT refused = book_.MakeLevel(absl::Seconds(2));
+  book_.OnLevelRefused();
+  EXPECT_FALSE(book_.WantsLevel(absl::Seconds(2)));
+  EXPECT_GT(Record(absl::Seconds(2)).level->epoch, refused.epoch);
+}
+
 TEST_F(TotalsBookTest, RecordWithOthersHoldingMost_StaysWithinTheTotal) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
-  book_.ApplyRecord(OtherRecord(50'000, 97'000));
+  book_.Start({}, absl::ZeroDuration());
+  ApplyOther(50'000, 97'000);
   book_.AddWaiting(kWard, 20'000);
-  const fb::RouterRecordT record = book_.MakeRecord(absl::Seconds(1));
-  EXPECT_LE(record.shares[0]->authority, kTotal - 97'000);
+  const fb::AuthorityRecordT record = book_.MakeAuthority(absl::Seconds(1));
+  EXPECT_LE(record.shares[0]->tokens, kTotal - 97'000);
 }
 
 TEST_F(TotalsBookTest, TotalCommittedByOthers_IsSpentForLargeRequestsOnly) {
-  book_.ApplyRecord(OtherRecord(95'000, 100'000));
+  ApplyOther(95'000, 100'000);
   EXPECT_FALSE(book_.IsSpent(kWard, 5'000));
   EXPECT_TRUE(book_.IsSpent(kWard, 5'001));
   book_.SetTotal(kWard, kTotal + 10'000);
@@ -169,27 +295,13 @@
 }
 
 TEST_F(TotalsBookTest, IdleRouterNearTheEnd_LeavesWhatIsLeftToDemand) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
-  fb::RouterRecordT busy = OtherRecord(90'000, 91'000);
-  busy.shares[0]->demand = 10'000;
-  book_.ApplyRecord(std::move(busy));
-  const fb::RouterRecordT record = book_.MakeRecord(absl::Seconds(1));
-  EXPECT_THAT(record.shares, testing::IsEmpty());
-}
-
-TEST_F(TotalsBookTest, PendingRecordThatLeavesAShareOut_AllowsNothingOfIt) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
-  Record(absl::ZeroDuration());
-  ASSERT_GT(book_.state(kWard, absl::Seconds(60)).available, 0);
-  fb::RouterRecordT busy = OtherRecord(95'000, 95'000);
-  busy.shares[0]->demand = 10'000;
-  book_.ApplyRecord(std::move(busy));
-  EXPECT_THAT(book_.MakeRecord(absl::Seconds(60)).shares, testing::IsEmpty());
-  EXPECT_EQ(book_.state(kWard, absl::Seconds(120)).available, 0);
+  book_.Start({}, absl::ZeroDuration());
+  ApplyOther(90'000, 91'000, /*demand=*/10'000);
+  EXPECT_THAT(book_.MakeAuthority(absl::Seconds(1)).shares, testing::IsEmpty());
 }
 
 TEST_F(TotalsBookTest, GivenTokens_CountAsCommittedAndCannotBeReservedHere) {
-  book_.Start(std::nullopt, absl::ZeroDuration());
+  book_.Start({}, absl::ZeroDuration());
   Record(absl::ZeroDuration());
   const absl::Duration later = absl::Seconds(60);
   const TotalState before = book_.state(kWard, later);
@@ -205,6 +317,7 @@
   const auto reserved = book_.Reserve(kWard, 500, absl::ZeroDuration());
   ASSERT_TRUE(reserved.has_value());
   EXPECT_EQ(reserved->from_transfers, 500);
+  ASSERT_TRUE(book_.Commit(*reserved, absl::ZeroDuration()));
   book_.Settle(*reserved, 100);
   EXPECT_EQ(book_.state(kWard, absl::ZeroDuration()).available, 600);
 }
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -16,13 +16,21 @@
 namespace hawthornhollow {
 namespace fb {
 
-struct TotalShare;
-struct TotalShareBuilder;
-struct TotalShareT;
+struct AuthorityShare;
+struct AuthorityShareBuilder;
+struct AuthorityShareT;
 
-struct RouterRecord;
-struct RouterRecordBuilder;
-struct RouterRecordT;
+struct AuthorityRecord;
+struct AuthorityRecordBuilder;
+struct AuthorityRecordT;
+
+struct LevelShare;
+struct LevelShareBuilder;
+struct LevelShareT;
+
+struct LevelRecord;
+struct LevelRecordBuilder;
+struct LevelRecordT;
 
 struct TokensWanted;
 struct TokensWantedBuilder;
@@ -32,38 +40,265 @@
 struct TokensGivenBuilder;
 struct TokensGivenT;
 
-bool operator==(const TotalShareT &lhs, const TotalShareT &rhs);
-bool operator!=(const TotalShareT &lhs, const TotalShareT &rhs);
-bool operator==(const RouterRecordT &lhs, const RouterRecordT &rhs);
-bool operator!=(const RouterRecordT &lhs, const RouterRecordT &rhs);
+bool operator==(const AuthorityShareT &lhs, const AuthorityShareT &rhs);
+bool operator!=(const AuthorityShareT &lhs, const AuthorityShareT &rhs);
+bool operator==(const AuthorityRecordT &lhs, const AuthorityRecordT &rhs);
+bool operator!=(const AuthorityRecordT &lhs, const AuthorityRecordT &rhs);
+bool operator==(const LevelShareT &lhs, const LevelShareT &rhs);
+bool operator!=(const LevelShareT &lhs, const LevelShareT &rhs);
+bool operator==(const LevelRecordT &lhs, const LevelRecordT &rhs);
+bool operator!=(const LevelRecordT &lhs, const LevelRecordT &rhs);
 bool operator==(const TokensWantedT &lhs, const TokensWantedT &rhs);
 bool operator!=(const TokensWantedT &lhs, const TokensWantedT &rhs);
 bool operator==(const TokensGivenT &lhs, const TokensGivenT &rhs);
 bool operator!=(const TokensGivenT &lhs, const TokensGivenT &rhs);
 
-struct TotalShareT : public flatbuffers::NativeTable {
-  typedef TotalShare TableType;
+struct AuthorityShareT : public flatbuffers::NativeTable {
+  typedef AuthorityShare TableType;
+  std::string workspace{};
+  int64_t tokens = 0;
+  int64_t demand = 0;
+};
+
+struct AuthorityShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AuthorityShareT NativeTableType;
+  typedef AuthorityShareBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKSPACE = 4,
+    VT_TOKENS = 6,
+    VT_DEMAND = 8
+  };
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  int64_t tokens() const {
+    return GetField<int64_t>(VT_TOKENS, 0);
+  }
+  int64_t demand() const {
+    return GetField<int64_t>(VT_DEMAND, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_DEMAND, 8) &&
+           verifier.EndTable();
+  }
+  AuthorityShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AuthorityShareT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AuthorityShare> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityShareT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AuthorityShareBuilder {
+  typedef AuthorityShare Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(AuthorityShare::VT_WORKSPACE, workspace);
+  }
+  void add_tokens(int64_t tokens) {
+    fbb_.AddElement<int64_t>(AuthorityShare::VT_TOKENS, tokens, 0);
+  }
+  void add_demand(int64_t demand) {
+    fbb_.AddElement<int64_t>(AuthorityShare::VT_DEMAND, demand, 0);
+  }
+  explicit AuthorityShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AuthorityShare> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AuthorityShare>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AuthorityShare> CreateAuthorityShare(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    int64_t tokens = 0,
+    int64_t demand = 0) {
+  AuthorityShareBuilder builder_(_fbb);
+  builder_.add_demand(demand);
+  builder_.add_tokens(tokens);
+  builder_.add_workspace(workspace);
+  return builder_.Finish();
+}
+
+struct AuthorityShare::Traits {
+  using type = AuthorityShare;
+  static auto constexpr Create = CreateAuthorityShare;
+};
+
+inline flatbuffers::Offset<AuthorityShare> CreateAuthorityShareDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *workspace = nullptr,
+    int64_t tokens = 0,
+    int64_t demand = 0) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return hawthornhollow::fb::CreateAuthorityShare(
+      _fbb,
+      workspace__,
+      tokens,
+      demand);
+}
+
+flatbuffers::Offset<AuthorityShare> CreateAuthorityShare(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct AuthorityRecordT : public flatbuffers::NativeTable {
+  typedef AuthorityRecord TableType;
+  std::string router{};
+  int64_t epoch = 0;
+  int64_t sequence = 0;
+  std::string address{};
+  std::vector<std::unique_ptr<hawthornhollow::fb::AuthorityShareT>> shares{};
+  AuthorityRecordT() = default;
+  AuthorityRecordT(const AuthorityRecordT &o);
+  AuthorityRecordT(AuthorityRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  AuthorityRecordT &operator=(AuthorityRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct AuthorityRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AuthorityRecordT NativeTableType;
+  typedef AuthorityRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTER = 4,
+    VT_EPOCH = 6,
+    VT_SEQUENCE = 8,
+    VT_ADDRESS = 10,
+    VT_SHARES = 12
+  };
+  const flatbuffers::String *router() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTER);
+  }
+  int64_t epoch() const {
+    return GetField<int64_t>(VT_EPOCH, 0);
+  }
+  int64_t sequence() const {
+    return GetField<int64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *shares() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *>(VT_SHARES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTER) &&
+           verifier.VerifyString(router()) &&
+           VerifyField<int64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<int64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_SHARES) &&
+           verifier.VerifyVector(shares()) &&
+           verifier.VerifyVectorOfTables(shares()) &&
+           verifier.EndTable();
+  }
+  AuthorityRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AuthorityRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AuthorityRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AuthorityRecordBuilder {
+  typedef AuthorityRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_router(flatbuffers::Offset<flatbuffers::String> router) {
+    fbb_.AddOffset(AuthorityRecord::VT_ROUTER, router);
+  }
+  void add_epoch(int64_t epoch) {
+    fbb_.AddElement<int64_t>(AuthorityRecord::VT_EPOCH, epoch, 0);
+  }
+  void add_sequence(int64_t sequence) {
+    fbb_.AddElement<int64_t>(AuthorityRecord::VT_SEQUENCE, sequence, 0);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(AuthorityRecord::VT_ADDRESS, address);
+  }
+  void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>> shares) {
+    fbb_.AddOffset(AuthorityRecord::VT_SHARES, shares);
+  }
+  explicit AuthorityRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AuthorityRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AuthorityRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AuthorityRecord> CreateAuthorityRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> router = 0,
+    int64_t epoch = 0,
+    int64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>> shares = 0) {
+  AuthorityRecordBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_epoch(epoch);
+  builder_.add_shares(shares);
+  builder_.add_address(address);
+  builder_.add_router(router);
+  return builder_.Finish();
+}
+
+struct AuthorityRecord::Traits {
+  using type = AuthorityRecord;
+  static auto constexpr Create = CreateAuthorityRecord;
+};
+
+inline flatbuffers::Offset<AuthorityRecord> CreateAuthorityRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *router = nullptr,
+    int64_t epoch = 0,
+    int64_t sequence = 0,
+    const char *address = nullptr,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *shares = nullptr) {
+  auto router__ = router ? _fbb.CreateString(router) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>(*shares) : 0;
+  return hawthornhollow::fb::CreateAuthorityRecord(
+      _fbb,
+      router__,
+      epoch,
+      sequence,
+      address__,
+      shares__);
+}
+
+flatbuffers::Offset<AuthorityRecord> CreateAuthorityRecord(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LevelShareT : public flatbuffers::NativeTable {
+  typedef LevelShare TableType;
   std::string workspace{};
   int64_t committed = 0;
-  int64_t authority = 0;
+  int64_t held = 0;
   int64_t per_second = 0;
-  int64_t burst = 0;
-  int64_t burst_after_ms = 0;
-  int64_t demand = 0;
+  int64_t late_after_ms = 0;
+  int64_t late_per_second = 0;
+  int64_t late_burst = 0;
 };
 
-struct TotalShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef TotalShareT NativeTableType;
-  typedef TotalShareBuilder Builder;
+struct LevelShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LevelShareT NativeTableType;
+  typedef LevelShareBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WORKSPACE = 4,
     VT_COMMITTED = 6,
-    VT_AUTHORITY = 8,
+    VT_HELD = 8,
     VT_PER_SECOND = 10,
-    VT_BURST = 12,
-    VT_BURST_AFTER_MS = 14,
-    VT_DEMAND = 16
+    VT_LATE_AFTER_MS = 12,
+    VT_LATE_PER_SECOND = 14,
+    VT_LATE_BURST = 16
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -71,140 +306,140 @@
   int64_t committed() const {
     return GetField<int64_t>(VT_COMMITTED, 0);
   }
-  int64_t authority() const {
-    return GetField<int64_t>(VT_AUTHORITY, 0);
+  int64_t held() const {
+    return GetField<int64_t>(VT_HELD, 0);
   }
   int64_t per_second() const {
     return GetField<int64_t>(VT_PER_SECOND, 0);
   }
-  int64_t burst() const {
-    return GetField<int64_t>(VT_BURST, 0);
+  int64_t late_after_ms() const {
+    return GetField<int64_t>(VT_LATE_AFTER_MS, 0);
   }
-  int64_t burst_after_ms() const {
-    return GetField<int64_t>(VT_BURST_AFTER_MS, 0);
+  int64_t late_per_second() const {
+    return GetField<int64_t>(VT_LATE_PER_SECOND, 0);
   }
-  int64_t demand() const {
-    return GetField<int64_t>(VT_DEMAND, 0);
+  int64_t late_burst() const {
+    return GetField<int64_t>(VT_LATE_BURST, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
            verifier.VerifyString(workspace()) &&
            VerifyField<int64_t>(verifier, VT_COMMITTED, 8) &&
-           VerifyField<int64_t>(verifier, VT_AUTHORITY, 8) &&
+           VerifyField<int64_t>(verifier, VT_HELD, 8) &&
            VerifyField<int64_t>(verifier, VT_PER_SECOND, 8) &&
-           VerifyField<int64_t>(verifier, VT_BURST, 8) &&
-           VerifyField<int64_t>(verifier, VT_BURST_AFTER_MS, 8) &&
-           VerifyField<int64_t>(verifier, VT_DEMAND, 8) &&
+           VerifyField<int64_t>(verifier, VT_LATE_AFTER_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_LATE_PER_SECOND, 8) &&
+           VerifyField<int64_t>(verifier, VT_LATE_BURST, 8) &&
            verifier.EndTable();
   }
-  TotalShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(TotalShareT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<TotalShare> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TotalShareT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  LevelShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LevelShareT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LevelShare> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LevelShareT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct TotalShareBuilder {
-  typedef TotalShare Table;
+struct LevelShareBuilder {
+  typedef LevelShare Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
-    fbb_.AddOffset(TotalShare::VT_WORKSPACE, workspace);
+    fbb_.AddOffset(LevelShare::VT_WORKSPACE, workspace);
   }
   void add_committed(int64_t committed) {
-    fbb_.AddElement<int64_t>(TotalShare::VT_COMMITTED, committed, 0);
+    fbb_.AddElement<int64_t>(LevelShare::VT_COMMITTED, committed, 0);
   }
-  void add_authority(int64_t authority) {
-    fbb_.AddElement<int64_t>(TotalShare::VT_AUTHORITY, authority, 0);
+  void add_held(int64_t held) {
+    fbb_.AddElement<int64_t>(LevelShare::VT_HELD, held, 0);
   }
   void add_per_second(int64_t per_second) {
-    fbb_.AddElement<int64_t>(TotalShare::VT_PER_SECOND, per_second, 0);
+    fbb_.AddElement<int64_t>(LevelShare::VT_PER_SECOND, per_second, 0);
   }
-  void add_burst(int64_t burst) {
-    fbb_.AddElement<int64_t>(TotalShare::VT_BURST, burst, 0);
+  void add_late_after_ms(int64_t late_after_ms) {
+    fbb_.AddElement<int64_t>(LevelShare::VT_LATE_AFTER_MS, late_after_ms, 0);
   }
-  void add_burst_after_ms(int64_t burst_after_ms) {
-    fbb_.AddElement<int64_t>(TotalShare::VT_BURST_AFTER_MS, burst_after_ms, 0);
+  void add_late_per_second(int64_t late_per_second) {
+    fbb_.AddElement<int64_t>(LevelShare::VT_LATE_PER_SECOND, late_per_second, 0);
   }
-  void add_demand(int64_t demand) {
-    fbb_.AddElement<int64_t>(TotalShare::VT_DEMAND, demand, 0);
+  void add_late_burst(int64_t late_burst) {
+    fbb_.AddElement<int64_t>(LevelShare::VT_LATE_BURST, late_burst, 0);
   }
-  explicit TotalShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit LevelShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<TotalShare> Finish() {
+  flatbuffers::Offset<LevelShare> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<TotalShare>(end);
+    auto o = flatbuffers::Offset<LevelShare>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<TotalShare> CreateTotalShare(
+inline flatbuffers::Offset<LevelShare> CreateLevelShare(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
     int64_t committed = 0,
-    int64_t authority = 0,
+    int64_t held = 0,
     int64_t per_second = 0,
-    int64_t burst = 0,
-    int64_t burst_after_ms = 0,
-    int64_t demand = 0) {
-  TotalShareBuilder builder_(_fbb);
-  builder_.add_demand(demand);
-  builder_.add_burst_after_ms(burst_after_ms);
-  builder_.add_burst(burst);
+    int64_t late_after_ms = 0,
+    int64_t late_per_second = 0,
+    int64_t late_burst = 0) {
+  LevelShareBuilder builder_(_fbb);
+  builder_.add_late_burst(late_burst);
+  builder_.add_late_per_second(late_per_second);
+  builder_.add_late_after_ms(late_after_ms);
   builder_.add_per_second(per_second);
-  builder_.add_authority(authority);
+  builder_.add_held(held);
   builder_.add_committed(committed);
   builder_.add_workspace(workspace);
   return builder_.Finish();
 }
 
-struct TotalShare::Traits {
-  using type = TotalShare;
-  static auto constexpr Create = CreateTotalShare;
+struct LevelShare::Traits {
+  using type = LevelShare;
+  static auto constexpr Create = CreateLevelShare;
 };
 
-inline flatbuffers::Offset<TotalShare> CreateTotalShareDirect(
+inline flatbuffers::Offset<LevelShare> CreateLevelShareDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *workspace = nullptr,
     int64_t committed = 0,
-    int64_t authority = 0,
+    int64_t held = 0,
     int64_t per_second = 0,
-    int64_t burst = 0,
-    int64_t burst_after_ms = 0,
-    int64_t demand = 0) {
+    int64_t late_after_ms = 0,
+    int64_t late_per_second = 0,
+    int64_t late_burst = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
-  return hawthornhollow::fb::CreateTotalShare(
+  return hawthornhollow::fb::CreateLevelShare(
       _fbb,
       workspace__,
       committed,
-      authority,
+      held,
       per_second,
-      burst,
-      burst_after_ms,
-      demand);
+      late_after_ms,
+      late_per_second,
+      late_burst);
 }
 
-flatbuffers::Offset<TotalShare> CreateTotalShare(flatbuffers::FlatBufferBuilder &_fbb, const TotalShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<LevelShare> CreateLevelShare(flatbuffers::FlatBufferBuilder &_fbb, const LevelShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct RouterRecordT : public flatbuffers::NativeTable {
-  typedef RouterRecord TableType;
+struct LevelRecordT : public flatbuffers::NativeTable {
+  typedef LevelRecord TableType;
   std::string router{};
   int64_t epoch = 0;
   int64_t sequence = 0;
   std::string boot{};
   int64_t written_us = 0;
-  std::string address{};
-  std::vector<std::unique_ptr<hawthornhollow::fb::TotalShareT>> shares{};
-  RouterRecordT() = default;
-  RouterRecordT(const RouterRecordT &o);
-  RouterRecordT(RouterRecordT&&) FLATBUFFERS_NOEXCEPT = default;
-  RouterRecordT &operator=(RouterRecordT o) FLATBUFFERS_NOEXCEPT;
+  bool final = false;
+  std::vector<std::unique_ptr<hawthornhollow::fb::LevelShareT>> shares{};
+  LevelRecordT() = default;
+  LevelRecordT(const LevelRecordT &o);
+  LevelRecordT(LevelRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  LevelRecordT &operator=(LevelRecordT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct RouterRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef RouterRecordT NativeTableType;
-  typedef RouterRecordBuilder Builder;
+struct LevelRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LevelRecordT NativeTableType;
+  typedef LevelRecordBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ROUTER = 4,
@@ -212,7 +447,7 @@
     VT_SEQUENCE = 8,
     VT_BOOT = 10,
     VT_WRITTEN_US = 12,
-    VT_ADDRESS = 14,
+    VT_FINAL = 14,
     VT_SHARES = 16
   };
   const flatbuffers::String *router() const {
@@ -230,11 +465,11 @@
   int64_t written_us() const {
     return GetField<int64_t>(VT_WRITTEN_US, 0);
   }
-  const flatbuffers::String *address() const {
-    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  bool final() const {
+    return GetField<uint8_t>(VT_FINAL, 0) != 0;
   }
-  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>> *shares() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>> *>(VT_SHARES);
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> *shares() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> *>(VT_SHARES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -245,104 +480,102 @@
            VerifyOffset(verifier, VT_BOOT) &&
            verifier.VerifyString(boot()) &&
            VerifyField<int64_t>(verifier, VT_WRITTEN_US, 8) &&
-           VerifyOffset(verifier, VT_ADDRESS) &&
-           verifier.VerifyString(address()) &&
+           VerifyField<uint8_t>(verifier, VT_FINAL, 1) &&
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
            verifier.VerifyVectorOfTables(shares()) &&
            verifier.EndTable();
   }
-  RouterRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(RouterRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<RouterRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouterRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  LevelRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LevelRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LevelRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LevelRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct RouterRecordBuilder {
-  typedef RouterRecord Table;
+struct LevelRecordBuilder {
+  typedef LevelRecord Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_router(flatbuffers::Offset<flatbuffers::String> router) {
-    fbb_.AddOffset(RouterRecord::VT_ROUTER, router);
+    fbb_.AddOffset(LevelRecord::VT_ROUTER, router);
   }
   void add_epoch(int64_t epoch) {
-    fbb_.AddElement<int64_t>(RouterRecord::VT_EPOCH, epoch, 0);
+    fbb_.AddElement<int64_t>(LevelRecord::VT_EPOCH, epoch, 0);
   }
   void add_sequence(int64_t sequence) {
-    fbb_.AddElement<int64_t>(RouterRecord::VT_SEQUENCE, sequence, 0);
+    fbb_.AddElement<int64_t>(LevelRecord::VT_SEQUENCE, sequence, 0);
   }
   void add_boot(flatbuffers::Offset<flatbuffers::String> boot) {
-    fbb_.AddOffset(RouterRecord::VT_BOOT, boot);
+    fbb_.AddOffset(LevelRecord::VT_BOOT, boot);
   }
   void add_written_us(int64_t written_us) {
-    fbb_.AddElement<int64_t>(RouterRecord::VT_WRITTEN_US, written_us, 0);
+    fbb_.AddElement<int64_t>(LevelRecord::VT_WRITTEN_US, written_us, 0);
   }
-  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
-    fbb_.AddOffset(RouterRecord::VT_ADDRESS, address);
+  void add_final(bool final) {
+    fbb_.AddElement<uint8_t>(LevelRecord::VT_FINAL, static_cast<uint8_t>(final), 0);
   }
-  void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>>> shares) {
-    fbb_.AddOffset(RouterRecord::VT_SHARES, shares);
+  void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>>> shares) {
+    fbb_.AddOffset(LevelRecord::VT_SHARES, shares);
   }
-  explicit RouterRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit LevelRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<RouterRecord> Finish() {
+  flatbuffers::Offset<LevelRecord> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<RouterRecord>(end);
+    auto o = flatbuffers::Offset<LevelRecord>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<RouterRecord> CreateRouterRecord(
+inline flatbuffers::Offset<LevelRecord> CreateLevelRecord(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> router = 0,
     int64_t epoch = 0,
     int64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::String> boot = 0,
     int64_t written_us = 0,
-    flatbuffers::Offset<flatbuffers::String> address = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>>> shares = 0) {
-  RouterRecordBuilder builder_(_fbb);
+    bool final = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>>> shares = 0) {
+  LevelRecordBuilder builder_(_fbb);
   builder_.add_written_us(written_us);
   builder_.add_sequence(sequence);
   builder_.add_epoch(epoch);
   builder_.add_shares(shares);
-  builder_.add_address(address);
   builder_.add_boot(boot);
   builder_.add_router(router);
+  builder_.add_final(final);
   return builder_.Finish();
 }
 
-struct RouterRecord::Traits {
-  using type = RouterRecord;
-  static auto constexpr Create = CreateRouterRecord;
+struct LevelRecord::Traits {
+  using type = LevelRecord;
+  static auto constexpr Create = CreateLevelRecord;
 };
 
-inline flatbuffers::Offset<RouterRecord> CreateRouterRecordDirect(
+inline flatbuffers::Offset<LevelRecord> CreateLevelRecordDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *router = nullptr,
     int64_t epoch = 0,
     int64_t sequence = 0,
     const char *boot = nullptr,
     int64_t written_us = 0,
-    const char *address = nullptr,
-    const std::vector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>> *shares = nullptr) {
+    bool final = false,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> *shares = nullptr) {
   auto router__ = router ? _fbb.CreateString(router) : 0;
   auto boot__ = boot ? _fbb.CreateString(boot) : 0;
-  auto address__ = address ? _fbb.CreateString(address) : 0;
-  auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>>(*shares) : 0;
-  return hawthornhollow::fb::CreateRouterRecord(
+  auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>>(*shares) : 0;
+  return hawthornhollow::fb::CreateLevelRecord(
       _fbb,
       router__,
       epoch,
       sequence,
       boot__,
       written_us,
-      address__,
+      final,
       shares__);
 }
 
-flatbuffers::Offset<RouterRecord> CreateRouterRecord(flatbuffers::FlatBufferBuilder &_fbb, const RouterRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<LevelRecord> CreateLevelRecord(flatbuffers::FlatBufferBuilder &_fbb, const LevelRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct TokensWantedT : public flatbuffers::NativeTable {
   typedef TokensWanted TableType;
@@ -507,112 +740,228 @@
 flatbuffers::Offset<TokensGiven> CreateTokensGiven(flatbuffers::FlatBufferBuilder &_fbb, const TokensGivenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 
-inline bool operator==(const TotalShareT &lhs, const TotalShareT &rhs) {
+inline bool operator==(const AuthorityShareT &lhs, const AuthorityShareT &rhs) {
+  return
+      (lhs.workspace == rhs.workspace) &&
+      (lhs.tokens == rhs.tokens) &&
+      (lhs.demand == rhs.demand);
+}
+
+inline bool operator!=(const AuthorityShareT &lhs, const AuthorityShareT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline AuthorityShareT *AuthorityShare::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AuthorityShareT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AuthorityShare::UnPackTo(AuthorityShareT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = demand(); _o->demand = _e; }
+}
+
+inline flatbuffers::Offset<AuthorityShare> AuthorityShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAuthorityShare(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AuthorityShare> CreateAuthorityShare(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityShareT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AuthorityShareT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _workspace = _o->workspace.empty() ? 0 : _fbb.CreateString(_o->workspace);
+  auto _tokens = _o->tokens;
+  auto _demand = _o->demand;
+  return hawthornhollow::fb::CreateAuthorityShare(
+      _fbb,
+      _workspace,
+      _tokens,
+      _demand);
+}
+
+
+inline bool operator==(const AuthorityRecordT &lhs, const AuthorityRecordT &rhs) {
+  return
+      (lhs.router == rhs.router) &&
+      (lhs.epoch == rhs.epoch) &&
+      (lhs.sequence == rhs.sequence) &&
+      (lhs.address == rhs.address) &&
+      (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &a, std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const AuthorityRecordT &lhs, const AuthorityRecordT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline AuthorityRecordT::AuthorityRecordT(const AuthorityRecordT &o)
+      : router(o.router),
+        epoch(o.epoch),
+        sequence(o.sequence),
+        address(o.address) {
+  shares.reserve(o.shares.size());
+  for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new hawthornhollow::fb::AuthorityShareT(*shares_) : nullptr); }
+}
+
+inline AuthorityRecordT &AuthorityRecordT::operator=(AuthorityRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(router, o.router);
+  std::swap(epoch, o.epoch);
+  std::swap(sequence, o.sequence);
+  std::swap(address, o.address);
+  std::swap(shares, o.shares);
+  return *this;
+}
+
+inline AuthorityRecordT *AuthorityRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AuthorityRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AuthorityRecord::UnPackTo(AuthorityRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = router(); if (_e) _o->router = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<hawthornhollow::fb::AuthorityShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<AuthorityRecord> AuthorityRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAuthorityRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AuthorityRecord> CreateAuthorityRecord(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AuthorityRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _router = _o->router.empty() ? 0 : _fbb.CreateString(_o->router);
+  auto _epoch = _o->epoch;
+  auto _sequence = _o->sequence;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateAuthorityShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hawthornhollow::fb::CreateAuthorityRecord(
+      _fbb,
+      _router,
+      _epoch,
+      _sequence,
+      _address,
+      _shares);
+}
+
+
+inline bool operator==(const LevelShareT &lhs, const LevelShareT &rhs) {
   return
       (lhs.workspace == rhs.workspace) &&
       (lhs.committed == rhs.committed) &&
-      (lhs.authority == rhs.authority) &&
+      (lhs.held == rhs.held) &&
       (lhs.per_second == rhs.per_second) &&
-      (lhs.burst == rhs.burst) &&
-      (lhs.burst_after_ms == rhs.burst_after_ms) &&
-      (lhs.demand == rhs.demand);
+      (lhs.late_after_ms == rhs.late_after_ms) &&
+      (lhs.late_per_second == rhs.late_per_second) &&
+      (lhs.late_burst == rhs.late_burst);
 }
 
-inline bool operator!=(const TotalShareT &lhs, const TotalShareT &rhs) {
+inline bool operator!=(const LevelShareT &lhs, const LevelShareT &rhs) {
     return !(lhs == rhs);
 }
 
 
-inline TotalShareT *TotalShare::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<TotalShareT>();
+inline LevelShareT *LevelShare::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LevelShareT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void TotalShare::UnPackTo(TotalShareT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void LevelShare::UnPackTo(LevelShareT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
   { auto _e = committed(); _o->committed = _e; }
-  { auto _e = authority(); _o->authority = _e; }
+  { auto _e = held(); _o->held = _e; }
   { auto _e = per_second(); _o->per_second = _e; }
-  { auto _e = burst(); _o->burst = _e; }
-  { auto _e = burst_after_ms(); _o->burst_after_ms = _e; }
-  { auto _e = demand(); _o->demand = _e; }
+  { auto _e = late_after_ms(); _o->late_after_ms = _e; }
+  { auto _e = late_per_second(); _o->late_per_second = _e; }
+  { auto _e = late_burst(); _o->late_burst = _e; }
 }
 
-inline flatbuffers::Offset<TotalShare> TotalShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TotalShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateTotalShare(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<LevelShare> LevelShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LevelShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLevelShare(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<TotalShare> CreateTotalShare(flatbuffers::FlatBufferBuilder &_fbb, const TotalShareT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<LevelShare> CreateLevelShare(flatbuffers::FlatBufferBuilder &_fbb, const LevelShareT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TotalShareT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LevelShareT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _workspace = _o->workspace.empty() ? 0 : _fbb.CreateString(_o->workspace);
   auto _committed = _o->committed;
-  auto _authority = _o->authority;
+  auto _held = _o->held;
   auto _per_second = _o->per_second;
-  auto _burst = _o->burst;
-  auto _burst_after_ms = _o->burst_after_ms;
-  auto _demand = _o->demand;
-  return hawthornhollow::fb::CreateTotalShare(
+  auto _late_after_ms = _o->late_after_ms;
+  auto _late_per_second = _o->late_per_second;
+  auto _late_burst = _o->late_burst;
+  return hawthornhollow::fb::CreateLevelShare(
       _fbb,
       _workspace,
       _committed,
-      _authority,
+      _held,
       _per_second,
-      _burst,
-      _burst_after_ms,
-      _demand);
+      _late_after_ms,
+      _late_per_second,
+      _late_burst);
 }
 
 
-inline bool operator==(const RouterRecordT &lhs, const RouterRecordT &rhs) {
+inline bool operator==(const LevelRecordT &lhs, const LevelRecordT &rhs) {
   return
       (lhs.router == rhs.router) &&
       (lhs.epoch == rhs.epoch) &&
       (lhs.sequence == rhs.sequence) &&
       (lhs.boot == rhs.boot) &&
       (lhs.written_us == rhs.written_us) &&
-      (lhs.address == rhs.address) &&
-      (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::TotalShareT> const &a, std::unique_ptr<hawthornhollow::fb::TotalShareT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.final == rhs.final) &&
+      (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::LevelShareT> const &a, std::unique_ptr<hawthornhollow::fb::LevelShareT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
-inline bool operator!=(const RouterRecordT &lhs, const RouterRecordT &rhs) {
+inline bool operator!=(const LevelRecordT &lhs, const LevelRecordT &rhs) {
     return !(lhs == rhs);
 }
 
 
-inline RouterRecordT::RouterRecordT(const RouterRecordT &o)
+inline LevelRecordT::LevelRecordT(const LevelRecordT &o)
       : router(o.router),
         epoch(o.epoch),
         sequence(o.sequence),
         boot(o.boot),
         written_us(o.written_us),
-        address(o.address) {
+        final(o.final) {
   shares.reserve(o.shares.size());
-  for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new hawthornhollow::fb::TotalShareT(*shares_) : nullptr); }
+  for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new hawthornhollow::fb::LevelShareT(*shares_) : nullptr); }
 }
 
-inline RouterRecordT &RouterRecordT::operator=(RouterRecordT o) FLATBUFFERS_NOEXCEPT {
+inline LevelRecordT &LevelRecordT::operator=(LevelRecordT o) FLATBUFFERS_NOEXCEPT {
   std::swap(router, o.router);
   std::swap(epoch, o.epoch);
   std::swap(sequence, o.sequence);
   std::swap(boot, o.boot);
   std::swap(written_us, o.written_us);
-  std::swap(address, o.address);
+  std::swap(final, o.final);
   std::swap(shares, o.shares);
   return *this;
 }
 
-inline RouterRecordT *RouterRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<RouterRecordT>();
+inline LevelRecordT *LevelRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LevelRecordT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void RouterRecord::UnPackTo(RouterRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void LevelRecord::UnPackTo(LevelRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = router(); if (_e) _o->router = _e->str(); }
@@ -620,33 +969,33 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = boot(); if (_e) _o->boot = _e->str(); }
   { auto _e = written_us(); _o->written_us = _e; }
-  { auto _e = address(); if (_e) _o->address = _e->str(); }
-  { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<hawthornhollow::fb::TotalShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = final(); _o->final = _e; }
+  { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<hawthornhollow::fb::LevelShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<RouterRecord> RouterRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouterRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateRouterRecord(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<LevelRecord> LevelRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LevelRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLevelRecord(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<RouterRecord> CreateRouterRecord(flatbuffers::FlatBufferBuilder &_fbb, const RouterRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<LevelRecord> CreateLevelRecord(flatbuffers::FlatBufferBuilder &_fbb, const LevelRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RouterRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LevelRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _router = _o->router.empty() ? 0 : _fbb.CreateString(_o->router);
   auto _epoch = _o->epoch;
   auto _sequence = _o->sequence;
   auto _boot = _o->boot.empty() ? 0 : _fbb.CreateString(_o->boot);
   auto _written_us = _o->written_us;
-  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
-  auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::TotalShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateTotalShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
-  return hawthornhollow::fb::CreateRouterRecord(
+  auto _final = _o->final;
+  auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateLevelShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hawthornhollow::fb::CreateLevelRecord(
       _fbb,
       _router,
       _epoch,
       _sequence,
       _boot,
       _written_us,
-      _address,
+      _final,
       _shares);
 }
 
@@ -732,46 +1081,46 @@
       _tokens);
 }
 
-inline const hawthornhollow::fb::RouterRecord *GetRouterRecord(const void *buf) {
-  return flatbuffers::GetRoot<hawthornhollow::fb::RouterRecord>(buf);
+inline const hawthornhollow::fb::LevelRecord *GetLevelRecord(const void *buf) {
+  return flatbuffers::GetRoot<hawthornhollow::fb::LevelRecord>(buf);
 }
 
-inline const hawthornhollow::fb::RouterRecord *GetSizePrefixedRouterRecord(const void *buf) {
-  return flatbuffers::GetSizePrefixedRoot<hawthornhollow::fb::RouterRecord>(buf);
+inline const hawthornhollow::fb::LevelRecord *GetSizePrefixedLevelRecord(const void *buf) {
+  return flatbuffers::GetSizePrefixedRoot<hawthornhollow::fb::LevelRecord>(buf);
 }
 
-inline bool VerifyRouterRecordBuffer(
+inline bool VerifyLevelRecordBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifyBuffer<hawthornhollow::fb::RouterRecord>(nullptr);
+  return verifier.VerifyBuffer<hawthornhollow::fb::LevelRecord>(nullptr);
 }
 
-inline bool VerifySizePrefixedRouterRecordBuffer(
+inline bool VerifySizePrefixedLevelRecordBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifySizePrefixedBuffer<hawthornhollow::fb::RouterRecord>(nullptr);
+  return verifier.VerifySizePrefixedBuffer<hawthornhollow::fb::LevelRecord>(nullptr);
 }
 
-inline void FinishRouterRecordBuffer(
+inline void FinishLevelRecordBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
-    flatbuffers::Offset<hawthornhollow::fb::RouterRecord> root) {
+    flatbuffers::Offset<hawthornhollow::fb::LevelRecord> root) {
   fbb.Finish(root);
 }
 
-inline void FinishSizePrefixedRouterRecordBuffer(
+inline void FinishSizePrefixedLevelRecordBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
-    flatbuffers::Offset<hawthornhollow::fb::RouterRecord> root) {
+    flatbuffers::Offset<hawthornhollow::fb::LevelRecord> root) {
   fbb.FinishSizePrefixed(root);
 }
 
-inline std::unique_ptr<hawthornhollow::fb::RouterRecordT> UnPackRouterRecord(
+inline std::unique_ptr<hawthornhollow::fb::LevelRecordT> UnPackLevelRecord(
     const void *buf,
     const flatbuffers::resolver_function_t *res = nullptr) {
-  return std::unique_ptr<hawthornhollow::fb::RouterRecordT>(GetRouterRecord(buf)->UnPack(res));
+  return std::unique_ptr<hawthornhollow::fb::LevelRecordT>(GetLevelRecord(buf)->UnPack(res));
 }
 
-inline std::unique_ptr<hawthornhollow::fb::RouterRecordT> UnPackSizePrefixedRouterRecord(
+inline std::unique_ptr<hawthornhollow::fb::LevelRecordT> UnPackSizePrefixedLevelRecord(
     const void *buf,
     const flatbuffers::resolver_function_t *res = nullptr) {
-  return std::unique_ptr<hawthornhollow::fb::RouterRecordT>(GetSizePrefixedRouterRecord(buf)->UnPack(res));
+  return std::unique_ptr<hawthornhollow::fb::LevelRecordT>(GetSizePrefixedLevelRecord(buf)->UnPack(res));
 }
 
 }  // namespace fb
--- a/hawthornhollow/totals/totals_random_test.cc
+++ b/hawthornhollow/totals/totals_random_test.cc
@@ -19,22 +19,39 @@
 constexpr absl::Duration kStep = absl::Milliseconds(20);
 constexpr int64_t kUsualRequest = 3'000;
 
-// The store: the newest record of each router, and when records came.
+// The store's two logs: authorities are put at the end that their writer knows,
+// levels after their writer's last.
 class Store {
  public:
-  int64_t end() const { return static_cast<int64_t>(log_.size()); }
-  const std::vector<std::string>& log() const { return log_; }
+  int64_t end() const { return static_cast<int64_t>(authorities_.size()); }
+  const std::vector<std::string>& authorities() const { return authorities_; }
+  const std::map<std::string, std::string>& levels() const { return levels_; }
 
-  // Appends if `at` is the end.
-  bool Append(const std::string& record, int64_t at) {
+  bool PutAuthority(const std::string& record, int64_t at) {
     if (at != end())
       return false;
-    log_.push_back(record);
+    authorities_.push_back(record);
+    return true;
+  }
+
+  bool PutLevel(const std::string& record) {
+    const auto level = DecodeLevel(record);
+    std::pair<int64_t, int64_t>& last = last_[level->router];
+    const std::pair<int64_t, int64_t> place(level->epoch, level->sequence);
+    if (place == last)
+      return true;  // a repeat
+    if (place.first < last.first ||
+        (place.first == last.first && place.second != last.second + 1))
+      return false;
+    last = place;
+    levels_[level->router] = record;
     return true;
   }
 
  private:
-  std::vector<std::string> log_;
+  std::vector<std::string> authorities_;
+  std::map<std::string, std::string> levels_;
+  std::map<std::string, std::pair<int64_t, int64_t>> last_;
 };
 
 // The obvious reference: what was really spent or may be, by anyone.
@@ -50,7 +67,10 @@
 struct Running {
   Reservation reservation;
   int64_t used = 0;
+  // When its answer begins to arrive, and when it ends.
+  absl::Duration begins;
   absl::Duration ends;
+  bool committed = false;
 };
 
 // One VM and its router's incarnations.
@@ -59,10 +79,12 @@
   std::string boot = "boot-0";
   absl::Duration clock_offset;
   std::unique_ptr<TotalsBook> book;
+  absl::Duration born;
   std::vector<Running> running;
-  int64_t read = 0;  // of the store's log
-  std::string pending;
+  int64_t read = 0;     // of the store's log
+  std::string pending;  // authority
   int64_t pending_at = 0;
+  std::string pending_level;
   absl::Duration cut_until;
   absl::Duration frozen_until;
   absl::Duration down_until;
@@ -113,9 +135,12 @@
     if (vm.book == nullptr || now_ < vm.frozen_until)
       return;
     vm.book->SetTotal(kWard, total_);
+    DeliverRequests(vm);
     EndRequests(vm);
-    if (now_ >= vm.cut_until)
+    if (now_ >= vm.cut_until) {
       Sync(vm);
+      SyncLevel(vm);
+    }
     if (Chance(0.5))
       BeginRequest(vm);
     if (Chance(0.1))
@@ -135,26 +160,30 @@
       Close(vm);
   }
 
-  // Ends in order: requests are finished, and a last record is written.
+  // Ends in order: requests are finished, and last records are written.
   void Close(Vm& vm) {
     for (Running& running : vm.running)
       running.ends = now_;
     EndRequests(vm);
-    bool own_seen = false;
-    if (!vm.book->has_pending_record()) {
+    SyncLevel(vm);
+    Sync(vm);
+    if (vm.book->started() && !vm.book->pending_level().has_value() &&
+        !vm.book->pending_authority().has_value()) {
+      vm.book->BeginClosing();
+      WriteLevel(vm);
+      bool own_seen = false;
       Follow(vm, &own_seen);
-      vm.pending = EncodeRouterRecord(vm.book->MakeLastRecord(ClockOf(vm)));
-      vm.pending_at = vm.read;
-      Put(vm, /*again=*/false);
+      WriteAuthority(vm);
     }
     Kill(vm, /*power=*/Chance(0.5));
   }
 
-  // What runs at that moment is spent at its worst.
+  // What is being delivered at that moment is spent at its worst.
   void Kill(Vm& vm, bool power) {
     vm.book.reset();
     vm.running.clear();
     vm.pending.clear();
+    vm.pending_level.clear();
     vm.down_until = now_ + UpTo(absl::Seconds(3));
     if (power) {
       vm.boot = "boot-" + std::to_string(++boots_);
@@ -165,35 +194,49 @@
   void StartBook(Vm& vm) {
     vm.book = std::make_unique<TotalsBook>(
         TotalsOptions{.router = vm.name, .boot = vm.boot});
+    vm.born = ClockOf(vm);
     vm.read = 0;
   }
 
   void Follow(Vm& vm, bool* own_seen) {
-    std::optional<fb::RouterRecordT> own;
+    RouterRecords own;
     for (; vm.read < store_.end(); ++vm.read) {
-      auto record = DecodeRouterRecord(store_.log()[vm.read]);
+      auto record = DecodeAuthority(store_.authorities()[vm.read]);
       ASSERT_TRUE(record.ok());
-      if (store_.log()[vm.read] == vm.pending)
+      if (store_.authorities()[vm.read] == vm.pending)
         *own_seen = true;
+      else if (record->router == vm.name && vm.book->started())
+        vm.book->OnStrayAuthority(*record);
       if (record->router == vm.name)
-        own = *std::move(record);
+        own.authority = *std::move(record);
       else
-        vm.book->ApplyRecord(*std::move(record));
+        vm.book->ApplyAuthority(*std::move(record));
+    }
+    for (const auto& [router, bytes] : store_.levels()) {
+      auto record = DecodeLevel(bytes);
+      ASSERT_TRUE(record.ok());
+      if (router == vm.name)
+        own.level = *std::move(record);
+      else
+        vm.book->ApplyLevel(*std::move(record));
     }
     if (!vm.book->started())
-      vm.book->Start(own, ClockOf(vm));
+      vm.book->Start(own, vm.born);
   }
 
   void Sync(Vm& vm) {
     bool own_seen = false;
-    if (vm.book->has_pending_record()) {
+    if (vm.book->pending_authority().has_value()) {
       Put(vm, /*again=*/true);
       return;
     }
     Follow(vm, &own_seen);
-    if (!vm.book->WantsRecord(ClockOf(vm)) && !Chance(0.1))
-      return;
-    vm.pending = EncodeRouterRecord(vm.book->MakeRecord(ClockOf(vm)));
+    if (vm.book->WantsAuthority(ClockOf(vm)) || Chance(0.1))
+      WriteAuthority(vm);
+  }
+
+  void WriteAuthority(Vm& vm) {
+    vm.pending = EncodeAuthority(vm.book->MakeAuthority(ClockOf(vm)));
     vm.pending_at = vm.read;
     Put(vm, /*again=*/false);
   }
@@ -205,34 +248,64 @@
             {now_ + UpTo(absl::Seconds(6)), vm.pending, vm.pending_at});
       return;
     }
-    const bool done = store_.Append(vm.pending, vm.pending_at);
+    const bool done = store_.PutAuthority(vm.pending, vm.pending_at);
     if (Chance(0.05))
       return;  // the answer is lost
     if (done) {
       vm.read = store_.end();
-      Durable(vm);
+      vm.book->OnAuthorityDurable();
+      vm.pending.clear();
       return;
     }
     bool own_seen = false;
     if (again)
       Follow(vm, &own_seen);
     if (own_seen)
-      Durable(vm);
+      vm.book->OnAuthorityDurable();
     else
-      vm.book->OnRecordRefused();
+      vm.book->OnAuthorityRefused();
     vm.pending.clear();
   }
 
-  static void Durable(Vm& vm) {
-    vm.book->OnRecordDurable();
-    vm.pending.clear();
+  void SyncLevel(Vm& vm) {
+    if (!vm.book->started())
+      return;
+    if (vm.book->pending_level().has_value())
+      PutLevel(vm);
+    else if (vm.book->WantsLevel(ClockOf(vm)) || Chance(0.1))
+      WriteLevel(vm);
+  }
+
+  void WriteLevel(Vm& vm) {
+    vm.pending_level = EncodeLevel(vm.book->MakeLevel(ClockOf(vm)));
+    PutLevel(vm);
+  }
+
+  // The same record is put until there is an answer.
+  void PutLevel(Vm& vm) {
+    if (Chance(0.05)) {
+      if (Chance(0.5))
+        late_.push_back({now_ + UpTo(absl::Seconds(6)), vm.pending_level, -1});
+      return;
+    }
+    const bool done = store_.PutLevel(vm.pending_level);
+    if (Chance(0.05))
+      return;
+    if (done)
+      vm.book->OnLevelDurable();
+    else
+      vm.book->OnLevelRefused();
+    vm.pending_level.clear();
   }
 
   void DoLateAppends() {
     std::erase_if(late_, [&](const Late& late) {
       if (late.due > now_)
         return false;
-      store_.Append(late.record, late.at);
+      if (late.at < 0)
+        store_.PutLevel(late.record);
+      else
+        store_.PutAuthority(late.record, late.at);
       return true;
     });
   }
@@ -250,16 +323,40 @@
     }
     if (!reserved.has_value())
       return;
-    counter_.Add(tokens);
+    const absl::Duration begins = now_ + UpTo(absl::Seconds(2));
     vm.running.push_back({.reservation = *reserved,
                           .used = Pick(0, tokens),
-                          .ends = now_ + UpTo(absl::Seconds(2))});
+                          .begins = begins,
+                          .ends = begins + UpTo(absl::Seconds(2))});
+  }
+
+  // Only what is committed may reach a caller.
+  void DeliverRequests(Vm& vm) {
+    for (Running& running : vm.running) {
+      if (running.committed || running.begins > now_)
+        continue;
+      const Reservation& reservation = running.reservation;
+      running.committed = vm.book->Commit(reservation, ClockOf(vm));
+      if (!running.committed) {
+        vm.book->AddCommitting(reservation);
+        if (now_ >= vm.cut_until)
+          SyncLevel(vm);
+        vm.book->RemoveCommitting(reservation);
+        running.committed = vm.book->Commit(reservation, ClockOf(vm));
+      }
+      if (running.committed)
+        counter_.Add(reservation.tokens());
+    }
   }
 
   void EndRequests(Vm& vm) {
     std::erase_if(vm.running, [&](const Running& running) {
       if (running.ends > now_)
         return false;
+      if (!running.committed) {
+        vm.book->Release(running.reservation);
+        return true;
+      }
       vm.book->Settle(running.reservation, running.used);
       counter_.Add(running.used - running.reservation.tokens());
       return true;
@@ -280,7 +377,7 @@
   struct Late {
     absl::Duration due;
     std::string record;
-    int64_t at;
+    int64_t at;  // negative: a level
   };
 
   std::mt19937_64 random_;
--- /dev/null
+++ b/hawthornhollow/totals/totals_records.cc
@@ -0,0 +1,207 @@
+// What a router asks for in its records.
+//
+// The load pattern that this answers: few busy workspaces and many idle ones,
+// totals that are topped up and run out, a store that is away for seconds and
+// routers that are killed or lose power. An authority covers the demand of one
+// outage; near the end of a total it is divided by demand, so that nobody holds
+// what others ask for. A level's schedule lets a router go on by its demand
+// through an outage; while the record is young it allows little, since that is
+// what a killed router is charged.
+
+#include <algorithm>
+#include <cmath>
+
+#include "hawthornhollow/totals/shares_internal.h"
+#include "hawthornhollow/totals/totals.h"
+
+namespace hawthornhollow {
+namespace {
+
+// A record is worth writing when a holding moved by this share of its headroom.
+constexpr double kWorthwhileShare = 0.15;
+// What is free of a total is dealt out in parts, so that two routers asking at
+// once do not leave one of them with nothing.
+constexpr double kPartOfUnassigned = 0.5;
+
+}  // namespace
+
+int64_t TotalsBook::WantedHeadroom(const std::string& workspace,
+                                   const Holding& holding,
+                                   absl::Duration now) const {
+  const double by_demand = DemandRate(holding, now) * options_.headroom *
+                           absl::ToDoubleSeconds(options_.horizon);
+  const auto total = static_cast<double>(TotalOf(workspace));
+  const double left = std::max(
+      0.0, total - static_cast<double>(OthersCommitted(workspace) +
+                                       holding.committed + holding.held));
+  // Who alone asks need not leave anything to others.
+  const double share = DemandShare(workspace, holding, now);
+  const double fair = left * share * (1 - options_.reserve_share * (1 - share));
+  const double idle =
+      left < total * options_.plenty
+          ? 0
+          : left * options_.idle_share / static_cast<double>(router_count());
+  return holding.waiting +
+         static_cast<int64_t>(std::max(std::min(by_demand, fair), idle));
+}
+
+// This router's part of all routers' demand: near a total's end nobody holds
+// what others ask for.
+double TotalsBook::DemandShare(const std::string& workspace,
+                               const Holding& holding,
+                               absl::Duration now) const {
+  const double own = DemandRate(holding, now);
+  const double all = own + static_cast<double>(OthersDemand(workspace));
+  return all < 1 ? 1 / static_cast<double>(router_count()) : own / all;
+}
+
+int64_t TotalsBook::WantedAuthority(const std::string& workspace,
+                                    const Holding& holding,
+                                    absl::Duration now) const {
+  const int64_t taken = holding.committed + holding.held;
+  if (closing_)
+    return taken;
+  const int64_t durable = DurableAuthority(workspace);
+  const int64_t wanted = taken + WantedHeadroom(workspace, holding, now);
+  if (wanted <= durable)
+    return wanted;
+  const int64_t unassigned = std::max<int64_t>(
+      0, TotalOf(workspace) - OthersAuthority(workspace) - durable);
+  const int64_t part = std::max<int64_t>(
+      holding.waiting, static_cast<int64_t>(kPartOfUnassigned *
+                                            static_cast<double>(unassigned)));
+  return durable + std::min({wanted - durable, part, unassigned});
+}
+
+fb::AuthorityRecordT TotalsBook::MakeAuthority(absl::Duration now) {
+  fb::AuthorityRecordT record;
+  record.router = options_.router;
+  record.epoch = epoch_;
+  record.sequence = ++authority_sequence_;
+  record.address = options_.address;
+  for (const auto& [workspace, holding] : holdings_) {
+    auto share = std::make_unique<fb::AuthorityShareT>();
+    share->workspace = workspace;
+    share->tokens = WantedAuthority(workspace, holding, now);
+    share->demand = static_cast<int64_t>(DemandRate(holding, now));
+    if (share->tokens != 0 || share->demand != 0)
+      record.shares.push_back(std::move(share));
+  }
+  pending_authority_ = record;
+  return record;
+}
+
+void TotalsBook::OnAuthorityDurable() {
+  durable_authority_ = std::move(pending_authority_);
+  pending_authority_.reset();
+}
+
+void TotalsBook::OnAuthorityRefused() {
+  pending_authority_.reset();
+}
+
+bool TotalsBook::WantsAuthority(absl::Duration now) const {
+  if (!started_ || pending_authority_.has_value())
+    return false;
+  if (!HasOwnAuthority())
+    return true;
+  return std::any_of(holdings_.begin(), holdings_.end(), [&](const auto& item) {
+    const auto& [workspace, holding] = item;
+    const int64_t spare =
+        DurableAuthority(workspace) - holding.committed - holding.held;
+    if (holding.waiting > spare)
+      return true;
+    const int64_t wanted = WantedHeadroom(workspace, holding, now);
+    // What is lacking in an outage is dearer than what lies idle.
+    constexpr int64_t kWorthwhileExcess = 4;
+    constexpr int64_t kWorthwhileLack = 32;
+    if (spare - wanted > wanted / kWorthwhileExcess)
+      return true;
+    return wanted - spare > wanted / kWorthwhileLack &&
+           state(workspace, now).unassigned > 0;
+  });
+}
+
+fb::LevelShareT TotalsBook::MakeLevelShare(const std::string& workspace,
+                                           const Holding& holding,
+                                           absl::Duration now) const {
+  fb::LevelShareT share;
+  share.workspace = workspace;
+  // What waits is written ahead, to be committed once the record is durable.
+  share.committed = holding.committed + holding.committing;
+  share.held = holding.held - holding.committing;
+  if (closing_)
+    return share;
+  const int64_t headroom =
+      AuthorityNow(workspace) - holding.committed - holding.held;
+  const double by_horizon =
+      static_cast<double>(headroom) / absl::ToDoubleSeconds(options_.horizon);
+  const double rate =
+      std::max(by_horizon, DemandRate(holding, now) * options_.headroom);
+  const double most_at_a_kill =
+      static_cast<double>(TotalOf(workspace)) * options_.kill_share;
+  share.per_second = static_cast<int64_t>(std::min(
+      rate, most_at_a_kill / absl::ToDoubleSeconds(options_.late_after)));
+  share.late_after_ms = absl::ToInt64Milliseconds(options_.late_after);
+  share.late_per_second = static_cast<int64_t>(rate);
+  share.late_burst =
+      share.held +
+      static_cast<int64_t>(holding.usual_request *
+                           static_cast<double>(options_.late_requests));
+  return share;
+}
+
+fb::LevelRecordT TotalsBook::MakeLevel(absl::Duration now) {
+  fb::LevelRecordT record;
+  record.router = options_.router;
+  record.epoch = epoch_;
+  record.sequence = ++level_sequence_;
+  record.boot = options_.boot;
+  record.written_us = absl::ToInt64Microseconds(now);
+  record.final = closing_;
+  for (const auto& [workspace, holding] : holdings_) {
+    if (AuthorityNow(workspace) == 0)
+      continue;
+    record.shares.push_back(std::make_unique<fb::LevelShareT>(
+        MakeLevelShare(workspace, holding, now)));
+  }
+  pending_level_ = record;
+  return record;
+}
+
+void TotalsBook::OnLevelDurable() {
+  durable_level_ = std::move(pending_level_);
+  pending_level_.reset();
+}
+
+void TotalsBook::OnLevelRefused() {
+  pending_level_.reset();
+  ++epoch_;
+  level_sequence_ = 0;
+}
+
+bool TotalsBook::WantsLevel(absl::Duration now) const {
+  if (!started_ || pending_level_.has_value() || !HasOwnAuthority())
+    return false;
+  if (!durable_level_.has_value())
+    return true;
+  return std::any_of(holdings_.begin(), holdings_.end(), [&](const auto& item) {
+    const auto& [workspace, holding] = item;
+    const int64_t authority = AuthorityNow(workspace);
+    if (authority == 0)
+      return false;
+    const fb::LevelShareT* share = FindShare(durable_level_, workspace);
+    const bool waits_for_it = holding.waiting > 0 && !IsTrusted(now);
+    if (share == nullptr || waits_for_it ||
+        holding.committed + holding.committing > LimitNow(workspace, now))
+      return true;
+    const int64_t moved = std::abs(holding.committed + holding.held -
+                                   share->committed - share->held);
+    const int64_t headroom = authority - share->committed - share->held;
+    return static_cast<double>(moved) >
+           kWorthwhileShare *
+               static_cast<double>(std::max<int64_t>(headroom, 1));
+  });
+}
+
+}  // namespace hawthornhollow
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -13,6 +13,7 @@
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
 constexpr int kPreconditionFailed = 412;
 constexpr int kMisdirected = 421;
 constexpr int kInternalError = 500;
@@ -31,6 +32,17 @@
 
 }  // namespace
 
+StoreStandin::Place StoreStandin::PlaceOf(const HttpRequest& request) {
+  return {.writer = request.Query("producer").value_or(""),
+          .epoch = QueryInt(request, "epoch", 0),
+          .sequence = QueryInt(request, "sequence", 0)};
+}
+
+bool StoreStandin::Follows(const Place& place, const Place& last) {
+  return place.epoch > last.epoch ||
+         (place.epoch == last.epoch && place.sequence == last.sequence + 1);
+}
+
 HttpHandler StoreStandin::Handler() {
   return [this](const HttpRequest& request, ResponseWriter& writer) {
     Serve(request, writer);
@@ -80,9 +92,17 @@
     const std::lock_guard lock(mutex_);
     std::vector<Record>& records = topics_[Topic(request)];
     const auto end = static_cast<int64_t>(records.size());
+    const Place place = PlaceOf(request);
+    Place& last = writers_[Topic(request) + "/" + place.writer];
     if (QueryInt(request, "at", end) != end) {
       status = kPreconditionFailed;
+    } else if (!place.writer.empty() && place != last &&
+               !Follows(place, last)) {
+      status = kConflict;
+    } else if (!place.writer.empty() && place == last) {
+      answer["offset"] = end - 1;  // a repeat
     } else {
+      last = place;
       const std::string& body = request.body;
       const auto key_bytes =
           static_cast<size_t>(static_cast<unsigned char>(body[kLengthBytes]));
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -36,6 +36,16 @@
     std::string key;
     std::string value;
   };
+  // Of an append among those of its writer.
+  struct Place {
+    std::string writer;
+    int64_t epoch = 0;
+    int64_t sequence = 0;
+    friend bool operator==(const Place&, const Place&) = default;
+  };
+  static Place PlaceOf(const HttpRequest& request);
+  static bool Follows(const Place& place, const Place& last);
+
   void Serve(const HttpRequest& request, ResponseWriter& writer);
   void Append(const HttpRequest& request, ResponseWriter& writer);
   void Read(const HttpRequest& request, ResponseWriter& writer);
@@ -43,6 +53,7 @@
 
   mutable std::mutex mutex_;
   std::map<std::string, std::vector<Record>> topics_;
+  std::map<std::string, Place> writers_;  // the last place, by topic and writer
   bool outage_ = false;
   int64_t calls_ = 0;
 };
