--- a/hawthornhollow/explain/explain_test.cc
+++ b/hawthornhollow/explain/explain_test.cc
@@ -78,6 +78,13 @@
   EXPECT_THAT(story_.Summary(), Not(HasSubstr("out of reach")));
 }
 
+TEST_F(RequestStoryTest, RouterThatStoppedAndStartedAgain_IsNotShuttingDown) {
+  story_.Add("time=t1 process=entry-1 event=router.stopping bound_ms=8000");
+  story_.Add("time=t2 process=entry-1 event=router.started callers=x");
+  story_.Add(kEnd);
+  EXPECT_THAT(story_.Summary(), Not(HasSubstr("shutting down")));
+}
+
 TEST_F(RequestStoryTest, FilesOutOfOrder_AreShownInTheOrderOfTime) {
   story_.Add(kEnd);
   story_.Add(kRefused);
--- a/hawthornhollow/explain/request_story.cc
+++ b/hawthornhollow/explain/request_story.cc
@@ -70,6 +70,8 @@
     context.insert_or_assign("server " + line.Field("server"), line);
   else if (line.event() == "router.stopping")
     context.insert_or_assign("stopping", line);
+  else if (line.event() == "router.started")
+    context.clear();  // another process of the same name
 }
 
 std::vector<LogLine> RequestStory::RelatedLines() const {
@@ -116,9 +118,10 @@
         "; wanted ", line.Field("wanted"), " tokens of ",
         line.Field("workspace"), ", had ", line.Field("available"),
         " at hand, with ", line.Field("committed"), " of ", line.Field("total"),
-        " committed and ", line.Field("unassigned"),
-        " with no router; its record was ", line.Field("record_age_ms"),
-        " ms old");
+        " committed and ", line.Field("unassigned"), " with no router; ",
+        line.Field("record_age_ms") == "-1"
+            ? "it had no record of its own yet"
+            : "its record was " + line.Field("record_age_ms") + " ms old");
   }
   return sentence;
 }
--- a/hawthornhollow/relay/record_keeper.h
+++ b/hawthornhollow/relay/record_keeper.h
@@ -30,6 +30,8 @@
   // their number: with many it is so long for each of them.
   absl::Duration interval = absl::Milliseconds(300);
   absl::Duration interval_per_router = absl::Milliseconds(40);
+  // For a router's own level: a killed one is charged by the age of its last.
+  absl::Duration level_interval_per_router = absl::Milliseconds(10);
   // A record is renewed at this age even if nothing changed, so that the next
   // incarnation is charged little of its schedule.
   absl::Duration renewal = absl::Seconds(1);
@@ -69,11 +71,11 @@
 
   // Each keeps one of the records until `stop`, on a fiber of its own.
   void KeepAuthority(const std::atomic<bool>& stop) {
-    Keep(stop, authority_wanted_,
+    Keep(stop, authority_wanted_, options_.interval_per_router,
          [this] { return book_.started() ? SyncAuthority() : Join(); });
   }
   void KeepLevel(const std::atomic<bool>& stop) {
-    Keep(stop, level_wanted_,
+    Keep(stop, level_wanted_, options_.level_interval_per_router,
          [this] { return !book_.started() || SyncLevel(); });
   }
 
@@ -93,14 +95,16 @@
   absl::Duration ForAllRouters(absl::Duration each) const {
     return each * static_cast<int64_t>(book_.router_count());
   }
-  absl::Duration Interval() const {
-    return std::max(options_.interval,
-                    ForAllRouters(options_.interval_per_router));
+  absl::Duration Interval(absl::Duration per_router) const {
+    return std::max(options_.interval, ForAllRouters(per_router));
   }
 
   // Calls `sync` again and again: at once when wanted, else at the interval.
   template <typename Sync>
-  void Keep(const std::atomic<bool>& stop, FiberSignal& wanted, Sync sync) {
+  void Keep(const std::atomic<bool>& stop,
+            FiberSignal& wanted,
+            absl::Duration interval_per_router,
+            Sync sync) {
     ++keepers_;
     const absl::Cleanup ended = [this] {
       --keepers_;
@@ -113,7 +117,7 @@
         hawthornhollow::SleepFor(options_.retry);
         continue;
       }
-      wanted.WaitBeyond(seen, Interval());
+      wanted.WaitBeyond(seen, Interval(interval_per_router));
       const absl::Duration gap = ForAllRouters(options_.gap_per_router);
       hawthornhollow::SleepFor(begun + gap - SteadyNow());
     }
@@ -351,7 +355,7 @@
   // Reads how far the others are, at the interval; what all of them read grows
   // with the square of their number.
   bool FollowLevels() {
-    if (SteadyNow() - levels_read_ < Interval())
+    if (SteadyNow() - levels_read_ < Interval(options_.interval_per_router))
       return true;
     auto page = store_.Newest(StoreSubject::kLevels, options_.call_timeout);
     if (!page.ok())
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -33,8 +33,9 @@
 struct TotalsControllerOptions {
   TotalsOptions book;
   RecordKeeperOptions records;
-  // How long before an answer is expected a record is written for it: what two
-  // calls to a store in another failure domain take.
+  // How long before an answer is expected a level is written that has room for
+  // it. What is committed early is charged if the router is killed meanwhile;
+  // an answer that is early waits.
   absl::Duration commit_ahead = absl::Milliseconds(250);
   // A request waits this long for a record before other routers are asked.
   absl::Duration ask_after = absl::Milliseconds(25);
