A read that fails after a refused put leaves the put's outcome unknown

Found by reading the change: when the answer of an authority's put was lost, the repeat was refused by its condition and the read that tells whether the first took effect failed too, the record was taken for refused. Had it lowered the authority, others could have taken what was given back. An outcome is durable, refused or unknown now; RecordKeeperTest failed before (two records were put).

--- a/hawthornhollow/relay/record_keeper.h
+++ b/hawthornhollow/relay/record_keeper.h
@@ -146,13 +146,15 @@
       if (!level_closed_)
         return false;
     }
-    return FollowAuthorities() && PutAuthority(book_.MakeAuthority(BootTime()));
+    return FollowAuthorities() &&
+           PutAuthority(book_.MakeAuthority(BootTime())) == Outcome::kDurable;
   }
 
   bool ResolvePending() {
     if (book_.pending_level().has_value() && !PutLevelAgain())
       return false;
-    return !book_.pending_authority().has_value() || PutAuthorityAgain();
+    return !book_.pending_authority().has_value() ||
+           PutAuthorityAgain() != Outcome::kUnknown;
   }
 
   // Reads all records and begins this incarnation.
@@ -224,57 +226,72 @@
         .Add("same_boot", same_boot ? 1 : 0);
   }
 
+  // Whether the store answered.
   bool SyncAuthority() {
     if (book_.pending_authority().has_value())
-      return PutAuthorityAgain();
-    if (!FollowAuthorities() || !FollowLevels())
+      return PutAuthorityAgain() != Outcome::kUnknown;
+    if (!FollowLevels())
       return false;
-    if (!book_.WantsAuthority(BootTime()))
-      return true;
-    // Others may have written meanwhile.
+    // Others may write meanwhile.
     constexpr int kTries = 3;
     for (int i = 0; i < kTries; ++i) {
-      if (PutAuthority(book_.MakeAuthority(BootTime())))
-        return true;
-      if (!answered_ || !FollowAuthorities())
+      if (!FollowAuthorities())
         return false;
+      if (!book_.WantsAuthority(BootTime()))
+        return true;
+      const Outcome outcome = PutAuthority(book_.MakeAuthority(BootTime()));
+      if (outcome != Outcome::kRefused)
+        return outcome == Outcome::kDurable;
     }
     return true;
   }
 
-  // Whether the record is durable; `answered_` tells whether the store spoke.
-  bool PutAuthority(const fb::AuthorityRecordT& record) {
+  // What is known of a put.
+  enum class Outcome { kDurable, kRefused, kUnknown };
+
+  Outcome PutAuthority(const fb::AuthorityRecordT& record) {
     record_ = EncodeAuthority(record);
     record_at_ = end_;
-    return SendAuthority([] { return false; });
+    return Conclude(SendAuthority());
   }
 
   // The outcome of the pending record's put is not known: the same put under
-  // the same condition finds it out.
-  bool PutAuthorityAgain() {
-    return SendAuthority([this] { return FollowAuthorities() && own_seen_; });
+  // the same condition finds it out. If the condition does not hold, others
+  // wrote, or the earlier put took effect: then the record can be read.
+  Outcome PutAuthorityAgain() {
+    Outcome outcome = SendAuthority();
+    if (outcome == Outcome::kRefused) {
+      own_seen_ = false;
+      if (!FollowAuthorities())
+        outcome = Outcome::kUnknown;
+      else if (own_seen_)
+        outcome = Outcome::kDurable;
+    }
+    return Conclude(outcome);
   }
 
-  // `took_effect` is asked if the condition does not hold.
-  template <typename TookEffect>
-  bool SendAuthority(TookEffect took_effect) {
+  Outcome SendAuthority() {
     auto end = store_.PutAt(StoreSubject::kAuthorities, book_.router(), record_,
                             record_at_, options_.call_timeout);
-    answered_ = end.ok() ||
-                end.status().code() == absl::StatusCode::kFailedPrecondition;
-    if (!answered_)
-      return false;
-    own_seen_ = false;
-    if (end.ok())
+    if (end.ok()) {
       end_ = *end;
-    const bool durable = end.ok() || took_effect();
-    if (durable)
+      return Outcome::kDurable;
+    }
+    return end.status().code() == absl::StatusCode::kFailedPrecondition
+               ? Outcome::kRefused
+               : Outcome::kUnknown;
+  }
+
+  Outcome Conclude(Outcome outcome) {
+    if (outcome == Outcome::kUnknown)
+      return outcome;
+    if (outcome == Outcome::kDurable)
       book_.OnAuthorityDurable();
     else
       book_.OnAuthorityRefused();
     level_wanted_.Notify();
     changed_.Notify();
-    return durable;
+    return outcome;
   }
 
   // Whether the store answered.
@@ -398,7 +415,6 @@
   std::string record_;  // the pending authority's bytes
   int64_t record_at_ = 0;
   bool own_seen_ = false;
-  bool answered_ = false;
   std::string level_;  // the pending level's bytes
   bool level_closed_ = false;
   int keepers_ = 0;
--- /dev/null
+++ b/hawthornhollow/relay/record_keeper_test.cc
@@ -0,0 +1,106 @@
+#include "hawthornhollow/relay/record_keeper.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+
+namespace hawthornhollow {
+namespace {
+
+constexpr char kWard[] = "ward-7";
+constexpr int64_t kTotal = 60'000;
+
+// A store in memory whose calls fail as a test says. Used on one thread.
+class ScriptedStore {
+ public:
+  bool lose_next_put_answer = false;
+  bool fail_next_read = false;
+
+  absl::StatusOr<StoredPage> Newest(StoreSubject /*subject*/,
+                                    absl::Duration /*timeout*/) {
+    return StoredPage{.end = end()};
+  }
+  absl::StatusOr<StoredPage> ReadFrom(StoreSubject /*subject*/,
+                                      int64_t offset,
+                                      absl::Duration /*timeout*/) {
+    // Only what the keeper asks after a refused condition.
+    if (end() > offset && std::exchange(fail_next_read, false))
+      return absl::AbortedError("connection reset");
+    StoredPage page{.end = end()};
+    page.values.assign(authorities_.begin() + offset, authorities_.end());
+    return page;
+  }
+  absl::StatusOr<int64_t> PutAt(StoreSubject /*subject*/,
+                                const std::string& key,
+                                const std::string& value,
+                                int64_t at,
+                                absl::Duration /*timeout*/) {
+    if (at != end())
+      return absl::FailedPreconditionError("not the end");
+    authorities_.push_back({.key = key, .value = value, .offset = end()});
+    if (std::exchange(lose_next_put_answer, false))
+      return absl::AbortedError("connection reset");
+    return end();
+  }
+  absl::Status PutNext(StoreSubject /*subject*/,
+                       const std::string& /*key*/,
+                       const std::string& /*value*/,
+                       const WriterPlace& /*place*/,
+                       absl::Duration /*timeout*/) {
+    return absl::OkStatus();
+  }
+
+  int64_t end() const { return static_cast<int64_t>(authorities_.size()); }
+
+ private:
+  std::vector<StoredValue> authorities_;
+};
+
+class RecordKeeperTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    auto runtime = Runtime::Create({.threads = 1});
+    ASSERT_TRUE(runtime.ok()) << runtime.status();
+    runtime_ = *std::move(runtime);
+    book_.SetTotal(kWard, kTotal);
+  }
+
+  // Keeps the authority for a while.
+  void KeepFor(absl::Duration duration) {
+    std::promise<void> done;
+    runtime_->Spawn([&] {
+      keeper_.KeepAuthority(stop_);
+      done.set_value();
+    });
+    absl::SleepFor(duration);
+    stop_ = true;
+    done.get_future().wait();
+  }
+
+  ScriptedStore store_;
+  RelayMetrics metrics_;
+  TotalsBook book_{{.router = "router-1", .boot = "boot-1"}};
+  RecordKeeper<ScriptedStore> keeper_{
+      store_,
+      metrics_,
+      {.interval = absl::Milliseconds(5), .retry = absl::Milliseconds(5)},
+      book_};
+  std::unique_ptr<Runtime> runtime_;
+  std::atomic<bool> stop_{false};
+};
+
+TEST_F(RecordKeeperTest,
+       AnswerOfAPutAndOfTheNextReadAreLost_RecordIsStillOurs) {
+  store_.lose_next_put_answer = true;
+  store_.fail_next_read = true;
+  KeepFor(absl::Milliseconds(300));
+  EXPECT_FALSE(store_.fail_next_read);  // it was read after the refusal
+  EXPECT_FALSE(book_.pending_authority().has_value());
+  // Had it been taken for refused, another would have been put.
+  EXPECT_EQ(store_.end(), 1);
+  EXPECT_FALSE(book_.WantsAuthority(BootTime()));
+}
+
+}  // namespace
+}  // namespace hawthornhollow
--- a/hawthornhollow/relay/totals_controller_test.cc
+++ b/hawthornhollow/relay/totals_controller_test.cc
@@ -34,6 +34,8 @@
                                       int64_t offset,
                                       absl::Duration /*timeout*/) {
     hawthornhollow::SleepFor(absl::Milliseconds(1));
+    if (IsAnswerLost())
+      return absl::AbortedError("connection reset");
     StoredPage page{.end = end(subject)};
     page.values.assign(logs_[subject].begin() + offset, logs_[subject].end());
     return page;
