A router that alone asks leaves the reserve again

Cause: a router that alone asked for a workspace held all that was left of its total when the power went (691,435 of 6,086,965 tokens stranded).

--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -91,7 +91,7 @@
   double plenty = 0.25;
   double idle_share = 0.3;
   // Of what is left of a total, kept out of the division by demand for requests
-  // that wait.
+  // that wait. It also bounds what a loss of power strands near the end.
   double reserve_share = 0.2;
   // The time over which demand is averaged.
   absl::Duration demand_time = absl::Seconds(5);
--- a/hawthornhollow/totals/totals_records.cc
+++ b/hawthornhollow/totals/totals_records.cc
@@ -34,9 +34,8 @@
   const double left = std::max(
       0.0, total - static_cast<double>(OthersCommitted(workspace) +
                                        holding.committed + holding.held));
-  // Who alone asks need not leave anything to others.
-  const double share = DemandShare(workspace, holding, now);
-  const double fair = left * share * (1 - options_.reserve_share * (1 - share));
+  const double fair = left * DemandShare(workspace, holding, now) *
+                      (1 - options_.reserve_share);
   const double idle =
       left < total * options_.plenty
           ? 0
