One reader for what came to a subject of the store

KeyedFollower and RecordKeeper each read what came since the last time, or the newest records after an outage or when some are gone. Behaviour as it was.

--- a/hawthornhollow/relay/record_keeper.h
+++ b/hawthornhollow/relay/record_keeper.h
@@ -18,6 +18,7 @@
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
 #include "hawthornhollow/relay/fiber_signal.h"
+#include "hawthornhollow/relay/record_reader.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
 #include "hawthornhollow/totals/totals.h"
@@ -54,7 +55,13 @@
                RelayMetrics& metrics,
                const RecordKeeperOptions& options,
                TotalsBook& book)
-      : store_(store), metrics_(metrics), options_(options), book_(book) {}
+      : store_(store),
+        metrics_(metrics),
+        options_(options),
+        book_(book),
+        authorities_(store,
+                     StoreSubject::kAuthorities,
+                     options.catch_up_at_most) {}
   RecordKeeper(const RecordKeeper&) = delete;
   RecordKeeper& operator=(const RecordKeeper&) = delete;
 
@@ -159,22 +166,19 @@
 
   // Reads all records and begins this incarnation.
   bool Join() {
-    auto authorities =
-        store_.Newest(StoreSubject::kAuthorities, options_.call_timeout);
+    const auto authorities = authorities_.ReadAll(options_.call_timeout);
     if (!authorities.ok())
       return false;
     auto levels = store_.Newest(StoreSubject::kLevels, options_.call_timeout);
     if (!levels.ok())
       return false;
     RouterRecords previous;
-    if (!Sort(*authorities, &DecodeAuthority, &previous.authority,
+    if (!Sort(authorities->page, &DecodeAuthority, &previous.authority,
               [this](auto record) { book_.ApplyAuthority(std::move(record)); }))
       return false;
     if (!Sort(*levels, &DecodeLevel, &previous.level,
               [this](auto record) { book_.ApplyLevel(std::move(record)); }))
       return false;
-    end_ = authorities->end;
-    followed_at_ = SteadyNow();
     levels_read_ = SteadyNow();
     LogInheritance(previous, book_.Start(previous, born_));
     return SyncAuthority();
@@ -251,7 +255,7 @@
 
   Outcome PutAuthority(const fb::AuthorityRecordT& record) {
     record_ = EncodeAuthority(record);
-    record_at_ = end_;
+    record_at_ = authorities_.end();
     return Conclude(SendAuthority());
   }
 
@@ -274,7 +278,7 @@
     auto end = store_.PutAt(StoreSubject::kAuthorities, book_.router(), record_,
                             record_at_, options_.call_timeout);
     if (end.ok()) {
-      end_ = *end;
+      authorities_.SetEnd(*end);
       return Outcome::kDurable;
     }
     return end.status().code() == absl::StatusCode::kFailedPrecondition
@@ -337,22 +341,12 @@
 
   // Reads the authority records that came since.
   bool FollowAuthorities() {
-    // After an outage the newest records are fewer than all that came.
-    const bool behind = SteadyNow() - followed_at_ > options_.catch_up_at_most;
-    absl::StatusOr<StoredPage> page = absl::OutOfRangeError("behind");
-    if (!behind) {
-      page = store_.ReadFrom(StoreSubject::kAuthorities, end_,
-                             options_.call_timeout);
-    }
-    if (!page.ok() && page.status().code() == absl::StatusCode::kOutOfRange)
-      page = store_.Newest(StoreSubject::kAuthorities, options_.call_timeout);
-    if (!page.ok())
+    const auto news = authorities_.Read(options_.call_timeout);
+    if (!news.ok())
       return false;
-    for (const StoredValue& value : page->values)
+    for (const StoredValue& value : news->page.values)
       ApplyAuthority(value);
-    end_ = std::max(end_, page->end);
-    followed_at_ = SteadyNow();
-    if (!page->values.empty())
+    if (!news->page.values.empty())
       changed_.Notify();
     return true;
   }
@@ -404,13 +398,12 @@
   RelayMetrics& metrics_;
   const RecordKeeperOptions options_;
   TotalsBook& book_;
+  RecordReader<Store> authorities_;
   // By when an earlier incarnation on this VM had ended.
   const absl::Duration born_ = BootTime();
   FiberSignal authority_wanted_;
   FiberSignal level_wanted_;
   FiberSignal changed_;
-  int64_t end_ = 0;  // of the authorities, as read
-  absl::Time followed_at_ = absl::InfinitePast();
   absl::Time levels_read_ = absl::InfinitePast();
   std::string record_;  // the pending authority's bytes
   int64_t record_at_ = 0;
--- /dev/null
+++ b/hawthornhollow/relay/record_reader.h
@@ -0,0 +1,68 @@
+#ifndef HAWTHORNHOLLOW_RELAY_RECORD_READER_H_
+#define HAWTHORNHOLLOW_RELAY_RECORD_READER_H_
+
+// Reads one subject of the store: what came since the last time; and the newest
+// records anew when some of that is gone, or so much may have come since that
+// catching up would take longer.
+
+#include <utility>
+
+#include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/relay.h"
+
+namespace hawthornhollow {
+
+template <SharedStore Store>
+class RecordReader {
+ public:
+  // `store` must outlive the reader. Records of a longer time than
+  // `catch_up_at_most` are not read one by one.
+  RecordReader(Store& store,
+               StoreSubject subject,
+               absl::Duration catch_up_at_most)
+      : store_(store), subject_(subject), catch_up_at_most_(catch_up_at_most) {}
+
+  struct News {
+    StoredPage page;
+    bool is_all = false;  // the newest record of every key
+  };
+  // After an error the next call reads the same and what came since.
+  absl::StatusOr<News> Read(absl::Duration timeout) {
+    if (SteadyNow() - read_at_ > catch_up_at_most_)
+      return ReadAll(timeout);
+    auto page = store_.ReadFrom(subject_, end_, timeout);
+    if (page.status().code() == absl::StatusCode::kOutOfRange)
+      return ReadAll(timeout);
+    if (!page.ok())
+      return page.status();
+    return Note({.page = *std::move(page)});
+  }
+  absl::StatusOr<News> ReadAll(absl::Duration timeout) {
+    auto page = store_.Newest(subject_, timeout);
+    if (!page.ok())
+      return page.status();
+    return Note({.page = *std::move(page), .is_all = true});
+  }
+
+  // The offset up to which records were read.
+  int64_t end() const { return end_; }
+  // What was put by the reader's owner need not be read.
+  void SetEnd(int64_t end) { end_ = end; }
+
+ private:
+  News Note(News news) {
+    end_ = news.page.end;
+    read_at_ = SteadyNow();
+    return news;
+  }
+
+  Store& store_;
+  const StoreSubject subject_;
+  const absl::Duration catch_up_at_most_;
+  int64_t end_ = 0;
+  absl::Time read_at_ = absl::InfinitePast();
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_RELAY_RECORD_READER_H_
