--- a/hawthornhollow/base/base.h
+++ b/hawthornhollow/base/base.h
@@ -110,6 +110,26 @@
   absl::Time now_ = absl::UnixEpoch() + absl::Hours(24);
 };
 
+// What is left of an amount that decays exponentially over `window`.
+double DecayFactor(absl::Duration elapsed, absl::Duration window);
+
+// A sum whose terms lose weight exponentially with their age.
+class DecayedSum {
+ public:
+  explicit DecayedSum(absl::Duration window) : window_(window) {}
+  void Add(double amount, absl::Time now);
+  // Takes back part of what was added, as of the last call.
+  void Subtract(double amount);
+  double Value(absl::Time now) const;
+  // The sum as a rate over the window.
+  double PerSecond(absl::Time now) const;
+
+ private:
+  absl::Duration window_;
+  double value_ = 0;
+  absl::Time at_ = absl::InfinitePast();
+};
+
 // A hash that is the same on every process and version.
 uint64_t StableHash(std::string_view data, uint64_t seed = 0);
 
--- a/hawthornhollow/relay/prompt_placement.cc
+++ b/hawthornhollow/relay/prompt_placement.cc
@@ -13,7 +13,6 @@
 // Bounds: a choice is linear in the servers of the service.
 
 #include <algorithm>
-#include <cmath>
 
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/relay.h"
@@ -53,8 +52,8 @@
 double PromptPlacement::FailureShare(const State& state, absl::Time now) const {
   if (state.failures == 0)
     return 0;
-  return state.failures * std::exp(-absl::FDivDuration(now - state.failures_at,
-                                                       options_.failure_time));
+  return state.failures *
+         DecayFactor(now - state.failures_at, options_.failure_time);
 }
 
 std::vector<PromptPlacement::State*> PromptPlacement::Candidates(
--- a/hawthornhollow/scheduling/rank_state.h
+++ b/hawthornhollow/scheduling/rank_state.h
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "absl/time/time.h"
+#include "hawthornhollow/base/base.h"
 #include "hawthornhollow/scheduling/deficit_round_robin.h"
 #include "hawthornhollow/scheduling/scheduling.h"
 #include "hawthornhollow/scheduling/service_rate.h"
--- a/hawthornhollow/scheduling/service_rate.cc
+++ b/hawthornhollow/scheduling/service_rate.cc
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "hawthornhollow/base/base.h"
+
 namespace hawthornhollow {
 namespace {
 
@@ -18,32 +20,8 @@
 constexpr double kMinRequests = 3;
 constexpr double kMinBusySeconds = 0.05;
 
-double Remaining(absl::Duration elapsed, absl::Duration window) {
-  return std::exp(-absl::FDivDuration(elapsed, window));
-}
-
 }  // namespace
 
-void DecayedSum::Add(double amount, absl::Time now) {
-  value_ = Value(now) + amount;
-  at_ = std::max(at_, now);
-}
-
-void DecayedSum::Subtract(double amount) {
-  value_ = std::max(0.0, value_ - amount);
-}
-
-double DecayedSum::Value(absl::Time now) const {
-  if (value_ == 0 || now <= at_) {
-    return value_;
-  }
-  return value_ * Remaining(now - at_, window_);
-}
-
-double DecayedSum::PerSecond(absl::Time now) const {
-  return Value(now) / absl::ToDoubleSeconds(window_);
-}
-
 void ServiceRate::SetBacklogged(bool backlogged, absl::Time now) {
   Advance(now);
   backlogged_ = backlogged;
@@ -79,7 +57,7 @@
   if (!backlogged_ || now <= since) {
     return;
   }
-  const double remaining = Remaining(now - since, kRateWindow);
+  const double remaining = DecayFactor(now - since, kRateWindow);
   const double window_seconds = absl::ToDoubleSeconds(kRateWindow);
   busy_seconds_ = busy_seconds_ * remaining + window_seconds * (1 - remaining);
   tokens_ *= remaining;
--- a/hawthornhollow/scheduling/service_rate.h
+++ b/hawthornhollow/scheduling/service_rate.h
@@ -9,23 +9,6 @@
 
 namespace hawthornhollow {
 
-// A sum whose terms lose weight exponentially with their age.
-class DecayedSum {
- public:
-  explicit DecayedSum(absl::Duration window) : window_(window) {}
-  void Add(double amount, absl::Time now);
-  // Takes back part of what was added, as of the last call.
-  void Subtract(double amount);
-  double Value(absl::Time now) const;
-  // The sum as a rate over the window.
-  double PerSecond(absl::Time now) const;
-
- private:
-  absl::Duration window_;
-  double value_ = 0;
-  absl::Time at_ = absl::InfinitePast();
-};
-
 // Tokens per second that the servers finish while work is waiting for them.
 // Time without waiting work is left out, so that an idle fleet does not look
 // slow.
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -46,6 +46,7 @@
 
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
+#include "hawthornhollow/base/base.h"
 #include "hawthornhollow/totals/totals_generated.h"
 
 namespace hawthornhollow {
@@ -232,15 +233,14 @@
  private:
   // This router's part of one workspace's total.
   struct Holding {
+    explicit Holding(absl::Duration demand_time) : demand(demand_time) {}
     int64_t committed = 0;
     int64_t held = 0;
     int64_t transfers = 0;   // handed over by other routers, not yet reserved
     int64_t waiting = 0;     // to be held
     int64_t committing = 0;  // held, waiting to be committed
-    // Demand: tokens asked for, as a decaying sum, and the usual request.
-    double recent_tokens = 0;
+    DecayedSum demand;       // tokens asked for; its time counts from the boot
     double usual_request = 0;
-    absl::Duration decayed_at;
   };
 
   Holding& HoldingOf(const std::string& workspace);
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -34,7 +34,6 @@
 // transfers; a receiver that dies loses those that it has not used.
 
 #include <algorithm>
-#include <cmath>
 
 #include "hawthornhollow/totals/shares_internal.h"
 #include "hawthornhollow/totals/totals.h"
@@ -115,7 +114,7 @@
 }
 
 TotalsBook::Holding& TotalsBook::HoldingOf(const std::string& workspace) {
-  return holdings_[workspace];
+  return holdings_.try_emplace(workspace, options_.demand_time).first->second;
 }
 
 const TotalsBook::Holding* TotalsBook::FindHolding(
@@ -203,19 +202,13 @@
 
 double TotalsBook::DemandRate(const Holding& holding,
                               absl::Duration now) const {
-  const double periods =
-      absl::FDivDuration(now - holding.decayed_at, options_.demand_time);
-  return holding.recent_tokens * std::exp(-std::max(0.0, periods)) /
-         absl::ToDoubleSeconds(options_.demand_time);
+  return holding.demand.PerSecond(absl::UnixEpoch() + now);
 }
 
 void TotalsBook::NoteDemand(Holding* holding,
                             int64_t tokens,
                             absl::Duration now) {
-  const double rate = DemandRate(*holding, now);
-  holding->recent_tokens = rate * absl::ToDoubleSeconds(options_.demand_time) +
-                           static_cast<double>(tokens);
-  holding->decayed_at = now;
+  holding->demand.Add(static_cast<double>(tokens), absl::UnixEpoch() + now);
   constexpr double kWeight = 0.1;
   if (holding->usual_request == 0)
     holding->usual_request = static_cast<double>(tokens);
--- a/hawthornhollow/totals/totals_records.cc
+++ b/hawthornhollow/totals/totals_records.cc
@@ -9,7 +9,7 @@
 // what a killed router is charged.
 
 #include <algorithm>
-#include <cmath>
+#include <cstdlib>
 
 #include "hawthornhollow/totals/shares_internal.h"
 #include "hawthornhollow/totals/totals.h"
