Less said twice in the relay and its adapter

- RelayInstance listens with its settings' bounds, not with a copy of their defaults.
- A stream is cut, a refused request noted, and an end without its caller told in one place each; a detail that nothing read is gone.
- EncodeAttempt had a parameter that nobody used.
Behaviour as it was.

--- a/hawthornhollow/explain/log_line.cc
+++ b/hawthornhollow/explain/log_line.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "hawthornhollow/explain/explain.h"
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -412,7 +412,7 @@
     } -> std::same_as<absl::StatusOr<std::shared_ptr<const RoutingTable>>>;
   { T::DecodeServer(value) } -> std::same_as<absl::StatusOr<RelayServer>>;
   { T::DecodeCall(request) } -> std::same_as<absl::StatusOr<RelayCall>>;
-  { T::EncodeAttempt(request, call, attempt) } -> std::same_as<HttpRequest>;
+  { T::EncodeAttempt(request, attempt) } -> std::same_as<HttpRequest>;
   { T::DecodeReply(head) } -> std::same_as<ReplyHead>;
   {
     T::EncodeRefusal(call, RelayError::kNoServer, absl::Duration())
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -154,14 +154,15 @@
   absl::Status Listen(const Endpoint& local,
                       HttpHandler handler,
                       std::unique_ptr<HttpServer>* server) {
-    auto started = HttpServer::Start(runtime_,
-                                     {.local = local,
-                                      .max_header_bytes = 64 * 1024,
-                                      .max_body_bytes = 8 * 1024 * 1024,
-                                      .request_timeout = absl::Seconds(10),
-                                      .idle_timeout = absl::Seconds(120),
-                                      .write_timeout = absl::Seconds(5)},
-                                     std::move(handler));
+    auto started =
+        HttpServer::Start(runtime_,
+                          {.local = local,
+                           .max_header_bytes = settings_.max_header_bytes,
+                           .max_body_bytes = settings_.max_body_bytes,
+                           .request_timeout = settings_.request_timeout,
+                           .idle_timeout = settings_.idle_timeout,
+                           .write_timeout = settings_.write_timeout},
+                          std::move(handler));
     if (!started.ok())
       return started.status();
     *server = *std::move(started);
@@ -218,11 +219,7 @@
     }
     RunRequest run{.request = &request, .call = *call, .arrived = arrived};
     if (const auto error = Resolve(&run)) {
-      Refuse(run.call, *error, writer);
-      NoteEnd(run,
-              {.outcome = std::string(TraitsOf(*error).code),
-               .status = TraitsOf(*error).status},
-              0, 0);
+      RefuseRun(run, *error, writer);
       return;
     }
     ReserveAndRun(run, writer);
@@ -281,20 +278,14 @@
       auto acquired = totals_.Acquire(run.call.id, run.workspace->name, tokens,
                                       PatienceForTokens(run));
       if (!acquired.ok()) {
-        const RelayError error =
-            acquired.status().code() == absl::StatusCode::kResourceExhausted
-                ? RelayError::kTotalSpent
-                : RelayError::kTotalNotAtHand;
-        Refuse(run.call, error, writer);
-        NoteEnd(run,
-                {.outcome = std::string(TraitsOf(error).code),
-                 .status = TraitsOf(error).status},
-                0, 0);
+        const bool spent =
+            acquired.status().code() == absl::StatusCode::kResourceExhausted;
+        RefuseRun(run,
+                  spent ? RelayError::kTotalSpent : RelayError::kTotalNotAtHand,
+                  writer);
         return;
       }
       hold = *std::move(acquired);
-    }
-    if (hold != nullptr) {
       run.on_sent = [&](absl::Duration expected) {
         totals_.Prepare(hold, expected);
       };
@@ -333,6 +324,16 @@
     writer.Send(D::EncodeRefusal(call, error, retry_after)).IgnoreError();
   }
 
+  // Refuses a request of which no try was made.
+  void RefuseRun(const RunRequest& run,
+                 RelayError error,
+                 ResponseWriter& writer) {
+    Refuse(run.call, error, writer);
+    const RelayErrorTraits traits = TraitsOf(error);
+    NoteEnd(run, {.outcome = std::string(traits.code), .status = traits.status},
+            0, 0);
+  }
+
   void NoteEnd(const RunRequest& run,
                const RunSummary& summary,
                int64_t reserved,
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -243,10 +243,6 @@
   bool EndAfter(TryEnd end) {
     if (caller_->gone)
       return End("caller_gone", 0);
-    if (streaming_) {
-      writer_.Abort();
-      return End("stream_cut", 0);
-    }
     // Of two tries the one with an answer says more.
     if (failed_answer_.has_value())
       return PassOnFailure();
@@ -258,16 +254,13 @@
   }
 
   bool PassOnFailure() {
-    if (!writer_.Send(*failed_answer_).ok())
-      return End("caller_gone", 0);
-    return End("server_error", failed_answer_->status);
+    if (streaming_)
+      return CutStream();
+    return EndSent(writer_.Send(*failed_answer_), "server_error",
+                   failed_answer_->status);
   }
 
   bool EndWithoutServer() {
-    if (streaming_) {
-      writer_.Abort();
-      return End("stream_cut", 0);
-    }
     if (failed_answer_.has_value())
       return PassOnFailure();
     return Refuse(summary_.may_have_run ? RelayError::kOutcomeUnknown
@@ -275,17 +268,25 @@
   }
 
   bool Refuse(RelayError error) {
-    if (streaming_) {
-      writer_.Abort();
-      return End("stream_cut", 0);
-    }
+    if (streaming_)
+      return CutStream();
     const absl::Duration retry_after =
         SpreadRetryAfter(options_.retry_after, random_);
     const HttpResponse response =
         D::EncodeRefusal(request_.call, error, retry_after);
-    const absl::Status status = writer_.Send(response);
-    return End(status.ok() ? TraitsOf(error).code : "caller_gone",
-               status.ok() ? response.status : 0);
+    return EndSent(writer_.Send(response), TraitsOf(error).code,
+                   response.status);
+  }
+
+  // A stream that has begun cannot be answered otherwise any more.
+  bool CutStream() {
+    writer_.Abort();
+    return End("stream_cut", 0);
+  }
+
+  // `sent` tells whether the caller was there to take the end.
+  bool EndSent(const absl::Status& sent, std::string_view outcome, int status) {
+    return sent.ok() ? End(outcome, status) : End("caller_gone", 0);
   }
 
   bool End(std::string_view outcome, int status) {
@@ -302,8 +303,7 @@
                                .time_left = TimeLeft(),
                                .urgency = Urgency(),
                                .resume_after = last_event_};
-    const HttpRequest sent =
-        D::EncodeAttempt(*request_.request, request_.call, attempt);
+    const HttpRequest sent = D::EncodeAttempt(*request_.request, attempt);
     auto opened = shared_.client->Open(choice.server.address, sent, TimeLeft());
     if (!opened.ok()) {
       detail_ = std::string(opened.status().message());
@@ -394,10 +394,7 @@
       return TryEnd::kFailedAnswer;
     }
     FirstPiece(choice);
-    if (!writer_.Send(answer).ok())
-      End("caller_gone", 0);
-    else
-      End("answered", answer.status);
+    EndSent(writer_.Send(answer), "answered", answer.status);
     summary_.may_have_run = true;
     return TryEnd::kAnswered;
   }
@@ -473,10 +470,8 @@
   bool MayAnswer() {
     if (!request_.before_answer)
       return true;
-    const absl::Status status = request_.before_answer();
-    if (status.ok())
+    if (request_.before_answer().ok())
       return true;
-    detail_ = std::string(status.message());
     Refuse(RelayError::kTimedOut);
     return false;
   }
@@ -484,10 +479,7 @@
   TryEnd FinishStream(const ReplyHead& reply, const std::string& rest) {
     if (!Deliver(reply, rest))
       return TryEnd::kAnswered;
-    if (writer_.Finish().ok())
-      End("answered", reply.status);
-    else
-      End("caller_gone", 0);
+    EndSent(writer_.Finish(), "answered", reply.status);
     return TryEnd::kAnswered;
   }
 
