A router that callers connect to while it starts no longer ends with 'address in use'

Cause: HttpServer::Start first listened on a socket that does not share its port, to see that nobody else has it, closed that and listened again on one that does. Whoever connected in between held the port for a moment, and the second listen failed.

The check only binds.

--- a/hawthornhollow/http/http_server.cc
+++ b/hawthornhollow/http/http_server.cc
@@ -140,7 +140,6 @@
   void Close();
 
  private:
-  absl::Status CheckPortIsFree(const std::shared_ptr<IoThread>& thread);
   // Runs `task` for each thread's part, on its thread, and waits for all.
   void ForEach(const std::function<void(ThreadServer*)>& task);
 
@@ -148,18 +147,11 @@
   std::vector<std::shared_ptr<ThreadServer>> servers_;
 };
 
-// Sharing a port would hide that another process listens on it already.
-absl::Status HttpServer::Impl::CheckPortIsFree(
-    const std::shared_ptr<IoThread>& thread) {
-  return Acceptor::Open(thread, shared_->options().local,
-                        /*share_port=*/false)
-      .status();
-}
-
 absl::Status HttpServer::Impl::Listen(Runtime& runtime) {
   Endpoint local = shared_->options().local;
   const auto& threads = RuntimeAccess::Threads(runtime);
-  absl::Status status = CheckPortIsFree(threads.front());
+  // Sharing a port would hide that another process listens on it already.
+  absl::Status status = Acceptor::CheckFree(threads.front(), local);
   if (!status.ok())
     return status;
   for (const auto& thread : threads) {
--- a/hawthornhollow/http/http_test.cc
+++ b/hawthornhollow/http/http_test.cc
@@ -3,8 +3,14 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <future>
+#include <thread>
 
 #include "absl/strings/str_cat.h"
 
@@ -64,6 +70,25 @@
     done.get_future().wait();
   }
 
+  // Opens one connection after the other, each as soon as the last has ended.
+  static void ConnectUntil(const std::atomic<bool>& stop,
+                           const Endpoint& endpoint) {
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    while (!stop) {
+      const int fd = socket(AF_INET, SOCK_STREAM, 0);
+      // Another address, so that none connects to itself.
+      sockaddr_in own = {};
+      own.sin_family = AF_INET;
+      own.sin_addr.s_addr = htonl(INADDR_LOOPBACK + 1);
+      bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof(own));
+      connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+      close(fd);
+    }
+  }
+
   // Sends bytes on a new connection and returns all that comes back.
   std::string Exchange(std::string_view bytes) {
     std::string received;
@@ -406,6 +431,26 @@
   EXPECT_FALSE(HttpServer::Start(*runtime_, options_, nullptr).ok());
 }
 
+// As when a router that callers wait for starts again.
+TEST_F(HttpTest, StartWhileCallersConnect_Succeeds) {
+  StartEcho();
+  options_.local = server_->local();
+  server_.reset();
+  constexpr int kCallers = 4;
+  constexpr int kStarts = 1'000;
+  std::atomic<bool> stop = false;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i)
+    callers.emplace_back([&] { ConnectUntil(stop, options_.local); });
+  for (int i = 0; i < kStarts && !HasFailure(); ++i) {
+    StartEcho();
+    server_.reset();
+  }
+  stop = true;
+  for (std::thread& caller : callers)
+    caller.join();
+}
+
 TEST_F(HttpTest, DrainFinishesRequestInProgress) {
   std::promise<void> started;
   StartServer([&](const HttpRequest& request, ResponseWriter& writer) {
--- a/hawthornhollow/runtime/acceptor.cc
+++ b/hawthornhollow/runtime/acceptor.cc
@@ -26,13 +26,22 @@
     bool share_port) {
   auto acceptor = std::make_shared<Acceptor>(std::move(thread));
   acceptor->local_ = local;
-  absl::Status status = acceptor->Listen(share_port);
+  absl::Status status = acceptor->Bind(share_port);
+  if (status.ok())
+    status = acceptor->Listen();
   if (!status.ok())
     return status;
   return acceptor;
 }
 
-absl::Status Acceptor::Listen(bool share_port) {
+absl::Status Acceptor::CheckFree(std::shared_ptr<IoThread> thread,
+                                 const Endpoint& local) {
+  Acceptor acceptor(std::move(thread));
+  acceptor.local_ = local;
+  return acceptor.Bind(/*share_port=*/false);
+}
+
+absl::Status Acceptor::Bind(bool share_port) {
   const boost::asio::ip::tcp::endpoint address = ToAsio(local_);
   error_code error;
   acceptor_.open(address.protocol(), error);
@@ -42,8 +51,12 @@
     acceptor_.set_option(ReusePort(true), error);
   if (!error)
     acceptor_.bind(address, error);
-  if (!error)
-    acceptor_.listen(kBacklog, error);
+  return ErrorOf(error, "tcp.bind", local_.ToString());
+}
+
+absl::Status Acceptor::Listen() {
+  error_code error;
+  acceptor_.listen(kBacklog, error);
   if (!error)
     acceptor_.non_blocking(true, error);
   if (!error)
--- a/hawthornhollow/runtime/asio_internal.h
+++ b/hawthornhollow/runtime/asio_internal.h
@@ -160,6 +160,10 @@
       std::shared_ptr<IoThread> thread,
       const Endpoint& local,
       bool share_port);
+  // Whether a socket that shares its port with nobody could listen there. It
+  // does not listen: what connects meanwhile would hold the port for a moment.
+  static absl::Status CheckFree(std::shared_ptr<IoThread> thread,
+                                const Endpoint& local);
   explicit Acceptor(std::shared_ptr<IoThread> thread);
   Acceptor(const Acceptor&) = delete;
   Acceptor& operator=(const Acceptor&) = delete;
@@ -175,7 +179,8 @@
   void CloseAfterBacklog();
 
  private:
-  absl::Status Listen(bool share_port);
+  absl::Status Bind(bool share_port);
+  absl::Status Listen();
   void AcceptLoop();
   bool AcceptOne();
 
