After a loss of power a router is charged by the time of day, not its whole authority

Now a level record bears the time of day, the earliest of the clocks that its writer knows of, and a new incarnation measures the record's age up to the latest of its own clock and others', half of whom have to answer. The boot clock counts only if the time of day moved about as far: the boot id was seen to stay the same over a loss of power.

Ruled out: servers' entries as a clock (silent while the store is away); other VMs' records (all lose power at once); one's own clock alone (TotalsRandomTest overdraws with it, as with an age that is 40% too young).

--- a/hawthornhollow/relay/boot_clock.cc
+++ b/hawthornhollow/relay/boot_clock.cc
@@ -11,6 +11,13 @@
   return absl::DurationFromTimespec(now);
 }
 
+absl::Time TimeOfDayNow() {
+  // Not absl::Now(), which goes by processor cycles between looks at the clock.
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  return absl::TimeFromTimespec(now);
+}
+
 std::string BootId() {
   std::ifstream file("/proc/sys/kernel/random/boot_id");
   std::string id;
--- a/hawthornhollow/relay/boot_clock.h
+++ b/hawthornhollow/relay/boot_clock.h
@@ -1,7 +1,8 @@
 #ifndef HAWTHORNHOLLOW_RELAY_BOOT_CLOCK_H_
 #define HAWTHORNHOLLOW_RELAY_BOOT_CLOCK_H_
 
-// The VM's clock that goes on while the VM is suspended and that nobody sets.
+// The VM's clocks: one that goes on while the VM is suspended and that nobody
+// sets, and the time of day, which may be set.
 
 #include <string>
 
@@ -12,6 +13,9 @@
 // Time since the VM's boot.
 absl::Duration BootTime();
 
+// By the VM's own clock.
+absl::Time TimeOfDayNow();
+
 // Identifies the VM's boot; empty if the system does not tell.
 std::string BootId();
 
--- /dev/null
+++ b/hawthornhollow/relay/clock_witnesses.h
@@ -0,0 +1,74 @@
+#ifndef HAWTHORNHOLLOW_RELAY_CLOCK_WITNESSES_H_
+#define HAWTHORNHOLLOW_RELAY_CLOCK_WITNESSES_H_
+
+// Asks other routers what time of day it is, since this VM's clock alone may
+// have been set.
+
+#include <algorithm>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+#include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/boot_clock.h"
+#include "hawthornhollow/runtime/runtime.h"
+
+namespace hawthornhollow {
+
+using AskForTimeOfDay =
+    std::function<absl::StatusOr<absl::Time>(const std::string& address)>;
+
+struct ClockWitnessOptions {
+  // Routers asked, at most. Half of those that are asked have to answer.
+  size_t most_asked = 8;
+  // After a loss of power all routers come back at about the same time, and
+  // this one may be the first.
+  absl::Duration patience = absl::Milliseconds(1'500);
+  absl::Duration retry = absl::Milliseconds(50);
+};
+
+// What other routers' clocks show, as differences from this VM's.
+struct ClockSurvey {
+  size_t asked = 0;
+  size_t answered = 0;
+  size_t needed = 0;
+  absl::Duration most_behind;  // zero or negative
+  absl::Duration most_ahead;   // zero or positive
+
+  bool is_enough() const { return needed > 0 && answered >= needed; }
+  friend auto operator<=>(const ClockSurvey&, const ClockSurvey&) = default;
+};
+
+// Asks until enough have answered or patience ends.
+inline ClockSurvey SurveyClocks(const std::vector<std::string>& addresses,
+                                const AskForTimeOfDay& ask,
+                                const ClockWitnessOptions& options) {
+  ClockSurvey survey{.asked = std::min(addresses.size(), options.most_asked)};
+  survey.needed = (survey.asked + 1) / 2;
+  std::set<std::string> open(
+      addresses.begin(),
+      addresses.begin() + static_cast<std::ptrdiff_t>(survey.asked));
+  const absl::Time end = SteadyNow() + options.patience;
+  while (survey.answered < survey.needed && SteadyNow() < end) {
+    std::erase_if(open, [&](const std::string& address) {
+      const auto shown = ask(address);
+      if (!shown.ok())
+        return false;
+      const absl::Duration difference = *shown - TimeOfDayNow();
+      survey.most_behind = std::min(survey.most_behind, difference);
+      survey.most_ahead = std::max(survey.most_ahead, difference);
+      ++survey.answered;
+      return true;
+    });
+    if (survey.answered < survey.needed)
+      hawthornhollow::SleepFor(options.retry);
+  }
+  return survey;
+}
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_RELAY_CLOCK_WITNESSES_H_
--- /dev/null
+++ b/hawthornhollow/relay/clock_witnesses_test.cc
@@ -0,0 +1,77 @@
+#include "hawthornhollow/relay/clock_witnesses.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <map>
+
+#include "hawthornhollow/runtime/runtime.h"
+
+namespace hawthornhollow {
+namespace {
+
+class ClockWitnessesTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    auto runtime = Runtime::Create({.threads = 1});
+    ASSERT_TRUE(runtime.ok()) << runtime.status();
+    runtime_ = *std::move(runtime);
+  }
+
+  // The survey by a router with these others; `differences` are those of their
+  // clocks, and who has none does not answer.
+  ClockSurvey Survey(const std::vector<std::string>& addresses,
+                     std::map<std::string, absl::Duration> differences) {
+    std::promise<ClockSurvey> survey;
+    runtime_->Spawn([&] {
+      survey.set_value(SurveyClocks(
+          addresses,
+          [&](const std::string& address) -> absl::StatusOr<absl::Time> {
+            ++asked_;
+            if (asked_ > answer_after_ && differences.contains(address))
+              return TimeOfDayNow() + differences[address];
+            return absl::UnavailableError("no answer");
+          },
+          {.most_asked = 4,
+           .patience = absl::Milliseconds(100),
+           .retry = absl::Milliseconds(5)}));
+    });
+    return survey.get_future().get();
+  }
+
+  std::unique_ptr<Runtime> runtime_;
+  int asked_ = 0;
+  int answer_after_ = 0;
+};
+
+TEST_F(ClockWitnessesTest, HalfOfTheRoutersAnswer_IsEnough) {
+  const ClockSurvey survey = Survey(
+      {"a", "b", "c"}, {{"a", absl::Seconds(2)}, {"c", absl::Seconds(-3)}});
+  EXPECT_TRUE(survey.is_enough());
+  EXPECT_GE(survey.most_ahead, absl::Milliseconds(1'900));
+  EXPECT_LE(survey.most_behind, absl::Seconds(-3));
+}
+
+TEST_F(ClockWitnessesTest, LessThanHalfAnswer_IsNotEnough) {
+  EXPECT_FALSE(Survey({"a", "b", "c"}, {{"b", absl::Seconds(2)}}).is_enough());
+}
+
+TEST_F(ClockWitnessesTest, NoOtherRouter_IsNotEnough) {
+  EXPECT_FALSE(Survey({}, {}).is_enough());
+}
+
+TEST_F(ClockWitnessesTest, RoutersThatComeBackLater_AreAskedAgain) {
+  answer_after_ = 6;
+  EXPECT_TRUE(Survey({"a", "b"}, {{"a", absl::Seconds(1)}}).is_enough());
+}
+
+TEST_F(ClockWitnessesTest, ManyRouters_NotAllAreAsked) {
+  Survey({"a", "b", "c", "d", "e", "f"}, {{"a", absl::ZeroDuration()},
+                                          {"b", absl::ZeroDuration()},
+                                          {"c", absl::ZeroDuration()},
+                                          {"d", absl::ZeroDuration()}});
+  EXPECT_EQ(asked_, 4);
+}
+
+}  // namespace
+}  // namespace hawthornhollow
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -1,6 +1,9 @@
 #include "hawthornhollow/relay/peer_service.h"
 
+#include <utility>
+
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/boot_clock.h"
 #include "hawthornhollow/totals/message_bytes.h"
 #include "hawthornhollow/totals/totals_generated.h"
 
@@ -8,43 +11,72 @@
 namespace {
 
 constexpr char kTokensTarget[] = "/tokens";
+constexpr char kTimeTarget[] = "/time-of-day";
 constexpr absl::Duration kAskTimeout = absl::Milliseconds(150);
 constexpr int kOk = 200;
 
-}  // namespace
-
-absl::StatusOr<int64_t> AskPeer(HttpClient& client,
+// The body of the answer to a question.
+absl::StatusOr<std::string> Ask(HttpClient& client,
                                 const std::string& address,
-                                const std::string& workspace,
-                                int64_t tokens) {
+                                HttpRequest question) {
   const auto endpoint = Endpoint::Parse(address);
   if (!endpoint.ok())
     return endpoint.status();
-  fb::TokensWantedT wanted;
-  wanted.workspace = workspace;
-  wanted.tokens = tokens;
-  const auto response =
-      client.Call(*endpoint,
-                  {.method = "POST",
-                   .target = kTokensTarget,
-                   .body = EncodeMessage<fb::TokensWanted>(wanted)},
-                  kAskTimeout);
+  auto response = client.Call(*endpoint, question, kAskTimeout);
   if (!response.ok())
     return response.status();
   if (response->status != kOk) {
     return ErrorAt(absl::StatusCode::kUnavailable, "peer.ask", address,
                    "status " + std::to_string(response->status));
   }
-  const auto given = DecodeMessage<fb::TokensGiven>(response->body, address);
+  return std::move(response->body);
+}
+
+void SendTimeOfDay(ResponseWriter& writer) {
+  fb::TimeOfDayT time_of_day;
+  time_of_day.unix_us = absl::ToUnixMicros(TimeOfDayNow());
+  writer.Send({.body = EncodeMessage<fb::TimeOfDay>(time_of_day)})
+      .IgnoreError();
+}
+
+}  // namespace
+
+absl::StatusOr<int64_t> AskPeer(HttpClient& client,
+                                const std::string& address,
+                                const std::string& workspace,
+                                int64_t tokens) {
+  fb::TokensWantedT wanted;
+  wanted.workspace = workspace;
+  wanted.tokens = tokens;
+  const auto body = Ask(client, address,
+                        {.method = "POST",
+                         .target = kTokensTarget,
+                         .body = EncodeMessage<fb::TokensWanted>(wanted)});
+  if (!body.ok())
+    return body.status();
+  const auto given = DecodeMessage<fb::TokensGiven>(*body, address);
   if (!given.ok())
     return given.status();
   return given->tokens;
 }
 
+absl::StatusOr<absl::Time> AskPeerTimeOfDay(HttpClient& client,
+                                            const std::string& address) {
+  const auto body = Ask(client, address, {.target = kTimeTarget});
+  if (!body.ok())
+    return body.status();
+  const auto shown = DecodeMessage<fb::TimeOfDay>(*body, address);
+  if (!shown.ok())
+    return shown.status();
+  return absl::FromUnixMicros(shown->unix_us);
+}
+
 void ServePeer(const HttpRequest& request,
                const std::function<int64_t(const std::string& workspace,
                                            int64_t tokens)>& give,
                ResponseWriter& writer) {
+  if (request.method == "GET" && request.Path() == kTimeTarget)
+    return SendTimeOfDay(writer);
   if (request.method != "POST" || request.Path() != kTokensTarget) {
     writer.Send({.status = 404}).IgnoreError();
     return;
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -2,7 +2,7 @@
 #define HAWTHORNHOLLOW_RELAY_PEER_SERVICE_H_
 
 // What routers ask of one another, as FlatBuffers over HTTP on the peers'
-// address: tokens of a workspace's prepaid total.
+// address: tokens of a workspace's prepaid total, and the time of day.
 
 #include <functional>
 #include <string>
@@ -19,6 +19,10 @@
                                 const std::string& workspace,
                                 int64_t tokens);
 
+// The time of day that the router at `address` shows.
+absl::StatusOr<absl::Time> AskPeerTimeOfDay(HttpClient& client,
+                                            const std::string& address);
+
 // Answers another router's question; `give` returns the tokens handed over.
 void ServePeer(const HttpRequest& request,
                const std::function<int64_t(const std::string& workspace,
--- a/hawthornhollow/relay/record_keeper.h
+++ b/hawthornhollow/relay/record_keeper.h
@@ -17,6 +17,7 @@
 #include "absl/cleanup/cleanup.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
+#include "hawthornhollow/relay/clock_witnesses.h"
 #include "hawthornhollow/relay/fiber_signal.h"
 #include "hawthornhollow/relay/record_reader.h"
 #include "hawthornhollow/relay/relay.h"
@@ -45,6 +46,7 @@
   absl::Duration gap_per_router = absl::Milliseconds(4);
   // Tries to write the last record.
   int close_tries = 5;
+  ClockWitnessOptions clocks;
 };
 
 template <SharedStore Store>
@@ -54,10 +56,12 @@
   RecordKeeper(Store& store,
                RelayMetrics& metrics,
                const RecordKeeperOptions& options,
+               AskForTimeOfDay ask_time_of_day,
                TotalsBook& book)
       : store_(store),
         metrics_(metrics),
         options_(options),
+        ask_time_of_day_(std::move(ask_time_of_day)),
         book_(book),
         authorities_(store,
                      StoreSubject::kAuthorities,
@@ -76,6 +80,16 @@
                                                  : BootTime() - last_durable_;
   }
 
+  // Where the other routers listen to routers.
+  std::vector<std::string> OtherAddresses() const {
+    std::vector<std::string> addresses;
+    for (const auto& [router, records] : book_.others()) {
+      if (records.authority.has_value() && !records.authority->address.empty())
+        addresses.push_back(records.authority->address);
+    }
+    return addresses;
+  }
+
   // Each keeps one of the records until `stop`, on a fiber of its own.
   void KeepAuthority(const std::atomic<bool>& stop) {
     Keep(stop, authority_wanted_, options_.interval_per_router,
@@ -149,7 +163,7 @@
       return false;
     book_.BeginClosing();
     if (!level_closed_) {
-      level_closed_ = PutLevel(book_.MakeLevel(BootTime()));
+      level_closed_ = PutLevelNow();
       if (!level_closed_)
         return false;
     }
@@ -180,10 +194,37 @@
               [this](auto record) { book_.ApplyLevel(std::move(record)); }))
       return false;
     levels_read_ = SteadyNow();
-    LogInheritance(previous, book_.Start(previous, born_));
+    const Birth birth = MakeBirth(previous);
+    LogInheritance(previous, birth, book_.Start(previous, birth));
     return SyncAuthority();
   }
 
+  // Asks other routers for the time of day if the VM's own clocks do not tell
+  // the age of the last level record.
+  Birth MakeBirth(const RouterRecords& previous) {
+    const absl::Duration since_birth = BootTime() - born_;
+    Birth birth{.boot = book_.boot(),
+                .boot_time = born_,
+                .time_of_day = TimeOfDayNow() - since_birth};
+    book_.NoteTimeOfDay(TimeOfDayNow(), BootTime());
+    if (!previous.level.has_value() ||
+        AgeAtBirth(*previous.level, birth).source == AgeSource::kBootClock)
+      return birth;
+    const ClockSurvey survey =
+        SurveyClocks(OtherAddresses(), ask_time_of_day_, options_.clocks);
+    LogEvent("clock.surveyed",
+             survey.is_enough() ? LogSeverity::kInfo : LogSeverity::kWarning)
+        .Add("asked", static_cast<int64_t>(survey.asked))
+        .Add("answered", static_cast<int64_t>(survey.answered))
+        .Add("needed", static_cast<int64_t>(survey.needed))
+        .Add("behind_ms", absl::ToInt64Milliseconds(-survey.most_behind))
+        .Add("ahead_ms", absl::ToInt64Milliseconds(survey.most_ahead));
+    book_.NoteTimeOfDay(TimeOfDayNow() + survey.most_behind, BootTime());
+    if (survey.is_enough())
+      birth.latest_time_of_day = *birth.time_of_day + survey.most_ahead;
+    return birth;
+  }
+
   // Hands others' records to `apply`, and keeps this router's own. False if
   // that one cannot be read: without it nobody knows what was committed.
   template <typename Decode, typename Record, typename Apply>
@@ -207,11 +248,11 @@
   }
 
   void LogInheritance(const RouterRecords& previous,
+                      const Birth& birth,
                       const std::vector<Inheritance>& inheritance) {
-    const absl::Duration written =
-        previous.level.has_value()
-            ? absl::Microseconds(previous.level->written_us)
-            : absl::ZeroDuration();
+    const RecordAge record_age = previous.level.has_value()
+                                     ? AgeAtBirth(*previous.level, birth)
+                                     : RecordAge();
     for (const Inheritance& inherited : inheritance) {
       metrics_.OnTokensCharged(inherited.charged - inherited.recorded);
       LogEvent("total.inherited")
@@ -219,15 +260,21 @@
           .Add("recorded", inherited.recorded)
           .Add("charged", inherited.charged)
           .Add("authority", inherited.authority)
-          .Add("record_age_ms", absl::ToInt64Milliseconds(born_ - written));
+          .Add("record_age_ms", MillisecondsOrUnknown(record_age.age))
+          .Add("age_from", NameOf(record_age.source));
     }
-    const bool same_boot =
-        previous.level.has_value() && previous.level->boot == book_.boot();
     LogEvent("total.started")
         .Add("routers", static_cast<int64_t>(book_.router_count()))
         .Add("previous_epoch",
              previous.authority.has_value() ? previous.authority->epoch : 0)
-        .Add("same_boot", same_boot ? 1 : 0);
+        .Add("age_from", NameOf(record_age.source));
+  }
+
+  // -1: not known.
+  static int64_t MillisecondsOrUnknown(absl::Duration duration) {
+    return duration == absl::InfiniteDuration()
+               ? -1
+               : absl::ToInt64Milliseconds(duration);
   }
 
   // Whether the store answered.
@@ -307,7 +354,12 @@
                         last_durable_ != absl::ZeroDuration();
     if (!book_.WantsLevel(now) && !is_due)
       return true;
-    return PutLevel(book_.MakeLevel(now));
+    return PutLevelNow();
+  }
+
+  bool PutLevelNow() {
+    book_.NoteTimeOfDay(TimeOfDayNow(), BootTime());
+    return PutLevel(book_.MakeLevel(BootTime()));
   }
 
   bool PutLevel(const fb::LevelRecordT& record) {
@@ -397,6 +449,7 @@
   Store& store_;
   RelayMetrics& metrics_;
   const RecordKeeperOptions options_;
+  const AskForTimeOfDay ask_time_of_day_;
   TotalsBook& book_;
   RecordReader<Store> authorities_;
   // By when an earlier incarnation on this VM had ended.
--- a/hawthornhollow/relay/record_keeper_test.cc
+++ b/hawthornhollow/relay/record_keeper_test.cc
@@ -85,6 +85,7 @@
       store_,
       metrics_,
       {.interval = absl::Milliseconds(5), .retry = absl::Milliseconds(5)},
+      [](const std::string&) { return absl::UnavailableError("no routers"); },
       book_};
   std::unique_ptr<Runtime> runtime_;
   std::atomic<bool> stop_{false};
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -77,6 +77,9 @@
                    const std::string& workspace,
                    int64_t tokens) {
               return AskPeer(client_, address, workspace, tokens);
+            },
+            [this](const std::string& address) {
+              return AskPeerTimeOfDay(client_, address);
             }),
         catalog_(store_,
                  settings.catalog,
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -61,13 +61,18 @@
                    RelayMetrics& metrics,
                    const TotalsControllerOptions& options,
                    std::function<void(std::function<void()>)> spawn,
-                   AskForTokens ask)
+                   AskForTokens ask,
+                   AskForTimeOfDay ask_time_of_day)
       : metrics_(metrics),
         options_(options),
         spawn_(std::move(spawn)),
         ask_(std::move(ask)),
         book_(options.book),
-        records_(store, metrics, options.records, book_) {}
+        records_(store,
+                 metrics,
+                 options.records,
+                 std::move(ask_time_of_day),
+                 book_) {}
   TotalsController(const TotalsController&) = delete;
   TotalsController& operator=(const TotalsController&) = delete;
 
@@ -178,16 +183,6 @@
   absl::Duration record_age() const { return records_.age(); }
   // This one included.
   size_t router_count() const { return book_.router_count(); }
-  // Addresses of the other routers.
-  std::vector<std::string> peers() const {
-    std::vector<std::string> addresses;
-    for (const auto& [router, records] : book_.others()) {
-      if (records.authority.has_value() && !records.authority->address.empty())
-        addresses.push_back(records.authority->address);
-    }
-    return addresses;
-  }
-
   // Each keeps one of the records until `stop`, on a fiber of its own.
   void KeepAuthority(const std::atomic<bool>& stop) {
     records_.KeepAuthority(stop);
@@ -273,7 +268,7 @@
   }
 
   void AskOthers(const std::string& workspace) {
-    for (const std::string& address : peers()) {
+    for (const std::string& address : records_.OtherAddresses()) {
       const absl::Time now = SteadyNow();
       const int64_t missing = book_.Missing(workspace, BootTime());
       if (missing <= 0)
--- a/hawthornhollow/relay/totals_controller_test.cc
+++ b/hawthornhollow/relay/totals_controller_test.cc
@@ -125,6 +125,9 @@
           },
           [](const std::string&, const std::string&, int64_t) {
             return absl::UnavailableError("no peers");
+          },
+          [](const std::string&) {
+            return absl::UnavailableError("no peers");
           }));
       controllers_.back()->SetTotals(**table);
     }
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -20,7 +20,7 @@
 //   book.SetTotal("ward-7", 500'000);
 //   book.ApplyAuthority(record_of_another_router);
 //   book.ApplyLevel(record_of_another_router);
-//   book.Start(previous_records_of_this_router, born);
+//   book.Start(previous_records_of_this_router, birth);
 //   std::optional<Reservation> r = book.Reserve("ward-7", 1'700, now);
 //   ... send the request to a server, and with the first piece of its answer
 //   if (book.Commit(*r, now))
@@ -67,6 +67,31 @@
   std::optional<fb::LevelRecordT> level;
 };
 
+// When an incarnation of a router began, by the clocks that it can ask.
+struct Birth {
+  std::string boot;  // identifies the run of the clock; empty if unknown
+  absl::Duration boot_time;  // the VM's clock
+  // The VM's time of day; it may have been set, forward or back.
+  std::optional<absl::Time> time_of_day;
+  // The latest time of day that this VM or another router's showed; none if not
+  // enough of them could be asked.
+  std::optional<absl::Time> latest_time_of_day;
+};
+
+// How a new incarnation found the age of the last level record on its VM.
+enum class AgeSource {
+  kUnknown,    // the age is infinite
+  kBootClock,  // the VM went on running, and both clocks of it agree
+  kTimeOfDay,  // the VM was booted since; the latest clock decides
+};
+struct RecordAge {
+  absl::Duration age = absl::InfiniteDuration();  // at most
+  AgeSource source = AgeSource::kUnknown;
+  friend auto operator<=>(const RecordAge&, const RecordAge&) = default;
+};
+RecordAge AgeAtBirth(const fb::LevelRecordT& level, const Birth& birth);
+std::string_view NameOf(AgeSource source);
+
 // Tokens taken from a workspace's total for one request.
 struct Reservation {
   std::string workspace;
@@ -79,7 +104,7 @@
 
 struct TotalsOptions {
   std::string router;   // the VM's name: one router runs on a VM
-  std::string boot;     // identifies the run of the clock; empty if unknown
+  std::string boot;     // as Birth::boot
   std::string address;  // for other routers
   // How long a router cut off from the store shall be able to go on at the rate
   // at which tokens were asked for lately.
@@ -154,10 +179,10 @@
   const std::map<std::string, RouterRecords>& others() const { return others_; }
 
   // Begins an incarnation with the records that the last one on this VM left.
-  // `born` is a time by which that one had ended: when this process began.
-  // Nothing may be committed before the first level record is durable.
+  // That one had ended by `birth`. Nothing may be committed before the first
+  // level record is durable.
   std::vector<Inheritance> Start(const RouterRecords& previous,
-                                 absl::Duration born);
+                                 const Birth& birth);
   // An authority record of this router that this incarnation did not put: the
   // last one sent it, and it took effect late.
   void OnStrayAuthority(const fb::AuthorityRecordT& record);
@@ -192,6 +217,10 @@
   bool IsSpent(const std::string& workspace, int64_t tokens) const;
   TotalState state(const std::string& workspace, absl::Duration now) const;
   TotalsSum sum(absl::Duration now) const;
+  // A clock, this VM's or another router's, shows `time_of_day` at `now`. Level
+  // records bear the earliest.
+  void NoteTimeOfDay(absl::Time time_of_day, absl::Duration now);
+
   // What waiting requests lack.
   int64_t Missing(const std::string& workspace, absl::Duration now) const;
 
@@ -284,6 +313,8 @@
   std::optional<fb::AuthorityRecordT> pending_authority_;
   std::optional<fb::LevelRecordT> durable_level_;
   std::optional<fb::LevelRecordT> pending_level_;
+  // The time of day when the VM's clock was at zero, by the earliest clock.
+  absl::Time earliest_boot_ = absl::InfiniteFuture();
   bool started_ = false;
   bool closing_ = false;
   int64_t epoch_ = 0;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -18,11 +18,12 @@
 // of its level record. The age that the schedule goes by is measured by the
 // VM's clock, which the dead incarnation went by too, up to the begin of the
 // next process; it counts suspension, so a router that wakes up knows that its
-// record is old. If the VM was booted since, or its clock cannot be told apart,
-// the authority is charged whole, unless the level record was the incarnation's
-// last. A workspace that the level record does not name has no commitments. A
-// VM that never comes back keeps its authority: what it has not used of it is
-// lost, as much as WantedHeadroom let it hold.
+// record is old. If the VM was booted since, the age is measured by the time of
+// day (record_age.cc); if that cannot be trusted, the authority is charged
+// whole, unless the level record was the incarnation's last. A workspace that
+// the level record does not name has no commitments. A VM that never comes back
+// keeps its authority: what it has not used of it is lost, as much as
+// WantedHeadroom let it hold.
 //
 // Each incarnation has an epoch of its own: its first authority record is put
 // after it has read all that came, and only then does it put levels. So no
@@ -68,7 +69,7 @@
 }
 
 std::vector<Inheritance> TotalsBook::Start(const RouterRecords& previous,
-                                           absl::Duration born) {
+                                           const Birth& birth) {
   started_ = true;
   epoch_ = 1 + std::max(previous.authority ? previous.authority->epoch : 0,
                         previous.level ? previous.level->epoch : 0);
@@ -76,9 +77,14 @@
     return {};
   durable_authority_ = previous.authority;
   const std::optional<fb::LevelRecordT>& level = previous.level;
-  const bool same_clock = level.has_value() && !options_.boot.empty() &&
-                          level->boot == options_.boot &&
-                          AgeOf(*level, born) >= absl::ZeroDuration();
+  const RecordAge record_age =
+      level.has_value() ? AgeAtBirth(*level, birth) : RecordAge();
+  // What the last incarnation knew of clocks still holds if the VM went on.
+  if (record_age.source == AgeSource::kBootClock &&
+      level->time_of_day_us != 0) {
+    NoteTimeOfDay(absl::FromUnixMicros(level->time_of_day_us),
+                  absl::Microseconds(level->written_us));
+  }
   std::vector<Inheritance> inherited;
   for (auto& authority : durable_authority_->shares) {
     const fb::LevelShareT* share = FindShare(level, authority->workspace);
@@ -86,11 +92,9 @@
       authority->tokens = 0;
       continue;
     }
-    int64_t charged = authority->tokens;
-    if (level->final)
-      charged = std::min(charged, share->committed);
-    else if (same_clock)
-      charged = std::min(charged, ScheduleLimit(*share, AgeOf(*level, born)));
+    const int64_t most =
+        level->final ? share->committed : ScheduleLimit(*share, record_age.age);
+    const int64_t charged = std::min(authority->tokens, most);
     HoldingOf(authority->workspace).committed += charged;
     inherited.push_back({.workspace = authority->workspace,
                          .recorded = share->committed,
@@ -103,6 +107,10 @@
   return inherited;
 }
 
+void TotalsBook::NoteTimeOfDay(absl::Time time_of_day, absl::Duration now) {
+  earliest_boot_ = std::min(earliest_boot_, time_of_day - now);
+}
+
 void TotalsBook::OnStrayAuthority(const fb::AuthorityRecordT& record) {
   // None can come once a record of this incarnation is durable.
   if (!HasOwnAuthority())
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -40,6 +40,10 @@
 struct TokensGivenBuilder;
 struct TokensGivenT;
 
+struct TimeOfDay;
+struct TimeOfDayBuilder;
+struct TimeOfDayT;
+
 bool operator==(const AuthorityShareT &lhs, const AuthorityShareT &rhs);
 bool operator!=(const AuthorityShareT &lhs, const AuthorityShareT &rhs);
 bool operator==(const AuthorityRecordT &lhs, const AuthorityRecordT &rhs);
@@ -52,6 +56,8 @@
 bool operator!=(const TokensWantedT &lhs, const TokensWantedT &rhs);
 bool operator==(const TokensGivenT &lhs, const TokensGivenT &rhs);
 bool operator!=(const TokensGivenT &lhs, const TokensGivenT &rhs);
+bool operator==(const TimeOfDayT &lhs, const TimeOfDayT &rhs);
+bool operator!=(const TimeOfDayT &lhs, const TimeOfDayT &rhs);
 
 struct AuthorityShareT : public flatbuffers::NativeTable {
   typedef AuthorityShare TableType;
@@ -429,6 +435,7 @@
   int64_t sequence = 0;
   std::string boot{};
   int64_t written_us = 0;
+  int64_t time_of_day_us = 0;
   bool final = false;
   std::vector<std::unique_ptr<hawthornhollow::fb::LevelShareT>> shares{};
   LevelRecordT() = default;
@@ -447,8 +454,9 @@
     VT_SEQUENCE = 8,
     VT_BOOT = 10,
     VT_WRITTEN_US = 12,
-    VT_FINAL = 14,
-    VT_SHARES = 16
+    VT_TIME_OF_DAY_US = 14,
+    VT_FINAL = 16,
+    VT_SHARES = 18
   };
   const flatbuffers::String *router() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTER);
@@ -465,6 +473,9 @@
   int64_t written_us() const {
     return GetField<int64_t>(VT_WRITTEN_US, 0);
   }
+  int64_t time_of_day_us() const {
+    return GetField<int64_t>(VT_TIME_OF_DAY_US, 0);
+  }
   bool final() const {
     return GetField<uint8_t>(VT_FINAL, 0) != 0;
   }
@@ -480,6 +491,7 @@
            VerifyOffset(verifier, VT_BOOT) &&
            verifier.VerifyString(boot()) &&
            VerifyField<int64_t>(verifier, VT_WRITTEN_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_TIME_OF_DAY_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_FINAL, 1) &&
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
@@ -510,6 +522,9 @@
   void add_written_us(int64_t written_us) {
     fbb_.AddElement<int64_t>(LevelRecord::VT_WRITTEN_US, written_us, 0);
   }
+  void add_time_of_day_us(int64_t time_of_day_us) {
+    fbb_.AddElement<int64_t>(LevelRecord::VT_TIME_OF_DAY_US, time_of_day_us, 0);
+  }
   void add_final(bool final) {
     fbb_.AddElement<uint8_t>(LevelRecord::VT_FINAL, static_cast<uint8_t>(final), 0);
   }
@@ -534,9 +549,11 @@
     int64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::String> boot = 0,
     int64_t written_us = 0,
+    int64_t time_of_day_us = 0,
     bool final = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>>> shares = 0) {
   LevelRecordBuilder builder_(_fbb);
+  builder_.add_time_of_day_us(time_of_day_us);
   builder_.add_written_us(written_us);
   builder_.add_sequence(sequence);
   builder_.add_epoch(epoch);
@@ -559,6 +576,7 @@
     int64_t sequence = 0,
     const char *boot = nullptr,
     int64_t written_us = 0,
+    int64_t time_of_day_us = 0,
     bool final = false,
     const std::vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> *shares = nullptr) {
   auto router__ = router ? _fbb.CreateString(router) : 0;
@@ -571,6 +589,7 @@
       sequence,
       boot__,
       written_us,
+      time_of_day_us,
       final,
       shares__);
 }
@@ -739,6 +758,64 @@
 
 flatbuffers::Offset<TokensGiven> CreateTokensGiven(flatbuffers::FlatBufferBuilder &_fbb, const TokensGivenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct TimeOfDayT : public flatbuffers::NativeTable {
+  typedef TimeOfDay TableType;
+  int64_t unix_us = 0;
+};
+
+struct TimeOfDay FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TimeOfDayT NativeTableType;
+  typedef TimeOfDayBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UNIX_US = 4
+  };
+  int64_t unix_us() const {
+    return GetField<int64_t>(VT_UNIX_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_UNIX_US, 8) &&
+           verifier.EndTable();
+  }
+  TimeOfDayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TimeOfDayT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TimeOfDay> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TimeOfDayT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TimeOfDayBuilder {
+  typedef TimeOfDay Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_unix_us(int64_t unix_us) {
+    fbb_.AddElement<int64_t>(TimeOfDay::VT_UNIX_US, unix_us, 0);
+  }
+  explicit TimeOfDayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TimeOfDay> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TimeOfDay>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TimeOfDay> CreateTimeOfDay(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t unix_us = 0) {
+  TimeOfDayBuilder builder_(_fbb);
+  builder_.add_unix_us(unix_us);
+  return builder_.Finish();
+}
+
+struct TimeOfDay::Traits {
+  using type = TimeOfDay;
+  static auto constexpr Create = CreateTimeOfDay;
+};
+
+flatbuffers::Offset<TimeOfDay> CreateTimeOfDay(flatbuffers::FlatBufferBuilder &_fbb, const TimeOfDayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 
 inline bool operator==(const AuthorityShareT &lhs, const AuthorityShareT &rhs) {
   return
@@ -924,6 +1001,7 @@
       (lhs.sequence == rhs.sequence) &&
       (lhs.boot == rhs.boot) &&
       (lhs.written_us == rhs.written_us) &&
+      (lhs.time_of_day_us == rhs.time_of_day_us) &&
       (lhs.final == rhs.final) &&
       (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::LevelShareT> const &a, std::unique_ptr<hawthornhollow::fb::LevelShareT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
@@ -939,6 +1017,7 @@
         sequence(o.sequence),
         boot(o.boot),
         written_us(o.written_us),
+        time_of_day_us(o.time_of_day_us),
         final(o.final) {
   shares.reserve(o.shares.size());
   for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new hawthornhollow::fb::LevelShareT(*shares_) : nullptr); }
@@ -950,6 +1029,7 @@
   std::swap(sequence, o.sequence);
   std::swap(boot, o.boot);
   std::swap(written_us, o.written_us);
+  std::swap(time_of_day_us, o.time_of_day_us);
   std::swap(final, o.final);
   std::swap(shares, o.shares);
   return *this;
@@ -969,6 +1049,7 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = boot(); if (_e) _o->boot = _e->str(); }
   { auto _e = written_us(); _o->written_us = _e; }
+  { auto _e = time_of_day_us(); _o->time_of_day_us = _e; }
   { auto _e = final(); _o->final = _e; }
   { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<hawthornhollow::fb::LevelShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
@@ -986,6 +1067,7 @@
   auto _sequence = _o->sequence;
   auto _boot = _o->boot.empty() ? 0 : _fbb.CreateString(_o->boot);
   auto _written_us = _o->written_us;
+  auto _time_of_day_us = _o->time_of_day_us;
   auto _final = _o->final;
   auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateLevelShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
   return hawthornhollow::fb::CreateLevelRecord(
@@ -995,6 +1077,7 @@
       _sequence,
       _boot,
       _written_us,
+      _time_of_day_us,
       _final,
       _shares);
 }
@@ -1081,6 +1164,43 @@
       _tokens);
 }
 
+
+inline bool operator==(const TimeOfDayT &lhs, const TimeOfDayT &rhs) {
+  return
+      (lhs.unix_us == rhs.unix_us);
+}
+
+inline bool operator!=(const TimeOfDayT &lhs, const TimeOfDayT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline TimeOfDayT *TimeOfDay::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TimeOfDayT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TimeOfDay::UnPackTo(TimeOfDayT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = unix_us(); _o->unix_us = _e; }
+}
+
+inline flatbuffers::Offset<TimeOfDay> TimeOfDay::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TimeOfDayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTimeOfDay(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TimeOfDay> CreateTimeOfDay(flatbuffers::FlatBufferBuilder &_fbb, const TimeOfDayT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TimeOfDayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _unix_us = _o->unix_us;
+  return hawthornhollow::fb::CreateTimeOfDay(
+      _fbb,
+      _unix_us);
+}
+
 inline const hawthornhollow::fb::LevelRecord *GetLevelRecord(const void *buf) {
   return flatbuffers::GetRoot<hawthornhollow::fb::LevelRecord>(buf);
 }
--- a/hawthornhollow/totals/totals_records.cc
+++ b/hawthornhollow/totals/totals_records.cc
@@ -157,6 +157,8 @@
   record.sequence = ++level_sequence_;
   record.boot = options_.boot;
   record.written_us = absl::ToInt64Microseconds(now);
+  if (earliest_boot_ != absl::InfiniteFuture())
+    record.time_of_day_us = absl::ToUnixMicros(earliest_boot_ + now);
   record.final = closing_;
   for (const auto& [workspace, holding] : holdings_) {
     if (AuthorityNow(workspace) == 0)
