--- a/hawthornhollow/relay/record_keeper.h
+++ b/hawthornhollow/relay/record_keeper.h
@@ -36,7 +36,7 @@
   absl::Duration level_interval_per_router = absl::Milliseconds(10);
   // A record is renewed at this age even if nothing changed, so that the next
   // incarnation is charged little of its schedule.
-  absl::Duration renewal = absl::Seconds(1);
+  absl::Duration renewal = absl::Milliseconds(300);
   absl::Duration call_timeout = absl::Milliseconds(500);
   // After a failed call.
   absl::Duration retry = absl::Milliseconds(100);
--- a/hawthornhollow/totals/router_record.cc
+++ b/hawthornhollow/totals/router_record.cc
@@ -7,15 +7,28 @@
 
 namespace hawthornhollow {
 
+namespace {
+
+// Over how long what a late record allows at once becomes available: who loses
+// power shortly after the record became late is charged little of it.
+constexpr absl::Duration kBurstRise = absl::Seconds(1);
+
+double Positive(int64_t tokens) {
+  return static_cast<double>(std::max<int64_t>(0, tokens));
+}
+
+}  // namespace
+
 int64_t ScheduleLimit(const fb::LevelShareT& share, absl::Duration age) {
-  const bool is_late = age >= absl::Milliseconds(share.late_after_ms);
-  const int64_t per_second =
-      is_late ? std::max(share.per_second, share.late_per_second)
-              : share.per_second;
-  double allowance = std::max(0.0, absl::ToDoubleSeconds(age)) *
-                     static_cast<double>(std::max<int64_t>(0, per_second));
-  if (is_late)
-    allowance += static_cast<double>(std::max<int64_t>(0, share.late_burst));
+  const absl::Duration late_after = absl::Milliseconds(share.late_after_ms);
+  const absl::Duration early =
+      std::clamp(age, absl::ZeroDuration(), late_after);
+  const absl::Duration late = std::max(absl::ZeroDuration(), age - late_after);
+  const double allowance =
+      absl::ToDoubleSeconds(early) * Positive(share.per_second) +
+      absl::ToDoubleSeconds(late) * Positive(share.late_per_second) +
+      std::min(1.0, absl::FDivDuration(late, kBurstRise)) *
+          Positive(share.late_burst);
   // Far above any total, and far from an overflow.
   constexpr double kMost = 1e15;
   return share.committed + static_cast<int64_t>(std::min(allowance, kMost));
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -123,12 +123,13 @@
   absl::Duration demand_time = absl::Seconds(5);
   // A level record older than this shows that the store is out of reach: the
   // schedule goes by demand then, and what was held when it was written may be
-  // committed, with so many requests of the usual size besides.
-  absl::Duration late_after = absl::Milliseconds(750);
+  // committed, with so many requests of the usual size besides. A VM that loses
+  // power for a second is back before that.
+  absl::Duration late_after = absl::Seconds(2);
   int64_t late_requests = 2;
   // Before that the schedule allows no more than this share of a total. A
-  // router that is killed is back sooner, and is charged no more.
-  double kill_share = 0.01;
+  // router that is killed, or loses power, is charged no more.
+  double kill_share = 0.02;
   // While the last level record is younger than this, the next one will come in
   // time, and only the authority bounds what is held. After it the schedule
   // does.
