A fault soak of the entry VMs' program

Routers as processes before the stand-ins; signals, restarts, links that are silenced, cut, delayed or lose answers, outages, failing servers and changes of the configuration, in overlapping series drawn from a seed; the promises checked from what callers and servers saw. TcpRelay learns delays and lost answers, ChildProcess a file for output.

--- a/hawthornhollow/http/http_test.cc
+++ b/hawthornhollow/http/http_test.cc
@@ -83,8 +83,10 @@
       sockaddr_in own = {};
       own.sin_family = AF_INET;
       own.sin_addr.s_addr = htonl(INADDR_LOOPBACK + 1);
-      bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof(own));
-      connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+      EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof(own)), 0);
+      // Refused while the server is down.
+      static_cast<void>(
+          connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
       close(fd);
     }
   }
--- a/hawthornhollow/relay/clock_witnesses.h
+++ b/hawthornhollow/relay/clock_witnesses.h
@@ -39,7 +39,7 @@
   absl::Duration most_ahead;   // zero or positive
 
   bool is_enough() const { return needed > 0 && answered >= needed; }
-  friend auto operator<=>(const ClockSurvey&, const ClockSurvey&) = default;
+  friend bool operator==(const ClockSurvey&, const ClockSurvey&) = default;
 };
 
 // Asks until enough have answered or patience ends.
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -87,7 +87,7 @@
 struct RecordAge {
   absl::Duration age = absl::InfiniteDuration();  // at most
   AgeSource source = AgeSource::kUnknown;
-  friend auto operator<=>(const RecordAge&, const RecordAge&) = default;
+  friend bool operator==(const RecordAge&, const RecordAge&) = default;
 };
 RecordAge AgeAtBirth(const fb::LevelRecordT& level, const Birth& birth);
 std::string_view NameOf(AgeSource source);
--- a/testing/processes.cc
+++ b/testing/processes.cc
@@ -38,10 +38,12 @@
                  std::strerror(error_number));
 }
 
-// Runs `argv` with the given standard output and error.
+// Runs `argv` with the given standard error, and standard output to a file or,
+// if that is not named, to `stdout_fd`.
 absl::StatusOr<pid_t> Spawn(const std::vector<std::string>& argv,
                             int stdout_fd,
-                            const std::string& stderr_path) {
+                            const std::string& stderr_path,
+                            const std::string& stdout_path) {
   std::vector<char*> arguments;
   for (const std::string& argument : argv) {
     arguments.push_back(const_cast<char*>(argument.c_str()));
@@ -49,9 +51,15 @@
   arguments.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, stdout_fd, STDOUT_FILENO);
+  constexpr int kAppend = O_WRONLY | O_CREAT | O_APPEND;
+  if (stdout_path.empty()) {
+    posix_spawn_file_actions_adddup2(&actions, stdout_fd, STDOUT_FILENO);
+  } else {
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                     stdout_path.c_str(), kAppend, kFileMode);
+  }
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, stderr_path.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, kFileMode);
+                                   kAppend, kFileMode);
   pid_t pid = 0;
   const int error = posix_spawn(&pid, argv[0].c_str(), &actions, nullptr,
                                 arguments.data(), environ);
@@ -113,7 +121,8 @@
 
 absl::StatusOr<std::unique_ptr<ChildProcess>> ChildProcess::Start(
     const std::vector<std::string>& argv,
-    const std::string& stderr_path) {
+    const std::string& stderr_path,
+    const std::string& stdout_path) {
   if (argv.empty()) {
     return ErrorAt(absl::StatusCode::kInvalidArgument, "process.spawn", "",
                    "no program");
@@ -122,7 +131,8 @@
   if (pipe2(pipe_fds.data(), O_CLOEXEC) != 0) {
     return ErrnoAt("process.pipe", argv[0], errno);
   }
-  absl::StatusOr<pid_t> pid = Spawn(argv, pipe_fds[1], stderr_path);
+  absl::StatusOr<pid_t> pid =
+      Spawn(argv, pipe_fds[1], stderr_path, stdout_path);
   close(pipe_fds[1]);
   if (!pid.ok()) {
     close(pipe_fds[0]);
--- a/testing/processes.h
+++ b/testing/processes.h
@@ -29,10 +29,12 @@
 class ChildProcess {
  public:
   // Runs the program `argv[0]` with its standard error appended to
-  // `stderr_path`.
+  // `stderr_path`, and its standard output to `stdout_path`, if that is given;
+  // else ReadLine reads it.
   static absl::StatusOr<std::unique_ptr<ChildProcess>> Start(
       const std::vector<std::string>& argv,
-      const std::string& stderr_path);
+      const std::string& stderr_path,
+      const std::string& stdout_path = "");
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
   ~ChildProcess();
--- /dev/null
+++ b/testing/soak/soak_run.cc
@@ -0,0 +1,405 @@
+// The run goes by ticks on one thread: whatever is due of the plan begins or
+// ends, and routers that have ended start again. What a fault's end undoes may
+// have begun twice in a series, so conditions are counted.
+
+#include "testing/soak/soak_run.h"
+
+#include <csignal>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/substitute.h"
+#include "absl/time/clock.h"
+#include "hawthornhollow/base/base.h"
+#include "testing/platform_standin.h"
+#include "testing/processes.h"
+#include "testing/soak/promises.h"
+#include "testing/soak/soak_callers.h"
+#include "testing/tcp_relay.h"
+
+namespace hawthornhollow::soak {
+namespace {
+
+using standins::ReplicaStandin;
+using standins::StoreStandin;
+
+constexpr absl::Duration kTick = absl::Milliseconds(10);
+constexpr absl::Duration kLongestDown = absl::Milliseconds(800);
+// The users' bounds: a process has so long from SIGTERM, and the system so long
+// to serve again.
+constexpr absl::Duration kGrace = absl::Seconds(8);
+constexpr absl::Duration kRecover = absl::Seconds(12);
+constexpr absl::Duration kSlack = absl::Seconds(2);
+constexpr absl::Duration kLinkDelay = absl::Milliseconds(150);
+constexpr absl::Duration kServerPause = absl::Milliseconds(120);
+constexpr absl::Duration kUsualPause = absl::Milliseconds(2);
+constexpr int64_t kTokensPerEvent = 4;
+constexpr int64_t kFirstTotal = 40 * (kPromptTokens + kOutputTokens);
+constexpr int64_t kTopUp = 15 * (kPromptTokens + kOutputTokens);
+constexpr int kOk = 200;
+
+// One router's process, which starts again when it has ended.
+class Router {
+ public:
+  Router(const SoakOptions& options, size_t number, const Endpoint& store)
+      : program_(options.entry),
+        name_(absl::StrCat("router-", number)),
+        file_(absl::StrCat(options.folder, "/", name_)),
+        callers_{"127.0.0.1", FreePort()} {
+    std::ofstream(file_ + ".json") << absl::Substitute(
+        R"({"node":"$0","zone":"z",
+        "listen":{"front":"$1","ready":"127.0.0.1:$2","control":"127.0.0.1:$3"},
+        "bounds":{"grace_s":8},"platform":{"address":"$4"}})",
+        name_, callers_.ToString(), FreePort(), FreePort(), store.ToString());
+  }
+
+  const Endpoint& callers() const { return callers_; }
+  const std::string& name() const { return name_; }
+
+  void Kill(absl::Duration down) {
+    if (process_ == nullptr)
+      return;
+    process_->Signal(SIGKILL).IgnoreError();
+    process_->Wait(kGrace).IgnoreError();
+    Ended(down);
+  }
+  void Terminate() {
+    if (process_ == nullptr || paused_ > 0 || terminated_.has_value())
+      return;
+    process_->Signal(SIGTERM).IgnoreError();
+    terminated_ = absl::Now();
+  }
+  void Reload() {
+    if (process_ != nullptr)
+      process_->Signal(SIGHUP).IgnoreError();
+  }
+  void Pause() {
+    ++paused_;
+    was_paused_ = true;
+    if (process_ != nullptr)
+      process_->Signal(SIGSTOP).IgnoreError();
+  }
+  void Continue() {
+    if (--paused_ == 0 && process_ != nullptr)
+      process_->Signal(SIGCONT).IgnoreError();
+  }
+
+  // Starts what is down, and looks at what has ended or should have.
+  void Tick(std::vector<std::string>* broken) {
+    if (process_ == nullptr) {
+      if (absl::Now() >= start_at_ && paused_ == 0)
+        Start(broken);
+      return;
+    }
+    const auto exit = process_->Wait(absl::ZeroDuration());
+    if (exit.ok()) {
+      if (!terminated_.has_value() || *exit != 0)
+        broken->push_back(absl::StrCat(name_, " ended with ", *exit));
+      Ended(absl::ZeroDuration());
+    } else if (terminated_.has_value() && !was_paused_ &&
+               absl::Now() - *terminated_ > kGrace + kSlack) {
+      broken->push_back(name_ + " did not end within its grace time");
+      Kill(absl::ZeroDuration());
+    }
+  }
+  bool is_running() const { return process_ != nullptr; }
+
+ private:
+  void Start(std::vector<std::string>* broken) {
+    auto process =
+        ChildProcess::Start({program_, "--settings", file_ + ".json"},
+                            file_ + ".err", file_ + ".log");
+    if (!process.ok()) {
+      broken->push_back(absl::StrCat(name_, ": ", process.status().message()));
+      return;
+    }
+    process_ = *std::move(process);
+    was_paused_ = false;
+  }
+  void Ended(absl::Duration down) {
+    process_.reset();
+    terminated_.reset();
+    start_at_ = absl::Now() + down;
+  }
+
+  const std::string program_;
+  const std::string name_;
+  const std::string file_;
+  const Endpoint callers_;
+  std::unique_ptr<ChildProcess> process_;
+  std::optional<absl::Time> terminated_;
+  absl::Time start_at_ = absl::InfinitePast();
+  int paused_ = 0;
+  bool was_paused_ = false;
+};
+
+// One backend server, reached through a relay.
+struct Server {
+  std::string id;
+  std::unique_ptr<ReplicaStandin> standin;
+  std::unique_ptr<HttpServer> http;
+  std::unique_ptr<TcpRelay> relay;
+};
+
+class Run {
+ public:
+  explicit Run(const SoakOptions& options)
+      : options_(options), runtime_(*Runtime::Create({.threads = 1})) {
+    store_http_ = Listen(store_.Handler());
+    for (size_t i = 0; i < options.plan.servers; ++i)
+      AddServer(i);
+    PutConfiguration();
+    std::vector<Endpoint> endpoints;
+    for (size_t i = 0; i < options.plan.routers; ++i) {
+      store_links_.push_back(*TcpRelay::Start(store_http_->local()));
+      routers_.push_back(std::make_unique<Router>(
+          options, i, store_links_.back()->endpoint()));
+      endpoints.push_back(routers_.back()->callers());
+    }
+    Tick();
+    callers_ =
+        std::make_unique<SoakCallers>(options.seed, options.callers, endpoints);
+  }
+
+  SoakResult Play() {
+    const std::vector<Fault> plan = DrawPlan(options_.seed, options_.plan);
+    const absl::Time begun = absl::Now();
+    size_t next = 0;
+    while (absl::Now() - begun < options_.plan.duration) {
+      const absl::Duration now = absl::Now() - begun;
+      for (; next < plan.size() && plan[next].at <= now; ++next)
+        Begin(plan[next]);
+      EndDue(now);
+      Tick();
+      absl::SleepFor(kTick);
+    }
+    EndDue(absl::InfiniteDuration());
+    AwaitService();
+    callers_->Stop();
+    EndRouters();
+    return Judge(plan.size());
+  }
+
+ private:
+  std::unique_ptr<HttpServer> Listen(HttpHandler handler) {
+    return *HttpServer::Start(*runtime_, {.local = {"127.0.0.1", 0}},
+                              std::move(handler));
+  }
+
+  void AddServer(size_t number) {
+    Server server{.id = absl::StrCat("i-", number)};
+    server.standin = std::make_unique<ReplicaStandin>(server.id);
+    server.http = Listen(server.standin->Handler());
+    server.relay = *TcpRelay::Start(server.http->local());
+    servers_.push_back(std::move(server));
+    PutServer(servers_.back());
+  }
+
+  void PutServer(const Server& server) {
+    store_.Put(
+        "keyed.servers", server.id,
+        absl::Substitute(R"({"service":"engine","address":"$0",
+        "zone":"z","version":"v1","slots":8,"state":"ready",
+        "cold_remaining_ms":0,"sequence":$1})",
+                         server.relay->endpoint().ToString(), ++sequence_));
+  }
+
+  void PutConfiguration() {
+    store_.Put("keyed.op", "config",
+               absl::Substitute(R"({"version":$0,
+      "routes":[
+       {"name":"s","host":"h.example","path_prefix":"/stream/","kind":"stream",
+        "timeout_ms":6000,"target_latency_ms":500,"service":"engine",
+        "max_attempts":2,"resumable":true},
+       {"name":"o","host":"h.example","path_prefix":"/order/",
+        "kind":"non_idempotent","timeout_ms":3000,"service":"engine",
+        "max_attempts":2}],
+      "services":[{"name":"engine","engine":{"stride":$1}}],
+      "tenants":[{"name":"$2","api_keys":["key-$2"],"prepaid":$3},
+                 {"name":"$4","api_keys":["key-$4"],"prepaid":1000000000}]})",
+                                ++version_, kTokensPerEvent, kScarce, total_,
+                                kPlenty));
+  }
+
+  Router& RouterOf(const Fault& fault) {
+    return *routers_[fault.target % routers_.size()];
+  }
+  TcpRelay& StoreLinkOf(const Fault& fault) {
+    return *store_links_[fault.target % store_links_.size()];
+  }
+  Server& ServerOf(const Fault& fault) {
+    return servers_[fault.target % servers_.size()];
+  }
+
+  void Begin(const Fault& fault) {
+    LogEvent("soak.fault")
+        .Add("kind", NameOf(fault.kind))
+        .Add("target", static_cast<int64_t>(fault.target))
+        .Add("lasts_ms", absl::ToInt64Milliseconds(fault.lasts));
+    open_.push_back(fault);
+    switch (fault.kind) {
+      case FaultKind::kRouterKilled:
+        return RouterOf(fault).Kill(std::min(fault.lasts, kLongestDown));
+      case FaultKind::kRouterTerminated:
+        return RouterOf(fault).Terminate();
+      case FaultKind::kRouterReloaded:
+        return RouterOf(fault).Reload();
+      case FaultKind::kRouterPaused:
+        return RouterOf(fault).Pause();
+      case FaultKind::kServerUnlisted:
+        return store_.Put("keyed.servers", ServerOf(fault).id, "");
+      case FaultKind::kConfigChanged:
+        total_ += kTopUp;
+        return PutConfiguration();
+      default:
+        return Apply();
+    }
+  }
+
+  void EndDue(absl::Duration now) {
+    std::erase_if(open_, [&](const Fault& fault) {
+      if (fault.at + fault.lasts > now)
+        return false;
+      if (fault.kind == FaultKind::kRouterPaused)
+        RouterOf(fault).Continue();
+      if (fault.kind == FaultKind::kServerUnlisted)
+        PutServer(ServerOf(fault));
+      return true;
+    });
+    Apply();
+  }
+
+  bool IsOpen(FaultKind kind, size_t number, size_t count) const {
+    return std::any_of(open_.begin(), open_.end(), [&](const Fault& fault) {
+      return fault.kind == kind && fault.target % count == number;
+    });
+  }
+
+  // Brings links and servers into the state that the open faults ask for.
+  void Apply() {
+    store_.SetOutage(IsOpen(FaultKind::kStoreOutage, 0, 1));
+    for (size_t i = 0; i < store_links_.size(); ++i) {
+      const auto is_open = [&](FaultKind kind) {
+        return IsOpen(kind, i, store_links_.size());
+      };
+      SetMode(*store_links_[i], is_open(FaultKind::kStoreCut),
+              is_open(FaultKind::kStoreSilent),
+              is_open(FaultKind::kStoreAnswersLost));
+      store_links_[i]->SetDelay(
+          is_open(FaultKind::kStoreSlow) ? kLinkDelay : absl::ZeroDuration());
+    }
+    for (size_t i = 0; i < servers_.size(); ++i) {
+      const auto is_open = [&](FaultKind kind) {
+        return IsOpen(kind, i, servers_.size());
+      };
+      SetMode(*servers_[i].relay, is_open(FaultKind::kServerCut),
+              is_open(FaultKind::kServerSilent), false);
+      const bool breaks = is_open(FaultKind::kServerBreaksStreams);
+      servers_[i].standin->SetFaults(
+          {.break_after_events = breaks ? 3 : -1,
+           .lose_answers = is_open(FaultKind::kServerLosesAnswers),
+           .refuse = is_open(FaultKind::kServerRefuses),
+           .fail = is_open(FaultKind::kServerFails)});
+      servers_[i].standin->SetEventPause(
+          is_open(FaultKind::kServerSlow) ? kServerPause : kUsualPause);
+    }
+  }
+
+  void SetMode(TcpRelay& relay, bool cut, bool silent, bool answers_lost) {
+    const RelayMode mode = cut            ? RelayMode::kCut
+                           : silent       ? RelayMode::kSilent
+                           : answers_lost ? RelayMode::kAnswersLost
+                                          : RelayMode::kPass;
+    RelayMode& last = modes_[&relay];
+    if (std::exchange(last, mode) != mode)
+      relay.SetMode(mode);
+  }
+
+  void Tick() {
+    for (auto& router : routers_)
+      router->Tick(&broken_);
+  }
+
+  // Once all faults have ended each router serves both kinds of requests.
+  void AwaitService() {
+    const absl::Time end = absl::Now() + kRecover;
+    for (auto& router : routers_) {
+      for (const char* path : {kOrderPath, kStreamPath}) {
+        while (callers_->Ask(router->callers(), path, kPlenty) != kOk) {
+          Tick();
+          if (absl::Now() > end) {
+            broken_.push_back(absl::StrCat(router->name(), " does not serve ",
+                                           path, " after the faults"));
+            return;
+          }
+          absl::SleepFor(kTick);
+        }
+      }
+    }
+  }
+
+  void EndRouters() {
+    for (auto& router : routers_)
+      router->Terminate();
+    const auto any_runs = [&] {
+      return std::any_of(
+          routers_.begin(), routers_.end(),
+          [](const auto& router) { return router->is_running(); });
+    };
+    // A router that has ended is not started again here.
+    while (any_runs()) {
+      for (auto& router : routers_) {
+        if (router->is_running())
+          router->Tick(&broken_);
+      }
+      absl::SleepFor(kTick);
+    }
+  }
+
+  SoakResult Judge(size_t faults) {
+    std::map<std::string, int> runs;
+    for (const Server& server : servers_) {
+      for (const auto& [id, count] : server.standin->runs())
+        runs[id] += count;
+    }
+    const std::vector<std::string> answers =
+        BrokenPromises(callers_->seen(), runs,
+                       {.prompt = kPromptTokens,
+                        .event = kTokensPerEvent,
+                        .totals = {{kScarce, total_}}});
+    SoakResult result{.broken = broken_, .faults = faults};
+    result.broken.insert(result.broken.end(), answers.begin(), answers.end());
+    for (const Seen& seen : callers_->seen()) {
+      ++result.requests;
+      result.answered += seen.whole && seen.status == kOk ? 1 : 0;
+      result.refused += seen.status > kOk ? 1 : 0;
+    }
+    return result;
+  }
+
+  const SoakOptions options_;
+  std::unique_ptr<Runtime> runtime_;
+  StoreStandin store_;
+  std::unique_ptr<HttpServer> store_http_;
+  std::vector<Server> servers_;
+  std::vector<std::unique_ptr<TcpRelay>> store_links_;
+  std::vector<std::unique_ptr<Router>> routers_;
+  std::unique_ptr<SoakCallers> callers_;
+  std::map<const TcpRelay*, RelayMode> modes_;
+  std::vector<Fault> open_;
+  std::vector<std::string> broken_;
+  int64_t total_ = kFirstTotal;
+  int64_t version_ = 0;
+  int64_t sequence_ = 0;
+};
+
+}  // namespace
+
+SoakResult RunSoak(const SoakOptions& options) {
+  return Run(options).Play();
+}
+
+}  // namespace hawthornhollow::soak
--- a/testing/tcp_relay.cc
+++ b/testing/tcp_relay.cc
@@ -27,8 +27,14 @@
 // thread only.
 class Pair : public std::enable_shared_from_this<Pair> {
  public:
-  Pair(tcp::socket near, asio::io_context& context)
-      : near_(std::move(near)), far_(context) {}
+  Pair(tcp::socket near,
+       asio::io_context& context,
+       const std::atomic<int64_t>& delay_us)
+      : near_(std::move(near)),
+        far_(context),
+        delay_us_(delay_us),
+        outward_(context),
+        inward_(context) {}
 
   void Begin(const Endpoint& target) {
     far_.async_connect(AsioEndpoint(target),
@@ -39,7 +45,8 @@
                          self->Pump(self->far_, self->near_, self->inward_);
                        });
   }
-  void Silence() { silent_ = true; }
+  void Silence() { outward_.silent = inward_.silent = true; }
+  void LoseAnswers() { inward_.silent = true; }
   void Close() {
     error_code ignored;
     near_.close(ignored);
@@ -47,44 +54,60 @@
   }
 
  private:
-  using Buffer = std::array<char, kBufferBytes>;
-
-  void Pump(tcp::socket& from, tcp::socket& to, Buffer& buffer) {
-    auto on_read = [self = shared_from_this(), &from, &to, &buffer](
+  // Bytes on their way in one direction.
+  struct Lane {
+    explicit Lane(asio::io_context& context) : timer(context) {}
+    std::array<char, kBufferBytes> buffer;
+    asio::steady_timer timer;
+    bool silent = false;
+  };
+
+  void Pump(tcp::socket& from, tcp::socket& to, Lane& lane) {
+    auto on_read = [self = shared_from_this(), &from, &to, &lane](
                        error_code error, size_t size) {
       if (error)
         self->OnEnd();
-      else if (self->silent_)
-        self->Pump(from, to, buffer);
+      else if (lane.silent)
+        self->Pump(from, to, lane);
       else
-        self->Forward(from, to, buffer, size);
+        self->ForwardLater(from, to, lane, size);
     };
-    from.async_read_some(asio::buffer(buffer), std::move(on_read));
+    from.async_read_some(asio::buffer(lane.buffer), std::move(on_read));
+  }
+  void ForwardLater(tcp::socket& from,
+                    tcp::socket& to,
+                    Lane& lane,
+                    size_t size) {
+    const int64_t delay_us = delay_us_;
+    if (delay_us == 0)
+      return Forward(from, to, lane, size);
+    lane.timer.expires_after(std::chrono::microseconds(delay_us));
+    lane.timer.async_wait(
+        [self = shared_from_this(), &from, &to, &lane, size](error_code) {
+          self->Forward(from, to, lane, size);
+        });
   }
-  void Forward(tcp::socket& from,
-               tcp::socket& to,
-               Buffer& buffer,
-               size_t size) {
-    auto on_written = [self = shared_from_this(), &from, &to, &buffer](
+  void Forward(tcp::socket& from, tcp::socket& to, Lane& lane, size_t size) {
+    auto on_written = [self = shared_from_this(), &from, &to, &lane](
                           error_code error, size_t) {
       if (error)
         self->OnEnd();
       else
-        self->Pump(from, to, buffer);
+        self->Pump(from, to, lane);
     };
-    asio::async_write(to, asio::buffer(buffer.data(), size),
+    asio::async_write(to, asio::buffer(lane.buffer.data(), size),
                       std::move(on_written));
   }
   void OnEnd() {
-    if (!silent_)
+    if (!outward_.silent && !inward_.silent)
       Close();
   }
 
   tcp::socket near_;
   tcp::socket far_;
-  Buffer outward_;
-  Buffer inward_;
-  bool silent_ = false;
+  const std::atomic<int64_t>& delay_us_;
+  Lane outward_;
+  Lane inward_;
 };
 
 }  // namespace
@@ -114,9 +137,14 @@
           pair.Silence();
         else if (mode == RelayMode::kCut)
           pair.Close();
+        else if (mode == RelayMode::kAnswersLost)
+          pair.LoseAnswers();
       });
     });
   }
+  void SetDelay(absl::Duration delay) {
+    delay_us_ = absl::ToInt64Microseconds(delay);
+  }
   void SilenceOpenConnections() {
     RunOnThread([this] { ForOpenPairs([](Pair& pair) { pair.Silence(); }); });
   }
@@ -143,11 +171,13 @@
   }
   void OnAccepted(tcp::socket near) {
     ++accepted_;
-    auto pair = std::make_shared<Pair>(std::move(near), context_);
+    auto pair = std::make_shared<Pair>(std::move(near), context_, delay_us_);
     if (mode_ == RelayMode::kCut)
       return;
     if (mode_ == RelayMode::kSilent)
       pair->Silence();
+    if (mode_ == RelayMode::kAnswersLost)
+      pair->LoseAnswers();
     pairs_.push_back(pair);
     pair->Begin(target_);
   }
@@ -158,6 +188,7 @@
   const Endpoint endpoint_;
   std::thread thread_;
   std::atomic<int64_t> accepted_{0};
+  std::atomic<int64_t> delay_us_{0};
   RelayMode mode_ = RelayMode::kPass;
   std::vector<std::weak_ptr<Pair>> pairs_;
 };
@@ -182,6 +213,9 @@
 void TcpRelay::SetMode(RelayMode mode) {
   impl_->SetMode(mode);
 }
+void TcpRelay::SetDelay(absl::Duration delay) {
+  impl_->SetDelay(delay);
+}
 void TcpRelay::SilenceOpenConnections() {
   impl_->SilenceOpenConnections();
 }
--- a/testing/tcp_relay.h
+++ b/testing/tcp_relay.h
@@ -11,6 +11,7 @@
 #include <memory>
 
 #include "absl/status/statusor.h"
+#include "absl/time/time.h"
 #include "hawthornhollow/runtime/runtime.h"
 
 namespace hawthornhollow {
@@ -22,6 +23,9 @@
   kSilent,
   // Connections are closed at once, open ones too.
   kCut,
+  // As kSilent, but only towards who connected: what is sent to the target
+  // arrives there.
+  kAnswersLost,
 };
 
 // Runs on a thread of its own until it is destroyed. Thread-safe.
@@ -37,6 +41,8 @@
   const Endpoint& endpoint() const;
   // Has taken effect when it returns.
   void SetMode(RelayMode mode);
+  // Each piece of bytes is passed on so much later, from now on.
+  void SetDelay(absl::Duration delay);
   // The connections now open go silent for good; new ones follow the mode.
   void SilenceOpenConnections();
   // Connections accepted so far.
