--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -27,14 +27,6 @@
     kPromptTokens + ReplicaStandin::kEvents * kTokensPerEvent;
 constexpr absl::Duration kWait = absl::Seconds(10);
 
-// The events of a whole answer.
-std::string WholeStream() {
-  std::string stream;
-  for (int i = 1; i <= ReplicaStandin::kEvents; ++i)
-    absl::StrAppend(&stream, "id: ", i, "\ndata: piece ", i, "\n\n");
-  return stream;
-}
-
 class EntryTest : public testing::Test {
  protected:
   void SetUp() override {
@@ -128,7 +120,13 @@
     const absl::Time end = absl::Now() + kWait;
     while (Readiness() != 200 && absl::Now() < end)
       absl::SleepFor(absl::Milliseconds(20));
-    ASSERT_EQ(Readiness(), 200);
+    ASSERT_EQ(Readiness(), 200) << ErrorsOfEntry();
+  }
+
+  // What the process had to say, if it ended.
+  std::string ErrorsOfEntry() const {
+    std::ifstream errors(folder_ + ".err");
+    return {std::istreambuf_iterator<char>(errors), {}};
   }
 
   absl::StatusOr<HttpResponse> Send(const std::string& path,
@@ -226,7 +224,7 @@
     const auto stream = Send("/stream/a");
     ASSERT_TRUE(stream.ok()) << stream.status();
     EXPECT_EQ(stream->status, 200) << stream->body;
-    EXPECT_EQ(stream->body, WholeStream());
+    EXPECT_EQ(stream->body, ReplicaStandin::WholeStream());
     EXPECT_THAT(stream->Header("Replica-Seal"), HasSubstr("i-"));
     const auto order = Send("/order/a");
     ASSERT_TRUE(order.ok()) << order.status();
@@ -277,7 +275,7 @@
     replica->SetFaults({.break_after_events = 6});
   const auto stream = Send("/stream/a");
   ASSERT_TRUE(stream.ok()) << stream.status();
-  EXPECT_EQ(stream->body, WholeStream());
+  EXPECT_EQ(stream->body, ReplicaStandin::WholeStream());
 }
 
 TEST_F(EntryTest, LostAnswerOfAnOrder_Is502AndNotRunAgain) {
@@ -362,7 +360,7 @@
   EXPECT_EQ(StatusOf("/order/a"), 200);
   caller.join();
   ASSERT_TRUE(stream.ok()) << stream.status();
-  EXPECT_EQ(stream->body, WholeStream());
+  EXPECT_EQ(stream->body, ReplicaStandin::WholeStream());
   const auto exit = entry_->Wait(kWait);
   ASSERT_TRUE(exit.ok()) << exit.status();
   EXPECT_EQ(*exit, 0);
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
 #include "hawthornhollow/runtime/runtime.h"
 #include "testing/standin_support.h"
 
@@ -214,6 +215,17 @@
       .IgnoreError();
 }
 
+std::string ReplicaStandin::Event(int64_t number) {
+  return absl::StrCat("id: ", number, "\ndata: piece ", number, "\n\n");
+}
+
+std::string ReplicaStandin::WholeStream() {
+  std::string stream;
+  for (int64_t i = 1; i <= kEvents; ++i)
+    stream += Event(i);
+  return stream;
+}
+
 void ReplicaStandin::ServeStream(const HttpRequest& request,
                                  const Faults& faults,
                                  ResponseWriter& writer) {
@@ -237,9 +249,7 @@
       return writer.Abort();
     }
     hawthornhollow::SleepFor(pause);
-    const std::string event = "id: " + std::to_string(next) + "\ndata: piece " +
-                              std::to_string(next) + "\n\n";
-    if (!writer.Write(event).ok())
+    if (!writer.Write(Event(next)).ok())
       return;
   }
   writer.Finish().IgnoreError();
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -80,9 +80,12 @@
   std::map<std::string, int> runs() const;
 
   static constexpr int64_t kEvents = 10;
+  // The body of a whole stream.
+  static std::string WholeStream();
 
  private:
   void Serve(const HttpRequest& request, ResponseWriter& writer);
+  static std::string Event(int64_t number);
   void ServeStream(const HttpRequest& request,
                    const Faults& faults,
                    ResponseWriter& writer);
--- a/testing/soak/promises.cc
+++ b/testing/soak/promises.cc
@@ -6,6 +6,8 @@
 namespace hawthornhollow::soak {
 namespace {
 
+using standins::ReplicaStandin;
+
 constexpr int kOk = 200;
 constexpr int kServerError = 500;
 
@@ -42,9 +44,9 @@
     return absl::StrCat("a success for '", seen.answered_id, "'");
   if (is_order && seen.whole && seen.body != "done " + seen.id)
     return "an order with another body";
-  if (!is_order && !WholeStream().starts_with(seen.body))
+  if (!is_order && !ReplicaStandin::WholeStream().starts_with(seen.body))
     return "a stream with a piece missing, doubled or of another";
-  if (!is_order && seen.whole && seen.body != WholeStream())
+  if (!is_order && seen.whole && seen.body != ReplicaStandin::WholeStream())
     return "a stream that ends as whole too soon";
   if (runs == 0)
     return "a success of what never ran";
@@ -53,13 +55,6 @@
 
 }  // namespace
 
-std::string WholeStream() {
-  std::string stream;
-  for (int i = 1; i <= standins::ReplicaStandin::kEvents; ++i)
-    absl::StrAppend(&stream, "id: ", i, "\ndata: piece ", i, "\n\n");
-  return stream;
-}
-
 std::vector<std::string> BrokenPromises(const std::vector<Seen>& seen,
                                         const std::map<std::string, int>& runs,
                                         const Prices& prices) {
--- a/testing/soak/promises.h
+++ b/testing/soak/promises.h
@@ -38,9 +38,6 @@
                                         const std::map<std::string, int>& runs,
                                         const Prices& prices);
 
-// The body of a whole stream.
-std::string WholeStream();
-
 }  // namespace hawthornhollow::soak
 
 #endif  // TESTING_SOAK_PROMISES_H_
--- a/testing/soak/promises_test.cc
+++ b/testing/soak/promises_test.cc
@@ -3,11 +3,13 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include "testing/platform_standin.h"
 #include "testing/soak/fault_plan.h"
 
 namespace hawthornhollow::soak {
 namespace {
 
+using standins::ReplicaStandin;
 using testing::HasSubstr;
 using testing::IsEmpty;
 
@@ -43,8 +45,10 @@
   EXPECT_THAT(Judge(Order(200, "done a"), 1), IsEmpty());
   EXPECT_THAT(Judge(Order(503, ""), 0), IsEmpty());
   EXPECT_THAT(Judge(Order(502, ""), 1), IsEmpty());
-  EXPECT_THAT(Judge(Stream(WholeStream(), true), 2), IsEmpty());
-  EXPECT_THAT(Judge(Stream(WholeStream().substr(0, 50), false), 1), IsEmpty());
+  EXPECT_THAT(Judge(Stream(ReplicaStandin::WholeStream(), true), 2), IsEmpty());
+  EXPECT_THAT(
+      Judge(Stream(ReplicaStandin::WholeStream().substr(0, 50), false), 1),
+      IsEmpty());
 }
 
 TEST_F(PromisesTest, WrongAnswers_AreEachTold) {
@@ -52,7 +56,7 @@
   unsealed.sealed = false;
   Seen crossed = Order(200, "done a");
   crossed.answered_id = "b";
-  const std::string whole = WholeStream();
+  const std::string whole = ReplicaStandin::WholeStream();
   const struct {
     Seen seen;
     int runs;
@@ -72,12 +76,13 @@
 }
 
 TEST_F(PromisesTest, TotalThatIsPassed_IsTold) {
-  Seen second = Stream(WholeStream(), true);
+  Seen second = Stream(ReplicaStandin::WholeStream(), true);
   second.id = second.answered_id = "b";
-  EXPECT_THAT(BrokenPromises(
-                  {Stream(WholeStream(), true), second}, {{"a", 1}, {"b", 1}},
-                  {.prompt = 100, .event = 4, .totals = {{"w", 279}}}),
-              testing::ElementsAre(HasSubstr("overdrawn")));
+  EXPECT_THAT(
+      BrokenPromises({Stream(ReplicaStandin::WholeStream(), true), second},
+                     {{"a", 1}, {"b", 1}},
+                     {.prompt = 100, .event = 4, .totals = {{"w", 279}}}),
+      testing::ElementsAre(HasSubstr("overdrawn")));
 }
 
 TEST(FaultPlanTest, PlansOfManySeeds_EndInTimeAndUseEveryKind) {
