Requests that wait for tokens go by urgency; nobody overtakes them

Now those that wait form a line for each workspace, by urgency and then by order, and a newcomer takes only what those before it leave.

WaitingLineTest replays the load: without the line the large request is never served.

--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -278,7 +278,10 @@
     std::shared_ptr<TokenHold> hold;
     if (run.workspace != nullptr && run.workspace->prepaid.has_value() &&
         tokens > 0) {
-      auto acquired = totals_.Acquire(run.call.id, run.workspace->name, tokens,
+      auto acquired = totals_.Acquire({.request = run.call.id,
+                                       .workspace = run.workspace->name,
+                                       .tokens = tokens,
+                                       .urgency = UrgencyOf(run)},
                                       PatienceForTokens(run));
       if (!acquired.ok()) {
         const bool spent =
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -236,7 +236,7 @@
                                                 ? ""
                                                 : request_.workspace->name,
                                .time_left = TimeLeft(),
-                               .urgency = Urgency(),
+                               .urgency = UrgencyOf(request_),
                                .resume_after = last_event_};
     const HttpRequest sent = D::EncodeAttempt(*request_.request, attempt);
     auto opened = shared_.client->Open(choice.server.address, sent, TimeLeft());
@@ -256,18 +256,6 @@
     return end;
   }
 
-  // The workspace's priority goes before the route's.
-  int64_t Urgency() const {
-    constexpr int64_t kRoutePriorities = 3;
-    constexpr int64_t kLast = 9;
-    const int64_t route =
-        std::min(request_.route->priority, kRoutePriorities - 1);
-    const int64_t workspace = request_.workspace == nullptr
-                                  ? 0
-                                  : request_.workspace->priority.value_or(0);
-    return std::clamp<int64_t>(workspace * kRoutePriorities + route, 0, kLast);
-  }
-
   absl::Duration HeadPatience() const {
     if (!may_repeat() || LastAttempt())
       return TimeLeft();
--- a/hawthornhollow/relay/run_request.h
+++ b/hawthornhollow/relay/run_request.h
@@ -4,6 +4,7 @@
 // What RequestRun works with: its bounds, what all runs of a router share,
 // where one request stands, and how it ended.
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -58,6 +59,17 @@
   std::function<absl::Status()> before_answer;
 };
 
+// 0 to 9, 0 is first. The workspace's priority goes before the route's.
+inline int64_t UrgencyOf(const RunRequest& request) {
+  constexpr int64_t kRoutePriorities = 3;
+  constexpr int64_t kLast = 9;
+  const int64_t route = std::min(request.route->priority, kRoutePriorities - 1);
+  const int64_t workspace = request.workspace == nullptr
+                                ? 0
+                                : request.workspace->priority.value_or(0);
+  return std::clamp<int64_t>(workspace * kRoutePriorities + route, 0, kLast);
+}
+
 // How a run ended, for the log line and the bill.
 struct RunSummary {
   std::string outcome;
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -26,6 +26,7 @@
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
 #include "hawthornhollow/relay/token_hold.h"
+#include "hawthornhollow/relay/waiting_line.h"
 #include "hawthornhollow/totals/totals.h"
 
 namespace hawthornhollow {
@@ -54,6 +55,15 @@
                                           const std::string& workspace,
                                           int64_t tokens)>;
 
+// Tokens that a request asks for, the worst case.
+struct TokenRequest {
+  std::string request;
+  std::string workspace;
+  int64_t tokens = 0;
+  int64_t urgency = 0;  // 0 is first
+  friend auto operator<=>(const TokenRequest&, const TokenRequest&) = default;
+};
+
 template <SharedStore Store>
 class TotalsController {
  public:
@@ -95,33 +105,33 @@
 
   // Reserves within `timeout`. RESOURCE_EXHAUSTED if the total is spent,
   // UNAVAILABLE if tokens may be left but could not be had.
-  absl::StatusOr<std::shared_ptr<TokenHold>> Acquire(
-      const std::string& request,
-      const std::string& workspace,
-      int64_t tokens,
-      absl::Duration timeout) {
-    if (auto reserved = book_.Reserve(workspace, tokens, BootTime()))
-      return std::make_shared<TokenHold>(*std::move(reserved));
-    book_.AddWaiting(workspace, tokens);
+  absl::StatusOr<std::shared_ptr<TokenHold>> Acquire(const TokenRequest& wanted,
+                                                     absl::Duration timeout) {
+    WaitingLine& line = lines_[wanted.workspace];
+    if (auto hold =
+            TryHold(wanted, line, WaitingLine::Newcomer(wanted.urgency)))
+      return hold;
+    const WaitingLine::Place place = line.Join(wanted.urgency, wanted.tokens);
+    book_.AddWaiting(wanted.workspace, wanted.tokens);
     const absl::Cleanup withdraw = [&] {
-      book_.RemoveWaiting(workspace, tokens);
+      book_.RemoveWaiting(wanted.workspace, wanted.tokens);
+      line.Leave(place);
+      records_.changed().Notify();
     };
     const absl::Time begun = SteadyNow();
     while (true) {
       const uint64_t seen = records_.changed().changes();
-      if (auto reserved = book_.Reserve(workspace, tokens, BootTime()))
-        return std::make_shared<TokenHold>(*std::move(reserved));
-      if (book_.started() && book_.IsSpent(workspace, tokens))
-        return Refuse(absl::StatusCode::kResourceExhausted, request, workspace,
-                      tokens);
+      if (auto hold = TryHold(wanted, line, place))
+        return hold;
+      if (book_.started() && book_.IsSpent(wanted.workspace, wanted.tokens))
+        return Refuse(absl::StatusCode::kResourceExhausted, wanted);
       const absl::Duration waited = SteadyNow() - begun;
       if (waited >= timeout)
-        return Refuse(absl::StatusCode::kUnavailable, request, workspace,
-                      tokens);
+        return Refuse(absl::StatusCode::kUnavailable, wanted);
       records_.WantAuthority();
       records_.WantLevel();
       if (waited >= options_.ask_after || IsCutOff())
-        StartAsking(workspace);
+        StartAsking(wanted.workspace);
       records_.changed().WaitBeyond(
           seen, std::min(timeout - waited, options_.ask_after));
     }
@@ -212,23 +222,35 @@
     hold.state_ = state;
   }
 
-  absl::Status Refuse(absl::StatusCode code,
-                      const std::string& request,
-                      const std::string& workspace,
-                      int64_t tokens) {
-    const TotalState state = book_.state(workspace, BootTime());
+  // Null if there is not so much beside what others wait for who go first.
+  std::shared_ptr<TokenHold> TryHold(const TokenRequest& wanted,
+                                     const WaitingLine& line,
+                                     const WaitingLine::Place& place) {
+    const TotalState state = book_.state(wanted.workspace, BootTime());
+    if (!line.MayTake(place, wanted.tokens, state.available))
+      return nullptr;
+    auto reserved = book_.Reserve(wanted.workspace, wanted.tokens, BootTime());
+    return reserved.has_value()
+               ? std::make_shared<TokenHold>(*std::move(reserved))
+               : nullptr;
+  }
+
+  absl::Status Refuse(absl::StatusCode code, const TokenRequest& wanted) {
+    const TotalState state = book_.state(wanted.workspace, BootTime());
     metrics_.OnTokensRefused(code == absl::StatusCode::kResourceExhausted);
     LogEvent("total.refused")
-        .Add("request", request)
-        .Add("workspace", workspace)
+        .Add("request", wanted.request)
+        .Add("workspace", wanted.workspace)
         .Add("spent", code == absl::StatusCode::kResourceExhausted ? 1 : 0)
-        .Add("wanted", tokens)
+        .Add("wanted", wanted.tokens)
+        .Add("urgency", wanted.urgency)
         .Add("total", state.total)
         .Add("committed", state.committed)
         .Add("unassigned", state.unassigned)
         .Add("available", state.available)
         .Add("record_age_ms", RecordAgeMs());
-    return ErrorAt(code, "totals.acquire", workspace, "not enough tokens");
+    return ErrorAt(code, "totals.acquire", wanted.workspace,
+                   "not enough tokens");
   }
 
   absl::Status RefuseCommit(const std::string& request,
@@ -296,6 +318,7 @@
   const AskForTokens ask_;
   TotalsBook book_;
   RecordKeeper<Store> records_;
+  std::map<std::string, WaitingLine> lines_;  // by workspace
   std::set<std::string> asking_;
   std::map<std::string, absl::Time> next_ask_;
   std::map<std::string, absl::Time> paused_;
--- a/hawthornhollow/relay/totals_controller_test.cc
+++ b/hawthornhollow/relay/totals_controller_test.cc
@@ -158,8 +158,9 @@
     }
     for (int round = 0; round < 120; ++round) {
       for (auto& controller : controllers_) {
-        const auto reserved = controller->Acquire("r", kWard, kRequestTokens,
-                                                  absl::Milliseconds(20));
+        const auto reserved = controller->Acquire(
+            {.request = "r", .workspace = kWard, .tokens = kRequestTokens},
+            absl::Milliseconds(20));
         if (!reserved.ok())
           continue;
         if (round % 3 == 0) {
--- /dev/null
+++ b/hawthornhollow/relay/waiting_line_test.cc
@@ -0,0 +1,60 @@
+#include "hawthornhollow/relay/waiting_line.h"
+
+#include <gtest/gtest.h>
+
+namespace hawthornhollow {
+namespace {
+
+TEST(WaitingLineTest, RequestsOfSomeUrgencies_GoByUrgencyAndThenByOrder) {
+  WaitingLine line;
+  const auto second = line.Join(1, 200);
+  const auto last = line.Join(2, 1'000);
+  const auto third = line.Join(1, 50);
+  const auto first = line.Join(0, 30);
+  EXPECT_EQ(line.Before(first), 0);
+  EXPECT_EQ(line.Before(second), 30);
+  EXPECT_EQ(line.Before(third), 230);
+  EXPECT_EQ(line.Before(last), 280);
+  EXPECT_EQ(line.Before(WaitingLine::Newcomer(0)), 30);
+  EXPECT_EQ(line.Before(WaitingLine::Newcomer(1)), 280);
+  line.Leave(second);
+  EXPECT_EQ(line.Before(last), 80);
+}
+
+TEST(WaitingLineTest, RequestBehindOthers_TakesOnlyWhatTheyLeave) {
+  WaitingLine line;
+  line.Join(0, 1'000);
+  const auto behind = line.Join(1, 300);
+  EXPECT_FALSE(line.MayTake(behind, 300, 1'299));
+  EXPECT_TRUE(line.MayTake(behind, 300, 1'300));
+  EXPECT_TRUE(line.MayTake(WaitingLine::Newcomer(0), 10, 1'010));
+}
+
+// The first seconds of an outage: tokens come to hand in drops, a large urgent
+// request is there, and small ones of little urgency keep coming.
+TEST(WaitingLineTest, TokensThatComeInDrops_ReachTheLargeUrgentRequest) {
+  constexpr int64_t kLarge = 17'000;
+  constexpr int64_t kSmall = 1'500;
+  constexpr int64_t kDrop = 1'000;
+  constexpr int kDrops = 100;
+  const auto drops_until_large_is_served = [&](bool in_line) {
+    WaitingLine line;
+    const auto large = line.Join(0, kLarge);
+    int64_t available = 0;
+    for (int drop = 1; drop <= kDrops; ++drop) {
+      available += kDrop;
+      const bool small_may =
+          !in_line || line.MayTake(WaitingLine::Newcomer(2), kSmall, available);
+      if (small_may && available >= kSmall)
+        available -= kSmall;
+      if (line.MayTake(large, kLarge, available) && available >= kLarge)
+        return drop;
+    }
+    return kDrops + 1;
+  };
+  EXPECT_EQ(drops_until_large_is_served(true), kLarge / kDrop);
+  EXPECT_GT(drops_until_large_is_served(false), kDrops);
+}
+
+}  // namespace
+}  // namespace hawthornhollow
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -27,6 +27,7 @@
   int seconds = 10;
   int routers = 3;
   char* folder = nullptr;
+  char* entry = nullptr;
 };
 
 int PlaySeed(const Arguments& arguments, int seed, std::mutex& output) {
@@ -82,6 +83,8 @@
       {"routers", 'r', POPT_ARG_INT, &arguments.routers, 0, "processes", "N"},
       {"folder", 'd', POPT_ARG_STRING, &arguments.folder, 0,
        "where logs of broken runs are kept", "FOLDER"},
+      {"entry", 'e', POPT_ARG_STRING, &arguments.entry, 0,
+       "the routers' program (default: the one built with this)", "FILE"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("entry_soak", argc, argv, options, 0);
   const int result = poptGetNextOpt(context);
