A side process whose log is away ends 20 s after its last run, not after 600

Found by the users' builders: tools/demo ended by SIGTERM while the log is away, and the side process went on for over 50 s. It waits for drain_seconds (600 by default) for bills that only the log can settle, and told 'gate.closed' though the log had not taken it.

Now settle_seconds (20) bounds that part, and the last line tells what was not written: gate.drain_incomplete with running, unsettled and closed=0.

--- a/hawthornhollow/config/config.h
+++ b/hawthornhollow/config/config.h
@@ -234,6 +234,8 @@
   int64_t ledger_shards = 1;
   int64_t replay_bytes = 16 * 1024 * 1024;  // kept answers, in all
   int64_t drain_seconds = 600;
+  // Of it, the most that it waits for the log once nothing runs.
+  int64_t settle_seconds = 20;
   friend auto operator<=>(const SidecarSettings&,
                           const SidecarSettings&) = default;
 };
--- a/hawthornhollow/config/settings.cc
+++ b/hawthornhollow/config/settings.cc
@@ -101,6 +101,9 @@
                                       .max = kMaxReplayBytes,
                                       .fallback = settings.replay_bytes});
   settings.drain_seconds = DrainSeconds(reader, settings.drain_seconds);
+  settings.settle_seconds = reader.Integer(
+      "settle_seconds",
+      {.min = 0, .max = kMaxDrainSeconds, .fallback = settings.settle_seconds});
   return settings;
 }
 
--- a/hawthornhollow/gate/sidecar.cc
+++ b/hawthornhollow/gate/sidecar.cc
@@ -16,9 +16,10 @@
 // record is appended once however long the log is down.
 //
 // Shutdown: tells the routers, refuses new requests, waits for the runs in
-// flight and for their bills, appends GateClosed, and ends. Past drain_seconds
-// it ends without GateClosed: the next incarnation then counts this one as
-// lost, which charges what was not accounted for.
+// flight and for their bills, appends GateClosed, and ends. Past drain_seconds,
+// or settle_seconds after the last run if the log takes nothing, it ends
+// without GateClosed: the next incarnation then counts this one as lost, which
+// charges what was not accounted for.
 //
 // Replacement: a gate that reads in the stream that a newer incarnation of its
 // name has opened counts as lost there. It stops serving at once, and the
@@ -429,15 +430,20 @@
         absl::Now() + absl::Seconds(settings_.drain_seconds);
     LogEvent("gate.drain").Add("running", links_.running());
     links_.SetLeaving();
-    while (absl::Now() < deadline && HasOpenWork()) {
+    while (absl::Now() < deadline && links_.running() > 0)
       hawthornhollow::SleepFor(kDrainPoll);
-    }
-    if (HasOpenWork()) {
+    const absl::Time settled_by = std::min(
+        deadline, absl::Now() + absl::Seconds(settings_.settle_seconds));
+    while (absl::Now() < settled_by && HasOpenWork())
+      hawthornhollow::SleepFor(kDrainPoll);
+    const bool closed = !HasOpenWork() && AppendClosed(settled_by);
+    if (closed) {
+      LogEvent("gate.closed").Add("incarnation", identity_.incarnation);
+    } else {
       LogEvent("gate.drain_incomplete", LogSeverity::kError)
           .Add("running", links_.running())
-          .Add("unsettled", links_.unsettled_runs());
-    } else {
-      AppendClosed(deadline);
+          .Add("unsettled", links_.unsettled_runs())
+          .Add("closed", 0);
     }
     links_.CloseAll();
     stop_ = true;
@@ -447,13 +453,17 @@
     return links_.running() > 0 || links_.unsettled_runs() > 0;
   }
 
-  void AppendClosed(absl::Time deadline) {
+  // Whether the log has taken it.
+  bool AppendClosed(absl::Time deadline) {
     const std::optional<int64_t> sequence =
         AppendMember(GateClosedRecord{identity_.incarnation});
-    while (sequence.has_value() && absl::Now() < deadline &&
-           !members_writer_->WaitDurable(*sequence, kDurableWait).ok()) {
+    if (!sequence.has_value())
+      return false;
+    while (!members_writer_->WaitDurable(*sequence, kDurableWait).ok()) {
+      if (absl::Now() >= deadline)
+        return false;
     }
-    LogEvent("gate.closed").Add("incarnation", identity_.incarnation);
+    return true;
   }
 
   const SidecarSettings settings_;
--- a/hawthornhollow/gate/sidecar_test.cc
+++ b/hawthornhollow/gate/sidecar_test.cc
@@ -446,6 +446,22 @@
   EXPECT_EQ(Members<GateClosedRecord>().size(), 1u);
 }
 
+// Nothing runs any more, and the log that would take the bill is away.
+TEST_F(SidecarTest, ShutdownWithoutTheLogEndsAfterItsSettleTime) {
+  settings_.settle_seconds = 1;
+  Start();
+  auto router = Connect("router-a");
+  router->Next(fb::FrameBody::Hello);
+  router->Send(Chat("r1"));
+  std::string body;
+  router->NextEnd(&body);
+  log_server_.reset();
+  const absl::Time begun = absl::Now();
+  Terminate();
+  EXPECT_LT(absl::Now() - begun, absl::Seconds(settings_.drain_seconds) / 2);
+  EXPECT_TRUE(Members<GateClosedRecord>().empty());
+}
+
 TEST_F(SidecarTest, SuspectedRouterIsSealedAfterItsBillsAreDurable) {
   engine_.token_ms = 100;
   engine_.tokens = 200;
