--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -35,7 +35,9 @@
       std::string(arguments.folder) + "/" + std::to_string(seed);
   std::filesystem::create_directories(folder);
   SoakOptions options{
-      .seed = static_cast<uint64_t>(seed), .entry = ENTRY, .folder = folder};
+      .seed = static_cast<uint64_t>(seed),
+      .entry = arguments.entry != nullptr ? arguments.entry : ENTRY,
+      .folder = folder};
   options.plan.duration = absl::Seconds(arguments.seconds);
   options.plan.routers = static_cast<size_t>(arguments.routers);
   const SoakResult result = RunSoak(options);
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -37,8 +37,9 @@
 constexpr absl::Duration kServerPause = absl::Milliseconds(120);
 constexpr absl::Duration kUsualPause = absl::Milliseconds(2);
 constexpr int64_t kTokensPerEvent = 4;
-constexpr int64_t kFirstTotal = 40 * (kPromptTokens + kOutputTokens);
-constexpr int64_t kTopUp = 15 * (kPromptTokens + kOutputTokens);
+// Lasts for most of a run of usual length.
+constexpr int64_t kFirstTotal = 300 * (kPromptTokens + kOutputTokens);
+constexpr int64_t kTopUp = 50 * (kPromptTokens + kOutputTokens);
 constexpr int kOk = 200;
 
 // One router's process, which starts again when it has ended.
