A record of unknown age whose schedule has no rates charges the authority, not nothing

Two tests failed before: ScheduleLimitTest.RecordOfUnknownAgeWithoutRates_..., TotalsBookTest.IdleWorkspaceAndNoClock_... A record that is its incarnation's last needs no survey of clocks.

--- a/hawthornhollow/relay/record_keeper.h
+++ b/hawthornhollow/relay/record_keeper.h
@@ -207,7 +207,7 @@
                 .boot_time = born_,
                 .time_of_day = TimeOfDayNow() - since_birth};
     book_.NoteTimeOfDay(TimeOfDayNow(), BootTime());
-    if (!previous.level.has_value() ||
+    if (!previous.level.has_value() || previous.level->final ||
         AgeAtBirth(*previous.level, birth).source == AgeSource::kBootClock)
       return birth;
     const ClockSurvey survey =
--- a/hawthornhollow/totals/router_record.cc
+++ b/hawthornhollow/totals/router_record.cc
@@ -19,7 +19,10 @@
 
 }  // namespace
 
-int64_t ScheduleLimit(const fb::LevelShareT& share, absl::Duration age) {
+int64_t ScheduleLimit(const fb::LevelShareT& share, absl::Duration record_age) {
+  // An infinite age times a rate of zero would be no number.
+  constexpr absl::Duration kOldest = absl::Hours(24 * 365 * 10);
+  const absl::Duration age = std::min(record_age, kOldest);
   const absl::Duration late_after = absl::Milliseconds(share.late_after_ms);
   const absl::Duration early =
       std::clamp(age, absl::ZeroDuration(), late_after);
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -92,8 +92,11 @@
       authority->tokens = 0;
       continue;
     }
-    const int64_t most =
-        level->final ? share->committed : ScheduleLimit(*share, record_age.age);
+    int64_t most = authority->tokens;
+    if (level->final)
+      most = share->committed;
+    else if (record_age.source != AgeSource::kUnknown)
+      most = ScheduleLimit(*share, record_age.age);
     const int64_t charged = std::min(authority->tokens, most);
     HoldingOf(authority->workspace).committed += charged;
     inherited.push_back({.workspace = authority->workspace,
--- a/hawthornhollow/totals/totals_book_test.cc
+++ b/hawthornhollow/totals/totals_book_test.cc
@@ -101,6 +101,13 @@
   EXPECT_GT(ScheduleLimit(share, absl::InfiniteDuration()), 1'000'000'000);
 }
 
+TEST(ScheduleLimitTest, RecordOfUnknownAgeWithoutRates_AllowsItsBurst) {
+  fb::LevelShareT share;
+  share.committed = 1'000;
+  share.late_burst = 2'000;
+  EXPECT_EQ(ScheduleLimit(share, absl::InfiniteDuration()), 3'000);
+}
+
 TEST(RouterRecordTest, BytesOfNoRecord_AreDataLoss) {
   for (const char* bytes : {"", "not a record"}) {
     EXPECT_EQ(DecodeAuthority(bytes).status().code(),
@@ -262,6 +269,18 @@
   }
 }
 
+// Nobody asked for the workspace's tokens, so that its schedule has no rates.
+TEST_F(TotalsBookTest, IdleWorkspaceAndNoClock_IsChargedTheAuthority) {
+  book_.Start({}, Birth());
+  RouterRecords last = Record(absl::Seconds(2));
+  fb::LevelShareT& share = *last.level->shares[0];
+  share.per_second = share.late_per_second = share.late_burst = 0;
+  TotalsBook next({.router = "router-1", .boot = "boot-2"});
+  const auto inherited = next.Start(last, BirthAt(absl::Seconds(3), "boot-2"));
+  ASSERT_EQ(inherited.size(), 1);
+  EXPECT_EQ(inherited[0].charged, last.authority->shares[0]->tokens);
+}
+
 // A loss of power of a second near the end of a day: what the VM held is not
 // lost, only what it may have used since its last record.
 TEST_F(TotalsBookTest, NewIncarnationAfterALossOfPower_IsChargedByTheSchedule) {
