The platform's messages for tests stand beside its stand-in; soak and EntryTest share them

Settings, entries, configuration and callers' requests are written in platform_standin_messages now, for the soak and for EntryTest, which had texts of its own.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -9,8 +9,8 @@
 #include <thread>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/substitute.h"
 #include "testing/platform_standin.h"
+#include "testing/platform_standin_messages.h"
 #include "testing/processes.h"
 
 namespace hawthornhollow {
@@ -57,42 +57,27 @@
   }
 
   void PutConfiguration(int64_t prepaid, int64_t version = 1) {
-    store_.Put("keyed.op", "config",
-               absl::Substitute(R"({"version":$0,
-      "routes":[
-       {"name":"s","host":"h.example","path_prefix":"/stream/","kind":"stream",
-        "timeout_ms":8000,"target_latency_ms":500,"service":"engine",
-        "max_attempts":2,"resumable":true},
-       {"name":"o","host":"h.example","path_prefix":"/order/",
-        "kind":"non_idempotent","timeout_ms":3000,"service":"engine",
-        "max_attempts":1},
-       {"name":"l","host":"h.example","path_prefix":"/lookup/",
-        "kind":"idempotent","timeout_ms":3000,"service":"engine",
-        "max_attempts":2}],
-      "services":[{"name":"engine","engine":{"stride":$2}}],
-      "tenants":[{"name":"ward-7","api_keys":["k1"],"prepaid":$1}]})",
-                                version, prepaid, kTokensPerEvent));
+    standins::PutConfiguration(
+        store_,
+        {.version = version,
+         .tokens_per_event = kTokensPerEvent,
+         .workspaces = {{.name = "ward-7", .key = "k1", .prepaid = prepaid}}});
   }
 
   void PutServers() {
     for (size_t i = 0; i < replicas_.size(); ++i) {
-      const std::string id = absl::StrCat("i-", i);
-      store_.Put("keyed.servers", id,
-                 absl::Substitute(R"({"service":"engine",
-        "address":"$0","zone":"z","version":"v1","slots":8,"state":"ready",
-        "cold_remaining_ms":0,"sequence":1})",
-                                  replica_servers_[i]->local().ToString()));
+      standins::PutServer(store_, absl::StrCat("i-", i),
+                          replica_servers_[i]->local(), /*sequence=*/1);
     }
   }
 
   void StartEntry() {
     const std::string file = folder_ + ".json";
-    std::ofstream(file) << absl::Substitute(
-        R"({"node":"entry-1","zone":"z",
-        "listen":{"front":"$0","ready":"$1","control":"$2"},
-        "bounds":{"grace_s":8},"platform":{"address":"$3"}})",
-        callers_.ToString(), readiness_.ToString(), peers_.ToString(),
-        store_server_->local().ToString());
+    std::ofstream(file) << standins::EntrySettings(
+        "entry-1", {.callers = callers_,
+                    .readiness = readiness_,
+                    .peers = peers_,
+                    .store = store_server_->local()});
     std::vector<std::string> command = {ENTRY, "--settings", file};
     if (metrics_port_ != 0) {
       command.insert(command.end(),
@@ -131,18 +116,14 @@
 
   absl::StatusOr<HttpResponse> Send(const std::string& path,
                                     const std::string& key = "k1") {
-    HttpRequest request{.method = "POST",
-                        .target = path,
-                        .headers = {{"Host", "h.example"},
-                                    {"Attempt-Id", NextId()},
-                                    {"Deadline-Ms", "8000"},
-                                    {"Authorization", "Token " + key}},
-                        .body = "text"};
-    if (path.starts_with("/stream/")) {
-      request.headers.emplace_back(
-          "Token-Counts", absl::StrCat(kPromptTokens, ",", kMaxOutputTokens));
-      request.headers.emplace_back("Prompt-Prefix", "aa:80,bb:20");
-    }
+    const bool is_stream = path.starts_with("/stream/");
+    const HttpRequest request = standins::MakeCallerRequest(
+        {.id = NextId(),
+         .path = path,
+         .key = key,
+         .prompt_tokens = is_stream ? kPromptTokens : 0,
+         .output_tokens = kMaxOutputTokens,
+         .prompt_parts = "aa:80,bb:20"});
     return PlainHttp(callers_, request, kWait);
   }
 
--- /dev/null
+++ b/testing/platform_standin_messages.cc
@@ -0,0 +1,89 @@
+#include "testing/platform_standin_messages.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/substitute.h"
+
+namespace hawthornhollow::standins {
+
+HttpRequest MakeCallerRequest(const CallerRequest& request) {
+  HttpRequest made{
+      .method = "POST",
+      .target = request.path,
+      .headers = {{"Host", "h.example"},
+                  {"Attempt-Id", request.id},
+                  {"Deadline-Ms",
+                   absl::StrCat(absl::ToInt64Milliseconds(request.time_limit))},
+                  {"Authorization", "Token " + request.key}},
+      .body = "text"};
+  if (request.prompt_tokens > 0) {
+    made.headers.emplace_back(
+        "Token-Counts",
+        absl::StrCat(request.prompt_tokens, ",", request.output_tokens));
+    made.headers.emplace_back("Prompt-Prefix", request.prompt_parts);
+  }
+  return made;
+}
+
+std::string AnsweredId(const HttpHead& head) {
+  return std::string(head.Header("Attempt-Id"));
+}
+
+bool IsSealed(const HttpHead& head) {
+  return !head.Header("Replica-Seal").empty();
+}
+
+std::string EntrySettings(const std::string& router,
+                          const EntryAddresses& addresses) {
+  return absl::Substitute(
+      R"({"node":"$0","zone":"z",
+      "listen":{"front":"$1","ready":"$2","control":"$3"},
+      "bounds":{"grace_s":8},"platform":{"address":"$4"}})",
+      router, addresses.callers.ToString(), addresses.readiness.ToString(),
+      addresses.peers.ToString(), addresses.store.ToString());
+}
+
+void PutServer(StoreStandin& store,
+               const std::string& id,
+               const Endpoint& address,
+               int64_t sequence) {
+  store.Put("keyed.servers", id,
+            absl::Substitute(R"({"service":"engine","address":"$0","zone":"z",
+      "version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
+      "sequence":$1})",
+                             address.ToString(), sequence));
+}
+
+void DropServer(StoreStandin& store, const std::string& id) {
+  store.Put("keyed.servers", id, "");
+}
+
+void PutConfiguration(StoreStandin& store,
+                      const StandinConfiguration& configuration) {
+  const std::string workspaces = absl::StrJoin(
+      configuration.workspaces, ",",
+      [](std::string* out, const StandinWorkspace& workspace) {
+        absl::SubstituteAndAppend(
+            out, R"({"name":"$0","api_keys":["$1"],"prepaid":$2})",
+            workspace.name, workspace.key, workspace.prepaid);
+      });
+  store.Put(
+      "keyed.op", "config",
+      absl::Substitute(R"({"version":$0,
+      "routes":[
+       {"name":"s","host":"h.example","path_prefix":"/stream/","kind":"stream",
+        "timeout_ms":8000,"target_latency_ms":500,"service":"engine",
+        "max_attempts":2,"resumable":true},
+       {"name":"o","host":"h.example","path_prefix":"/order/",
+        "kind":"non_idempotent","timeout_ms":3000,"service":"engine",
+        "max_attempts":$1},
+       {"name":"l","host":"h.example","path_prefix":"/lookup/",
+        "kind":"idempotent","timeout_ms":3000,"service":"engine",
+        "max_attempts":2}],
+      "services":[{"name":"engine","engine":{"stride":$2}}],
+      "tenants":[$3]})",
+                       configuration.version, configuration.order_attempts,
+                       configuration.tokens_per_event, workspaces));
+}
+
+}  // namespace hawthornhollow::standins
--- /dev/null
+++ b/testing/platform_standin_messages.h
@@ -0,0 +1,72 @@
+#ifndef TESTING_PLATFORM_STANDIN_MESSAGES_H_
+#define TESTING_PLATFORM_STANDIN_MESSAGES_H_
+
+// The platform's messages as its other parties write and read them, for tests:
+// a caller's requests and the answers to them, a router's settings, and the
+// entries of servers and of the configuration in the store.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "hawthornhollow/http/http.h"
+#include "hawthornhollow/runtime/runtime.h"
+#include "testing/platform_standin.h"
+
+namespace hawthornhollow::standins {
+
+// A caller's request.
+struct CallerRequest {
+  std::string id;
+  std::string path;
+  std::string key;
+  absl::Duration time_limit = absl::Seconds(8);
+  // Of a prompt; none: the request has no tokens.
+  int64_t prompt_tokens = 0;
+  int64_t output_tokens = 0;
+  std::string prompt_parts;  // "id:tokens,..."
+};
+HttpRequest MakeCallerRequest(const CallerRequest& request);
+
+// The request that an answer belongs to, as its server says.
+std::string AnsweredId(const HttpHead& head);
+// Whether an answer bears its server's proof.
+bool IsSealed(const HttpHead& head);
+
+// The settings file of a router.
+struct EntryAddresses {
+  Endpoint callers;
+  Endpoint readiness;
+  Endpoint peers;
+  Endpoint store;
+};
+std::string EntrySettings(const std::string& router,
+                          const EntryAddresses& addresses);
+
+// A server's entry, and its end.
+void PutServer(StoreStandin& store,
+               const std::string& id,
+               const Endpoint& address,
+               int64_t sequence);
+void DropServer(StoreStandin& store, const std::string& id);
+
+// A configuration with the routes "/stream/" (resumable, two tries), "/order/"
+// (once at most) and "/lookup/" of one service, for the host "h.example".
+struct StandinWorkspace {
+  std::string name;
+  std::string key;
+  int64_t prepaid = 0;
+};
+struct StandinConfiguration {
+  int64_t version = 1;
+  int64_t tokens_per_event = 1;
+  int64_t order_attempts = 1;
+  std::vector<StandinWorkspace> workspaces;
+};
+void PutConfiguration(StoreStandin& store,
+                      const StandinConfiguration& configuration);
+
+}  // namespace hawthornhollow::standins
+
+#endif  // TESTING_PLATFORM_STANDIN_MESSAGES_H_
--- a/testing/soak/soak_callers.cc
+++ b/testing/soak/soak_callers.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/time/clock.h"
+#include "testing/platform_standin_messages.h"
 
 namespace hawthornhollow::soak {
 namespace {
@@ -19,22 +20,15 @@
 HttpRequest MakeRequest(const std::string& id,
                         const std::string& path,
                         const std::string& workspace) {
-  HttpRequest request{
-      .method = "POST",
-      .target = path,
-      .headers = {{"Host", "h.example"},
-                  {"Attempt-Id", id},
-                  {"Deadline-Ms",
-                   absl::StrCat(absl::ToInt64Milliseconds(kTimeLimit))},
-                  {"Authorization", "Token key-" + workspace}},
-      .body = "text"};
-  if (path == kStreamPath) {
-    request.headers.emplace_back(
-        "Token-Counts", absl::StrCat(kPromptTokens, ",", kOutputTokens));
-    request.headers.emplace_back("Prompt-Prefix",
-                                 absl::StrCat("aa:80,", id, ":20"));
-  }
-  return request;
+  const bool is_stream = path == kStreamPath;
+  return standins::MakeCallerRequest(
+      {.id = id,
+       .path = path,
+       .key = "key-" + workspace,
+       .time_limit = kTimeLimit,
+       .prompt_tokens = is_stream ? kPromptTokens : 0,
+       .output_tokens = kOutputTokens,
+       .prompt_parts = absl::StrCat("aa:80,", id, ":20")});
 }
 
 }  // namespace
@@ -93,8 +87,8 @@
   if (!head.ok())
     return seen;
   seen.status = head->status;
-  seen.answered_id = std::string(head->Header("Attempt-Id"));
-  seen.sealed = !head->Header("Replica-Seal").empty();
+  seen.answered_id = standins::AnsweredId(*head);
+  seen.sealed = standins::IsSealed(*head);
   while (true) {
     const auto piece = (*exchange)->ReadSome(kTimeLimit);
     if (!piece.ok())
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -11,10 +11,10 @@
 #include <optional>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/substitute.h"
 #include "absl/time/clock.h"
 #include "hawthornhollow/base/base.h"
 #include "testing/platform_standin.h"
+#include "testing/platform_standin_messages.h"
 #include "testing/processes.h"
 #include "testing/soak/promises.h"
 #include "testing/soak/soak_callers.h"
@@ -40,6 +40,7 @@
 // Lasts for most of a run of usual length.
 constexpr int64_t kFirstTotal = 300 * (kPromptTokens + kOutputTokens);
 constexpr int64_t kTopUp = 50 * (kPromptTokens + kOutputTokens);
+constexpr int64_t kNeverSpent = 1'000'000'000;
 constexpr int kOk = 200;
 
 // One router's process, which starts again when it has ended.
@@ -50,11 +51,11 @@
         name_(absl::StrCat("router-", number)),
         file_(absl::StrCat(options.folder, "/", name_)),
         callers_{"127.0.0.1", FreePort()} {
-    std::ofstream(file_ + ".json") << absl::Substitute(
-        R"({"node":"$0","zone":"z",
-        "listen":{"front":"$1","ready":"127.0.0.1:$2","control":"127.0.0.1:$3"},
-        "bounds":{"grace_s":8},"platform":{"address":"$4"}})",
-        name_, callers_.ToString(), FreePort(), FreePort(), store.ToString());
+    std::ofstream(file_ + ".json") << standins::EntrySettings(
+        name_, {.callers = callers_,
+                .readiness = {"127.0.0.1", FreePort()},
+                .peers = {"127.0.0.1", FreePort()},
+                .store = store});
   }
 
   const Endpoint& callers() const { return callers_; }
@@ -200,29 +201,21 @@
   }
 
   void PutServer(const Server& server) {
-    store_.Put(
-        "keyed.servers", server.id,
-        absl::Substitute(R"({"service":"engine","address":"$0",
-        "zone":"z","version":"v1","slots":8,"state":"ready",
-        "cold_remaining_ms":0,"sequence":$1})",
-                         server.relay->endpoint().ToString(), ++sequence_));
+    standins::PutServer(store_, server.id, server.relay->endpoint(),
+                        ++sequence_);
   }
 
   void PutConfiguration() {
-    store_.Put("keyed.op", "config",
-               absl::Substitute(R"({"version":$0,
-      "routes":[
-       {"name":"s","host":"h.example","path_prefix":"/stream/","kind":"stream",
-        "timeout_ms":6000,"target_latency_ms":500,"service":"engine",
-        "max_attempts":2,"resumable":true},
-       {"name":"o","host":"h.example","path_prefix":"/order/",
-        "kind":"non_idempotent","timeout_ms":3000,"service":"engine",
-        "max_attempts":2}],
-      "services":[{"name":"engine","engine":{"stride":$1}}],
-      "tenants":[{"name":"$2","api_keys":["key-$2"],"prepaid":$3},
-                 {"name":"$4","api_keys":["key-$4"],"prepaid":1000000000}]})",
-                                ++version_, kTokensPerEvent, kScarce, total_,
-                                kPlenty));
+    standins::PutConfiguration(
+        store_, {.version = ++version_,
+                 .tokens_per_event = kTokensPerEvent,
+                 .order_attempts = 2,
+                 .workspaces = {{.name = kScarce,
+                                 .key = std::string("key-") + kScarce,
+                                 .prepaid = total_},
+                                {.name = kPlenty,
+                                 .key = std::string("key-") + kPlenty,
+                                 .prepaid = kNeverSpent}}});
   }
 
   Router& RouterOf(const Fault& fault) {
@@ -251,7 +244,7 @@
       case FaultKind::kRouterPaused:
         return RouterOf(fault).Pause();
       case FaultKind::kServerUnlisted:
-        return store_.Put("keyed.servers", ServerOf(fault).id, "");
+        return standins::DropServer(store_, ServerOf(fault).id);
       case FaultKind::kConfigChanged:
         total_ += kTopUp;
         return PutConfiguration();
