--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -41,10 +41,10 @@
 
 }  // namespace
 
-absl::StatusOr<int64_t> AskPeer(HttpClient& client,
-                                const std::string& address,
-                                const std::string& workspace,
-                                int64_t tokens) {
+absl::StatusOr<int64_t> AskPeerForTokens(HttpClient& client,
+                                         const std::string& address,
+                                         const std::string& workspace,
+                                         int64_t tokens) {
   fb::TokensWantedT wanted;
   wanted.workspace = workspace;
   wanted.tokens = tokens;
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -14,10 +14,10 @@
 
 // Asks the router at `address` to hand over up to `tokens`; returns how many it
 // gave.
-absl::StatusOr<int64_t> AskPeer(HttpClient& client,
-                                const std::string& address,
-                                const std::string& workspace,
-                                int64_t tokens);
+absl::StatusOr<int64_t> AskPeerForTokens(HttpClient& client,
+                                         const std::string& address,
+                                         const std::string& workspace,
+                                         int64_t tokens);
 
 // The time of day that the router at `address` shows.
 absl::StatusOr<absl::Time> AskPeerTimeOfDay(HttpClient& client,
--- a/hawthornhollow/relay/record_keeper.h
+++ b/hawthornhollow/relay/record_keeper.h
@@ -46,6 +46,7 @@
   absl::Duration gap_per_router = absl::Milliseconds(4);
   // Tries to write the last record.
   int close_tries = 5;
+  // Of the other routers' clocks, after a loss of power.
   ClockWitnessOptions clocks;
 };
 
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -76,7 +76,7 @@
             [this](const std::string& address,
                    const std::string& workspace,
                    int64_t tokens) {
-              return AskPeer(client_, address, workspace, tokens);
+              return AskPeerForTokens(client_, address, workspace, tokens);
             },
             [this](const std::string& address) {
               return AskPeerTimeOfDay(client_, address);
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -4,20 +4,18 @@
 
 #include "testing/soak/soak_run.h"
 
-#include <csignal>
-#include <fstream>
+#include <algorithm>
 #include <map>
 #include <memory>
-#include <optional>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "hawthornhollow/base/base.h"
 #include "testing/platform_standin.h"
 #include "testing/platform_standin_messages.h"
-#include "testing/processes.h"
 #include "testing/soak/promises.h"
 #include "testing/soak/soak_callers.h"
+#include "testing/soak/soak_router.h"
 #include "testing/tcp_relay.h"
 
 namespace hawthornhollow::soak {
@@ -28,11 +26,8 @@
 
 constexpr absl::Duration kTick = absl::Milliseconds(10);
 constexpr absl::Duration kLongestDown = absl::Milliseconds(800);
-// The users' bounds: a process has so long from SIGTERM, and the system so long
-// to serve again.
-constexpr absl::Duration kGrace = absl::Seconds(8);
+// The users' bound on how long the system takes to serve again.
 constexpr absl::Duration kRecover = absl::Seconds(12);
-constexpr absl::Duration kSlack = absl::Seconds(2);
 constexpr absl::Duration kLinkDelay = absl::Milliseconds(150);
 constexpr absl::Duration kServerPause = absl::Milliseconds(120);
 constexpr absl::Duration kUsualPause = absl::Milliseconds(2);
@@ -43,101 +38,6 @@
 constexpr int64_t kNeverSpent = 1'000'000'000;
 constexpr int kOk = 200;
 
-// One router's process, which starts again when it has ended.
-class Router {
- public:
-  Router(const SoakOptions& options, size_t number, const Endpoint& store)
-      : program_(options.entry),
-        name_(absl::StrCat("router-", number)),
-        file_(absl::StrCat(options.folder, "/", name_)),
-        callers_{"127.0.0.1", FreePort()} {
-    std::ofstream(file_ + ".json") << standins::EntrySettings(
-        name_, {.callers = callers_,
-                .readiness = {"127.0.0.1", FreePort()},
-                .peers = {"127.0.0.1", FreePort()},
-                .store = store});
-  }
-
-  const Endpoint& callers() const { return callers_; }
-  const std::string& name() const { return name_; }
-
-  void Kill(absl::Duration down) {
-    if (process_ == nullptr)
-      return;
-    process_->Signal(SIGKILL).IgnoreError();
-    process_->Wait(kGrace).IgnoreError();
-    Ended(down);
-  }
-  void Terminate() {
-    if (process_ == nullptr || paused_ > 0 || terminated_.has_value())
-      return;
-    process_->Signal(SIGTERM).IgnoreError();
-    terminated_ = absl::Now();
-  }
-  void Reload() {
-    if (process_ != nullptr)
-      process_->Signal(SIGHUP).IgnoreError();
-  }
-  void Pause() {
-    ++paused_;
-    was_paused_ = true;
-    if (process_ != nullptr)
-      process_->Signal(SIGSTOP).IgnoreError();
-  }
-  void Continue() {
-    if (--paused_ == 0 && process_ != nullptr)
-      process_->Signal(SIGCONT).IgnoreError();
-  }
-
-  // Starts what is down, and looks at what has ended or should have.
-  void Tick(std::vector<std::string>* broken) {
-    if (process_ == nullptr) {
-      if (absl::Now() >= start_at_ && paused_ == 0)
-        Start(broken);
-      return;
-    }
-    const auto exit = process_->Wait(absl::ZeroDuration());
-    if (exit.ok()) {
-      if (!terminated_.has_value() || *exit != 0)
-        broken->push_back(absl::StrCat(name_, " ended with ", *exit));
-      Ended(absl::ZeroDuration());
-    } else if (terminated_.has_value() && !was_paused_ &&
-               absl::Now() - *terminated_ > kGrace + kSlack) {
-      broken->push_back(name_ + " did not end within its grace time");
-      Kill(absl::ZeroDuration());
-    }
-  }
-  bool is_running() const { return process_ != nullptr; }
-
- private:
-  void Start(std::vector<std::string>* broken) {
-    auto process =
-        ChildProcess::Start({program_, "--settings", file_ + ".json"},
-                            file_ + ".err", file_ + ".log");
-    if (!process.ok()) {
-      broken->push_back(absl::StrCat(name_, ": ", process.status().message()));
-      return;
-    }
-    process_ = *std::move(process);
-    was_paused_ = false;
-  }
-  void Ended(absl::Duration down) {
-    process_.reset();
-    terminated_.reset();
-    start_at_ = absl::Now() + down;
-  }
-
-  const std::string program_;
-  const std::string name_;
-  const std::string file_;
-  const Endpoint callers_;
-  std::unique_ptr<ChildProcess> process_;
-  std::optional<absl::Time> terminated_;
-  absl::Time start_at_ = absl::InfinitePast();
-  int paused_ = 0;
-  bool was_paused_ = false;
-};
-
 // One backend server, reached through a relay.
 struct Server {
   std::string id;
@@ -157,8 +57,8 @@
     std::vector<Endpoint> endpoints;
     for (size_t i = 0; i < options.plan.routers; ++i) {
       store_links_.push_back(*TcpRelay::Start(store_http_->local()));
-      routers_.push_back(std::make_unique<Router>(
-          options, i, store_links_.back()->endpoint()));
+      routers_.push_back(std::make_unique<SoakRouter>(
+          options.entry, options.folder, i, store_links_.back()->endpoint()));
       endpoints.push_back(routers_.back()->callers());
     }
     Tick();
@@ -218,7 +118,7 @@
                                  .prepaid = kNeverSpent}}});
   }
 
-  Router& RouterOf(const Fault& fault) {
+  SoakRouter& RouterOf(const Fault& fault) {
     return *routers_[fault.target % routers_.size()];
   }
   TcpRelay& StoreLinkOf(const Fault& fault) {
@@ -380,7 +280,7 @@
   std::unique_ptr<HttpServer> store_http_;
   std::vector<Server> servers_;
   std::vector<std::unique_ptr<TcpRelay>> store_links_;
-  std::vector<std::unique_ptr<Router>> routers_;
+  std::vector<std::unique_ptr<SoakRouter>> routers_;
   std::unique_ptr<SoakCallers> callers_;
   std::map<const TcpRelay*, RelayMode> modes_;
   std::vector<Fault> open_;
