--- a/hawthornhollow/http/client_watch.cc
+++ b/hawthornhollow/http/client_watch.cc
@@ -60,6 +60,10 @@
       });
 }
 
+bool ClientWatch::IsGoneNow() const {
+  return gone_ || PeekSocket(socket_->native_handle()) == SocketState::kClosed;
+}
+
 void ClientWatch::Stop() {
   stopping_ = true;
   Disarm();
--- a/hawthornhollow/http/client_watch_internal.h
+++ b/hawthornhollow/http/client_watch_internal.h
@@ -31,6 +31,8 @@
   // progress.
   void Stop();
   bool gone() const { return gone_; }
+  // Looks at the socket as well, whether or not Start was called.
+  bool IsGoneNow() const;
 
  private:
   void Arm();
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -82,6 +82,10 @@
   // response is complete. It does not begin after the handler has returned; if
   // it has begun, the connection waits for it to return.
   virtual void OnClientGone(std::function<void()> callback) = 0;
+  // Whether the client has closed the connection by now. Looks at the
+  // connection, so it is true also for an end that came together with the
+  // request, before the callback had its turn.
+  virtual bool IsClientGone() = 0;
 };
 
 using HttpHandler = std::function<void(const HttpRequest&, ResponseWriter&)>;
--- a/hawthornhollow/http/http_test.cc
+++ b/hawthornhollow/http/http_test.cc
@@ -25,6 +25,14 @@
 constexpr int kFibers = 16;
 constexpr int kCalls = 100;
 
+sockaddr_in LoopbackAddress(uint16_t port) {
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
 // A server on two threads whose handler is chosen by the request's path, and
 // a client.
 class HttpTest : public testing::Test {
@@ -73,10 +81,7 @@
   // Opens one connection after the other, each as soon as the last has ended.
   static void ConnectUntil(const std::atomic<bool>& stop,
                            const Endpoint& endpoint) {
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const sockaddr_in address = LoopbackAddress(endpoint.port);
     while (!stop) {
       const int fd = socket(AF_INET, SOCK_STREAM, 0);
       // Another address, so that none connects to itself.
@@ -85,12 +90,23 @@
       own.sin_addr.s_addr = htonl(INADDR_LOOPBACK + 1);
       EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof(own)), 0);
       // Refused while the server is down.
-      static_cast<void>(
-          connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
+      static_cast<void>(connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                                sizeof(address)));
       close(fd);
     }
   }
 
+  // Sends bytes on a new connection from a plain thread and closes it.
+  void SendAndLeave(const std::string& bytes) const {
+    const sockaddr_in address = LoopbackAddress(server_->local().port);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                      sizeof(address)),
+              0);
+    EXPECT_EQ(send(fd, bytes.data(), bytes.size(), 0), std::ssize(bytes));
+    close(fd);
+  }
+
   // Sends bytes on a new connection and returns all that comes back.
   std::string Exchange(std::string_view bytes) {
     std::string received;
@@ -357,6 +373,32 @@
   EXPECT_EQ(late, 0);
 }
 
+TEST_F(HttpTest, ClientThatLeftBeforeItsCallbackRan_IsSeenToBeGone) {
+  std::promise<void> ended;
+  StartServer([&](const HttpRequest&, ResponseWriter& writer) {
+    bool noticed = false;
+    writer.OnClientGone([&] { noticed = true; });
+    // Holds the thread, so that no callback has a turn.
+    absl::SleepFor(kShort);
+    EXPECT_FALSE(noticed);
+    EXPECT_TRUE(writer.IsClientGone());
+    ended.set_value();
+  });
+  SendAndLeave("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  ended.get_future().wait();
+}
+
+TEST_F(HttpTest, ClientThatWaitsOrSendsItsNextRequest_IsNotTakenAsGone) {
+  StartServer([&](const HttpRequest&, ResponseWriter& writer) {
+    EXPECT_FALSE(writer.IsClientGone());
+    writer.Send({.body = "here"}).IgnoreError();
+  });
+  const std::string twice =
+      "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+      "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+  EXPECT_THAT(Exchange(twice), HasSubstr("here"));
+}
+
 TEST_F(HttpTest, CallToSilentServerTimesOut) {
   std::atomic<bool> gone = false;
   StartServer([&](const HttpRequest&, ResponseWriter& writer) {
--- a/hawthornhollow/http/response_writer.cc
+++ b/hawthornhollow/http/response_writer.cc
@@ -166,6 +166,10 @@
     watch_.Start(std::move(callback));
 }
 
+bool BeastResponseWriter::IsClientGone() {
+  return state_ == State::kAborted || watch_.IsGoneNow();
+}
+
 void BeastResponseWriter::Close() {
   if (state_ == State::kUnanswered && !watch_.gone()) {
     LogEvent("http.unanswered", LogSeverity::kError).Add("peer", traits_.peer);
--- a/hawthornhollow/http/response_writer_internal.h
+++ b/hawthornhollow/http/response_writer_internal.h
@@ -32,6 +32,7 @@
   absl::Status Finish() override;
   void Abort() override;
   void OnClientGone(std::function<void()> callback) override;
+  bool IsClientGone() override;
 
   // Ends the response after the handler has returned: an unanswered request
   // gets 500, an unfinished stream is aborted.
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -282,13 +282,10 @@
                                        .workspace = run.workspace->name,
                                        .tokens = tokens,
                                        .urgency = UrgencyOf(run)},
-                                      PatienceForTokens(run));
+                                      PatienceForTokens(run),
+                                      [&] { return writer.IsClientGone(); });
       if (!acquired.ok()) {
-        const bool spent =
-            acquired.status().code() == absl::StatusCode::kResourceExhausted;
-        RefuseRun(run,
-                  spent ? RelayError::kTotalSpent : RelayError::kTotalNotAtHand,
-                  writer);
+        EndWithoutTokens(run, acquired.status(), writer);
         return;
       }
       hold = *std::move(acquired);
@@ -324,6 +321,22 @@
            std::min(run.call.max_output_tokens, summary.events * per_event);
   }
 
+  void EndWithoutTokens(const RunRequest& run,
+                        const absl::Status& reason,
+                        ResponseWriter& writer) {
+    switch (reason.code()) {
+      case absl::StatusCode::kCancelled:
+        NoteEnd(run, {.outcome = "caller_gone"}, 0, 0);
+        break;
+      case absl::StatusCode::kResourceExhausted:
+        RefuseRun(run, RelayError::kTotalSpent, writer);
+        break;
+      default:
+        RefuseRun(run, RelayError::kTotalNotAtHand, writer);
+        break;
+    }
+  }
+
   void Refuse(const RelayCall& call, RelayError error, ResponseWriter& writer) {
     const absl::Duration retry_after =
         SpreadRetryAfter(settings_.run.retry_after, random_);
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -82,7 +82,8 @@
 
   // One try at a server; true if the request has ended.
   bool TryOnce() {
-    if (caller_->gone)
+    // A request that was read late may be tried before its callback has run.
+    if (caller_->gone || writer_.IsClientGone())
       return End("caller_gone", 0);
     if (TimeLeft() < options_.min_try)
       return Refuse(summary_.may_have_run ? RelayError::kTimedOut
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -104,9 +104,12 @@
   }
 
   // Reserves within `timeout`. RESOURCE_EXHAUSTED if the total is spent,
-  // UNAVAILABLE if tokens may be left but could not be had.
-  absl::StatusOr<std::shared_ptr<TokenHold>> Acquire(const TokenRequest& wanted,
-                                                     absl::Duration timeout) {
+  // UNAVAILABLE if tokens may be left but could not be had, CANCELLED if the
+  // caller has left meanwhile, which `has_left` tells.
+  absl::StatusOr<std::shared_ptr<TokenHold>> Acquire(
+      const TokenRequest& wanted,
+      absl::Duration timeout,
+      const std::function<bool()>& has_left) {
     WaitingLine& line = lines_[wanted.workspace];
     if (auto hold =
             TryHold(wanted, line, WaitingLine::Newcomer(wanted.urgency)))
@@ -121,6 +124,8 @@
     const absl::Time begun = SteadyNow();
     while (true) {
       const uint64_t seen = records_.changed().changes();
+      if (has_left())
+        return absl::CancelledError("the caller has left");
       if (auto hold = TryHold(wanted, line, place))
         return hold;
       if (book_.started() && book_.IsSpent(wanted.workspace, wanted.tokens))
--- a/hawthornhollow/relay/totals_controller_test.cc
+++ b/hawthornhollow/relay/totals_controller_test.cc
@@ -160,7 +160,7 @@
       for (auto& controller : controllers_) {
         const auto reserved = controller->Acquire(
             {.request = "r", .workspace = kWard, .tokens = kRequestTokens},
-            absl::Milliseconds(20));
+            absl::Milliseconds(20), [] { return false; });
         if (!reserved.ok())
           continue;
         if (round % 3 == 0) {
@@ -181,6 +181,23 @@
   EXPECT_GT(granted, kTotal / 2);
 }
 
+TEST_P(TotalsControllerTest, WaitingRequestWhoseCallerLeaves_IsGivenUp) {
+  RunOnFiber([&] {
+    // No record is kept, so that no tokens come to hand.
+    bool left = false;
+    runtime_->Spawn([&left] {
+      hawthornhollow::SleepFor(absl::Milliseconds(50));
+      left = true;
+    });
+    const absl::Time begun = SteadyNow();
+    const auto reserved = controllers_[0]->Acquire(
+        {.request = "r", .workspace = kWard, .tokens = kRequestTokens},
+        absl::Seconds(5), [&left] { return left; });
+    EXPECT_EQ(reserved.status().code(), absl::StatusCode::kCancelled);
+    EXPECT_LT(SteadyNow() - begun, absl::Seconds(1));
+  });
+}
+
 INSTANTIATE_TEST_SUITE_P(LostAnswers,
                          TotalsControllerTest,
                          testing::Values(0.0, 0.3, 0.7));
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -115,7 +115,8 @@
   }
 
   absl::StatusOr<HttpResponse> Send(const std::string& path,
-                                    const std::string& key = "k1") {
+                                    const std::string& key = "k1",
+                                    absl::Duration timeout = kWait) {
     const bool is_stream = path.starts_with("/stream/");
     const HttpRequest request = standins::MakeCallerRequest(
         {.id = NextId(),
@@ -124,7 +125,7 @@
          .prompt_tokens = is_stream ? kPromptTokens : 0,
          .output_tokens = kMaxOutputTokens,
          .prompt_parts = "aa:80,bb:20"});
-    return PlainHttp(callers_, request, kWait);
+    return PlainHttp(callers_, request, timeout);
   }
 
   int StatusOf(const std::string& path, const std::string& key = "k1") {
@@ -134,6 +135,15 @@
 
   std::string NextId() { return absl::StrCat("id-", ++ids_); }
 
+  int RunsOfAll() const {
+    int sum = 0;
+    for (const auto& replica : replicas_) {
+      for (const auto& [id, runs] : replica->runs())
+        sum += runs;
+    }
+    return sum;
+  }
+
   int MostRunsOfOne() const {
     std::map<std::string, int> all;
     for (const auto& replica : replicas_) {
@@ -316,6 +326,20 @@
   }
 }
 
+TEST_F(EntryTest, RequestsReadAfterTheirClientsLeft_AreNotSentOn) {
+  StartReady();
+  EXPECT_EQ(StatusOf("/order/a"), 200);
+  ASSERT_TRUE(entry_->Signal(SIGSTOP).ok());
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_FALSE(Send("/order/a", "k1", absl::Milliseconds(50)).ok());
+    EXPECT_FALSE(Send("/stream/a", "k1", absl::Milliseconds(50)).ok());
+  }
+  ASSERT_TRUE(entry_->Signal(SIGCONT).ok());
+  EXPECT_EQ(StatusOf("/order/a"), 200);
+  absl::SleepFor(absl::Milliseconds(500));
+  EXPECT_EQ(RunsOfAll(), 2);
+}
+
 TEST_F(EntryTest, StoreOutage_DoesNotStopServing) {
   StartReady();
   for (int i = 0; i < 5; ++i)
