--- a/hawthornhollow/http/client_watch.cc
+++ b/hawthornhollow/http/client_watch.cc
@@ -60,8 +60,10 @@
       });
 }
 
-bool ClientWatch::IsGoneNow() const {
-  return gone_ || PeekSocket(socket_->native_handle()) == SocketState::kClosed;
+bool ClientWatch::IsGoneNow() {
+  if (!gone_ && PeekSocket(socket_->native_handle()) == SocketState::kClosed)
+    ReportGone();
+  return gone_;
 }
 
 void ClientWatch::Stop() {
--- a/hawthornhollow/http/client_watch_internal.h
+++ b/hawthornhollow/http/client_watch_internal.h
@@ -31,8 +31,9 @@
   // progress.
   void Stop();
   bool gone() const { return gone_; }
-  // Looks at the socket as well, whether or not Start was called.
-  bool IsGoneNow() const;
+  // Looks at the socket as well, whether or not Start was called, and reports
+  // what it finds.
+  bool IsGoneNow();
 
  private:
   void Arm();
--- a/hawthornhollow/http/http_test.cc
+++ b/hawthornhollow/http/http_test.cc
@@ -382,6 +382,7 @@
     absl::SleepFor(kShort);
     EXPECT_FALSE(noticed);
     EXPECT_TRUE(writer.IsClientGone());
+    EXPECT_EQ(writer.Send({}).code(), absl::StatusCode::kUnavailable);
     ended.set_value();
   });
   SendAndLeave("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
