A gauge of the router's own link: connections over a choked link are waited for longer, and the router is not ready

Its link's queue is seconds long, so each connection to a server times out after 400 ms, each request tries server after server (up to 318 failed connections in a second), and nothing is served until the queue is gone. Not reached: the queue itself, which is filled within seconds by requests on their way.

--- a/hawthornhollow/http/exchange.cc
+++ b/hawthornhollow/http/exchange.cc
@@ -208,6 +208,10 @@
   return impl_->ReadSome(timeout);
 }
 
+std::optional<absl::Duration> HttpExchange::connect_time() const {
+  return impl_->connect_time();
+}
+
 void HttpExchange::Cancel() {
   impl_->Cancel();
 }
--- a/hawthornhollow/http/exchange_internal.h
+++ b/hawthornhollow/http/exchange_internal.h
@@ -32,6 +32,8 @@
   absl::StatusOr<HttpHead> ReadHead(absl::Duration timeout);
   absl::StatusOr<std::string_view> ReadSome(absl::Duration timeout);
   void Cancel();
+  std::optional<absl::Duration> connect_time() const { return connect_time_; }
+  void SetConnectTime(absl::Duration took) { connect_time_ = took; }
 
  private:
   using Message =
@@ -61,6 +63,7 @@
   std::shared_ptr<PendingWrite> write_;
   std::optional<Parser> parser_;
   std::unique_ptr<std::array<char, kPieceBytes>> piece_;
+  std::optional<absl::Duration> connect_time_;
   bool cancelled_ = false;
   bool broken_ = false;
 };
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -171,6 +171,10 @@
   // a whole body. Errors as ReadHead's; ABORTED if the body broke off.
   absl::StatusOr<std::string_view> ReadSome(absl::Duration timeout);
 
+  // How long the connection took to be made; nullopt if it was kept from an
+  // earlier request.
+  std::optional<absl::Duration> connect_time() const;
+
   // Fails the reads in progress and all later ones with CANCELLED and closes
   // the connection. Callable from any fiber of the exchange's thread.
   void Cancel();
@@ -206,6 +210,12 @@
   absl::StatusOr<std::unique_ptr<HttpExchange>> Open(const Endpoint& endpoint,
                                                      const HttpRequest& request,
                                                      absl::Duration timeout);
+  // As above, with this bound on making a connection in place of the option.
+  absl::StatusOr<std::unique_ptr<HttpExchange>> Open(
+      const Endpoint& endpoint,
+      const HttpRequest& request,
+      absl::Duration timeout,
+      absl::Duration connect_timeout);
 
   // A whole exchange within `timeout`. UNAVAILABLE if no connection could be
   // made (the request was not sent); ABORTED if the connection broke after the
--- a/hawthornhollow/http/http_client.cc
+++ b/hawthornhollow/http/http_client.cc
@@ -32,7 +32,8 @@
 
   ExchangeOr Open(const Endpoint& endpoint,
                   const HttpRequest& request,
-                  absl::Duration timeout);
+                  absl::Duration timeout,
+                  absl::Duration connect_timeout);
   const Options& options() const { return options_; }
 
  private:
@@ -51,18 +52,18 @@
     const Endpoint& endpoint,
     absl::Duration timeout) {
   auto connection = std::make_unique<ClientConnection>(thread);
-  absl::Status status =
-      ConnectStream(&connection->stream, endpoint,
-                    std::min(options_.connect_timeout, timeout));
+  absl::Status status = ConnectStream(&connection->stream, endpoint, timeout);
   if (status.ok())
     return connection;
   return ErrorAt(absl::StatusCode::kUnavailable, "http.connect",
                  endpoint.ToString(), std::string(status.message()));
 }
 
-HttpClient::Impl::ExchangeOr HttpClient::Impl::Open(const Endpoint& endpoint,
-                                                    const HttpRequest& request,
-                                                    absl::Duration timeout) {
+HttpClient::Impl::ExchangeOr HttpClient::Impl::Open(
+    const Endpoint& endpoint,
+    const HttpRequest& request,
+    absl::Duration timeout,
+    absl::Duration connect_timeout) {
   const absl::Time deadline = SteadyNow() + timeout;
   std::shared_ptr<IoThread> thread = IoThread::Current();
   if (thread == nullptr) {
@@ -78,11 +79,14 @@
     if (error == boost::beast::error::timeout)
       return WriteError(error, endpoint);
   }
-  ConnectionOr connection = Connect(thread, endpoint, deadline - SteadyNow());
+  const absl::Time begun = SteadyNow();
+  ConnectionOr connection =
+      Connect(thread, endpoint, std::min(connect_timeout, deadline - begun));
   if (!connection.ok())
     return connection.status();
   auto exchange =
       std::make_unique<HttpExchange::Impl>(&pool_, endpoint, request);
+  exchange->SetConnectTime(SteadyNow() - begun);
   const error_code error =
       exchange->Write(*std::move(connection), deadline - SteadyNow());
   if (error)
@@ -101,7 +105,15 @@
     const Endpoint& endpoint,
     const HttpRequest& request,
     absl::Duration timeout) {
-  return impl_->Open(endpoint, request, timeout);
+  return Open(endpoint, request, timeout, impl_->options().connect_timeout);
+}
+
+absl::StatusOr<std::unique_ptr<HttpExchange>> HttpClient::Open(
+    const Endpoint& endpoint,
+    const HttpRequest& request,
+    absl::Duration timeout,
+    absl::Duration connect_timeout) {
+  return impl_->Open(endpoint, request, timeout, connect_timeout);
 }
 
 absl::StatusOr<HttpResponse> HttpClient::Call(const Endpoint& endpoint,
@@ -111,7 +123,7 @@
   const auto remaining = [deadline] {
     return std::max(absl::ZeroDuration(), deadline - SteadyNow());
   };
-  auto exchange = impl_->Open(endpoint, request, timeout);
+  auto exchange = Open(endpoint, request, timeout);
   if (!exchange.ok())
     return exchange.status();
   auto head = (*exchange)->ReadHead(remaining());
@@ -138,7 +150,7 @@
                                 absl::Duration idle_timeout,
                                 const OnHead& on_head,
                                 const OnData& on_data) {
-  auto exchange = impl_->Open(endpoint, request, idle_timeout);
+  auto exchange = Open(endpoint, request, idle_timeout);
   if (!exchange.ok())
     return exchange.status();
   const auto head = (*exchange)->ReadHead(idle_timeout);
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -13,6 +13,7 @@
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/catalog_controller.h"
 #include "hawthornhollow/relay/counted_store.h"
+#include "hawthornhollow/relay/link_gauge.h"
 #include "hawthornhollow/relay/peer_service.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
@@ -50,6 +51,11 @@
   // For one write to be taken by the caller.
   absl::Duration write_timeout = absl::Seconds(5);
   RunOptions run;
+  LinkGaugeOptions link;
+  // A choked link without an answer of the store for so long makes this router
+  // not ready, so that callers are sent to others. A store that answers shows
+  // that it is the servers that are slow.
+  absl::Duration choked_without_store = absl::Seconds(1);
   CatalogOptions catalog;
   PlacementOptions placement;
 };
@@ -60,8 +66,9 @@
   RelayInstance(const RelaySettings& settings, Runtime& runtime, Store& store)
       : settings_(settings),
         runtime_(runtime),
-        client_({.connect_timeout = settings.run.connect_timeout,
+        client_({.connect_timeout = settings.link.timeout,
                  .max_idle_per_endpoint = 64}),
+        link_(settings.link),
         store_(store, metrics_),
         placement_(settings.placement),
         totals_(
@@ -93,6 +100,7 @@
                       }}) {
     shared_ = {.client = &client_,
                .placement = &placement_,
+               .link = &link_,
                .metrics = &metrics_,
                .retries = &retries_,
                .retry_ratio = settings.retry_ratio / 2};
@@ -205,10 +213,26 @@
   }
 
   void AnswerReadiness(ResponseWriter& writer) {
-    const bool ready = catalog_.ready() && !leaving_;
+    const bool ready = catalog_.ready() && !leaving_ && !NoteLink();
     writer.Send({.status = ready ? 200 : 503}).IgnoreError();
   }
 
+  // Whether this router is cut off by its own link.
+  bool NoteLink() {
+    const absl::Time now = SteadyNow();
+    const absl::Duration quickest = link_.Quickest(now);
+    const bool is_choked =
+        link_.IsChoked(now) &&
+        catalog_.table_age() > settings_.choked_without_store;
+    if (std::exchange(link_choked_, is_choked) != is_choked) {
+      LogEvent(is_choked ? "link.choked" : "link.clear",
+               is_choked ? LogSeverity::kWarning : LogSeverity::kInfo)
+          .Add("quickest_ms", absl::ToInt64Milliseconds(quickest))
+          .Add("store_age_ms", absl::ToInt64Milliseconds(catalog_.table_age()));
+    }
+    return is_choked;
+  }
+
   void ServeCaller(const HttpRequest& request, ResponseWriter& writer) {
     const absl::Time arrived = SteadyNow();
     ++in_progress_;
@@ -385,6 +409,7 @@
   const RelaySettings settings_;
   Runtime& runtime_;
   HttpClient client_;
+  LinkGauge link_;
   RelayMetrics metrics_;
   CountedStore<Store> store_;
   PromptPlacement placement_;
@@ -395,6 +420,7 @@
   absl::BitGen random_;
   std::atomic<bool> stop_{false};
   bool leaving_ = false;
+  bool link_choked_ = false;
   int64_t in_progress_ = 0;
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> metrics_server_;
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -240,7 +240,7 @@
                                .urgency = UrgencyOf(request_),
                                .resume_after = last_event_};
     const HttpRequest sent = D::EncodeAttempt(*request_.request, attempt);
-    auto opened = shared_.client->Open(choice.server.address, sent, TimeLeft());
+    auto opened = Open(choice.server, sent);
     if (!opened.ok()) {
       detail_ = std::string(opened.status().message());
       return opened.status().code() == absl::StatusCode::kUnavailable
@@ -257,6 +257,23 @@
     return end;
   }
 
+  absl::StatusOr<std::unique_ptr<HttpExchange>> Open(const RelayServer& server,
+                                                     const HttpRequest& sent) {
+    const absl::Time begun = SteadyNow();
+    const absl::Duration patience = shared_.link->ConnectTimeout(begun);
+    const absl::Duration time_left = TimeLeft();
+    auto opened =
+        shared_.client->Open(server.address, sent, time_left, patience);
+    const absl::Time now = SteadyNow();
+    // Given up for want of time, a connection shows nothing of the link.
+    const bool no_time = now - begun >= time_left && time_left < patience;
+    if (opened.status().code() == absl::StatusCode::kUnavailable && !no_time)
+      shared_.link->OnConnection(server.id, now - begun, now);
+    else if (opened.ok() && (*opened)->connect_time().has_value())
+      shared_.link->OnConnection(server.id, *(*opened)->connect_time(), now);
+    return opened;
+  }
+
   absl::Duration HeadPatience() const {
     if (!may_repeat() || LastAttempt())
       return TimeLeft();
--- a/hawthornhollow/relay/run_request.h
+++ b/hawthornhollow/relay/run_request.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "hawthornhollow/relay/link_gauge.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
 #include "hawthornhollow/scheduling/scheduling.h"
@@ -18,7 +19,6 @@
 
 struct RunOptions {
   std::string failure_domain;
-  absl::Duration connect_timeout = absl::Milliseconds(400);
   // A server that answers nothing for this many times the route's target, and
   // at least `silence_min`, is given up if the request may go on elsewhere.
   double silence_targets = 2;
@@ -37,6 +37,7 @@
 struct RunShared {
   HttpClient* client = nullptr;
   PromptPlacement* placement = nullptr;
+  LinkGauge* link = nullptr;
   RelayMetrics* metrics = nullptr;
   std::map<std::string, RetryBudget>* retries = nullptr;  // by service
   double retry_ratio = 0.1;
