--- a/hawthornhollow/router/request_runner.cc
+++ b/hawthornhollow/router/request_runner.cc
@@ -39,6 +39,11 @@
           Spread(kAskAgain)};
 }
 
+ApiError InProgress() {
+  return {409, "in_progress", "another request with this key is in progress",
+          RunState::kUnknown, Spread(kAskAgain)};
+}
+
 // What is told of a billed request whose answer cannot be had again. It is
 // final: asking again with the key tells no more.
 ApiError AlreadyBilled(Outcome outcome) {
@@ -114,15 +119,15 @@
   auto [found, added] = locations_.try_emplace(key, nullptr);
   if (!added)
     return found->second;
-  found->second = std::make_shared<OneShot<std::string>>();
+  found->second = std::make_shared<OneShot<SentTo>>();
   return nullptr;
 }
 
-void LocalKeys::SetServer(const std::string& key, const std::string& server) {
+void LocalKeys::SetSentTo(const std::string& key, SentTo sent_to) {
   std::lock_guard lock(mutex_);
   auto found = locations_.find(key);
   if (found != locations_.end())
-    found->second->Set(server);
+    found->second->Set(std::move(sent_to));
 }
 
 void LocalKeys::Remove(const std::string& key) {
@@ -130,14 +135,14 @@
   auto found = locations_.find(key);
   if (found == locations_.end())
     return;
-  found->second->Set("");
+  found->second->Set({});
   locations_.erase(found);
 }
 
 void LocalKeys::RemoveUnlessRun(const std::string& key) {
   std::lock_guard lock(mutex_);
   auto found = locations_.find(key);
-  if (found != locations_.end() && found->second->Set(""))
+  if (found != locations_.end() && found->second->Set({}))
     locations_.erase(found);
 }
 
@@ -163,14 +168,13 @@
 
 FilterResult ReplayFilter::AttachToLocal(RequestContext& context,
                                          ResponseWriter& writer,
-                                         OneShot<std::string>& location) {
-  auto server = location.Wait(kLocalRunWait);
-  if (!server || server->empty())
-    return ApiError{409, "in_progress",
-                    "another request with this key is in progress",
-                    RunState::kUnknown, Spread(kAskAgain)};
+                                         OneShot<LocalKeys::SentTo>& location) {
+  const auto sent_to = location.Wait(kLocalRunWait);
+  if (!sent_to || sent_to->server.empty())
+    return InProgress();
   Prior prior;
-  prior.server = *server;
+  prior.server = sent_to->server;
+  prior.gate_incarnation = sent_to->gate;
   FilterResult result = Attach(context, writer, prior);
   if (std::holds_alternative<Continue>(result))
     return Unknown("the first request with this key is not settled yet");
@@ -240,8 +244,12 @@
     return AlreadyBilled(*prior.billed_as);
   if (IsRepeatable(context))
     return Continue{};
-  if (!prior.claim || prior.gate_incarnation != gate)
+  if (prior.gate_incarnation != gate)
     return Unknown("the side process that was given this call is gone");
+  // This router's own run, which the gate has refused, or has answered and
+  // billed, by now: the log is about to tell which.
+  if (!prior.claim)
+    return InProgress();
   // The gate that was to run the call never did, and now never will.
   ClaimRecord claim;
   claim.request = context.request_key;
@@ -417,7 +425,7 @@
     unsent.reason = fb::RefusalReason::NotReady;
     return FinishRefused(context, writer, progress, server, unsent);
   }
-  parts_.keys.SetServer(context.request_key, server);
+  parts_.keys.SetSentTo(context.request_key, {.server = server, .gate = gate});
   RelayOptions options;
   options.stream = context.is_chat() && context.chat.stream;
   options.request_id = context.request_key;
--- a/hawthornhollow/router/request_runner.h
+++ b/hawthornhollow/router/request_runner.h
@@ -27,12 +27,18 @@
 // Thread-safe.
 class LocalKeys {
  public:
-  // The server is set once known; empty if the request ended without a run.
-  using Location = std::shared_ptr<OneShot<std::string>>;
+  // Where a run was sent: the server and its gate's incarnation.
+  struct SentTo {
+    std::string server;  // empty: the request ended without a run
+    std::string gate;
+    friend bool operator==(const SentTo&, const SentTo&) = default;
+  };
+  // Set once known.
+  using Location = std::shared_ptr<OneShot<SentTo>>;
 
   // Null if the key is new (and is now registered).
   Location FindOrAdd(const std::string& key);
-  void SetServer(const std::string& key, const std::string& server);
+  void SetSentTo(const std::string& key, SentTo sent_to);
   // The request certainly never ran, or its bill is folded.
   void Remove(const std::string& key);
   // The request ended; the key goes unless a server was set.
@@ -79,7 +85,7 @@
   };
   FilterResult AttachToLocal(RequestContext& context,
                              ResponseWriter& writer,
-                             OneShot<std::string>& location);
+                             OneShot<LocalKeys::SentTo>& location);
   std::optional<Prior> FindPrior(const RequestContext& context) const;
   FilterResult Attach(RequestContext& context,
                       ResponseWriter& writer,
--- a/testing/runs_test.cc
+++ b/testing/runs_test.cc
@@ -180,6 +180,32 @@
   }
 }
 
+// Several of one router wait for its own run, which the side process may refuse
+// as another router's came first.
+TEST_F(RunsTest, Order_SameKeyManyTimesOnThreeRouters_AnswersAgree) {
+  FleetOptions options;
+  options.services = 2;
+  Start(options);
+  constexpr int kRounds = 40;
+  constexpr int kOfEach = 5;
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string key = absl::StrCat("crowd-", round);
+    std::vector<FutureResponse> asked;
+    for (int i = 0; i < kOfEach; ++i) {
+      for (size_t router = 0; router < 3; ++router)
+        asked.push_back(SendOrder(*fleet_, router, key));
+    }
+    for (FutureResponse& one : asked) {
+      const auto response = one.get();
+      ASSERT_TRUE(response.ok()) << response.status();
+      EXPECT_TRUE(response->status == 200 ||
+                  response->body.find("in_progress") != std::string::npos)
+          << key << response->body;
+    }
+    EXPECT_EQ(OrderRuns(*fleet_, RequestOf(key)), 1) << key;
+  }
+}
+
 TEST_F(RunsTest, Stream_EngineDiesMidway_EndsAtOnceAsUnknownBilledOnce) {
   FleetOptions options = SlowTokens();
   options.engines = 1;
