--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -117,6 +117,8 @@
   ~HttpServer();
 
   const Endpoint& local() const;
+  // Open connections, but those that are being refused as too many.
+  size_t connection_count() const;
 
   // Accepts no more connections; kept connections close after the response in
   // progress, idle ones after a short grace for requests on their way. Blocks
--- a/hawthornhollow/http/http_server.cc
+++ b/hawthornhollow/http/http_server.cc
@@ -136,6 +136,7 @@
 
   absl::Status Listen(Runtime& runtime);
   const Endpoint& local() const { return servers_.front()->local(); }
+  size_t connection_count() const { return shared_->connection_count(); }
   absl::Status Drain(absl::Duration timeout);
   void Close();
 
@@ -233,6 +234,10 @@
   return impl_->local();
 }
 
+size_t HttpServer::connection_count() const {
+  return impl_->connection_count();
+}
+
 absl::Status HttpServer::Drain(absl::Duration timeout) {
   return impl_->Drain(timeout);
 }
--- a/hawthornhollow/http/server_internal.h
+++ b/hawthornhollow/http/server_internal.h
@@ -31,6 +31,7 @@
   // Counts a connection; false if there are too many.
   bool AddConnection();
   void RemoveConnection();
+  size_t connection_count() const { return connections_; }
   void BeginRequest() { ++requests_; }
   void EndRequest();
 
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -198,6 +198,11 @@
         .IgnoreError();
   }
 
+  // The other servers are asked before the callers' one has started.
+  size_t CallerConnections() const {
+    return caller_server_ == nullptr ? 0 : caller_server_->connection_count();
+  }
+
   RelayGauges Gauges() const {
     const auto table = catalog_.table();
     const TotalsSum tokens = totals_.sum();
@@ -207,6 +212,7 @@
             .servers = static_cast<int64_t>(catalog_.server_count()),
             .routers = static_cast<int64_t>(totals_.router_count()),
             .requests_in_progress = in_progress_,
+            .caller_connections = static_cast<int64_t>(CallerConnections()),
             .available_tokens = tokens.available,
             .waiting_tokens = tokens.waiting,
             .record_age = totals_.record_age()};
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -48,6 +48,15 @@
                   {{"server", std::string(server)}, {"end", std::string(end)}});
 }
 
+void RelayMetrics::OnServerConnection(bool made, absl::Duration took) {
+  const std::string_view result = made ? "made" : "failed";
+  registry_.Count("server_connections_total",
+                  {{"result", std::string(result)}});
+  registry_.Observe("server_connection_seconds",
+                    {{"result", std::string(result)}},
+                    absl::ToDoubleSeconds(took));
+}
+
 void RelayMetrics::OnTokensRefused(bool spent) {
   registry_.Count("tokens_refused_total",
                   {{"cause", spent ? "spent" : "not_at_hand"}});
@@ -75,6 +84,7 @@
       {"servers", gauges.servers},
       {"routers", gauges.routers},
       {"requests_in_progress", gauges.requests_in_progress},
+      {"caller_connections", gauges.caller_connections},
       {"tokens_available", gauges.available_tokens},
       {"tokens_waited_for", gauges.waiting_tokens},
   };
--- a/hawthornhollow/relay/relay_metrics.h
+++ b/hawthornhollow/relay/relay_metrics.h
@@ -40,6 +40,7 @@
   int64_t servers = 0;
   int64_t routers = 0;
   int64_t requests_in_progress = 0;
+  int64_t caller_connections = 0;  // open
   // Tokens over all workspaces: at hand here, and wanted by waiting requests.
   int64_t available_tokens = 0;
   int64_t waiting_tokens = 0;
@@ -55,6 +56,8 @@
   void OnRequestEnd(const EndedRequest& request);
   // One try at a server; `end` is as in the log.
   void OnTry(std::string_view server, std::string_view end);
+  // A new connection to a server, made or failed after so long.
+  void OnServerConnection(bool made, absl::Duration took);
   // Tokens that could not be reserved.
   void OnTokensRefused(bool spent);
   // Tokens charged for an earlier incarnation beyond what its record said.
--- a/hawthornhollow/relay/relay_metrics_test.cc
+++ b/hawthornhollow/relay/relay_metrics_test.cc
@@ -41,6 +41,17 @@
                         "of=\"levels\",result=\"ABORTED\"} 1\n"));
 }
 
+TEST_F(RelayMetricsTest, ConnectionsToServers_AreCountedAndTimedByResult) {
+  metrics_.OnServerConnection(/*made=*/true, absl::Milliseconds(2));
+  metrics_.OnServerConnection(/*made=*/false, absl::Milliseconds(400));
+  const std::string page = metrics_.Render({});
+  for (const char* result : {"made", "failed"}) {
+    const std::string labels = "{result=\"" + std::string(result) + "\"} 1\n";
+    EXPECT_THAT(page, HasSubstr("server_connections_total" + labels));
+    EXPECT_THAT(page, HasSubstr("server_connection_seconds_count" + labels));
+  }
+}
+
 TEST_F(RelayMetricsTest, AgeOfWhatWasNeverRead_IsNotOnThePage) {
   EXPECT_THAT(metrics_.Render({}), Not(HasSubstr("config_age_seconds")));
   EXPECT_THAT(metrics_.Render({.config_age = absl::Milliseconds(500)}),
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -265,15 +265,22 @@
     auto opened =
         shared_.client->Open(server.address, sent, time_left, patience);
     const absl::Time now = SteadyNow();
-    // Given up for want of time, a connection shows nothing of the link.
+    if (opened.ok() && (*opened)->connect_time().has_value())
+      NoteConnection(server, /*made=*/true, *(*opened)->connect_time());
+    // Given up for want of time, a connection shows nothing.
     const bool no_time = now - begun >= time_left && time_left < patience;
     if (opened.status().code() == absl::StatusCode::kUnavailable && !no_time)
-      shared_.link->OnConnection(server.id, now - begun, now);
-    else if (opened.ok() && (*opened)->connect_time().has_value())
-      shared_.link->OnConnection(server.id, *(*opened)->connect_time(), now);
+      NoteConnection(server, /*made=*/false, now - begun);
     return opened;
   }
 
+  void NoteConnection(const RelayServer& server,
+                      bool made,
+                      absl::Duration took) {
+    shared_.link->OnConnection(server.id, took, SteadyNow());
+    shared_.metrics->OnServerConnection(made, took);
+  }
+
   absl::Duration HeadPatience() const {
     if (!may_repeat() || LastAttempt())
       return TimeLeft();
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -320,7 +320,8 @@
     for (const char* line :
          {"requests_total{route=\"s\",priority=\"0\",outcome=\"answered\"} 1\n",
           "outcome=\"unknown_key\"} 1\n", "config_version 1\n", "servers 2\n",
-          "requests_in_progress 0\n",
+          "requests_in_progress 0\n", "caller_connections 0\n",
+          "server_connections_total{result=\"made\"} 1\n",
           "store_calls_total{call=\"put\",of=\"levels\",result=\"OK\"}"})
       EXPECT_THAT(page->body, HasSubstr(line));
   }
