Sums over other routers' records are kept as records come

A record that is not newer than the one kept is not counted. The slow sum stays as the reference of the random test.

--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -162,6 +162,19 @@
   friend auto operator<=>(const Inheritance&, const Inheritance&) = default;
 };
 
+// What other routers' records say of a workspace, together. Tokens, and tokens
+// a second.
+struct OthersSums {
+  int64_t authority = 0;
+  int64_t committed = 0;  // held included
+  int64_t demand = 0;
+  friend bool operator==(const OthersSums&, const OthersSums&) = default;
+};
+
+// The same, summed up anew: slow, for tests of what the book keeps.
+OthersSums SumOfOthers(const std::map<std::string, RouterRecords>& others,
+                       const std::string& workspace);
+
 class TotalsBook {
  public:
   explicit TotalsBook(const TotalsOptions& options);
@@ -178,6 +191,9 @@
   // With this one, and with those that left a record and are gone.
   size_t router_count() const { return others_.size() + 1; }
   const std::map<std::string, RouterRecords>& others() const { return others_; }
+  const OthersSums& others_sums(const std::string& workspace) const {
+    return OthersOf(workspace);
+  }
 
   // Begins an incarnation with the records that the last one on this VM left.
   // That one had ended by `birth`. Nothing may be committed before the first
@@ -287,10 +303,13 @@
   // Whether an authority record of this epoch is durable.
   bool HasOwnAuthority() const;
   int64_t DurableAuthority(const std::string& workspace) const;
-  int64_t OthersAuthority(const std::string& workspace) const;
-  // Held included.
-  int64_t OthersCommitted(const std::string& workspace) const;
-  int64_t OthersDemand(const std::string& workspace) const;
+  const OthersSums& OthersOf(const std::string& workspace) const;
+  // Adds to the sums what another router's record says, or, with a `sign` of
+  // -1, takes it away.
+  void Count(const fb::AuthorityRecordT& record, int64_t sign);
+  void Count(const fb::LevelRecordT& record, int64_t sign);
+  template <typename Record>
+  void ApplyOther(std::optional<Record> RouterRecords::*kind, Record record);
   double DemandShare(const std::string& workspace,
                      const Holding& holding,
                      absl::Duration now) const;
@@ -309,6 +328,9 @@
   const TotalsOptions options_;
   std::map<std::string, int64_t, std::less<>> totals_;
   std::map<std::string, RouterRecords> others_;
+  // By workspace. Every request asks for them, so they are kept as records
+  // come: summing over hundreds of routers would take most of a small VM.
+  std::map<std::string, OthersSums> others_sums_;
   std::map<std::string, Holding> holdings_;
   std::optional<fb::AuthorityRecordT> durable_authority_;
   std::optional<fb::AuthorityRecordT> pending_authority_;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -43,10 +43,9 @@
 namespace {
 
 template <typename Record>
-void KeepNewer(std::optional<Record>* kept, Record record) {
-  if (!kept->has_value() || std::pair(record.epoch, record.sequence) >
-                                std::pair((*kept)->epoch, (*kept)->sequence))
-    *kept = std::move(record);
+bool IsNewer(const Record& record, const std::optional<Record>& kept) {
+  return !kept.has_value() || std::pair(record.epoch, record.sequence) >
+                                  std::pair(kept->epoch, kept->sequence);
 }
 
 }  // namespace
@@ -58,14 +57,38 @@
   HoldingOf(std::string(workspace));
 }
 
+template <typename Record>
+void TotalsBook::ApplyOther(std::optional<Record> RouterRecords::*kind,
+                            Record record) {
+  std::optional<Record>& kept = others_[record.router].*kind;
+  if (!IsNewer(record, kept))
+    return;
+  if (kept.has_value())
+    Count(*kept, -1);
+  Count(record, 1);
+  kept = std::move(record);
+}
+
 void TotalsBook::ApplyAuthority(fb::AuthorityRecordT record) {
-  const std::string router = record.router;
-  KeepNewer(&others_[router].authority, std::move(record));
+  ApplyOther(&RouterRecords::authority, std::move(record));
 }
 
 void TotalsBook::ApplyLevel(fb::LevelRecordT record) {
-  const std::string router = record.router;
-  KeepNewer(&others_[router].level, std::move(record));
+  ApplyOther(&RouterRecords::level, std::move(record));
+}
+
+void TotalsBook::Count(const fb::AuthorityRecordT& record, int64_t sign) {
+  for (const auto& share : record.shares) {
+    OthersSums& sums = others_sums_[share->workspace];
+    sums.authority += sign * share->tokens;
+    sums.demand += sign * share->demand;
+  }
+}
+
+void TotalsBook::Count(const fb::LevelRecordT& record, int64_t sign) {
+  for (const auto& share : record.shares)
+    others_sums_[share->workspace].committed +=
+        sign * (share->committed + share->held);
 }
 
 std::vector<Inheritance> TotalsBook::Start(const RouterRecords& previous,
@@ -184,31 +207,24 @@
   return std::max<int64_t>(0, free);
 }
 
-int64_t TotalsBook::OthersAuthority(const std::string& workspace) const {
-  int64_t sum = 0;
-  for (const auto& [router, records] : others_) {
-    if (const auto* share = FindShare(records.authority, workspace))
-      sum += share->tokens;
-  }
-  return sum;
+const OthersSums& TotalsBook::OthersOf(const std::string& workspace) const {
+  static const OthersSums kNone;
+  const auto found = others_sums_.find(workspace);
+  return found == others_sums_.end() ? kNone : found->second;
 }
 
-int64_t TotalsBook::OthersCommitted(const std::string& workspace) const {
-  int64_t sum = 0;
-  for (const auto& [router, records] : others_) {
+OthersSums SumOfOthers(const std::map<std::string, RouterRecords>& others,
+                       const std::string& workspace) {
+  OthersSums sums;
+  for (const auto& [router, records] : others) {
+    if (const auto* share = FindShare(records.authority, workspace)) {
+      sums.authority += share->tokens;
+      sums.demand += share->demand;
+    }
     if (const auto* share = FindShare(records.level, workspace))
-      sum += share->committed + share->held;
-  }
-  return sum;
-}
-
-int64_t TotalsBook::OthersDemand(const std::string& workspace) const {
-  int64_t sum = 0;
-  for (const auto& [router, records] : others_) {
-    if (const auto* share = FindShare(records.authority, workspace))
-      sum += share->demand;
+      sums.committed += share->committed + share->held;
   }
-  return sum;
+  return sums;
 }
 
 double TotalsBook::DemandRate(const Holding& holding,
@@ -298,7 +314,7 @@
   const int64_t own =
       holding == nullptr ? 0 : holding->committed + holding->held;
   const int64_t transfers = holding == nullptr ? 0 : holding->transfers;
-  return TotalOf(workspace) - OthersCommitted(workspace) - own + transfers <
+  return TotalOf(workspace) - OthersOf(workspace).committed - own + transfers <
          tokens;
 }
 
@@ -306,9 +322,9 @@
                              absl::Duration now) const {
   const Holding* holding = FindHolding(workspace);
   TotalState state{.total = TotalOf(workspace),
-                   .committed = OthersCommitted(workspace)};
+                   .committed = OthersOf(workspace).committed};
   state.unassigned =
-      state.total - OthersAuthority(workspace) - DurableAuthority(workspace);
+      state.total - OthersOf(workspace).authority - DurableAuthority(workspace);
   if (holding != nullptr) {
     state.committed += holding->committed + holding->held;
     state.available = FreeNow(workspace, *holding, now) + holding->transfers;
--- a/hawthornhollow/totals/totals_random_test.cc
+++ b/hawthornhollow/totals/totals_random_test.cc
@@ -120,6 +120,8 @@
   }
 
   bool overdrawn() const { return overdrawn_; }
+  // Whether what a book keeps of others ever was not what their records say.
+  bool sums_differ() const { return sums_differ_; }
   int64_t most() const { return counter_.most; }
 
  private:
@@ -281,6 +283,8 @@
       else
         vm.book->ApplyLevel(*std::move(record));
     }
+    if (vm.book->others_sums(kWard) != SumOfOthers(vm.book->others(), kWard))
+      sums_differ_ = true;
     if (!vm.book->started())
       vm.book->Start(own, BirthOf(vm));
   }
@@ -451,6 +455,7 @@
   int64_t total_ = kTotal;
   int boots_ = 0;
   bool overdrawn_ = false;
+  bool sums_differ_ = false;
 };
 
 class TotalsRandomTest : public testing::TestWithParam<size_t> {};
@@ -462,6 +467,7 @@
     RandomDay day(seed, GetParam());
     day.Run();
     EXPECT_FALSE(day.overdrawn()) << "seed " << seed;
+    EXPECT_FALSE(day.sums_differ()) << "seed " << seed;
     // The test is worth little if hardly anything is spent.
     EXPECT_GT(day.most(), kTotal / 4) << "seed " << seed;
   }
