--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -52,10 +52,6 @@
   absl::Duration write_timeout = absl::Seconds(5);
   RunOptions run;
   LinkGaugeOptions link;
-  // A choked link without an answer of the store for so long makes this router
-  // not ready, so that callers are sent to others. A store that answers shows
-  // that it is the servers that are slow.
-  absl::Duration choked_without_store = absl::Seconds(1);
   CatalogOptions catalog;
   PlacementOptions placement;
 };
@@ -219,24 +215,23 @@
   }
 
   void AnswerReadiness(ResponseWriter& writer) {
-    const bool ready = catalog_.ready() && !leaving_ && !NoteLink();
+    NoteLink();
+    const bool ready = catalog_.ready() && !leaving_;
     writer.Send({.status = ready ? 200 : 503}).IgnoreError();
   }
 
-  // Whether this router is cut off by its own link.
-  bool NoteLink() {
+  // Called with each probe. A choked link does not make the router unready: its
+  // probes time out by themselves, and if many routers are slow at once, each
+  // that leaves makes the others slower.
+  void NoteLink() {
     const absl::Time now = SteadyNow();
-    const absl::Duration quickest = link_.Quickest(now);
-    const bool is_choked =
-        link_.IsChoked(now) &&
-        catalog_.table_age() > settings_.choked_without_store;
-    if (std::exchange(link_choked_, is_choked) != is_choked) {
-      LogEvent(is_choked ? "link.choked" : "link.clear",
-               is_choked ? LogSeverity::kWarning : LogSeverity::kInfo)
-          .Add("quickest_ms", absl::ToInt64Milliseconds(quickest))
-          .Add("store_age_ms", absl::ToInt64Milliseconds(catalog_.table_age()));
-    }
-    return is_choked;
+    const bool is_choked = link_.IsChoked(now);
+    if (std::exchange(link_choked_, is_choked) == is_choked)
+      return;
+    LogEvent(is_choked ? "link.choked" : "link.clear",
+             is_choked ? LogSeverity::kWarning : LogSeverity::kInfo)
+        .Add("quickest_ms", absl::ToInt64Milliseconds(link_.Quickest(now)))
+        .Add("store_age_ms", absl::ToInt64Milliseconds(catalog_.table_age()));
   }
 
   void ServeCaller(const HttpRequest& request, ResponseWriter& writer) {
