--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -19,6 +19,7 @@
 #include "hawthornhollow/relay/call_timeout.h"
 #include "hawthornhollow/relay/keyed_follower.h"
 #include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/relay/server_entries.h"
 
 namespace hawthornhollow {
 
@@ -52,6 +53,9 @@
         callbacks_(std::move(callbacks)),
         configuration_(store, StoreSubject::kConfiguration),
         entries_(store, StoreSubject::kServers),
+        decoded_([this](const StoredValue& value, const absl::Status& status) {
+          Reject("server.rejected", value, status);
+        }),
         configuration_timeout_(options.call_timeout, options.call_timeout_most),
         entries_timeout_(options.call_timeout, options.call_timeout_most) {}
   CatalogController(const CatalogController&) = delete;
@@ -140,18 +144,20 @@
           .Add("for_ms", absl::ToInt64Milliseconds(options_.lapse_grace));
     }
     servers_read_ = now;
-    std::map<std::string, RelayServer> present;
-    for (const auto& [key, value] : entries_.newest()) {
-      auto server = D::DecodeServer(value);
-      if (server.ok())
-        present.insert_or_assign(key, *std::move(server));
-      else
-        Reject("server.rejected", value, server.status());
-    }
-    if (now < grace_until_)
+    ListServers(/*keep_missing=*/now < grace_until_);
+    return true;
+  }
+
+  void ListServers(bool keep_missing) {
+    if (listed_changes_ == entries_.changes() && missing_kept_ == keep_missing)
+      return;
+    listed_changes_ = entries_.changes();
+    missing_kept_ = keep_missing;
+    decoded_.Update(entries_.newest());
+    std::map<std::string, RelayServer> present = decoded_.servers();
+    if (keep_missing)
       present.insert(servers_.begin(), servers_.end());
     Adopt(std::move(present));
-    return true;
   }
 
   // One line for each outage.
@@ -218,6 +224,10 @@
   const CatalogCallbacks callbacks_;
   KeyedFollower<Store> configuration_;
   KeyedFollower<Store> entries_;
+  ServerEntries<D> decoded_;
+  // Of `entries_`, when the servers were last listed from it.
+  uint64_t listed_changes_ = 0;
+  bool missing_kept_ = false;
   CallTimeout configuration_timeout_;
   CallTimeout entries_timeout_;
   std::shared_ptr<const RoutingTable> table_;
--- a/hawthornhollow/relay/keyed_follower.h
+++ b/hawthornhollow/relay/keyed_follower.h
@@ -3,6 +3,7 @@
 
 // Keeps the newest record of each key of one subject of the store.
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -26,12 +27,16 @@
       return news.status();
     if (news->is_all)
       newest_.clear();
+    if (news->is_all || !news->page.values.empty())
+      ++changes_;
     for (StoredValue& value : news->page.values)
       Apply(std::move(value));
     return absl::OkStatus();
   }
 
   const std::map<std::string, StoredValue>& newest() const { return newest_; }
+  // Counts the polls that may have changed it.
+  uint64_t changes() const { return changes_; }
 
  private:
   static constexpr absl::Duration kCatchUpAtMost = absl::Seconds(2);
@@ -47,6 +52,7 @@
 
   RecordReader<Store> reader_;
   std::map<std::string, StoredValue> newest_;
+  uint64_t changes_ = 0;
 };
 
 }  // namespace hawthornhollow
