Choice of a server: a third of the processor time for the same choice

At 3,000 servers a choice took 520 us, 2.7 ms on a VM with 0.19 of a core. Hashes of ids are kept, a prompt's tokens are summed once, servers that have read nothing of this router's need no look-up, and durations are not multiplied by doubles (a quarter of the time, by perf).

--- a/hawthornhollow/relay/prompt_placement.cc
+++ b/hawthornhollow/relay/prompt_placement.cc
@@ -41,8 +41,10 @@
     present.insert(server.id);
     const auto [found, is_new] = servers_.try_emplace(server.id);
     found->second.server = server;
-    if (is_new)
+    if (is_new) {
       found->second.entry = ++entries_;
+      found->second.id_hash = StableHash(server.id);
+    }
   }
   std::erase_if(servers_, [&](const auto& item) {
     return !present.contains(item.first);
@@ -73,10 +75,11 @@
 int64_t PromptPlacement::Uncached(const State& state,
                                   bool is_home,
                                   const PlacementQuery& query,
+                                  int64_t tokens,
                                   absl::Time now) const {
-  int64_t sum = 0;
-  for (const PromptPart& part : query.prompt)
-    sum += part.tokens;
+  // True of most servers of a large site.
+  if (state.cached.empty() && !is_home)
+    return tokens;
   // Parts are cached from the front: the first that is not ends it.
   int64_t cached = 0;
   for (size_t i = 0; i < query.prompt.size(); ++i) {
@@ -89,7 +92,7 @@
       break;
     cached += part.tokens;
   }
-  return std::max(query.prompt_tokens, sum) - cached;
+  return tokens - cached;
 }
 
 absl::Duration PromptPlacement::PredictedWait(const State& state,
@@ -98,10 +101,14 @@
                                               absl::Time now) const {
   const double tokens =
       static_cast<double>(state.unread_tokens + std::max<int64_t>(0, uncached));
-  absl::Duration wait =
-      absl::Milliseconds(tokens / options_.prompt_tokens_per_ms) +
-      options_.wait_per_request * state.in_flight +
-      options_.failure_price * FailureShare(state, now);
+  // Durations of whole numbers are several times as quick as those of doubles.
+  constexpr double kNanosecondsPerMillisecond = 1e6;
+  absl::Duration wait = absl::Nanoseconds(static_cast<int64_t>(
+      tokens / options_.prompt_tokens_per_ms * kNanosecondsPerMillisecond));
+  if (state.in_flight > 0)
+    wait += options_.wait_per_request * state.in_flight;
+  if (state.failures > 0)
+    wait += options_.failure_price * FailureShare(state, now);
   if (state.server.failure_domain != query.failure_domain)
     wait += options_.other_domain;
   return wait;
@@ -115,18 +122,22 @@
   const State* home = nullptr;
   uint64_t home_score = 0;
   for (const State* state : candidates) {
-    const uint64_t score = StableHash(home_key, StableHash(state->server.id));
+    const uint64_t score = StableHash(home_key, state->id_hash);
     if (home == nullptr || score > home_score) {
       home = state;
       home_score = score;
     }
   }
+  int64_t tokens = 0;
+  for (const PromptPart& part : query.prompt)
+    tokens += part.tokens;
+  tokens = std::max(query.prompt_tokens, tokens);
   State* best = nullptr;
   int64_t best_uncached = 0;
   absl::Duration best_wait = absl::InfiniteDuration();
   for (State* state : candidates) {
     const bool is_home = !home_key.empty() && state == home;
-    const int64_t uncached = Uncached(*state, is_home, query, now);
+    const int64_t uncached = Uncached(*state, is_home, query, tokens, now);
     const absl::Duration wait = PredictedWait(*state, uncached, query, now);
     if (wait < best_wait) {
       best = state;
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -230,6 +230,7 @@
  private:
   struct State {
     RelayServer server;
+    uint64_t id_hash = 0;
     uint64_t entry = 0;
     int64_t in_flight = 0;
     int64_t unread_tokens = 0;  // of prompts without their first token
@@ -246,6 +247,7 @@
   int64_t Uncached(const State& state,
                    bool is_home,
                    const PlacementQuery& query,
+                   int64_t tokens,
                    absl::Time now) const;
   double FailureShare(const State& state, absl::Time now) const;
   absl::Duration PredictedWait(const State& state,
