--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -351,6 +351,19 @@
     EXPECT_EQ(StatusOf("/stream/a"), 200);
 }
 
+TEST_F(EntryTest, HangupsUntilTheEnd_LeaveTheExitAsItIs) {
+  StartReady();
+  ASSERT_TRUE(entry_->Signal(SIGTERM).ok());
+  absl::StatusOr<int> exit = absl::DeadlineExceededError("runs");
+  const absl::Time end = absl::Now() + kWait;
+  while (!exit.ok() && absl::Now() < end) {
+    entry_->Signal(SIGHUP).IgnoreError();
+    exit = entry_->Wait(absl::Microseconds(100));
+  }
+  ASSERT_TRUE(exit.ok()) << exit.status();
+  EXPECT_EQ(*exit, 0);
+}
+
 TEST_F(EntryTest, SigtermDuringAStream_FinishesItAndExits) {
   StartReady();
   for (auto& replica : replicas_)
