--- a/hawthornhollow/runtime/runtime.cc
+++ b/hawthornhollow/runtime/runtime.cc
@@ -55,7 +55,6 @@
                          const std::shared_ptr<Progress>& progress);
   void WatchSignals(std::function<void()> on_signal);
   void AwaitSignal(std::function<void()> on_signal);
-  static void KeepHangupsHarmless();
   void WatchHangups(const std::function<void()>& on_hangup);
   void AwaitHangup(std::function<void()> on_hangup);
   void AwaitHalt();
@@ -113,18 +112,9 @@
   AwaitHalt();
 }
 
-// While a set of asio's holds the signal, it does not end the process. This one
-// is never released: a hang-up may come while the process is about to exit.
-void Runtime::Impl::KeepHangupsHarmless() {
-  static auto* const context = new boost::asio::io_context();
-  static auto* const hangups = new boost::asio::signal_set(*context, SIGHUP);
-  static_cast<void>(hangups);
-}
-
 void Runtime::Impl::WatchHangups(const std::function<void()>& on_hangup) {
   if (hangups_.has_value())
     return;
-  KeepHangupsHarmless();
   hangups_.emplace(threads_.front()->context(), SIGHUP);
   AwaitHangup(on_hangup);
 }
@@ -237,4 +227,12 @@
   boost::this_fiber::sleep_for(ToBoundedNanoseconds(duration));
 }
 
+// While a set of asio's holds the signal, it does not end the process. This one
+// is never released.
+void KeepHangupsHarmless() {
+  static auto* const context = new boost::asio::io_context();
+  static auto* const hangups = new boost::asio::signal_set(*context, SIGHUP);
+  static_cast<void>(hangups);
+}
+
 }  // namespace hawthornhollow
--- a/hawthornhollow/runtime/runtime.h
+++ b/hawthornhollow/runtime/runtime.h
@@ -142,6 +142,11 @@
   std::shared_ptr<Impl> impl_;
 };
 
+// From now on SIGHUP does not end the process, whether or not a runtime has
+// begun, or has ended, to react to it. For the begin of a program that reloads
+// at SIGHUP: one may come right after the start, or just before the exit.
+void KeepHangupsHarmless();
+
 }  // namespace hawthornhollow
 
 #endif  // HAWTHORNHOLLOW_RUNTIME_RUNTIME_H_
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -351,6 +351,17 @@
     EXPECT_EQ(StatusOf("/stream/a"), 200);
 }
 
+TEST_F(EntryTest, HangupAsSoonAsItListens_DoesNotEndTheProcess) {
+  PutConfiguration(1'000'000);
+  PutServers();
+  StartEntry();
+  const absl::Time end = absl::Now() + kWait;
+  while (Readiness() == 0 && absl::Now() < end) {
+  }
+  ASSERT_TRUE(entry_->Signal(SIGHUP).ok());
+  AwaitReady();
+}
+
 TEST_F(EntryTest, HangupsUntilTheEnd_LeaveTheExitAsItIs) {
   StartReady();
   ASSERT_TRUE(entry_->Signal(SIGTERM).ok());
