--- a/testing/soak/soak_test.cc
+++ b/testing/soak/soak_test.cc
@@ -30,9 +30,7 @@
 
 // 41007: SIGHUP while the process was exiting ended it by the signal.
 // 41050: so did one just after it had begun to listen.
-INSTANTIATE_TEST_SUITE_P(FailedBefore,
-                         SoakTest,
-                         testing::Values(41007, 41050));
+INSTANTIATE_TEST_SUITE_P(FailedBefore, SoakTest, testing::Values(41007, 41050));
 
 }  // namespace
 }  // namespace hawthornhollow::soak
