--- a/hawthornhollow/relay/link_gauge_test.cc
+++ b/hawthornhollow/relay/link_gauge_test.cc
@@ -18,7 +18,7 @@
     }
   }
 
-  const LinkGaugeOptions options_;
+  const LinkGaugeOptions options_ = {};
   LinkGauge gauge_{options_};
   absl::Time now_ = absl::UnixEpoch();
   const std::vector<std::string> eight_ = {"a", "b", "c", "d",
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -208,9 +208,9 @@
 }
 
 const OthersSums& TotalsBook::OthersOf(const std::string& workspace) const {
-  static const OthersSums kNone;
+  static const OthersSums none;
   const auto found = others_sums_.find(workspace);
-  return found == others_sums_.end() ? kNone : found->second;
+  return found == others_sums_.end() ? none : found->second;
 }
 
 OthersSums SumOfOthers(const std::map<std::string, RouterRecords>& others,
