--- a/hawthornhollow/gate/sidecar_test.cc
+++ b/hawthornhollow/gate/sidecar_test.cc
@@ -352,6 +352,19 @@
         *runtime_, *Endpoint::Parse(settings_.listen), incarnation);
   }
 
+  // A router that has taken the side process's hello.
+  std::unique_ptr<TestRouter> ConnectAndGreet(const std::string& incarnation) {
+    auto router = Connect(incarnation);
+    router->Next(fb::FrameBody::Hello);
+    return router;
+  }
+
+  static void Settle(TestRouter& router, const std::string& request) {
+    fb::SettledT settled;
+    settled.request = request;
+    router.Send(settled);
+  }
+
   static fb::DispatchT Chat(const std::string& request) {
     fb::DispatchT dispatch;
     dispatch.request = request;
@@ -398,9 +411,7 @@
   EXPECT_EQ(end.checksum, StableHash(body));
   EXPECT_EQ(end.prompt_tokens, 5);
   EXPECT_EQ(end.output_tokens, 3);
-  fb::SettledT settled;
-  settled.request = "r1";
-  router->Send(settled);
+  Settle(*router, "r1");
   Terminate();
   EXPECT_TRUE(log_.Records<BillRecord>("ledger-0").empty());
   EXPECT_EQ(Members<GateClosedRecord>().size(), 1u);
@@ -409,8 +420,7 @@
 
 TEST_F(SidecarTest, UnsettledRunIsBilledByTheGateOnceAfterTheGrace) {
   Start();
-  auto router = Connect("router-a");
-  router->Next(fb::FrameBody::Hello);
+  auto router = ConnectAndGreet("router-a");
   router->Send(Chat("r1"));
   std::string body;
   router->NextEnd(&body);
@@ -425,8 +435,7 @@
   engine_.token_ms = 100;
   engine_.tokens = 10;
   Start();
-  auto router = Connect("router-a");
-  router->Next(fb::FrameBody::Hello);
+  auto router = ConnectAndGreet("router-a");
   router->Send(Chat("r1"));
   router->Next(fb::FrameBody::Data);
   kill(getpid(), SIGTERM);
@@ -439,9 +448,7 @@
   const fb::EndT end = router->NextEnd(&body);
   EXPECT_EQ(end.kind, fb::EndKind::Completed) << end.detail;
   EXPECT_EQ(end.output_tokens, 10);
-  fb::SettledT settled;
-  settled.request = "r1";
-  router->Send(settled);
+  Settle(*router, "r1");
   sidecar_.join();
   EXPECT_EQ(Members<GateClosedRecord>().size(), 1u);
 }
@@ -450,8 +457,7 @@
 TEST_F(SidecarTest, ShutdownWithoutTheLogEndsAfterItsSettleTime) {
   settings_.settle_seconds = 1;
   Start();
-  auto router = Connect("router-a");
-  router->Next(fb::FrameBody::Hello);
+  auto router = ConnectAndGreet("router-a");
   router->Send(Chat("r1"));
   std::string body;
   router->NextEnd(&body);
@@ -466,8 +472,7 @@
   engine_.token_ms = 100;
   engine_.tokens = 200;
   Start();
-  auto router = Connect("router-a");
-  router->Next(fb::FrameBody::Hello);
+  auto router = ConnectAndGreet("router-a");
   router->Send(Chat("r1"));
   router->Next(fb::FrameBody::Data);
   log_.AppendRecord("members", RouterSuspectRecord{"router-a", "silent"});
@@ -483,8 +488,7 @@
 TEST_F(SidecarTest, OrderWithALostAnswerIsUnknownAndNeverRunsAgain) {
   engine_.break_orders = true;
   Start();
-  auto router = Connect("router-a");
-  router->Next(fb::FrameBody::Hello);
+  auto router = ConnectAndGreet("router-a");
   router->Send(Order("o1"));
   std::string body;
   EXPECT_EQ(router->NextEnd(&body).kind, fb::EndKind::Unknown);
@@ -494,15 +498,12 @@
   router->Send(again);
   EXPECT_EQ(router->NextEnd(&body).kind, fb::EndKind::Unknown);
   EXPECT_EQ(engine_.runs, 1);
-  fb::SettledT settled;
-  settled.request = "o1";
-  router->Send(settled);
+  Settle(*router, "o1");
 }
 
 TEST_F(SidecarTest, OrderIsAnsweredOnceMoreToAnotherRouterWithoutASecondRun) {
   Start();
-  auto router = Connect("router-a");
-  router->Next(fb::FrameBody::Hello);
+  auto router = ConnectAndGreet("router-a");
   router->Send(Order("o1"));
   std::string body;
   EXPECT_EQ(router->NextEnd(&body).kind, fb::EndKind::Completed);
@@ -516,9 +517,7 @@
   EXPECT_EQ(other->NextEnd(&replayed).kind, fb::EndKind::Completed);
   EXPECT_EQ(replayed, "kit");
   EXPECT_EQ(engine_.runs, 1);
-  fb::SettledT settled;
-  settled.request = "o1";
-  other->Send(settled);
+  Settle(*other, "o1");
 }
 
 TEST_F(SidecarTest, SecondLinkOfARouterEndsItsFirst) {
@@ -553,8 +552,7 @@
 
 TEST_F(SidecarTest, ClosedRouterIsRefused) {
   Start();
-  auto router = Connect("router-a");
-  router->Next(fb::FrameBody::Hello);
+  auto router = ConnectAndGreet("router-a");
   log_.AppendRecord("members", RouterClosedRecord{"router-a"});
   absl::SleepFor(absl::Milliseconds(300));
   router->Send(Chat("r1"));
@@ -582,8 +580,7 @@
 TEST_F(SidecarTest, UnreachableBackendIsNotRun) {
   settings_.backend = absl::StrCat("127.0.0.1:", FreePort());
   Start();
-  auto router = Connect("router-a");
-  router->Next(fb::FrameBody::Hello);
+  auto router = ConnectAndGreet("router-a");
   router->Send(Order("o1"));
   std::string body;
   EXPECT_EQ(router->NextEnd(&body).kind, fb::EndKind::NotRun);
@@ -592,16 +589,13 @@
 TEST_F(SidecarTest, OutputBeyondTheLimitIsCutOffAndCancelled) {
   engine_.tokens = 500;
   Start();
-  auto router = Connect("router-a");
-  router->Next(fb::FrameBody::Hello);
+  auto router = ConnectAndGreet("router-a");
   router->Send(Chat("r1"));
   std::string body;
   const fb::EndT end = router->NextEnd(&body);
   EXPECT_EQ(end.kind, fb::EndKind::BackendFailed);
   WaitUntil([&] { return engine_.cancels >= 2; });
-  fb::SettledT settled;
-  settled.request = "r1";
-  router->Send(settled);
+  Settle(*router, "r1");
 }
 
 }  // namespace
--- a/hawthornhollow/relay/link_gauge.h
+++ b/hawthornhollow/relay/link_gauge.h
@@ -16,6 +16,7 @@
 #include <deque>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "absl/time/time.h"
@@ -53,7 +54,7 @@
 
   // The quickest of the last connections; zero if too little is known.
   absl::Duration Quickest(absl::Time now) const {
-    std::set<std::string> servers;
+    std::set<std::string_view> servers;
     absl::Duration quickest = absl::InfiniteDuration();
     size_t count = 0;
     for (const Connection& connection : last_) {
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -49,11 +49,9 @@
 }
 
 void RelayMetrics::OnServerConnection(bool made, absl::Duration took) {
-  const std::string_view result = made ? "made" : "failed";
-  registry_.Count("server_connections_total",
-                  {{"result", std::string(result)}});
-  registry_.Observe("server_connection_seconds",
-                    {{"result", std::string(result)}},
+  const std::string result = made ? "made" : "failed";
+  registry_.Count("server_connections_total", {{"result", result}});
+  registry_.Observe("server_connection_seconds", {{"result", result}},
                     absl::ToDoubleSeconds(took));
 }
 
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -83,7 +83,7 @@
   // One try at a server; true if the request has ended.
   bool TryOnce() {
     // A request that was read late may be tried before its callback has run.
-    if (caller_->gone || writer_.IsClientGone())
+    if (writer_.IsClientGone())
       return End("caller_gone", 0);
     if (TimeLeft() < options_.min_try)
       return Refuse(summary_.may_have_run ? RelayError::kTimedOut
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -171,10 +171,6 @@
   friend bool operator==(const OthersSums&, const OthersSums&) = default;
 };
 
-// The same, summed up anew: slow, for tests of what the book keeps.
-OthersSums SumOfOthers(const std::map<std::string, RouterRecords>& others,
-                       const std::string& workspace);
-
 class TotalsBook {
  public:
   explicit TotalsBook(const TotalsOptions& options);
@@ -191,9 +187,7 @@
   // With this one, and with those that left a record and are gone.
   size_t router_count() const { return others_.size() + 1; }
   const std::map<std::string, RouterRecords>& others() const { return others_; }
-  const OthersSums& others_sums(const std::string& workspace) const {
-    return OthersOf(workspace);
-  }
+  const OthersSums& others_sums(const std::string& workspace) const;
 
   // Begins an incarnation with the records that the last one on this VM left.
   // That one had ended by `birth`. Nothing may be committed before the first
@@ -303,7 +297,6 @@
   // Whether an authority record of this epoch is durable.
   bool HasOwnAuthority() const;
   int64_t DurableAuthority(const std::string& workspace) const;
-  const OthersSums& OthersOf(const std::string& workspace) const;
   // Adds to the sums what another router's record says, or, with a `sign` of
   // -1, takes it away.
   void Count(const fb::AuthorityRecordT& record, int64_t sign);
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -207,26 +207,12 @@
   return std::max<int64_t>(0, free);
 }
 
-const OthersSums& TotalsBook::OthersOf(const std::string& workspace) const {
+const OthersSums& TotalsBook::others_sums(const std::string& workspace) const {
   static const OthersSums none;
   const auto found = others_sums_.find(workspace);
   return found == others_sums_.end() ? none : found->second;
 }
 
-OthersSums SumOfOthers(const std::map<std::string, RouterRecords>& others,
-                       const std::string& workspace) {
-  OthersSums sums;
-  for (const auto& [router, records] : others) {
-    if (const auto* share = FindShare(records.authority, workspace)) {
-      sums.authority += share->tokens;
-      sums.demand += share->demand;
-    }
-    if (const auto* share = FindShare(records.level, workspace))
-      sums.committed += share->committed + share->held;
-  }
-  return sums;
-}
-
 double TotalsBook::DemandRate(const Holding& holding,
                               absl::Duration now) const {
   return holding.demand.PerSecond(absl::UnixEpoch() + now);
@@ -314,7 +300,8 @@
   const int64_t own =
       holding == nullptr ? 0 : holding->committed + holding->held;
   const int64_t transfers = holding == nullptr ? 0 : holding->transfers;
-  return TotalOf(workspace) - OthersOf(workspace).committed - own + transfers <
+  return TotalOf(workspace) - others_sums(workspace).committed - own +
+             transfers <
          tokens;
 }
 
@@ -322,9 +309,9 @@
                              absl::Duration now) const {
   const Holding* holding = FindHolding(workspace);
   TotalState state{.total = TotalOf(workspace),
-                   .committed = OthersOf(workspace).committed};
-  state.unassigned =
-      state.total - OthersOf(workspace).authority - DurableAuthority(workspace);
+                   .committed = others_sums(workspace).committed};
+  state.unassigned = state.total - others_sums(workspace).authority -
+                     DurableAuthority(workspace);
   if (holding != nullptr) {
     state.committed += holding->committed + holding->held;
     state.available = FreeNow(workspace, *holding, now) + holding->transfers;
--- a/hawthornhollow/totals/totals_random_test.cc
+++ b/hawthornhollow/totals/totals_random_test.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <random>
 
+#include "hawthornhollow/totals/shares_internal.h"
 #include "hawthornhollow/totals/totals.h"
 
 namespace hawthornhollow {
@@ -93,6 +94,21 @@
   absl::Duration down_until;
 };
 
+// What TotalsBook keeps as records come, summed up anew.
+OthersSums SumOfOthers(const std::map<std::string, RouterRecords>& others,
+                       const std::string& workspace) {
+  OthersSums sums;
+  for (const auto& [router, records] : others) {
+    if (const auto* share = FindShare(records.authority, workspace)) {
+      sums.authority += share->tokens;
+      sums.demand += share->demand;
+    }
+    if (const auto* share = FindShare(records.level, workspace))
+      sums.committed += share->committed + share->held;
+  }
+  return sums;
+}
+
 class RandomDay {
  public:
   RandomDay(uint64_t seed, size_t vms) : random_(seed) {
--- a/hawthornhollow/totals/totals_records.cc
+++ b/hawthornhollow/totals/totals_records.cc
@@ -32,7 +32,7 @@
                            absl::ToDoubleSeconds(options_.horizon);
   const auto total = static_cast<double>(TotalOf(workspace));
   const double left = std::max(
-      0.0, total - static_cast<double>(OthersOf(workspace).committed +
+      0.0, total - static_cast<double>(others_sums(workspace).committed +
                                        holding.committed + holding.held));
   const double fair = left * DemandShare(workspace, holding, now) *
                       (1 - options_.reserve_share);
@@ -50,7 +50,7 @@
                                const Holding& holding,
                                absl::Duration now) const {
   const double own = DemandRate(holding, now);
-  const double all = own + static_cast<double>(OthersOf(workspace).demand);
+  const double all = own + static_cast<double>(others_sums(workspace).demand);
   return all < 1 ? 1 / static_cast<double>(router_count()) : own / all;
 }
 
@@ -65,7 +65,7 @@
   if (wanted <= durable)
     return wanted;
   const int64_t unassigned = std::max<int64_t>(
-      0, TotalOf(workspace) - OthersOf(workspace).authority - durable);
+      0, TotalOf(workspace) - others_sums(workspace).authority - durable);
   const int64_t part = std::max<int64_t>(
       holding.waiting, static_cast<int64_t>(kPartOfUnassigned *
                                             static_cast<double>(unassigned)));
