--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -10,7 +10,8 @@
 namespace hawthornhollow {
 namespace {
 
-constexpr char kTokensTarget[] = "/tokens";
+constexpr char kTransferTarget[] = "/transfer";
+constexpr char kReturnTarget[] = "/return";
 constexpr char kTimeTarget[] = "/time-of-day";
 constexpr absl::Duration kPeerCallTimeout = absl::Milliseconds(150);
 constexpr int kOk = 200;
@@ -39,25 +40,96 @@
       .IgnoreError();
 }
 
+void Reject(const HttpRequest& request,
+            const absl::Status& reason,
+            ResponseWriter& writer) {
+  LogEvent("peer.rejected", LogSeverity::kWarning)
+      .Add("peer", request.peer)
+      .Add("reason", reason);
+  writer.Send({.status = 400}).IgnoreError();
+}
+
+void ServeTransfer(const HttpRequest& request,
+                   const PeerHandlers& handlers,
+                   ResponseWriter& writer) {
+  const auto wanted =
+      DecodeMessage<fb::TokensWanted>(request.body, request.peer);
+  if (!wanted.ok())
+    return Reject(request, wanted.status(), writer);
+  const TransferAnswer answer = handlers.give({.router = wanted->router,
+                                               .workspace = wanted->workspace,
+                                               .needed = wanted->needed,
+                                               .waiting = wanted->waiting,
+                                               .wanted = wanted->tokens,
+                                               .demand = wanted->demand});
+  LogEvent("total.given")
+      .Add("peer", wanted->router)
+      .Add("workspace", wanted->workspace)
+      .Add("needed", wanted->needed)
+      .Add("wanted", wanted->tokens)
+      .Add("given", answer.tokens)
+      .Add("left", answer.left);
+  fb::TokensGivenT given;
+  given.workspace = wanted->workspace;
+  given.tokens = answer.tokens;
+  given.left = answer.left;
+  writer.Send({.body = EncodeMessage<fb::TokensGiven>(given)}).IgnoreError();
+}
+
+void ServeReturn(const HttpRequest& request,
+                 const PeerHandlers& handlers,
+                 ResponseWriter& writer) {
+  const auto returned =
+      DecodeMessage<fb::TokensReturned>(request.body, request.peer);
+  if (!returned.ok())
+    return Reject(request, returned.status(), writer);
+  if (returned->tokens < 0) {
+    return Reject(request,
+                  ErrorAt(absl::StatusCode::kInvalidArgument, "peer.return",
+                          request.peer, "tokens: is negative"),
+                  writer);
+  }
+  handlers.take(returned->workspace, returned->tokens);
+  writer.Send({}).IgnoreError();
+}
+
 }  // namespace
 
-absl::StatusOr<int64_t> AskPeerForTokens(HttpClient& client,
-                                         const std::string& address,
-                                         const std::string& workspace,
-                                         int64_t tokens) {
+absl::StatusOr<TransferAnswer> AskPeerForTokens(
+    HttpClient& client,
+    const std::string& address,
+    const TransferQuestion& question) {
   fb::TokensWantedT wanted;
-  wanted.workspace = workspace;
-  wanted.tokens = tokens;
+  wanted.workspace = question.workspace;
+  wanted.tokens = question.wanted;
+  wanted.needed = question.needed;
+  wanted.waiting = question.waiting;
+  wanted.router = question.router;
+  wanted.demand = question.demand;
   const auto body = Ask(client, address,
                         {.method = "POST",
-                         .target = kTokensTarget,
+                         .target = kTransferTarget,
                          .body = EncodeMessage<fb::TokensWanted>(wanted)});
   if (!body.ok())
     return body.status();
   const auto given = DecodeMessage<fb::TokensGiven>(*body, address);
   if (!given.ok())
     return given.status();
-  return given->tokens;
+  return TransferAnswer{.tokens = given->tokens, .left = given->left};
+}
+
+absl::Status HandTokensToPeer(HttpClient& client,
+                              const std::string& address,
+                              const std::string& workspace,
+                              int64_t tokens) {
+  fb::TokensReturnedT returned;
+  returned.workspace = workspace;
+  returned.tokens = tokens;
+  return Ask(client, address,
+             {.method = "POST",
+              .target = kReturnTarget,
+              .body = EncodeMessage<fb::TokensReturned>(returned)})
+      .status();
 }
 
 absl::StatusOr<absl::Time> AskPeerTimeOfDay(HttpClient& client,
@@ -72,33 +144,15 @@
 }
 
 void ServePeer(const HttpRequest& request,
-               const std::function<int64_t(const std::string& workspace,
-                                           int64_t tokens)>& give,
+               const PeerHandlers& handlers,
                ResponseWriter& writer) {
   if (request.method == "GET" && request.Path() == kTimeTarget)
     return SendTimeOfDay(writer);
-  if (request.method != "POST" || request.Path() != kTokensTarget) {
-    writer.Send({.status = 404}).IgnoreError();
-    return;
-  }
-  const auto wanted =
-      DecodeMessage<fb::TokensWanted>(request.body, request.peer);
-  if (!wanted.ok()) {
-    LogEvent("peer.rejected", LogSeverity::kWarning)
-        .Add("peer", request.peer)
-        .Add("reason", wanted.status());
-    writer.Send({.status = 400}).IgnoreError();
-    return;
-  }
-  fb::TokensGivenT given;
-  given.workspace = wanted->workspace;
-  given.tokens = give(wanted->workspace, wanted->tokens);
-  LogEvent("total.given")
-      .Add("peer", request.peer)
-      .Add("workspace", wanted->workspace)
-      .Add("wanted", wanted->tokens)
-      .Add("given", given.tokens);
-  writer.Send({.body = EncodeMessage<fb::TokensGiven>(given)}).IgnoreError();
+  if (request.method == "POST" && request.Path() == kTransferTarget)
+    return ServeTransfer(request, handlers, writer);
+  if (request.method == "POST" && request.Path() == kReturnTarget)
+    return ServeReturn(request, handlers, writer);
+  writer.Send({.status = 404}).IgnoreError();
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -2,33 +2,43 @@
 #define HAWTHORNHOLLOW_RELAY_PEER_SERVICE_H_
 
 // Calls between routers, as FlatBuffers over HTTP on the address for other
-// routers: transfers of tokens of a workspace's prepaid total, and the time of
-// day.
+// routers: transfers of tokens of a workspace's prepaid total, in both
+// directions, and the time of day.
 
 #include <functional>
 #include <string>
 
 #include "absl/status/statusor.h"
 #include "hawthornhollow/http/http.h"
+#include "hawthornhollow/totals/totals.h"
 
 namespace hawthornhollow {
 
-// Asks the router at `address` to transfer up to `tokens`. Returns how many it
-// transferred, or the error of the call.
-absl::StatusOr<int64_t> AskPeerForTokens(HttpClient& client,
-                                         const std::string& address,
-                                         const std::string& workspace,
-                                         int64_t tokens);
+// Asks the router at `address`. Returns the error of the call; the tokens are
+// lost if it answered and the answer did not arrive.
+absl::StatusOr<TransferAnswer> AskPeerForTokens(
+    HttpClient& client,
+    const std::string& address,
+    const TransferQuestion& question);
+
+// Hands tokens over to the router at `address`. After an error they may have
+// arrived, so they must not be used or handed over again.
+absl::Status HandTokensToPeer(HttpClient& client,
+                              const std::string& address,
+                              const std::string& workspace,
+                              int64_t tokens);
 
 // Returns the time of day shown by the router at `address`.
 absl::StatusOr<absl::Time> AskPeerTimeOfDay(HttpClient& client,
                                             const std::string& address);
 
-// Answers another router's call. `give` transfers up to `tokens` and returns
-// how many.
+// What a router does when another one calls.
+struct PeerHandlers {
+  std::function<TransferAnswer(const TransferQuestion&)> give;
+  std::function<void(const std::string& workspace, int64_t tokens)> take;
+};
 void ServePeer(const HttpRequest& request,
-               const std::function<int64_t(const std::string& workspace,
-                                           int64_t tokens)>& give,
+               const PeerHandlers& handlers,
                ResponseWriter& writer);
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/record_synchronizer.h
+++ b/hawthornhollow/relay/record_synchronizer.h
@@ -46,8 +46,10 @@
   // If the last read is longer ago than this, the newest records are read
   // instead of all records since.
   absl::Duration max_catch_up = absl::Seconds(1);
-  // Minimum time between two writes of a record, for each known router.
-  absl::Duration min_gap_per_router = absl::Milliseconds(4);
+  // Minimum time between two writes of this router's authority record and of
+  // its level record, for each known router.
+  absl::Duration authority_gap_per_router = absl::Milliseconds(1);
+  absl::Duration level_gap_per_router = absl::Microseconds(400);
   // Attempts to write the final records at shutdown.
   int close_attempts = 5;
   // For asking other routers' clocks after a power loss.
@@ -99,12 +101,14 @@
   // Each loop keeps one of the two records up to date until `stop` is set. Call
   // each on its own fiber.
   void RunAuthorityLoop(const std::atomic<bool>& stop) {
-    RunLoop(stop, authority_wanted_, options_.interval_per_router, [this] {
-      return book_.started() ? SyncAuthority() : StartIncarnation();
-    });
+    RunLoop(stop, authority_wanted_, options_.interval_per_router,
+            options_.authority_gap_per_router, [this] {
+              return book_.started() ? SyncAuthority() : StartIncarnation();
+            });
   }
   void RunLevelLoop(const std::atomic<bool>& stop) {
     RunLoop(stop, level_wanted_, options_.level_interval_per_router,
+            options_.level_gap_per_router,
             [this] { return !book_.started() || SyncLevel(); });
   }
 
@@ -135,6 +139,7 @@
   void RunLoop(const std::atomic<bool>& stop,
                FiberSignal& wakeup,
                absl::Duration interval_per_router,
+               absl::Duration gap_per_router,
                Sync sync) {
     ++running_loops_;
     const absl::Cleanup ended = [this] {
@@ -149,7 +154,7 @@
         continue;
       }
       wakeup.WaitForMoreThan(seen, Interval(interval_per_router));
-      const absl::Duration gap = ForAllRouters(options_.min_gap_per_router);
+      const absl::Duration gap = ForAllRouters(gap_per_router);
       hawthornhollow::SleepFor(start_time + gap - SteadyNow());
     }
   }
@@ -310,7 +315,7 @@
       if (outcome != Outcome::kRefused)
         return outcome == Outcome::kDurable;
     }
-    return true;
+    return false;
   }
 
   // The outcome of a put as far as it is known.
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -72,15 +72,22 @@
             metrics_,
             {.book = {.router = settings.router,
                       .boot = BootId(),
-                      .address = settings.peers.ToString()}},
+                      .address = settings.peers.ToString(),
+                      .failure_domain = settings.failure_domain}},
             [&runtime](std::function<void()> task) {
               runtime.Spawn(std::move(task));
             },
-            [this](const std::string& address,
-                   const std::string& workspace,
-                   int64_t tokens) {
-              return AskPeerForTokens(client_, address, workspace, tokens);
-            },
+            {.ask =
+                 [this](const std::string& address,
+                        const TransferQuestion& question) {
+                   return AskPeerForTokens(client_, address, question);
+                 },
+             .hand_over =
+                 [this](const std::string& address,
+                        const std::string& workspace,
+                        int64_t tokens) {
+                   return HandTokensToPeer(client_, address, workspace, tokens);
+                 }},
             [this](const std::string& address) {
               return AskPeerTimeOfDay(client_, address);
             }),
@@ -138,6 +145,7 @@
     runtime_.Spawn([this] { catalog_.FollowServers(stop_); });
     runtime_.Spawn([this] { totals_.RunAuthorityLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunLevelLoop(stop_); });
+    runtime_.Spawn([this] { totals_.RunReturnLoop(stop_); });
     LogEvent("router.started").Add("callers", settings_.callers.ToString());
     return absl::OkStatus();
   }
@@ -180,12 +188,16 @@
   void AnswerPeer(const HttpRequest& request, ResponseWriter& writer) {
     if (request.method == "GET" && request.Path() == "/metrics")
       return AnswerMetrics(writer);
-    ServePeer(
-        request,
-        [this](const std::string& workspace, int64_t tokens) {
-          return totals_.TransferOut(workspace, tokens);
-        },
-        writer);
+    ServePeer(request,
+              {.give =
+                   [this](const TransferQuestion& question) {
+                     return totals_.GiveTokens(question);
+                   },
+               .take =
+                   [this](const std::string& workspace, int64_t tokens) {
+                     totals_.TakeTokens(workspace, tokens);
+                   }},
+              writer);
   }
 
   void AnswerMetrics(ResponseWriter& writer) {
@@ -309,7 +321,7 @@
                                        .workspace = run.workspace->name,
                                        .tokens = tokens,
                                        .urgency = UrgencyOf(run)},
-                                      TokenWaitTimeout(run),
+                                      TokenWaitLimits(run),
                                       [&] { return writer.IsClientGone(); });
       if (!acquired.ok()) {
         EndWithoutTokens(run, acquired.status(), writer);
@@ -331,10 +343,17 @@
     ReportEnd(run, summary, tokens, used);
   }
 
-  absl::Duration TokenWaitTimeout(const RunContext& run) const {
-    constexpr double kMaxShareOfTarget = 0.6;
-    return std::min(run.route->latency_target * kMaxShareOfTarget,
-                    run.deadline - SteadyNow());
+  WaitLimits TokenWaitLimits(const RunContext& run) const {
+    constexpr double kMaxShareOfTarget = 0.25;
+    // Tokens of requests that end come back all the time, so a short wait is
+    // worth while even if no holder has any now.
+    constexpr double kPatienceShareOfTarget = 0.125;
+    const absl::Duration timeout =
+        std::min(run.route->latency_target * kMaxShareOfTarget,
+                 run.deadline - SteadyNow());
+    return {.patience = std::min(
+                run.route->latency_target * kPatienceShareOfTarget, timeout),
+            .timeout = timeout};
   }
 
   static int64_t UsedTokens(const RunContext& run, const RunSummary& summary) {
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -16,13 +16,13 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 
 #include "absl/cleanup/cleanup.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
+#include "hawthornhollow/relay/peer_service.h"
 #include "hawthornhollow/relay/record_synchronizer.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
@@ -39,24 +39,38 @@
   // written. A longer time means that more is charged if the router is killed
   // meanwhile; an answer that arrives earlier has to wait for the record.
   absl::Duration commit_lead_time = absl::Milliseconds(250);
-  // A request waits this long for a new record before other routers are asked
-  // for transfers.
-  absl::Duration ask_delay = absl::Milliseconds(25);
-  // A level record older than this shows that the store is unreachable; other
-  // routers are then asked immediately.
-  absl::Duration store_outage_after = absl::Milliseconds(900);
-  // Minimum time between two rounds of asking for one workspace.
+  // A waiting request checks the records at least this often.
+  absl::Duration check_interval = absl::Milliseconds(25);
+  // Minimum time between two rounds of asking for one workspace in which no
+  // tokens were transferred.
   absl::Duration ask_interval = absl::Milliseconds(50);
+  // A holder that is asked for tokens waits this long for a record that allows
+  // transferring them.
+  absl::Duration lend_timeout = absl::Milliseconds(60);
+  // How often tokens that are not needed are handed over to a holder.
+  absl::Duration return_interval = absl::Milliseconds(250);
   // A router that did not answer is not asked again for this time.
-  absl::Duration ask_pause = absl::Seconds(1);
+  absl::Duration ask_pause = absl::Milliseconds(400);
 };
 
-// Asks the router at an address to transfer tokens of a workspace; returns how
-// many it transferred.
-using AskForTokens =
-    std::function<absl::StatusOr<int64_t>(const std::string& address,
-                                          const std::string& workspace,
-                                          int64_t tokens)>;
+// Asks the router at an address for tokens, and hands tokens over to it.
+struct TransferCalls {
+  std::function<absl::StatusOr<TransferAnswer>(const std::string& address,
+                                               const TransferQuestion&)>
+      ask;
+  std::function<absl::Status(const std::string& address,
+                             const std::string& workspace,
+                             int64_t tokens)>
+      hand_over;
+};
+
+// How long a request waits for tokens.
+struct WaitLimits {
+  // Until it is refused after all holders said that they have none for it.
+  absl::Duration patience;
+  // Until it is refused in any case.
+  absl::Duration timeout;
+};
 
 // The tokens that a request needs in the worst case.
 struct TokenRequest {
@@ -74,12 +88,12 @@
                    RelayMetrics& metrics,
                    const TotalsControllerOptions& options,
                    std::function<void(std::function<void()>)> spawn,
-                   AskForTokens ask,
+                   TransferCalls calls,
                    AskForTimeOfDay ask_time_of_day)
       : metrics_(metrics),
         options_(options),
         spawn_(std::move(spawn)),
-        ask_(std::move(ask)),
+        calls_(std::move(calls)),
         book_(options.book),
         records_(store,
                  metrics,
@@ -106,15 +120,16 @@
     records_.changed().Notify();
   }
 
-  // Reserves tokens, waiting for at most `timeout`. Returns RESOURCE_EXHAUSTED
-  // if the total is used up, UNAVAILABLE if tokens may be left but could not be
+  // Reserves tokens, waiting if necessary. Returns RESOURCE_EXHAUSTED if the
+  // total is used up, UNAVAILABLE if tokens may be left but could not be
   // obtained, and CANCELLED if `has_disconnected` reports that the caller has
   // disconnected.
   absl::StatusOr<std::shared_ptr<TokenHold>> Acquire(
       const TokenRequest& wanted,
-      absl::Duration timeout,
+      const WaitLimits& limits,
       const std::function<bool()>& has_disconnected) {
     WaitQueue& queue = queues_[wanted.workspace];
+    book_.ObserveDemand(wanted.workspace, wanted.tokens, BootTime());
     if (auto hold =
             TryHold(wanted, queue, WaitQueue::NewArrival(wanted.urgency)))
       return hold;
@@ -126,6 +141,7 @@
       queue.Remove(position);
     };
     const absl::Time start_time = SteadyNow();
+    std::optional<uint64_t> round;  // of asking, begun for this request
     while (true) {
       const uint64_t seen = records_.changed().changes();
       if (has_disconnected())
@@ -135,19 +151,24 @@
       if (book_.started() && book_.IsExhausted(wanted.workspace, wanted.tokens))
         return Refuse(absl::StatusCode::kResourceExhausted, wanted);
       const absl::Duration waited = SteadyNow() - start_time;
-      if (waited >= timeout)
+      if (waited >= limits.timeout)
         return Refuse(absl::StatusCode::kUnavailable, wanted);
       if (!queue.IsFirst(position)) {
-        queue.WaitUntilFirst(position,
-                             std::min(timeout - waited, kQueueCheckInterval));
+        queue.WaitUntilFirst(
+            position, std::min(limits.timeout - waited, kQueueCheckInterval));
         continue;
       }
       records_.RequestAuthoritySync();
       records_.RequestLevelSync();
-      if (waited >= options_.ask_delay || IsStoreUnreachable())
-        StartAsking(wanted.workspace);
+      AskState& asking = asking_[wanted.workspace];
+      if (!round.has_value())
+        round = asking.begun + 1;
+      if (asking.ended >= *round && waited >= limits.patience &&
+          !asking.holder_silent)
+        return RefuseAfterAsking(wanted, asking);
+      StartAsking(wanted.workspace);
       records_.changed().WaitForMoreThan(
-          seen, std::min(timeout - waited, options_.ask_delay));
+          seen, std::min(limits.timeout - waited, options_.check_interval));
     }
   }
 
@@ -183,7 +204,7 @@
       SetState(hold, TokenHold::State::kCommitting);
       records_.RequestLevelSync();
       records_.changed().WaitForMoreThan(
-          seen, std::min(timeout - waited, options_.ask_delay));
+          seen, std::min(timeout - waited, options_.check_interval));
     }
   }
 
@@ -199,10 +220,35 @@
     records_.changed().Notify();
   }
 
-  // Transfers tokens to another router that asks for them, and returns how
-  // many.
-  int64_t TransferOut(const std::string& workspace, int64_t tokens) {
-    return book_.TransferOut(workspace, tokens, BootTime());
+  // Transfers tokens to another router that asks for them. Waits briefly if a
+  // new record would allow it.
+  TransferAnswer GiveTokens(const TransferQuestion& question) {
+    int64_t given = TryGive(question);
+    if (given == 0 && question.needed > 0 &&
+        book_.IsHolder(question.workspace)) {
+      book_.AddLending(question.workspace, question.wanted);
+      const absl::Cleanup withdraw = [&] {
+        book_.RemoveLending(question.workspace, question.wanted);
+      };
+      const absl::Time end = SteadyNow() + options_.lend_timeout;
+      while (given == 0 && SteadyNow() < end &&
+             MayGrow(question.workspace, question.needed)) {
+        const uint64_t seen = records_.changed().changes();
+        records_.RequestAuthoritySync();
+        records_.RequestLevelSync();
+        records_.changed().WaitForMoreThan(seen, end - SteadyNow());
+        given = TryGive(question);
+      }
+    }
+    // The room for commitments may need to grow for the next question.
+    records_.RequestLevelSync();
+    const TotalState state = book_.state(question.workspace, BootTime());
+    return {.tokens = given, .left = state.total - state.committed};
+  }
+  // Takes tokens that another router hands over.
+  void TakeTokens(const std::string& workspace, int64_t tokens) {
+    book_.ReceiveTransfer(workspace, tokens);
+    records_.changed().Notify();
   }
 
   // Sums over all workspaces.
@@ -220,6 +266,16 @@
     records_.RunLevelLoop(stop);
   }
 
+  // Hands over transferred tokens that are not needed, until `stop` is set.
+  // Call it on its own fiber.
+  void RunReturnLoop(const std::atomic<bool>& stop) {
+    while (!stop) {
+      hawthornhollow::SleepFor(options_.return_interval);
+      for (const std::string& workspace : book_.workspaces())
+        HandOverExcess(workspace);
+    }
+  }
+
   // Gives back unused tokens. Call it at the end of the process, when no
   // request is in progress and both loops were told to stop.
   void Close() { records_.Close(); }
@@ -300,57 +356,115 @@
                                            : absl::ToInt64Milliseconds(age);
   }
 
-  bool IsStoreUnreachable() const {
-    return records_.age() > options_.store_outage_after;
-  }
+  // The rounds of asking holders for tokens of one workspace.
+  struct AskState {
+    uint64_t begun = 0;
+    uint64_t ended = 0;
+    absl::Time next;             // not before
+    bool holder_silent = false;  // in the last round
+    int64_t left = 0;            // of the total, as holders said
+  };
 
-  // Asks the other routers for the tokens that the workspace's requests wait
-  // for, one round at a time.
+  // Starts a round of asking the holders, unless one is in progress.
   void StartAsking(const std::string& workspace) {
-    const absl::Time now = SteadyNow();
-    if (now < next_ask_time_[workspace] ||
-        !workspaces_being_asked_.insert(workspace).second)
+    AskState& asking = asking_[workspace];
+    if (SteadyNow() < asking.next || asking.begun != asking.ended)
       return;
-    next_ask_time_[workspace] = now + options_.ask_interval;
-    spawn_([this, workspace] {
-      AskOthers(workspace);
-      workspaces_being_asked_.erase(workspace);
+    ++asking.begun;
+    spawn_([this, workspace, &asking] {
+      const bool got_any = AskHolders(workspace, &asking);
+      if (!got_any)
+        asking.next = SteadyNow() + options_.ask_interval;
+      ++asking.ended;
       records_.changed().Notify();
     });
   }
 
-  void AskOthers(const std::string& workspace) {
-    for (const std::string& address : records_.OtherRouterAddresses()) {
-      const absl::Time now = SteadyNow();
-      const int64_t missing = book_.WaitingShortfall(workspace, BootTime());
-      if (missing <= 0)
-        return;
-      if (ask_paused_until_[address] > now)
+  // Asks one holder after another until there is enough for all that wait.
+  // Returns whether tokens were transferred.
+  bool AskHolders(const std::string& workspace, AskState* asking) {
+    asking->holder_silent = false;
+    asking->left = 0;
+    bool got_any = false;
+    for (const std::string& address : book_.OtherHolders(workspace)) {
+      if (book_.WaitingShortfall(workspace, BootTime()) <= 0)
+        break;
+      if (ask_paused_until_[address] > SteadyNow()) {
+        asking->holder_silent = true;
         continue;
-      const auto given = ask_(address, workspace, missing);
-      if (!given.ok()) {
-        ask_paused_until_[address] = now + options_.ask_pause;
+      }
+      const int64_t needed = queues_[workspace].FirstTokens() -
+                             book_.state(workspace, BootTime()).available;
+      const auto answer = calls_.ask(
+          address, book_.MakeQuestion(workspace, std::max<int64_t>(0, needed),
+                                      BootTime()));
+      if (!answer.ok()) {
+        asking->holder_silent = true;
+        ask_paused_until_[address] = SteadyNow() + options_.ask_pause;
         LogEvent("total.ask_failed", LogSeverity::kWarning)
             .Add("peer", address)
-            .Add("reason", given.status());
+            .Add("reason", answer.status());
         continue;
       }
-      if (*given > 0) {
-        book_.ReceiveTransfer(workspace, *given);
+      asking->left = std::max(asking->left, answer->left);
+      if (answer->tokens > 0) {
+        got_any = true;
+        book_.ReceiveTransfer(workspace, answer->tokens);
         records_.changed().Notify();
       }
     }
+    return got_any;
+  }
+
+  absl::Status RefuseAfterAsking(const TokenRequest& wanted,
+                                 const AskState& asking) {
+    const bool is_spent = !book_.IsHolder(wanted.workspace) &&
+                          asking.left < wanted.tokens && asking.left > 0;
+    return Refuse(is_spent ? absl::StatusCode::kResourceExhausted
+                           : absl::StatusCode::kUnavailable,
+                  wanted);
+  }
+
+  // Whether a new record of this router may allow giving `needed` tokens.
+  bool MayGrow(const std::string& workspace, int64_t needed) const {
+    const TotalState state = book_.state(workspace, BootTime());
+    return state.available + state.unassigned >= needed;
+  }
+
+  int64_t TryGive(const TransferQuestion& question) {
+    return book_.TransferOut(question, BootTime());
+  }
+
+  void HandOverExcess(const std::string& workspace) {
+    const std::vector<std::string> holders = book_.OtherHolders(workspace);
+    const auto holder =
+        std::find_if(holders.begin(), holders.end(), [&](const auto& address) {
+          return ask_paused_until_[address] <= SteadyNow();
+        });
+    if (holder == holders.end())
+      return;
+    const int64_t excess = book_.TakeExcessTransfers(workspace, BootTime());
+    if (excess == 0)
+      return;
+    const absl::Status handed = calls_.hand_over(*holder, workspace, excess);
+    LogEvent("total.handed_over",
+             handed.ok() ? LogSeverity::kInfo : LogSeverity::kWarning)
+        .Add("peer", *holder)
+        .Add("workspace", workspace)
+        .Add("tokens", excess)
+        .Add("result", handed);
+    if (!handed.ok())
+      ask_paused_until_[*holder] = SteadyNow() + options_.ask_pause;
   }
 
   RelayMetrics& metrics_;
   const TotalsControllerOptions options_;
   const std::function<void(std::function<void()>)> spawn_;
-  const AskForTokens ask_;
+  const TransferCalls calls_;
   TotalsBook book_;
   RecordSynchronizer<Store> records_;
   std::map<std::string, WaitQueue> queues_;  // keyed by workspace
-  std::set<std::string> workspaces_being_asked_;
-  std::map<std::string, absl::Time> next_ask_time_;
+  std::map<std::string, AskState> asking_;   // keyed by workspace
   std::map<std::string, absl::Time> ask_paused_until_;
 };
 
--- a/hawthornhollow/relay/wait_queue.h
+++ b/hawthornhollow/relay/wait_queue.h
@@ -55,6 +55,10 @@
     became_first.WaitForMoreThan(became_first.changes(), timeout);
   }
 
+  // Tokens for which the first request waits; 0 if the queue is empty.
+  int64_t FirstTokens() const {
+    return waiting_.empty() ? 0 : waiting_.begin()->second.tokens;
+  }
   // Tokens for which the requests ahead of `position` wait.
   int64_t TokensAhead(const Position& position) const {
     int64_t sum = 0;
--- a/hawthornhollow/totals/router_record.cc
+++ b/hawthornhollow/totals/router_record.cc
@@ -30,6 +30,7 @@
       std::clamp(age, absl::ZeroDuration(), late_after);
   const absl::Duration late = std::max(absl::ZeroDuration(), age - late_after);
   const double allowance =
+      NonNegative(share.burst) +
       absl::ToDoubleSeconds(early) * NonNegative(share.per_second) +
       absl::ToDoubleSeconds(late) * NonNegative(share.late_per_second) +
       std::min(1.0, absl::FDivDuration(late, kLateBurstRampUp)) *
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -5,7 +5,9 @@
 // total and coordinate only through a shared store of records. This module
 // makes the decisions; it does no I/O, reads no clock and takes no locks.
 //
-// Each router keeps two records in the store:
+// A few routers, the holders of a workspace (ChooseHolders), have the quotas of
+// its total; the others ask them for transfers, and hand over what they do not
+// need. Each router keeps two records in the store:
 //
 // - Its authority record is its quota: for each workspace, the level to which
 // the router's commitments may rise. The quotas of all routers together never
@@ -120,22 +122,35 @@
   std::string router;   // the VM's name; each VM runs one router
   std::string boot;     // see IncarnationStart::boot
   std::string address;  // where other routers can reach this one
-  // How long a router that is cut off from the store should be able to continue
-  // at the recent rate of demand.
-  absl::Duration outage_horizon = absl::Seconds(8);
-  // Multiplier of the recent rate of demand, because a router that is cut off
-  // may also receive callers of other routers.
+  std::string failure_domain;
+  // How many routers hold the total of one workspace; see ChooseHolders.
+  size_t max_holders = 3;
+  // Multiplier of the recent rate of demand, because a holder may also get the
+  // demand of other holders that cannot be reached.
   double demand_factor = 1.2;
-  // While more than this fraction of a total is left, the routers together hold
-  // `idle_share` of what is left in equal parts, even without demand. A router
-  // that gets its first request during an outage then has tokens, and a power
-  // loss strands only tokens that were not in demand.
-  double idle_share_threshold = 0.25;
-  double idle_share = 0.3;
-  // Fraction of the remaining total that is not divided by demand but kept for
-  // requests that wait. It also bounds what a power loss strands near the end
-  // of a total.
+  // The quota of a holder is its part of what is left of a total without
+  // `reserve_share` of it, but not more than its demand in `quota_horizon` and
+  // than `idle_quota_share` of that part. If the VM loses power and no clock
+  // can be trusted afterwards, the whole quota is charged. Requests that wait
+  // can claim the reserve.
   double reserve_share = 0.2;
+  absl::Duration quota_horizon = absl::Seconds(15);
+  double idle_quota_share = 0.5;
+  // The schedule of a level record follows the recent demand, but it never lets
+  // the rest of the quota be committed in less than `min_outage_horizon`, which
+  // also bounds what a killed router is charged. Even without demand it lets
+  // the rest be committed in `idle_horizon`; once the record is late and the
+  // store thus unreachable, in `max_outage_horizon`, because demand that comes
+  // up meanwhile can no longer be recorded.
+  absl::Duration min_outage_horizon = absl::Seconds(7);
+  absl::Duration max_outage_horizon = absl::Seconds(14);
+  absl::Duration idle_horizon = absl::Seconds(100);
+  // A level record makes room for the demand of this time at once, so that
+  // commitments between two records seldom wait for the next one.
+  absl::Duration burst_horizon = absl::Milliseconds(400);
+  // A router that holds no quota keeps transferred tokens for the demand of
+  // this time and hands over the rest.
+  absl::Duration transfer_horizon = absl::Milliseconds(600);
   // Time constant of the decaying average of demand.
   absl::Duration demand_decay = absl::Seconds(5);
   // A level record older than this shows that the store is unreachable. Its
@@ -143,11 +158,8 @@
   // committing what was held when the record was written and `late_requests`
   // requests of average size. A VM that loses power for one second is back
   // before this age.
-  absl::Duration late_after = absl::Seconds(2);
+  absl::Duration late_after = absl::Milliseconds(2500);
   int64_t late_requests = 2;
-  // Until `late_after`, the schedule allows at most this fraction of a total.
-  // This bounds what is charged for a router that is killed or loses power.
-  double crash_charge_share = 0.02;
   // While the last level record is younger than this, the next one is expected
   // in time and only the quota limits what may be held. Beyond this age the
   // schedule limits it too.
@@ -164,6 +176,44 @@
   friend auto operator<=>(const TotalState&, const TotalState&) = default;
 };
 
+// A transfer of tokens that a router asks another one for.
+struct TransferQuestion {
+  std::string router;  // that asks
+  std::string workspace;
+  int64_t needed = 0;   // nothing is transferred if fewer are available
+  int64_t waiting = 0;  // needed by all requests that wait
+  int64_t wanted = 0;   // at most this is transferred
+  int64_t demand = 0;   // tokens per second that its requests need of late
+  friend auto operator<=>(const TransferQuestion&,
+                          const TransferQuestion&) = default;
+};
+
+// A router's answer to another one that asked for tokens.
+struct TransferAnswer {
+  int64_t tokens = 0;  // transferred
+  int64_t left = 0;    // of the total, as far as the asked router knows
+  friend auto operator<=>(const TransferAnswer&,
+                          const TransferAnswer&) = default;
+};
+
+// A router that can hold tokens of totals.
+struct HolderCandidate {
+  std::string router;
+  std::string failure_domain;
+  friend auto operator<=>(const HolderCandidate&,
+                          const HolderCandidate&) = default;
+};
+
+// Chooses the routers that hold the total of a workspace: at most `count`, in
+// different failure domains as far as there are any. All routers that know the
+// same candidates choose the same holders, and a router that comes or goes
+// changes the holders of few workspaces. Only efficiency depends on the choice:
+// what a router may commit is decided by the quotas in the store.
+std::vector<std::string> ChooseHolders(
+    std::string_view workspace,
+    const std::vector<HolderCandidate>& candidates,
+    size_t count);
+
 // Sums over all workspaces at this router, in tokens.
 struct TotalsSum {
   int64_t available = 0;  // can be reserved now
@@ -214,6 +264,11 @@
   }
   const OtherRoutersSums& other_routers_sums(
       const std::string& workspace) const;
+  // Addresses of the other routers that hold the workspace's total, those in
+  // this router's failure domain first.
+  std::vector<std::string> OtherHolders(const std::string& workspace) const;
+  // Whether this router is one of the workspace's holders.
+  bool IsHolder(const std::string& workspace) const;
 
   // Starts an incarnation with the records that the previous one on this VM
   // left. The previous one must have ended before `start`. Nothing can be
@@ -225,6 +280,10 @@
   void OnStaleAuthority(const fb::AuthorityRecordT& record);
   bool started() const { return started_; }
 
+  // Records that a request needs `tokens`, once for each request.
+  void ObserveDemand(const std::string& workspace,
+                     int64_t tokens,
+                     absl::Duration now);
   // Holds `tokens` if they are available now, else returns nullopt.
   std::optional<Reservation> Reserve(const std::string& workspace,
                                      int64_t tokens,
@@ -290,14 +349,31 @@
 
   // For an orderly shutdown: from now on nothing is committed, and new records
   // give back unused tokens.
-  void BeginClosing() { closing_ = true; }
+  void BeginClosing() {
+    closing_ = true;
+    holders_.clear();
+  }
 
-  // Transfers up to `wanted` tokens to another router and returns how many.
-  // They count as committed here.
-  int64_t TransferOut(const std::string& workspace,
-                      int64_t wanted,
-                      absl::Duration now);
+  // Transfers up to `wanted` tokens to another router, or none if fewer than
+  // `needed` are available, and returns how many. They count as committed here.
+  // What exceeds `waiting` is a small part of the quota.
+  int64_t TransferOut(const TransferQuestion& question, absl::Duration now);
+  // Takes tokens that another router transferred, or that it was given and
+  // hands over.
   void ReceiveTransfer(const std::string& workspace, int64_t tokens);
+  // Adds tokens that another router asked for and that could not be transferred
+  // yet, until RemoveLending is called. The next records make room for them.
+  void AddLending(const std::string& workspace, int64_t tokens);
+  void RemoveLending(const std::string& workspace, int64_t tokens);
+  // A question for `needed` tokens and for what the requests that wait, and
+  // those that are likely to come soon, need besides.
+  TransferQuestion MakeQuestion(const std::string& workspace,
+                                int64_t needed,
+                                absl::Duration now) const;
+  // Removes transferred tokens that this router does not need, and returns how
+  // many. They must be handed over to another router, once at most.
+  int64_t TakeExcessTransfers(const std::string& workspace, absl::Duration now);
+  std::vector<std::string> workspaces() const;
 
  private:
   // This router's share of one workspace's total, in tokens.
@@ -308,7 +384,14 @@
     int64_t transfers = 0;   // received from other routers, not yet reserved
     int64_t waiting = 0;     // needed by waiting requests
     int64_t committing = 0;  // held, waiting to be committed by a new record
-    DecayedSum demand;       // requested tokens; time is since boot
+    int64_t lending = 0;     // asked for by other routers, not transferred yet
+    int64_t lent = 0;        // committed for transfers to other routers
+    struct Borrower {
+      int64_t demand = 0;  // tokens per second
+      absl::Duration asked_at;
+    };
+    std::map<std::string, Borrower> borrowers;  // keyed by router
+    DecayedSum demand;  // requested tokens; time is since boot
     double average_request = 0;
   };
 
@@ -332,17 +415,30 @@
   void AddToSums(const fb::LevelRecordT& record, int64_t sign);
   template <typename Record>
   void ApplyOther(std::optional<Record> RouterRecords::*kind, Record record);
-  double DemandShare(const std::string& workspace,
-                     const LocalUsage& usage,
-                     absl::Duration now) const;
+  // Holders of a workspace's total among all known routers.
+  const std::vector<std::string>& HoldersOf(const std::string& workspace) const;
+  std::vector<HolderCandidate> Candidates() const;
+  // Recent demand of this router's requests, and of those of the routers that
+  // ask it for tokens; per second.
+  double OwnDemand(const LocalUsage& usage, absl::Duration now) const;
   double DemandRate(const LocalUsage& usage, absl::Duration now) const;
-  void ObserveDemand(LocalUsage* usage, int64_t tokens, absl::Duration now);
   int64_t TargetHeadroom(const std::string& workspace,
                          const LocalUsage& usage,
                          absl::Duration now) const;
   int64_t TargetAuthority(const std::string& workspace,
                           const LocalUsage& usage,
                           absl::Duration now) const;
+  // Tokens that this router's requests are likely to need soon.
+  int64_t ExpectedDemand(const LocalUsage& usage, absl::Duration now) const;
+  double HolderShare(const std::string& workspace,
+                     const LocalUsage& usage,
+                     absl::Duration now) const;
+  // Tokens per second of a schedule that follows the demand.
+  int64_t ScheduleRate(int64_t headroom,
+                       double demand,
+                       absl::Duration max_horizon) const;
+  // Room that a new level record makes for commitments at once.
+  int64_t LevelBurst(const LocalUsage& usage, absl::Duration now) const;
   fb::LevelShareT MakeLevelShare(const std::string& workspace,
                                  const LocalUsage& usage,
                                  absl::Duration now) const;
@@ -355,6 +451,9 @@
   // most of a small VM's CPU.
   std::map<std::string, OtherRoutersSums> other_routers_sums_;
   std::map<std::string, LocalUsage> usages_;
+  // Keyed by workspace; computed when needed and cleared when a router comes or
+  // goes.
+  mutable std::map<std::string, std::vector<std::string>> holders_;
   std::optional<fb::AuthorityRecordT> durable_authority_;
   std::optional<fb::AuthorityRecordT> pending_authority_;
   std::optional<fb::LevelRecordT> durable_level_;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -35,6 +35,16 @@
 // a lost answer strands the tokens, but nothing can duplicate them. The
 // receiver's records do not include transfers, so a receiver that dies loses
 // the transferred tokens that it has not used.
+//
+// Tokens that are handed over leave the sender's transfers first and are sent at
+// most once, so they exist in one place at most. A holder may take them off its
+// own commitments, up to what it has transferred: whoever committed them, the
+// sum of all commitments then counts them once less, and the tokens themselves
+// are unspent. A successor of the holder is charged by a record from before, that
+// is, for more.
+//
+// Which routers are holders is not part of the argument. Routers that disagree
+// about it, because one has read an older record, still keep to their quotas.
 
 #include <algorithm>
 
@@ -50,6 +60,15 @@
                                    std::pair(known->epoch, known->sequence);
 }
 
+// Whether a router can hold tokens: it can be asked for them, and its newest
+// incarnation has not written its final record.
+bool IsCandidate(const RouterRecords& records) {
+  if (!records.authority.has_value() || records.authority->address.empty())
+    return false;
+  return !records.level.has_value() || !records.level->final ||
+         records.level->epoch < records.authority->epoch;
+}
+
 }  // namespace
 
 TotalsBook::TotalsBook(const TotalsOptions& options) : options_(options) {}
@@ -68,7 +87,11 @@
   if (known.has_value())
     AddToSums(*known, -1);
   AddToSums(record, 1);
+  const bool was_candidate = IsCandidate(other_routers_[record.router]);
+  RouterRecords& records = other_routers_[record.router];
   known = std::move(record);
+  if (IsCandidate(records) != was_candidate)
+    holders_.clear();
 }
 
 void TotalsBook::ApplyAuthority(fb::AuthorityRecordT record) {
@@ -93,6 +116,47 @@
         sign * (share->committed + share->held);
 }
 
+std::vector<HolderCandidate> TotalsBook::Candidates() const {
+  std::vector<HolderCandidate> candidates;
+  if (!closing_)
+    candidates.push_back({options_.router, options_.failure_domain});
+  for (const auto& [router, records] : other_routers_) {
+    if (IsCandidate(records))
+      candidates.push_back({router, records.authority->failure_domain});
+  }
+  return candidates;
+}
+
+const std::vector<std::string>& TotalsBook::HoldersOf(
+    const std::string& workspace) const {
+  const auto [found, is_new] = holders_.try_emplace(workspace);
+  if (is_new)
+    found->second =
+        ChooseHolders(workspace, Candidates(), options_.max_holders);
+  return found->second;
+}
+
+bool TotalsBook::IsHolder(const std::string& workspace) const {
+  const std::vector<std::string>& holders = HoldersOf(workspace);
+  return std::find(holders.begin(), holders.end(), options_.router) !=
+         holders.end();
+}
+
+std::vector<std::string> TotalsBook::OtherHolders(
+    const std::string& workspace) const {
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const std::string& router : HoldersOf(workspace)) {
+    if (router == options_.router)
+      continue;
+    const fb::AuthorityRecordT& record = *other_routers_.at(router).authority;
+    const bool is_near = record.failure_domain == options_.failure_domain;
+    (is_near ? near : far).push_back(record.address);
+  }
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
+}
+
 std::vector<InheritedCharge> TotalsBook::Start(const RouterRecords& previous,
                                                const IncarnationStart& start) {
   started_ = true;
@@ -219,21 +283,32 @@
   return found == other_routers_sums_.end() ? none : found->second;
 }
 
+double TotalsBook::OwnDemand(const LocalUsage& usage,
+                             absl::Duration now) const {
+  return usage.demand.PerSecond(absl::UnixEpoch() + now);
+}
+
 double TotalsBook::DemandRate(const LocalUsage& usage,
                               absl::Duration now) const {
-  return usage.demand.PerSecond(absl::UnixEpoch() + now);
+  double rate = OwnDemand(usage, now);
+  for (const auto& [router, borrower] : usage.borrowers) {
+    if (now - borrower.asked_at < options_.demand_decay)
+      rate += static_cast<double>(borrower.demand);
+  }
+  return rate;
 }
 
-void TotalsBook::ObserveDemand(LocalUsage* usage,
+void TotalsBook::ObserveDemand(const std::string& workspace,
                                int64_t tokens,
                                absl::Duration now) {
-  usage->demand.Add(static_cast<double>(tokens), absl::UnixEpoch() + now);
+  LocalUsage& usage = UsageOf(workspace);
+  usage.demand.Add(static_cast<double>(tokens), absl::UnixEpoch() + now);
   constexpr double kSmoothingWeight = 0.1;
-  if (usage->average_request == 0)
-    usage->average_request = static_cast<double>(tokens);
+  if (usage.average_request == 0)
+    usage.average_request = static_cast<double>(tokens);
   else
-    usage->average_request += kSmoothingWeight * (static_cast<double>(tokens) -
-                                                  usage->average_request);
+    usage.average_request += kSmoothingWeight * (static_cast<double>(tokens) -
+                                                 usage.average_request);
 }
 
 std::optional<Reservation> TotalsBook::Reserve(const std::string& workspace,
@@ -242,7 +317,6 @@
   LocalUsage& usage = UsageOf(workspace);
   if (AvailableFromAuthority(workspace, usage, now) + usage.transfers < tokens)
     return std::nullopt;
-  ObserveDemand(&usage, tokens, now);
   Reservation reservation{.workspace = workspace};
   reservation.from_transfers = std::min(usage.transfers, tokens);
   reservation.from_authority = tokens - reservation.from_transfers;
@@ -343,29 +417,97 @@
   return std::max<int64_t>(0, usage->waiting - state(workspace, now).available);
 }
 
-int64_t TotalsBook::TransferOut(const std::string& workspace,
-                                int64_t wanted,
+int64_t TotalsBook::TransferOut(const TransferQuestion& question,
                                 absl::Duration now) {
-  const LocalUsage* known = FindUsage(workspace);
-  if (known == nullptr || wanted <= 0)
+  if (FindUsage(question.workspace) == nullptr || question.wanted <= 0)
     return 0;
-  LocalUsage& usage = UsageOf(workspace);
+  LocalUsage& usage = UsageOf(question.workspace);
+  usage.borrowers[question.router] = {.demand = question.demand,
+                                      .asked_at = now};
+  const int64_t in_quota = std::max<int64_t>(
+      0, AvailableFromAuthority(question.workspace, usage, now) +
+             usage.transfers - usage.waiting);
   // Transferred tokens are committed immediately, so the commit limit applies
   // too.
-  const int64_t free = std::min(
-      AvailableFromAuthority(workspace, usage, now),
-      std::max<int64_t>(0, CommitLimit(workspace, now) - usage.committed));
-  const int64_t keep = usage.waiting;
-  const int64_t spare = std::max<int64_t>(0, free + usage.transfers - keep);
-  const int64_t given = std::min(wanted, spare);
+  const int64_t commit_room =
+      std::max<int64_t>(
+          0, CommitLimit(question.workspace, now) - usage.committed) +
+      usage.transfers;
+  const int64_t spare = std::min(in_quota, commit_room);
+  if (spare < question.needed)
+    return 0;
+  // Tokens that nobody waits for are kept together as the total runs out.
+  constexpr int64_t kQuotaDivisor = 16;
+  const int64_t quota_left =
+      EffectiveAuthority(question.workspace) - usage.committed - usage.held;
+  const int64_t given = std::min({question.wanted, spare,
+                                  std::max({question.needed, question.waiting,
+                                            quota_left / kQuotaDivisor})});
   const int64_t from_transfers = std::min(given, usage.transfers);
   usage.transfers -= from_transfers;
   usage.committed += given - from_transfers;
+  usage.lent += given - from_transfers;
   return given;
 }
 
+// Tokens that come back to a holder reduce its commitments, so that its records
+// cover them again. The router that handed them over no longer has them.
 void TotalsBook::ReceiveTransfer(const std::string& workspace, int64_t tokens) {
-  UsageOf(workspace).transfers += tokens;
+  LocalUsage& usage = UsageOf(workspace);
+  const int64_t returned =
+      IsHolder(workspace) ? std::min(tokens, usage.lent) : 0;
+  usage.lent -= returned;
+  usage.committed -= returned;
+  usage.transfers += tokens - returned;
+}
+
+void TotalsBook::AddLending(const std::string& workspace, int64_t tokens) {
+  UsageOf(workspace).lending += tokens;
+}
+
+void TotalsBook::RemoveLending(const std::string& workspace, int64_t tokens) {
+  UsageOf(workspace).lending -= tokens;
+}
+
+int64_t TotalsBook::ExpectedDemand(const LocalUsage& usage,
+                                   absl::Duration now) const {
+  return static_cast<int64_t>(OwnDemand(usage, now) *
+                              absl::ToDoubleSeconds(options_.transfer_horizon));
+}
+
+TransferQuestion TotalsBook::MakeQuestion(const std::string& workspace,
+                                          int64_t needed,
+                                          absl::Duration now) const {
+  TransferQuestion question{.router = options_.router,
+                            .workspace = workspace,
+                            .needed = needed,
+                            .waiting = WaitingShortfall(workspace, now)};
+  question.wanted = std::max(question.needed, question.waiting);
+  if (const LocalUsage* usage = FindUsage(workspace)) {
+    question.wanted += ExpectedDemand(*usage, now);
+    question.demand = static_cast<int64_t>(OwnDemand(*usage, now));
+  }
+  return question;
+}
+
+int64_t TotalsBook::TakeExcessTransfers(const std::string& workspace,
+                                        absl::Duration now) {
+  LocalUsage& usage = UsageOf(workspace);
+  if (IsHolder(workspace))
+    return 0;
+  const int64_t excess =
+      usage.transfers - usage.waiting - ExpectedDemand(usage, now);
+  if (excess <= 0)
+    return 0;
+  usage.transfers -= excess;
+  return excess;
+}
+
+std::vector<std::string> TotalsBook::workspaces() const {
+  std::vector<std::string> names;
+  for (const auto& [workspace, usage] : usages_)
+    names.push_back(workspace);
+  return names;
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -40,6 +40,10 @@
 struct TokensGivenBuilder;
 struct TokensGivenT;
 
+struct TokensReturned;
+struct TokensReturnedBuilder;
+struct TokensReturnedT;
+
 struct TimeOfDay;
 struct TimeOfDayBuilder;
 struct TimeOfDayT;
@@ -56,6 +60,8 @@
 bool operator!=(const TokensWantedT &lhs, const TokensWantedT &rhs);
 bool operator==(const TokensGivenT &lhs, const TokensGivenT &rhs);
 bool operator!=(const TokensGivenT &lhs, const TokensGivenT &rhs);
+bool operator==(const TokensReturnedT &lhs, const TokensReturnedT &rhs);
+bool operator!=(const TokensReturnedT &lhs, const TokensReturnedT &rhs);
 bool operator==(const TimeOfDayT &lhs, const TimeOfDayT &rhs);
 bool operator!=(const TimeOfDayT &lhs, const TimeOfDayT &rhs);
 
@@ -160,6 +166,7 @@
   int64_t sequence = 0;
   std::string address{};
   std::vector<std::unique_ptr<hawthornhollow::fb::AuthorityShareT>> shares{};
+  std::string failure_domain{};
   AuthorityRecordT() = default;
   AuthorityRecordT(const AuthorityRecordT &o);
   AuthorityRecordT(AuthorityRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -175,7 +182,8 @@
     VT_EPOCH = 6,
     VT_SEQUENCE = 8,
     VT_ADDRESS = 10,
-    VT_SHARES = 12
+    VT_SHARES = 12,
+    VT_FAILURE_DOMAIN = 14
   };
   const flatbuffers::String *router() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTER);
@@ -192,6 +200,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *shares() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *>(VT_SHARES);
   }
+  const flatbuffers::String *failure_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ROUTER) &&
@@ -203,6 +214,8 @@
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
            verifier.VerifyVectorOfTables(shares()) &&
+           VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
+           verifier.VerifyString(failure_domain()) &&
            verifier.EndTable();
   }
   AuthorityRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -229,6 +242,9 @@
   void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>> shares) {
     fbb_.AddOffset(AuthorityRecord::VT_SHARES, shares);
   }
+  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
+    fbb_.AddOffset(AuthorityRecord::VT_FAILURE_DOMAIN, failure_domain);
+  }
   explicit AuthorityRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -246,10 +262,12 @@
     int64_t epoch = 0,
     int64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>> shares = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>> shares = 0,
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0) {
   AuthorityRecordBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_epoch(epoch);
+  builder_.add_failure_domain(failure_domain);
   builder_.add_shares(shares);
   builder_.add_address(address);
   builder_.add_router(router);
@@ -267,17 +285,20 @@
     int64_t epoch = 0,
     int64_t sequence = 0,
     const char *address = nullptr,
-    const std::vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *shares = nullptr) {
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *shares = nullptr,
+    const char *failure_domain = nullptr) {
   auto router__ = router ? _fbb.CreateString(router) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>(*shares) : 0;
+  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   return hawthornhollow::fb::CreateAuthorityRecord(
       _fbb,
       router__,
       epoch,
       sequence,
       address__,
-      shares__);
+      shares__,
+      failure_domain__);
 }
 
 flatbuffers::Offset<AuthorityRecord> CreateAuthorityRecord(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -291,6 +312,7 @@
   int64_t late_after_ms = 0;
   int64_t late_per_second = 0;
   int64_t late_burst = 0;
+  int64_t burst = 0;
 };
 
 struct LevelShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -304,7 +326,8 @@
     VT_PER_SECOND = 10,
     VT_LATE_AFTER_MS = 12,
     VT_LATE_PER_SECOND = 14,
-    VT_LATE_BURST = 16
+    VT_LATE_BURST = 16,
+    VT_BURST = 18
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -327,6 +350,9 @@
   int64_t late_burst() const {
     return GetField<int64_t>(VT_LATE_BURST, 0);
   }
+  int64_t burst() const {
+    return GetField<int64_t>(VT_BURST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
@@ -337,6 +363,7 @@
            VerifyField<int64_t>(verifier, VT_LATE_AFTER_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_LATE_PER_SECOND, 8) &&
            VerifyField<int64_t>(verifier, VT_LATE_BURST, 8) &&
+           VerifyField<int64_t>(verifier, VT_BURST, 8) &&
            verifier.EndTable();
   }
   LevelShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -369,6 +396,9 @@
   void add_late_burst(int64_t late_burst) {
     fbb_.AddElement<int64_t>(LevelShare::VT_LATE_BURST, late_burst, 0);
   }
+  void add_burst(int64_t burst) {
+    fbb_.AddElement<int64_t>(LevelShare::VT_BURST, burst, 0);
+  }
   explicit LevelShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -388,8 +418,10 @@
     int64_t per_second = 0,
     int64_t late_after_ms = 0,
     int64_t late_per_second = 0,
-    int64_t late_burst = 0) {
+    int64_t late_burst = 0,
+    int64_t burst = 0) {
   LevelShareBuilder builder_(_fbb);
+  builder_.add_burst(burst);
   builder_.add_late_burst(late_burst);
   builder_.add_late_per_second(late_per_second);
   builder_.add_late_after_ms(late_after_ms);
@@ -413,7 +445,8 @@
     int64_t per_second = 0,
     int64_t late_after_ms = 0,
     int64_t late_per_second = 0,
-    int64_t late_burst = 0) {
+    int64_t late_burst = 0,
+    int64_t burst = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return hawthornhollow::fb::CreateLevelShare(
       _fbb,
@@ -423,7 +456,8 @@
       per_second,
       late_after_ms,
       late_per_second,
-      late_burst);
+      late_burst,
+      burst);
 }
 
 flatbuffers::Offset<LevelShare> CreateLevelShare(flatbuffers::FlatBufferBuilder &_fbb, const LevelShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -600,6 +634,10 @@
   typedef TokensWanted TableType;
   std::string workspace{};
   int64_t tokens = 0;
+  int64_t needed = 0;
+  int64_t waiting = 0;
+  std::string router{};
+  int64_t demand = 0;
 };
 
 struct TokensWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -608,7 +646,11 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WORKSPACE = 4,
-    VT_TOKENS = 6
+    VT_TOKENS = 6,
+    VT_NEEDED = 8,
+    VT_WAITING = 10,
+    VT_ROUTER = 12,
+    VT_DEMAND = 14
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -616,11 +658,28 @@
   int64_t tokens() const {
     return GetField<int64_t>(VT_TOKENS, 0);
   }
+  int64_t needed() const {
+    return GetField<int64_t>(VT_NEEDED, 0);
+  }
+  int64_t waiting() const {
+    return GetField<int64_t>(VT_WAITING, 0);
+  }
+  const flatbuffers::String *router() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTER);
+  }
+  int64_t demand() const {
+    return GetField<int64_t>(VT_DEMAND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
            verifier.VerifyString(workspace()) &&
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_NEEDED, 8) &&
+           VerifyField<int64_t>(verifier, VT_WAITING, 8) &&
+           VerifyOffset(verifier, VT_ROUTER) &&
+           verifier.VerifyString(router()) &&
+           VerifyField<int64_t>(verifier, VT_DEMAND, 8) &&
            verifier.EndTable();
   }
   TokensWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -638,6 +697,18 @@
   void add_tokens(int64_t tokens) {
     fbb_.AddElement<int64_t>(TokensWanted::VT_TOKENS, tokens, 0);
   }
+  void add_needed(int64_t needed) {
+    fbb_.AddElement<int64_t>(TokensWanted::VT_NEEDED, needed, 0);
+  }
+  void add_waiting(int64_t waiting) {
+    fbb_.AddElement<int64_t>(TokensWanted::VT_WAITING, waiting, 0);
+  }
+  void add_router(flatbuffers::Offset<flatbuffers::String> router) {
+    fbb_.AddOffset(TokensWanted::VT_ROUTER, router);
+  }
+  void add_demand(int64_t demand) {
+    fbb_.AddElement<int64_t>(TokensWanted::VT_DEMAND, demand, 0);
+  }
   explicit TokensWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -652,9 +723,17 @@
 inline flatbuffers::Offset<TokensWanted> CreateTokensWanted(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
-    int64_t tokens = 0) {
+    int64_t tokens = 0,
+    int64_t needed = 0,
+    int64_t waiting = 0,
+    flatbuffers::Offset<flatbuffers::String> router = 0,
+    int64_t demand = 0) {
   TokensWantedBuilder builder_(_fbb);
+  builder_.add_demand(demand);
+  builder_.add_waiting(waiting);
+  builder_.add_needed(needed);
   builder_.add_tokens(tokens);
+  builder_.add_router(router);
   builder_.add_workspace(workspace);
   return builder_.Finish();
 }
@@ -667,12 +746,21 @@
 inline flatbuffers::Offset<TokensWanted> CreateTokensWantedDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *workspace = nullptr,
-    int64_t tokens = 0) {
+    int64_t tokens = 0,
+    int64_t needed = 0,
+    int64_t waiting = 0,
+    const char *router = nullptr,
+    int64_t demand = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  auto router__ = router ? _fbb.CreateString(router) : 0;
   return hawthornhollow::fb::CreateTokensWanted(
       _fbb,
       workspace__,
-      tokens);
+      tokens,
+      needed,
+      waiting,
+      router__,
+      demand);
 }
 
 flatbuffers::Offset<TokensWanted> CreateTokensWanted(flatbuffers::FlatBufferBuilder &_fbb, const TokensWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -681,6 +769,7 @@
   typedef TokensGiven TableType;
   std::string workspace{};
   int64_t tokens = 0;
+  int64_t left = 0;
 };
 
 struct TokensGiven FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -689,7 +778,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WORKSPACE = 4,
-    VT_TOKENS = 6
+    VT_TOKENS = 6,
+    VT_LEFT = 8
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -697,11 +787,15 @@
   int64_t tokens() const {
     return GetField<int64_t>(VT_TOKENS, 0);
   }
+  int64_t left() const {
+    return GetField<int64_t>(VT_LEFT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
            verifier.VerifyString(workspace()) &&
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_LEFT, 8) &&
            verifier.EndTable();
   }
   TokensGivenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -719,6 +813,9 @@
   void add_tokens(int64_t tokens) {
     fbb_.AddElement<int64_t>(TokensGiven::VT_TOKENS, tokens, 0);
   }
+  void add_left(int64_t left) {
+    fbb_.AddElement<int64_t>(TokensGiven::VT_LEFT, left, 0);
+  }
   explicit TokensGivenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -733,8 +830,10 @@
 inline flatbuffers::Offset<TokensGiven> CreateTokensGiven(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
-    int64_t tokens = 0) {
+    int64_t tokens = 0,
+    int64_t left = 0) {
   TokensGivenBuilder builder_(_fbb);
+  builder_.add_left(left);
   builder_.add_tokens(tokens);
   builder_.add_workspace(workspace);
   return builder_.Finish();
@@ -748,16 +847,99 @@
 inline flatbuffers::Offset<TokensGiven> CreateTokensGivenDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *workspace = nullptr,
-    int64_t tokens = 0) {
+    int64_t tokens = 0,
+    int64_t left = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return hawthornhollow::fb::CreateTokensGiven(
       _fbb,
       workspace__,
-      tokens);
+      tokens,
+      left);
 }
 
 flatbuffers::Offset<TokensGiven> CreateTokensGiven(flatbuffers::FlatBufferBuilder &_fbb, const TokensGivenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct TokensReturnedT : public flatbuffers::NativeTable {
+  typedef TokensReturned TableType;
+  std::string workspace{};
+  int64_t tokens = 0;
+};
+
+struct TokensReturned FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TokensReturnedT NativeTableType;
+  typedef TokensReturnedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKSPACE = 4,
+    VT_TOKENS = 6
+  };
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  int64_t tokens() const {
+    return GetField<int64_t>(VT_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+  TokensReturnedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TokensReturnedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TokensReturned> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokensReturnedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TokensReturnedBuilder {
+  typedef TokensReturned Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(TokensReturned::VT_WORKSPACE, workspace);
+  }
+  void add_tokens(int64_t tokens) {
+    fbb_.AddElement<int64_t>(TokensReturned::VT_TOKENS, tokens, 0);
+  }
+  explicit TokensReturnedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TokensReturned> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TokensReturned>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TokensReturned> CreateTokensReturned(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    int64_t tokens = 0) {
+  TokensReturnedBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_workspace(workspace);
+  return builder_.Finish();
+}
+
+struct TokensReturned::Traits {
+  using type = TokensReturned;
+  static auto constexpr Create = CreateTokensReturned;
+};
+
+inline flatbuffers::Offset<TokensReturned> CreateTokensReturnedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *workspace = nullptr,
+    int64_t tokens = 0) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return hawthornhollow::fb::CreateTokensReturned(
+      _fbb,
+      workspace__,
+      tokens);
+}
+
+flatbuffers::Offset<TokensReturned> CreateTokensReturned(flatbuffers::FlatBufferBuilder &_fbb, const TokensReturnedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct TimeOfDayT : public flatbuffers::NativeTable {
   typedef TimeOfDay TableType;
   int64_t unix_us = 0;
@@ -868,7 +1050,8 @@
       (lhs.epoch == rhs.epoch) &&
       (lhs.sequence == rhs.sequence) &&
       (lhs.address == rhs.address) &&
-      (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &a, std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &a, std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.failure_domain == rhs.failure_domain);
 }
 
 inline bool operator!=(const AuthorityRecordT &lhs, const AuthorityRecordT &rhs) {
@@ -880,7 +1063,8 @@
       : router(o.router),
         epoch(o.epoch),
         sequence(o.sequence),
-        address(o.address) {
+        address(o.address),
+        failure_domain(o.failure_domain) {
   shares.reserve(o.shares.size());
   for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new hawthornhollow::fb::AuthorityShareT(*shares_) : nullptr); }
 }
@@ -891,6 +1075,7 @@
   std::swap(sequence, o.sequence);
   std::swap(address, o.address);
   std::swap(shares, o.shares);
+  std::swap(failure_domain, o.failure_domain);
   return *this;
 }
 
@@ -908,6 +1093,7 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<hawthornhollow::fb::AuthorityShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
 }
 
 inline flatbuffers::Offset<AuthorityRecord> AuthorityRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -923,13 +1109,15 @@
   auto _sequence = _o->sequence;
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateAuthorityShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
   return hawthornhollow::fb::CreateAuthorityRecord(
       _fbb,
       _router,
       _epoch,
       _sequence,
       _address,
-      _shares);
+      _shares,
+      _failure_domain);
 }
 
 
@@ -941,7 +1129,8 @@
       (lhs.per_second == rhs.per_second) &&
       (lhs.late_after_ms == rhs.late_after_ms) &&
       (lhs.late_per_second == rhs.late_per_second) &&
-      (lhs.late_burst == rhs.late_burst);
+      (lhs.late_burst == rhs.late_burst) &&
+      (lhs.burst == rhs.burst);
 }
 
 inline bool operator!=(const LevelShareT &lhs, const LevelShareT &rhs) {
@@ -965,6 +1154,7 @@
   { auto _e = late_after_ms(); _o->late_after_ms = _e; }
   { auto _e = late_per_second(); _o->late_per_second = _e; }
   { auto _e = late_burst(); _o->late_burst = _e; }
+  { auto _e = burst(); _o->burst = _e; }
 }
 
 inline flatbuffers::Offset<LevelShare> LevelShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LevelShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -982,6 +1172,7 @@
   auto _late_after_ms = _o->late_after_ms;
   auto _late_per_second = _o->late_per_second;
   auto _late_burst = _o->late_burst;
+  auto _burst = _o->burst;
   return hawthornhollow::fb::CreateLevelShare(
       _fbb,
       _workspace,
@@ -990,7 +1181,8 @@
       _per_second,
       _late_after_ms,
       _late_per_second,
-      _late_burst);
+      _late_burst,
+      _burst);
 }
 
 
@@ -1086,7 +1278,11 @@
 inline bool operator==(const TokensWantedT &lhs, const TokensWantedT &rhs) {
   return
       (lhs.workspace == rhs.workspace) &&
-      (lhs.tokens == rhs.tokens);
+      (lhs.tokens == rhs.tokens) &&
+      (lhs.needed == rhs.needed) &&
+      (lhs.waiting == rhs.waiting) &&
+      (lhs.router == rhs.router) &&
+      (lhs.demand == rhs.demand);
 }
 
 inline bool operator!=(const TokensWantedT &lhs, const TokensWantedT &rhs) {
@@ -1105,6 +1301,10 @@
   (void)_resolver;
   { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
   { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = needed(); _o->needed = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = router(); if (_e) _o->router = _e->str(); }
+  { auto _e = demand(); _o->demand = _e; }
 }
 
 inline flatbuffers::Offset<TokensWanted> TokensWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokensWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1117,17 +1317,26 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TokensWantedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _workspace = _o->workspace.empty() ? 0 : _fbb.CreateString(_o->workspace);
   auto _tokens = _o->tokens;
+  auto _needed = _o->needed;
+  auto _waiting = _o->waiting;
+  auto _router = _o->router.empty() ? 0 : _fbb.CreateString(_o->router);
+  auto _demand = _o->demand;
   return hawthornhollow::fb::CreateTokensWanted(
       _fbb,
       _workspace,
-      _tokens);
+      _tokens,
+      _needed,
+      _waiting,
+      _router,
+      _demand);
 }
 
 
 inline bool operator==(const TokensGivenT &lhs, const TokensGivenT &rhs) {
   return
       (lhs.workspace == rhs.workspace) &&
-      (lhs.tokens == rhs.tokens);
+      (lhs.tokens == rhs.tokens) &&
+      (lhs.left == rhs.left);
 }
 
 inline bool operator!=(const TokensGivenT &lhs, const TokensGivenT &rhs) {
@@ -1146,6 +1355,7 @@
   (void)_resolver;
   { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
   { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = left(); _o->left = _e; }
 }
 
 inline flatbuffers::Offset<TokensGiven> TokensGiven::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokensGivenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1158,7 +1368,50 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TokensGivenT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _workspace = _o->workspace.empty() ? 0 : _fbb.CreateString(_o->workspace);
   auto _tokens = _o->tokens;
+  auto _left = _o->left;
   return hawthornhollow::fb::CreateTokensGiven(
+      _fbb,
+      _workspace,
+      _tokens,
+      _left);
+}
+
+
+inline bool operator==(const TokensReturnedT &lhs, const TokensReturnedT &rhs) {
+  return
+      (lhs.workspace == rhs.workspace) &&
+      (lhs.tokens == rhs.tokens);
+}
+
+inline bool operator!=(const TokensReturnedT &lhs, const TokensReturnedT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline TokensReturnedT *TokensReturned::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TokensReturnedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TokensReturned::UnPackTo(TokensReturnedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
+  { auto _e = tokens(); _o->tokens = _e; }
+}
+
+inline flatbuffers::Offset<TokensReturned> TokensReturned::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokensReturnedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTokensReturned(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TokensReturned> CreateTokensReturned(flatbuffers::FlatBufferBuilder &_fbb, const TokensReturnedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TokensReturnedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _workspace = _o->workspace.empty() ? 0 : _fbb.CreateString(_o->workspace);
+  auto _tokens = _o->tokens;
+  return hawthornhollow::fb::CreateTokensReturned(
       _fbb,
       _workspace,
       _tokens);
--- a/hawthornhollow/totals/totals_records.cc
+++ b/hawthornhollow/totals/totals_records.cc
@@ -1,12 +1,14 @@
 // Computes the contents of a router's records.
 //
 // Assumed load: few busy workspaces and many idle ones, totals that are topped
-// up and run out, a store that is unreachable for seconds, and routers that are
-// killed or lose power. A quota covers the demand of one outage. Near the end
-// of a total, what is left is divided by demand, so that no router holds tokens
-// that others need. The schedule of a level record lets a router continue at
-// its rate of demand through an outage; while the record is young the schedule
-// allows little, because that is what a killed router is charged.
+// up and run out, a store that is unreachable for seconds, routers that are
+// killed or lose power, and hundreds of routers that each get a small part of a
+// workspace's requests. A total is divided among its few holders, so that
+// enough is in reach while the store is not, and the last tokens lie in few
+// places. A holder that runs short gets tokens from the other holders. The
+// schedule of a level record lets a holder continue at its rate of demand, its
+// own and that of the routers that ask it, through an outage; it is also what a
+// killed router is charged.
 
 #include <algorithm>
 #include <cstdlib>
@@ -20,42 +22,41 @@
 // A level record is worth writing when usage has changed by this fraction of
 // the headroom.
 constexpr double kLevelChangeThreshold = 0.15;
-// A record claims at most this fraction of what is unassigned, so that when two
-// routers ask at once neither is left with nothing.
-constexpr double kMaxShareOfUnassigned = 0.5;
 
 }  // namespace
 
 int64_t TotalsBook::TargetHeadroom(const std::string& workspace,
                                    const LocalUsage& usage,
                                    absl::Duration now) const {
-  const double demand_over_outage =
-      DemandRate(usage, now) * options_.demand_factor *
-      absl::ToDoubleSeconds(options_.outage_horizon);
-  const auto total = static_cast<double>(TotalOf(workspace));
-  const double left = std::max(
-      0.0, total - static_cast<double>(other_routers_sums(workspace).committed +
-                                       usage.committed + usage.held));
-  const double demand_share =
-      left * DemandShare(workspace, usage, now) * (1 - options_.reserve_share);
-  const double idle_part =
-      left < total * options_.idle_share_threshold
-          ? 0
-          : left * options_.idle_share / static_cast<double>(router_count());
-  return usage.waiting +
-         static_cast<int64_t>(
-             std::max(std::min(demand_over_outage, demand_share), idle_part));
+  if (!IsHolder(workspace))
+    return 0;
+  const int64_t left = std::max<int64_t>(
+      0, TotalOf(workspace) - other_routers_sums(workspace).committed -
+             usage.committed - usage.held);
+  const double part = static_cast<double>(left) * (1 - options_.reserve_share) *
+                      HolderShare(workspace, usage, now);
+  const double for_outage = DemandRate(usage, now) * options_.demand_factor *
+                            absl::ToDoubleSeconds(options_.quota_horizon);
+  return usage.waiting + usage.lending +
+         static_cast<int64_t>(std::min(
+             part, std::max(for_outage, part * options_.idle_quota_share)));
 }
 
-// This router's fraction of all routers' demand. Near the end of a total,
-// dividing by demand keeps routers from holding tokens that others need.
-double TotalsBook::DemandShare(const std::string& workspace,
+// This holder's part of a total. Callers often reach the same router for a long
+// time, so the demand of a workspace may come to one holder alone; but the
+// other holders keep a part for the time when that one is gone.
+double TotalsBook::HolderShare(const std::string& workspace,
                                const LocalUsage& usage,
                                absl::Duration now) const {
-  const double own = DemandRate(usage, now);
-  const double all =
-      own + static_cast<double>(other_routers_sums(workspace).demand);
-  return all < 1 ? 1 / static_cast<double>(router_count()) : own / all;
+  constexpr double kWeightOfDemand = 0.5;
+  const double equal_share =
+      1 / static_cast<double>(HoldersOf(workspace).size());
+  const double all = OwnDemand(usage, now) +
+                     static_cast<double>(other_routers_sums(workspace).demand);
+  if (all < 1)
+    return equal_share;
+  const double demand_share = std::min(1.0, DemandRate(usage, now) / all);
+  return (1 - kWeightOfDemand) * equal_share + kWeightOfDemand * demand_share;
 }
 
 int64_t TotalsBook::TargetAuthority(const std::string& workspace,
@@ -71,10 +72,7 @@
   const int64_t unassigned = std::max<int64_t>(
       0,
       TotalOf(workspace) - other_routers_sums(workspace).authority - durable);
-  const int64_t max_claim = std::max<int64_t>(
-      usage.waiting, static_cast<int64_t>(kMaxShareOfUnassigned *
-                                          static_cast<double>(unassigned)));
-  return durable + std::min({wanted - durable, max_claim, unassigned});
+  return durable + std::min(wanted - durable, unassigned);
 }
 
 fb::AuthorityRecordT TotalsBook::MakeAuthority(absl::Duration now) {
@@ -83,11 +81,12 @@
   record.epoch = epoch_;
   record.sequence = ++authority_sequence_;
   record.address = options_.address;
+  record.failure_domain = options_.failure_domain;
   for (const auto& [workspace, usage] : usages_) {
     auto share = std::make_unique<fb::AuthorityShareT>();
     share->workspace = workspace;
     share->tokens = TargetAuthority(workspace, usage, now);
-    share->demand = static_cast<int64_t>(DemandRate(usage, now));
+    share->demand = static_cast<int64_t>(OwnDemand(usage, now));
     if (share->tokens != 0 || share->demand != 0)
       record.shares.push_back(std::move(share));
   }
@@ -113,7 +112,9 @@
     const auto& [workspace, usage] = item;
     const int64_t spare =
         DurableAuthority(workspace) - usage.committed - usage.held;
-    if (usage.waiting > spare)
+    const int64_t unassigned = state(workspace, now).unassigned;
+    if (usage.waiting + usage.lending > spare && unassigned > 0 &&
+        IsHolder(workspace))
       return true;
     const int64_t wanted = TargetHeadroom(workspace, usage, now);
     // Missing tokens in an outage cost more than idle ones, so a shortfall
@@ -122,11 +123,26 @@
     constexpr int64_t kShortfallDivisor = 32;
     if (spare - wanted > wanted / kExcessDivisor)
       return true;
-    return wanted - spare > wanted / kShortfallDivisor &&
-           state(workspace, now).unassigned > 0;
+    const int64_t shortfall = wanted - spare;
+    return std::min(shortfall, unassigned) > wanted / kShortfallDivisor;
   });
 }
 
+int64_t TotalsBook::LevelBurst(const LocalUsage& usage,
+                               absl::Duration now) const {
+  return static_cast<int64_t>(DemandRate(usage, now) * options_.demand_factor *
+                              absl::ToDoubleSeconds(options_.burst_horizon));
+}
+
+int64_t TotalsBook::ScheduleRate(int64_t headroom,
+                                 double demand,
+                                 absl::Duration max_horizon) const {
+  const auto left = static_cast<double>(std::max<int64_t>(0, headroom));
+  return static_cast<int64_t>(
+      std::clamp(demand, left / absl::ToDoubleSeconds(max_horizon),
+                 left / absl::ToDoubleSeconds(options_.min_outage_horizon)));
+}
+
 fb::LevelShareT TotalsBook::MakeLevelShare(const std::string& workspace,
                                            const LocalUsage& usage,
                                            absl::Duration now) const {
@@ -140,17 +156,12 @@
     return share;
   const int64_t headroom =
       EffectiveAuthority(workspace) - usage.committed - usage.held;
-  const double by_outage_horizon =
-      static_cast<double>(headroom) /
-      absl::ToDoubleSeconds(options_.outage_horizon);
-  const double rate = std::max(by_outage_horizon,
-                               DemandRate(usage, now) * options_.demand_factor);
-  const double max_crash_charge =
-      static_cast<double>(TotalOf(workspace)) * options_.crash_charge_share;
-  share.per_second = static_cast<int64_t>(std::min(
-      rate, max_crash_charge / absl::ToDoubleSeconds(options_.late_after)));
+  const double demand = DemandRate(usage, now) * options_.demand_factor;
+  share.per_second = ScheduleRate(headroom, demand, options_.idle_horizon);
+  share.burst = usage.lending + LevelBurst(usage, now);
   share.late_after_ms = absl::ToInt64Milliseconds(options_.late_after);
-  share.late_per_second = static_cast<int64_t>(rate);
+  share.late_per_second =
+      ScheduleRate(headroom, demand, options_.max_outage_horizon);
   share.late_burst =
       share.held +
       static_cast<int64_t>(usage.average_request *
@@ -201,8 +212,13 @@
       return false;
     const fb::LevelShareT* share = FindShare(durable_level_, workspace);
     const bool waits_for_it = usage.waiting > 0 && !HasFreshLevel(now);
-    if (share == nullptr || waits_for_it ||
-        usage.committed + usage.committing > CommitLimit(workspace, now))
+    const int64_t room = CommitLimit(workspace, now) - usage.committed -
+                         usage.committing - usage.lending;
+    if (share == nullptr || waits_for_it || room < 0)
+      return true;
+    // The next record is written before the room of this one is used up.
+    const int64_t quota_left = authority - usage.committed - usage.held;
+    if (room < std::min(LevelBurst(usage, now) / 2, quota_left))
       return true;
     const int64_t moved =
         std::abs(usage.committed + usage.held - share->committed - share->held);
