Entry VM with a narrow link: hand callers on before it is full

Nothing that is refused after it was read helps.

Change: the bytes relayed in both directions are compared with what the link of the VM carries (limits.link_mbps of the settings). From 70% on the router is not ready and each answer closes its connection; below 40% it is ready again.

--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -65,7 +65,8 @@
 };
 
 // Answers one request: either Send() once, or StartStream(), Write()s and
-// Finish(). Every call returns UNAVAILABLE once the client has gone.
+// Finish(). Every call returns UNAVAILABLE once the client has gone. The
+// connection closes after a response with the header "Connection: close".
 class ResponseWriter {
  public:
   virtual ~ResponseWriter() = default;
--- a/hawthornhollow/http/response_writer.cc
+++ b/hawthornhollow/http/response_writer.cc
@@ -53,7 +53,9 @@
   message->version(traits_.version);
   AppendHeaders(headers, message);
   const bool draining = traits_.draining != nullptr && *traits_.draining;
-  keeps_alive_ = traits_.keep_alive && !draining;
+  const bool closes =
+      boost::beast::iequals(FindHeader(headers, "Connection"), "close");
+  keeps_alive_ = traits_.keep_alive && !draining && !closes;
   message->keep_alive(keeps_alive_);
 }
 
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -283,6 +283,9 @@
 struct StreamEvent {
   std::optional<int64_t> id;
   std::string bytes;
+  // Consists of comment lines only, which keep a connection open and say
+  // nothing of the answer.
+  bool is_comment = false;
   friend auto operator<=>(const StreamEvent&, const StreamEvent&) = default;
 };
 
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -14,6 +14,7 @@
 #include "hawthornhollow/relay/catalog_controller.h"
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/instrumented_store.h"
+#include "hawthornhollow/relay/link_load.h"
 #include "hawthornhollow/relay/peer_service.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
@@ -52,6 +53,7 @@
   absl::Duration write_timeout = absl::Seconds(5);
   RunOptions run;
   CongestionDetectorOptions link;
+  LinkLoadOptions link_load;
   CatalogOptions catalog;
   PlacementOptions placement;
 };
@@ -65,6 +67,7 @@
         client_({.connect_timeout = settings.link.timeout,
                  .max_idle_per_endpoint = 64}),
         link_(settings.link),
+        link_load_(settings.link_load),
         store_(store, metrics_),
         placement_(settings.placement),
         totals_(
@@ -104,6 +107,8 @@
     shared_ = {.client = &client_,
                .placement = &placement_,
                .link = &link_,
+               .link_load = &link_load_,
+               .buffered_bytes = &buffered_bytes_,
                .metrics = &metrics_,
                .retries = &retries_,
                .retry_ratio = settings.retry_ratio / 2};
@@ -229,15 +234,23 @@
 
   void AnswerReadiness(ResponseWriter& writer) {
     UpdateLinkState();
-    const bool ready = catalog_.ready() && !draining_;
+    const bool ready = catalog_.ready() && !draining_ && !link_busy_;
     writer.Send({.status = ready ? 200 : 503}).IgnoreError();
   }
 
-  // Called for each readiness probe. A congested link does not make the router
-  // unready: probes over it time out anyway, and if many routers are slow at
-  // once, removing some makes the remaining ones slower.
+  // Called for each readiness probe. A busy link makes the router unready, so
+  // that callers go to others before it is congested. A congested one does not:
+  // probes over it time out anyway, and if many routers are slow at once,
+  // removing some makes the remaining ones slower.
   void UpdateLinkState() {
     const absl::Time now = SteadyNow();
+    const bool is_busy = link_load_.IsBusy(now);
+    if (std::exchange(link_busy_, is_busy) != is_busy) {
+      constexpr double kPercent = 100;
+      LogEvent(is_busy ? "link.busy" : "link.free")
+          .Add("used_percent",
+               static_cast<int64_t>(kPercent * link_load_.Share(now)));
+    }
     const bool is_congested = link_.IsCongested(now);
     if (std::exchange(link_congested_, is_congested) == is_congested)
       return;
@@ -250,6 +263,8 @@
 
   void ServeCaller(const HttpRequest& request, ResponseWriter& writer) {
     const absl::Time arrived = SteadyNow();
+    constexpr size_t kTypicalHeadBytes = 500;
+    link_load_.OnRelayed(request.body.size() + kTypicalHeadBytes, arrived);
     ++in_progress_;
     const absl::Cleanup ended = [this] { --in_progress_; };
     auto call = D::DecodeCall(request);
@@ -386,7 +401,10 @@
   void Refuse(const RelayCall& call, RelayError error, ResponseWriter& writer) {
     const absl::Duration retry_after =
         JitteredRetryAfter(settings_.run.retry_after, random_);
-    writer.Send(D::EncodeRefusal(call, error, retry_after)).IgnoreError();
+    HttpResponse response = D::EncodeRefusal(call, error, retry_after);
+    if (link_load_.IsBusy(SteadyNow()))
+      response.headers.push_back(kCloseConnection);
+    writer.Send(response).IgnoreError();
   }
 
   // Refuses a request for which no attempt was made.
@@ -433,6 +451,7 @@
   Runtime& runtime_;
   HttpClient client_;
   CongestionDetector link_;
+  LinkLoad link_load_;
   RelayMetrics metrics_;
   InstrumentedStore<Store> store_;
   PromptPlacement placement_;
@@ -443,6 +462,8 @@
   absl::BitGen random_;
   std::atomic<bool> stop_{false};
   bool draining_ = false;
+  size_t buffered_bytes_ = 0;
+  bool link_busy_ = false;
   bool link_congested_ = false;
   int64_t in_progress_ = 0;
   std::unique_ptr<HttpServer> peer_server_;
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/random/random.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/relay.h"
@@ -216,8 +217,8 @@
       return AbortStream();
     const absl::Duration retry_after =
         JitteredRetryAfter(options_.retry_after, random_);
-    const HttpResponse response =
-        D::EncodeRefusal(request_.call, error, retry_after);
+    HttpResponse response = D::EncodeRefusal(request_.call, error, retry_after);
+    response.headers = AnswerHeaders(std::move(response.headers));
     return EndSent(writer_.Send(response), TraitsOf(error).code,
                    response.status);
   }
@@ -344,7 +345,8 @@
     }
     if (success && is_stream())
       return RelayStream(choice, reply);
-    HttpResponse answer{.status = reply.status, .headers = reply.headers};
+    HttpResponse answer{.status = reply.status,
+                        .headers = AnswerHeaders(reply.headers)};
     const absl::Status status = ReadWhole(&answer.body);
     if (!status.ok())
       return FailedRead(status);
@@ -360,6 +362,9 @@
   }
 
   absl::Status ReadWhole(std::string* body) {
+    const absl::Cleanup release = [this, body] {
+      *shared_.buffered_bytes -= body->size();
+    };
     while (true) {
       auto piece = caller_->exchange->ReadSome(TimeLeft());
       if (!piece.ok())
@@ -367,7 +372,9 @@
       if (piece->empty())
         return absl::OkStatus();
       body->append(*piece);
-      if (body->size() > options_.max_answer_bytes)
+      *shared_.buffered_bytes += piece->size();
+      if (body->size() > options_.max_answer_bytes ||
+          *shared_.buffered_bytes > options_.max_buffered_bytes)
         return ErrorAt(absl::StatusCode::kResourceExhausted, "relay.receive",
                        summary_.server, "the answer is over the limit");
     }
@@ -392,30 +399,51 @@
                             const ReplyHead& reply) {
     summary_.may_have_run = true;
     EventSplitter splitter;
+    // A server that sends a byte or a comment now and then makes no progress.
+    absl::Time next_event_due = SteadyNow() + EventTimeout();
     while (true) {
-      auto piece = caller_->exchange->ReadSome(EventTimeout());
+      auto piece = caller_->exchange->ReadSome(
+          std::min(next_event_due - SteadyNow(), TimeLeft()));
       if (!piece.ok())
         return FailedRead(piece.status());
       if (piece->empty())
         return FinishStream(reply, splitter.rest());
-      OnFirstPiece(choice);
+      shared_.link_load->OnRelayed(piece->size(), SteadyNow());
       for (const StreamEvent& event : splitter.Feed(*piece)) {
+        if (!event.is_comment)
+          OnFirstPiece(choice);
         if (!Deliver(reply, event.bytes))
           return AttemptResult::kAnswered;
+        if (event.is_comment)
+          continue;
+        next_event_due = SteadyNow() + EventTimeout();
         ++summary_.events;
         if (event.id.has_value())
           last_event_ = event.id;
       }
+      if (splitter.rest().size() > options_.max_event_bytes) {
+        detail_ = "an event is over the limit";
+        return AttemptResult::kIncompleteAnswer;
+      }
     }
   }
 
+  // While the link is busy, each answer is the last on its connection, so that
+  // the caller's next request may go to another router.
+  HttpHeaders AnswerHeaders(HttpHeaders headers) const {
+    if (shared_.link_load->IsBusy(SteadyNow()))
+      headers.push_back(kCloseConnection);
+    return headers;
+  }
+
   // Returns false if the request has ended.
   bool Deliver(const ReplyHead& reply, std::string_view bytes) {
     if (!streaming_) {
       if (!MayDeliverAnswer())
         return false;
       streaming_ = true;
-      if (!writer_.StartStream(reply.status, reply.headers).ok()) {
+      if (!writer_.StartStream(reply.status, AnswerHeaders(reply.headers))
+               .ok()) {
         End("caller_gone", 0);
         return false;
       }
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -9,8 +9,10 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "hawthornhollow/relay/congestion_detector.h"
+#include "hawthornhollow/relay/link_load.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
 #include "hawthornhollow/scheduling/scheduling.h"
@@ -30,17 +32,28 @@
   // Number of answers on a connection that belong to other requests and are
   // discarded before the attempt is abandoned.
   int max_stray_answers = 3;
-  size_t max_answer_bytes = 16 * 1024 * 1024;
+  size_t max_answer_bytes = 4 * 1024 * 1024;
+  // Limits what a server can make a router keep by sending bytes that are no
+  // answer: one event of a stream, and what all requests together keep of
+  // answers that are not complete. The smallest VMs have 88 MB.
+  size_t max_event_bytes = 256 * 1024;
+  size_t max_buffered_bytes = 16 * 1024 * 1024;
   // No attempt is made if less than this time is left.
   absl::Duration min_attempt_time = absl::Milliseconds(20);
   absl::Duration retry_after = absl::Milliseconds(400);
 };
 
+// Makes an answer the last one on its connection.
+inline const std::pair<std::string, std::string> kCloseConnection = {
+    "Connection", "close"};
+
 // State shared by all requests of a router.
 struct SharedRunState {
   HttpClient* client = nullptr;
   PromptPlacement* placement = nullptr;
   CongestionDetector* link = nullptr;
+  LinkLoad* link_load = nullptr;
+  size_t* buffered_bytes = nullptr;  // of answers that are not complete
   RelayMetrics* metrics = nullptr;
   std::map<std::string, RetryBudget>* retries = nullptr;  // keyed by service
   double retry_ratio = 0.1;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -36,12 +36,12 @@
 // receiver's records do not include transfers, so a receiver that dies loses
 // the transferred tokens that it has not used.
 //
-// Tokens that are handed over leave the sender's transfers first and are sent at
-// most once, so they exist in one place at most. A holder may take them off its
-// own commitments, up to what it has transferred: whoever committed them, the
-// sum of all commitments then counts them once less, and the tokens themselves
-// are unspent. A successor of the holder is charged by a record from before, that
-// is, for more.
+// Tokens that are handed over leave the sender's transfers first and are sent
+// at most once, so they exist in one place at most. A holder may take them off
+// its own commitments, up to what it has transferred: whoever committed them,
+// the sum of all commitments then counts them once less, and the tokens
+// themselves are unspent. A successor of the holder is charged by a record from
+// before, that is, for more.
 //
 // Which routers are holders is not part of the argument. Routers that disagree
 // about it, because one has read an older record, still keep to their quotas.
