Relay: bytes that are no answer end, and take little memory

Found by tests of the real program before a server that sends without end (testing/server_trouble_test.cc).

A second copy of an answer and a slow but sound stream were right before.

--- a/hawthornhollow/http/exchange.cc
+++ b/hawthornhollow/http/exchange.cc
@@ -23,6 +23,8 @@
 
 constexpr int kFirstFinalStatus = 200;
 constexpr int kSwitchingProtocols = 101;
+// A server in trouble may send them without end.
+constexpr int kMaxInterimResponses = 16;
 // Bodies up to this size fit into a socket's buffer: no server can stall them.
 constexpr size_t kShortBodyBytes = 2 * 1024;
 
@@ -126,14 +128,21 @@
 }
 
 absl::StatusOr<HttpHead> HttpExchange::Impl::ReadHead(absl::Duration timeout) {
+  const absl::Time deadline = SteadyNow() + timeout;
   error_code error;
+  int interim_responses = 0;
   do {
     if (cancelled_)
       return ReadError(error);
+    if (interim_responses++ > kMaxInterimResponses) {
+      broken_ = true;  // or the connection would be kept for another request
+      return ErrorAt(absl::StatusCode::kDataLoss, "http.receive",
+                     endpoint_.ToString(), "interim responses without end");
+    }
     parser_.emplace();
     parser_->body_limit(std::numeric_limits<uint64_t>::max());
     parser_->skip(request_.method == "HEAD");
-    SetTimeout(&connection_->stream, timeout);
+    SetTimeout(&connection_->stream, deadline - SteadyNow());
     Await(&error, [&](auto done) {
       http::async_read_header(connection_->stream, connection_->buffer,
                               *parser_, std::move(done));
@@ -150,6 +159,8 @@
     absl::Duration timeout) {
   if (piece_ == nullptr)
     piece_ = std::make_unique<std::array<char, kPieceBytes>>();
+  // For a piece of the body, whatever arrives besides.
+  const absl::Time deadline = SteadyNow() + timeout;
   error_code error;
   while (!parser_->is_done()) {
     if (cancelled_)
@@ -158,7 +169,7 @@
     body.data = piece_->data();
     body.size = piece_->size();
     body.more = true;
-    SetTimeout(&connection_->stream, timeout);
+    SetTimeout(&connection_->stream, deadline - SteadyNow());
     Await(&error, [&](auto done) {
       http::async_read_some(connection_->stream, connection_->buffer, *parser_,
                             std::move(done));
--- a/hawthornhollow/relay/event_splitter.cc
+++ b/hawthornhollow/relay/event_splitter.cc
@@ -26,6 +26,18 @@
   return std::nullopt;
 }
 
+bool IsComment(std::string_view event) {
+  for (size_t begin = 0; begin < event.size();) {
+    if (event[begin] != ':' && event[begin] != '\n')
+      return false;
+    const size_t end = event.find('\n', begin);
+    if (end == std::string_view::npos)
+      break;
+    begin = end + 1;
+  }
+  return true;
+}
+
 }  // namespace
 
 std::vector<StreamEvent> EventSplitter::Feed(std::string_view piece) {
@@ -39,7 +51,9 @@
     const size_t next = end + kEventEnd.size();
     std::string bytes = rest_.substr(begin, next - begin);
     const auto id = EventId(bytes);
-    events.push_back({.id = id, .bytes = std::move(bytes)});
+    const bool is_comment = IsComment(bytes);
+    events.push_back(
+        {.id = id, .bytes = std::move(bytes), .is_comment = is_comment});
     begin = next;
     searched_ = next;
   }
--- a/hawthornhollow/relay/event_splitter_test.cc
+++ b/hawthornhollow/relay/event_splitter_test.cc
@@ -22,6 +22,22 @@
   EXPECT_EQ(splitter_.rest(), "");
 }
 
+TEST_F(EventSplitterTest, EventsOfCommentLinesOnly_AreMarked) {
+  const struct {
+    const char* bytes;
+    bool is_comment;
+  } cases[] = {{": waiting\n\n", true},
+               {":\n: again\n\n", true},
+               {"\n\n", true},
+               {": waiting\ndata: a\n\n", false},
+               {"data: :\n\n", false}};
+  for (const auto& [bytes, is_comment] : cases) {
+    const auto events = EventSplitter().Feed(bytes);
+    ASSERT_EQ(events.size(), 1);
+    EXPECT_EQ(events[0].is_comment, is_comment) << bytes;
+  }
+}
+
 TEST_F(EventSplitterTest, IncompleteEvent_StaysInTheRest) {
   EXPECT_THAT(splitter_.Feed("id: 1\ndata: a\n\nid: 2\nda"),
               ElementsAre(StreamEvent{1, "id: 1\ndata: a\n\n"}));
--- /dev/null
+++ b/testing/raw_server_standin.cc
@@ -0,0 +1,128 @@
+#include "testing/raw_server_standin.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_replace.h"
+#include "hawthornhollow/base/base.h"
+
+namespace hawthornhollow::standins {
+namespace {
+
+constexpr int kBacklog = 64;
+constexpr int kPollMilliseconds = 20;
+constexpr char kIdHeader[] = "attempt-id: ";
+
+bool IsReady(int socket, short events) {
+  pollfd entry{.fd = socket, .events = events};
+  return poll(&entry, 1, kPollMilliseconds) > 0;
+}
+
+// The value of the request's Attempt-Id.
+std::string IdOf(const std::string& head) {
+  const std::string lower = absl::AsciiStrToLower(head);
+  const size_t begin = lower.find(kIdHeader);
+  if (begin == std::string::npos)
+    return "";
+  const size_t value = begin + sizeof(kIdHeader) - 1;
+  return head.substr(value, head.find('\r', value) - value);
+}
+
+}  // namespace
+
+absl::StatusOr<std::unique_ptr<RawServerStandin>> RawServerStandin::Start(
+    Script script) {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  if (listener < 0 || bind(listener, generic, size) != 0 ||
+      listen(listener, kBacklog) != 0 ||
+      getsockname(listener, generic, &size) != 0)
+    return absl::UnavailableError("cannot listen");
+  return std::unique_ptr<RawServerStandin>(new RawServerStandin(
+      std::move(script), listener, {"127.0.0.1", ntohs(address.sin_port)}));
+}
+
+RawServerStandin::RawServerStandin(Script script, int listener, Endpoint local)
+    : script_(std::move(script)),
+      listener_(listener),
+      local_(std::move(local)),
+      acceptor_([this] { Accept(); }) {}
+
+RawServerStandin::~RawServerStandin() {
+  stop_ = true;
+  acceptor_.join();
+  for (std::thread& connection : connections_)
+    connection.join();
+  close(listener_);
+}
+
+void RawServerStandin::Accept() {
+  while (!stop_) {
+    if (!IsReady(listener_, POLLIN))
+      continue;
+    const int socket = accept(listener_, nullptr, nullptr);
+    if (socket >= 0)
+      connections_.emplace_back([this, socket] { Serve(socket); });
+  }
+}
+
+void RawServerStandin::Serve(int socket) {
+  std::string head;
+  if (ReadHead(socket, &head)) {
+    ++requests_;
+    const auto fill = [id = IdOf(head)](const std::string& text) {
+      return absl::StrReplaceAll(text, {{"$ID", id}});
+    };
+    const std::string repeated = fill(script_.repeated);
+    bool open = SendAll(socket, fill(script_.beginning));
+    while (open && !stop_) {
+      absl::SleepFor(script_.pause);
+      open = SendAll(socket, repeated);
+      std::array<char, 1> byte{};
+      if (repeated.empty() && IsReady(socket, POLLIN))
+        open = recv(socket, byte.data(), byte.size(), 0) > 0;
+    }
+    if (!open)
+      ++closed_;
+  }
+  close(socket);
+}
+
+bool RawServerStandin::ReadHead(int socket, std::string* head) {
+  std::array<char, 4096> piece{};
+  while (!absl::StrContains(*head, "\r\n\r\n")) {
+    const ssize_t count = recv(socket, piece.data(), piece.size(), 0);
+    if (count <= 0)
+      return false;
+    head->append(piece.data(), static_cast<size_t>(count));
+  }
+  return true;
+}
+
+bool RawServerStandin::SendAll(int socket, const std::string& bytes) const {
+  size_t sent = 0;
+  while (sent < bytes.size() && !stop_) {
+    if (!IsReady(socket, POLLOUT))
+      continue;
+    const ssize_t count = send(socket, bytes.data() + sent, bytes.size() - sent,
+                               MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count < 0)
+      return false;
+    sent += static_cast<size_t>(count);
+  }
+  return true;
+}
+
+}  // namespace hawthornhollow::standins
--- /dev/null
+++ b/testing/server_trouble_test.cc
@@ -0,0 +1,222 @@
+// Backend servers in trouble before the real program of the entry VMs: what
+// they send is no answer, has no end, or makes no progress.
+
+#include <chrono>
+#include <fstream>
+#include <future>
+
+#include "absl/strings/str_cat.h"
+#include "testing/entry_fixture.h"
+#include "testing/raw_server_standin.h"
+
+namespace hawthornhollow {
+namespace {
+
+using standins::RawServerStandin;
+using standins::ReplicaStandin;
+
+// The smallest entry VM has this much memory.
+constexpr int64_t kSmallestVmKilobytes = 88 * 1024;
+constexpr char kStreamHead[] =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "Attempt-Id: $ID\r\nReplica-Seal: i-raw\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+constexpr char kPlainHead[] =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: $ID\r\nReplica-Seal: i-raw\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+// A chunk of a body.
+std::string Chunk(const std::string& data) {
+  return absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n");
+}
+
+std::string JunkChunk() {
+  constexpr size_t kBytes = 16 * 1024;
+  return Chunk(std::string(kBytes, 'x'));
+}
+
+class ServerTroubleTest : public EntryFixture {
+ protected:
+  // Lists a server in trouble, and a sound one if `with_sound_server`.
+  void StartBefore(RawServerStandin::Script script, bool with_sound_server) {
+    auto raw = RawServerStandin::Start(std::move(script));
+    ASSERT_TRUE(raw.ok()) << raw.status();
+    raw_ = *std::move(raw);
+    PutConfiguration(/*prepaid=*/1'000'000'000);
+    standins::PutServer(store_, "i-raw", raw_->local(), /*sequence=*/1);
+    if (with_sound_server) {
+      standins::PutServer(store_, "i-0", replica_servers_[0]->local(),
+                          /*sequence=*/1);
+    }
+    StartEntry();
+    AwaitReady();
+  }
+
+  void TearDown() override {
+    EntryFixture::TearDown();
+    raw_.reset();
+  }
+
+  // Sends requests until the server in trouble got one, and returns their
+  // answers; at most `count`.
+  std::vector<HttpResponse> SendUntilTrouble(const std::string& path,
+                                             int count) {
+    std::vector<HttpResponse> answers;
+    for (int i = 0; i < count && raw_->requests() == 0; ++i) {
+      auto answer = Send(path);
+      EXPECT_TRUE(answer.ok()) << answer.status();
+      if (answer.ok())
+        answers.push_back(*std::move(answer));
+    }
+    EXPECT_GT(raw_->requests(), 0);
+    return answers;
+  }
+
+  void ExpectConnectionsClosed() {
+    const absl::Time end = absl::Now() + absl::Seconds(2);
+    while (raw_->closed() < raw_->requests() && absl::Now() < end)
+      absl::SleepFor(absl::Milliseconds(10));
+    EXPECT_EQ(raw_->closed(), raw_->requests());
+  }
+
+  int64_t PeakKilobytes() const {
+    std::ifstream status(absl::StrCat("/proc/", entry_->Pid(), "/status"));
+    std::string word;
+    int64_t kilobytes = -1;
+    while (status >> word) {
+      if (word == "VmHWM:")
+        status >> kilobytes;
+    }
+    return kilobytes;
+  }
+
+  std::unique_ptr<RawServerStandin> raw_;
+};
+
+struct TroubleCase {
+  const char* name;
+  RawServerStandin::Script script;
+};
+
+class StreamTroubleTest : public ServerTroubleTest,
+                          public testing::WithParamInterface<TroubleCase> {};
+
+// A stream that may be resumed is answered whole by another server, and the
+// connection to the one in trouble is closed.
+TEST_P(StreamTroubleTest, ResumableStream_IsAnsweredWholeByAnotherServer) {
+  StartBefore(GetParam().script, /*with_sound_server=*/true);
+  for (const HttpResponse& answer : SendUntilTrouble("/stream/a", 20)) {
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_THAT(answer.body, testing::EndsWith(ReplicaStandin::WholeStream()));
+  }
+  ExpectConnectionsClosed();
+  EXPECT_LT(PeakKilobytes(), kSmallestVmKilobytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Troubles,
+    StreamTroubleTest,
+    testing::Values(
+        TroubleCase{"HeadWithoutEnd",
+                    {.beginning = "HTTP/1.1 200 OK\r\n",
+                     .repeated = "X-Junk: xxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n"}},
+        TroubleCase{"HeadByteByByte",
+                    {.beginning = "HTTP/1.1 200 OK\r\nX-Junk: ",
+                     .repeated = "x",
+                     .pause = absl::Milliseconds(100)}},
+        TroubleCase{"InterimHeadsWithoutEnd",
+                    {.repeated = "HTTP/1.1 100 Continue\r\n\r\n"}},
+        TroubleCase{"InterimHeadsNowAndThen",
+                    {.repeated = "HTTP/1.1 100 Continue\r\n\r\n",
+                     .pause = absl::Milliseconds(150)}},
+        TroubleCase{"NoHttpWithoutEnd", {.repeated = "junk junk junk\r\n"}},
+        TroubleCase{"EventWithoutEnd",
+                    {.beginning = kStreamHead, .repeated = JunkChunk()}},
+        TroubleCase{"EventByteByByte",
+                    {.beginning = kStreamHead,
+                     .repeated = Chunk("x"),
+                     .pause = absl::Milliseconds(100)}},
+        TroubleCase{"CommentsNowAndThen",
+                    {.beginning = kStreamHead,
+                     .repeated = Chunk(": waiting\n\n"),
+                     .pause = absl::Milliseconds(100)}},
+        TroubleCase{"ChunkSizeWithoutEnd",
+                    {.beginning = std::string(kStreamHead) + "1;",
+                     .repeated = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"}}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// An order runs once at most, so its caller learns that the outcome is unknown,
+// and not that it did not run.
+TEST_F(ServerTroubleTest, OrderWithABodyWithoutEnd_EndsWithOutcomeUnknown) {
+  StartBefore({.beginning = kPlainHead, .repeated = JunkChunk()},
+              /*with_sound_server=*/false);
+  const auto answer = Send("/order/a");
+  ASSERT_TRUE(answer.ok()) << answer.status();
+  EXPECT_THAT(answer->status, testing::AnyOf(502, 504));
+  ExpectConnectionsClosed();
+}
+
+// Many at once must not take more memory than the smallest VM has.
+TEST_F(ServerTroubleTest, ManyBodiesWithoutEnd_TakeLittleMemory) {
+  StartBefore({.beginning = kPlainHead, .repeated = JunkChunk()},
+              /*with_sound_server=*/false);
+  constexpr int kCallers = 40;
+  std::vector<std::future<absl::StatusOr<HttpResponse>>> answers;
+  for (int i = 0; i < kCallers; ++i) {
+    answers.push_back(std::async(std::launch::async, [this, id = NextId()] {
+      return PlainHttp(callers_,
+                       standins::MakeCallerRequest(
+                           {.id = id, .path = "/lookup/a", .key = "k1"}),
+                       kWait);
+    }));
+  }
+  for (auto& pending : answers) {
+    const auto answer = pending.get();
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_NE(answer->status, 200);
+  }
+  ExpectConnectionsClosed();
+  EXPECT_LT(PeakKilobytes(), kSmallestVmKilobytes);
+}
+
+// The late copy of an answer is no answer to the next request.
+TEST_F(ServerTroubleTest, SecondCopyOfAnAnswer_IsNotTakenForTheNextOne) {
+  constexpr size_t kIdBytes = 4;  // of "id-1" to "id-9"
+  StartBefore(
+      {.beginning = absl::StrCat(
+           "HTTP/1.1 200 OK\r\nAttempt-Id: $ID\r\nReplica-Seal: i-raw\r\n",
+           "Content-Length: ", kIdBytes, "\r\n\r\n$ID"),
+       .repeated = absl::StrCat(
+           "HTTP/1.1 200 OK\r\nAttempt-Id: $ID\r\nReplica-Seal: i-raw\r\n",
+           "Content-Length: ", kIdBytes, "\r\n\r\n$ID"),
+       .pause = absl::Milliseconds(30)},
+      /*with_sound_server=*/false);
+  for (int i = 0; i < 9; ++i) {
+    const std::string id = NextId();
+    ASSERT_EQ(id.size(), kIdBytes);
+    const auto received =
+        PlainHttp(callers_,
+                  standins::MakeCallerRequest(
+                      {.id = id, .path = "/lookup/a", .key = "k1"}),
+                  kWait);
+    ASSERT_TRUE(received.ok()) << received.status();
+    if (received->status == 200) {
+      EXPECT_EQ(received->body, id);
+    }
+    absl::SleepFor(absl::Milliseconds(40));
+  }
+}
+
+// A stream whose events come slowly, but come, is not cut.
+TEST_F(ServerTroubleTest, SlowButSoundStream_IsNotCut) {
+  StartReady();
+  for (auto& replica : replicas_)
+    replica->SetEventPause(absl::Milliseconds(600));
+  const auto answer = Send("/stream/a");
+  ASSERT_TRUE(answer.ok()) << answer.status();
+  EXPECT_EQ(answer->body, ReplicaStandin::WholeStream());
+  EXPECT_EQ(RunsOfAll(), 1);
+}
+
+}  // namespace
+}  // namespace hawthornhollow
