Router: the configuration from other routers while the store is out of reach

Offsets are the store's, and versions never decrease. A router that has not read a configuration itself yet takes none: after a restart of several routers nobody may know what is current.

--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -74,6 +74,20 @@
   absl::Duration servers_age() const { return SteadyNow() - servers_read_; }
   size_t server_count() const { return servers_.size(); }
 
+  // The record of the newest configuration that was read; its offset is -1
+  // before the first.
+  const StoredValue& configuration_record() const {
+    return configuration_record_;
+  }
+  // Takes a record that another router has read. It is ignored before this
+  // router has read one itself: after a restart of several routers, nobody may
+  // know what is current.
+  void OfferConfiguration(const StoredValue& record) {
+    if (table_ == nullptr || record.key != D::kConfigurationKey)
+      return;
+    TakeConfiguration(record);
+  }
+
   // Each polls until `stop` is set. Call each on its own fiber.
   void FollowConfiguration(const std::atomic<bool>& stop) {
     while (!stop) {
@@ -125,14 +139,18 @@
     table_read_ = SteadyNow();
     const auto found =
         configuration_.newest().find(std::string(D::kConfigurationKey));
-    if (found != configuration_.newest().end() &&
-        found->second.offset > configuration_offset_) {
-      configuration_offset_ = found->second.offset;
-      ApplyConfiguration(found->second);
-    }
+    if (found != configuration_.newest().end())
+      TakeConfiguration(found->second);
     return true;
   }
 
+  void TakeConfiguration(const StoredValue& record) {
+    if (record.offset <= configuration_record_.offset)
+      return;
+    configuration_record_ = record;
+    ApplyConfiguration(record);
+  }
+
   bool PollServers() {
     const absl::Status status = entries_.Poll(entries_timeout_.next());
     if (!status.ok()) {
@@ -237,7 +255,7 @@
   CallTimeout configuration_timeout_;
   CallTimeout entries_timeout_;
   std::shared_ptr<const RoutingTable> table_;
-  int64_t configuration_offset_ = -1;
+  StoredValue configuration_record_{.offset = -1};
   absl::Time table_read_ = absl::InfinitePast();
   std::map<std::string, RelayServer> servers_;
   absl::Time servers_read_ = absl::InfinitePast();
--- a/hawthornhollow/relay/catalog_controller_test.cc
+++ b/hawthornhollow/relay/catalog_controller_test.cc
@@ -20,6 +20,7 @@
   void PutServer(const std::string& key, const std::string& value) {
     log_.push_back({.key = key, .value = value, .offset = end()});
   }
+  void PutConfiguration(const StoredValue& record) { configuration_ = record; }
   void SetUnreachable(bool unreachable) { unreachable_ = unreachable; }
   int reads() const { return reads_; }
 
@@ -32,8 +33,12 @@
                                       absl::Duration /*timeout*/) {
     if (unreachable_)
       return absl::UnavailableError("away");
-    if (subject != StoreSubject::kServers)
-      return StoredPage();
+    if (subject == StoreSubject::kConfiguration) {
+      return configuration_.has_value()
+                 ? StoredPage{.values = {*configuration_},
+                              .end = configuration_->offset + 1}
+                 : StoredPage();
+    }
     ++reads_;
     return StoredPage{.values = {log_.begin() + offset, log_.end()},
                       .end = end()};
@@ -57,6 +62,7 @@
   int64_t end() const { return static_cast<int64_t>(log_.size()); }
 
   std::vector<StoredValue> log_;
+  std::optional<StoredValue> configuration_;
   bool unreachable_ = false;
   int reads_ = 0;
 };
@@ -71,8 +77,8 @@
     return RelayServer{.id = value.value};
   }
   static absl::StatusOr<std::shared_ptr<const RoutingTable>>
-  DecodeConfiguration(const StoredValue&) {
-    return absl::UnimplementedError("not used");
+  DecodeConfiguration(const StoredValue& value) {
+    return RoutingTable::Create({.version = std::stoll(value.value)});
   }
   static absl::StatusOr<RelayCall> DecodeCall(const HttpRequest&) {
     return absl::UnimplementedError("not used");
@@ -104,12 +110,21 @@
 
   // Polls the servers while `task` runs on another fiber of the same thread.
   void Follow(const std::function<void()>& task) {
+    RunBeside([this](const auto& stop) { catalog_.FollowServers(stop); }, task);
+  }
+  // The same for the configuration.
+  void FollowConfiguration(const std::function<void()>& task) {
+    RunBeside([this](const auto& stop) { catalog_.FollowConfiguration(stop); },
+              task);
+  }
+  void RunBeside(const std::function<void(const std::atomic<bool>&)>& follow,
+                 const std::function<void()>& task) {
     std::promise<void> ended;
     runtime_->Spawn([&] {
       std::atomic<bool> stop = false;
       bool stopped = false;
       runtime_->Spawn([&] {
-        catalog_.FollowServers(stop);
+        follow(stop);
         stopped = true;
       });
       task();
@@ -181,5 +196,36 @@
   });
 }
 
+// A router that cannot read the store takes newer configurations from others,
+// but none before it has read one itself: nobody may know what is current.
+TEST_F(CatalogControllerTest, ConfigurationOfAnotherRouter_IsTakenIfItIsNewer) {
+  const auto record = [](int64_t version, int64_t offset) {
+    return StoredValue{.key = std::string(FakeMessageCodec::kConfigurationKey),
+                       .value = std::to_string(version),
+                       .offset = offset};
+  };
+  catalog_.OfferConfiguration(record(4, 10));
+  EXPECT_EQ(catalog_.table(), nullptr);
+  store_.PutConfiguration(record(3, 5));
+  FollowConfiguration([&] {
+    while (catalog_.table() == nullptr)
+      hawthornhollow::SleepFor(absl::Milliseconds(1));
+  });
+  ASSERT_EQ(catalog_.table()->version(), 3);
+  const struct {
+    StoredValue offered;
+    int64_t in_force;
+  } cases[] = {{record(2, 4), 3},   // older
+               {record(4, 10), 4},  // newer
+               {record(3, 5), 4},   // older by now
+               // Versions never decrease, whatever the offset.
+               {record(3, 11), 4},
+               {{.key = "another", .value = "9", .offset = 20}, 4}};
+  for (const auto& [offered, in_force] : cases) {
+    catalog_.OfferConfiguration(offered);
+    EXPECT_EQ(catalog_.table()->version(), in_force);
+  }
+}
+
 }  // namespace
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
 #include "hawthornhollow/totals/message_bytes.h"
@@ -13,8 +14,10 @@
 constexpr char kTransferTarget[] = "/transfer";
 constexpr char kReturnTarget[] = "/return";
 constexpr char kTimeTarget[] = "/time-of-day";
+constexpr char kConfigurationTarget[] = "/configuration";
 constexpr absl::Duration kPeerCallTimeout = absl::Milliseconds(150);
 constexpr int kOk = 200;
+constexpr int kNoContent = 204;
 
 // Sends a request to another router and returns the body of its answer.
 absl::StatusOr<std::string> Ask(HttpClient& client,
@@ -26,6 +29,10 @@
   auto response = client.Call(*endpoint, question, kPeerCallTimeout);
   if (!response.ok())
     return response.status();
+  if (response->status == kNoContent) {
+    return ErrorAt(absl::StatusCode::kNotFound, "peer.ask", address,
+                   "nothing newer");
+  }
   if (response->status != kOk) {
     return ErrorAt(absl::StatusCode::kUnavailable, "peer.ask", address,
                    "status " + std::to_string(response->status));
@@ -93,6 +100,29 @@
   writer.Send({}).IgnoreError();
 }
 
+void ServeConfiguration(const HttpRequest& request,
+                        const PeerHandlers& handlers,
+                        ResponseWriter& writer) {
+  int64_t known = 0;
+  if (!absl::SimpleAtoi(request.Query("after").value_or(""), &known)) {
+    return Reject(request,
+                  ErrorAt(absl::StatusCode::kInvalidArgument, "peer.configure",
+                          request.peer, "after: is no offset"),
+                  writer);
+  }
+  const StoredValue stored = handlers.configuration();
+  if (stored.offset <= known) {
+    writer.Send({.status = kNoContent}).IgnoreError();
+    return;
+  }
+  fb::ConfigurationRecordT record;
+  record.key = stored.key;
+  record.offset = stored.offset;
+  record.value.assign(stored.value.begin(), stored.value.end());
+  writer.Send({.body = EncodeMessage<fb::ConfigurationRecord>(record)})
+      .IgnoreError();
+}
+
 }  // namespace
 
 absl::StatusOr<TransferAnswer> AskPeerForTokens(
@@ -143,11 +173,30 @@
   return absl::FromUnixMicros(shown->unix_us);
 }
 
+absl::StatusOr<StoredValue> AskPeerForConfiguration(HttpClient& client,
+                                                    const std::string& address,
+                                                    int64_t offset) {
+  const auto body = Ask(client, address,
+                        {.target = std::string(kConfigurationTarget) +
+                                   "?after=" + std::to_string(offset)});
+  if (!body.ok())
+    return body.status();
+  const auto record = DecodeMessage<fb::ConfigurationRecord>(*body, address);
+  if (!record.ok())
+    return record.status();
+  return StoredValue{
+      .key = record->key,
+      .value = std::string(record->value.begin(), record->value.end()),
+      .offset = record->offset};
+}
+
 void ServePeer(const HttpRequest& request,
                const PeerHandlers& handlers,
                ResponseWriter& writer) {
   if (request.method == "GET" && request.Path() == kTimeTarget)
     return SendTimeOfDay(writer);
+  if (request.method == "GET" && request.Path() == kConfigurationTarget)
+    return ServeConfiguration(request, handlers, writer);
   if (request.method == "POST" && request.Path() == kTransferTarget)
     return ServeTransfer(request, handlers, writer);
   if (request.method == "POST" && request.Path() == kReturnTarget)
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -3,13 +3,14 @@
 
 // Calls between routers, as FlatBuffers over HTTP on the address for other
 // routers: transfers of tokens of a workspace's prepaid total, in both
-// directions, and the time of day.
+// directions, the configuration, and the time of day.
 
 #include <functional>
 #include <string>
 
 #include "absl/status/statusor.h"
 #include "hawthornhollow/http/http.h"
+#include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/totals/totals.h"
 
 namespace hawthornhollow {
@@ -32,10 +33,19 @@
 absl::StatusOr<absl::Time> AskPeerTimeOfDay(HttpClient& client,
                                             const std::string& address);
 
+// Returns the configuration that the router at `address` has in force if its
+// record is newer than `offset`, else NOT_FOUND.
+absl::StatusOr<StoredValue> AskPeerForConfiguration(HttpClient& client,
+                                                    const std::string& address,
+                                                    int64_t offset);
+
 // What a router does when another one calls.
 struct PeerHandlers {
   std::function<TransferAnswer(const TransferQuestion&)> give;
   std::function<void(const std::string& workspace, int64_t tokens)> take;
+  // The record of the configuration in force; its offset is -1 if there is
+  // none.
+  std::function<StoredValue()> configuration;
 };
 void ServePeer(const HttpRequest& request,
                const PeerHandlers& handlers,
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -15,6 +15,7 @@
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/instrumented_store.h"
 #include "hawthornhollow/relay/link_load.h"
+#include "hawthornhollow/relay/peer_configuration.h"
 #include "hawthornhollow/relay/peer_service.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
@@ -55,6 +56,7 @@
   CongestionDetectorOptions link;
   LinkLoadOptions link_load;
   CatalogOptions catalog;
+  PeerConfigurationOptions peer_configuration;
   PlacementOptions placement;
 };
 
@@ -103,7 +105,21 @@
                   .on_servers =
                       [this](const std::vector<RelayServer>& servers) {
                         placement_.SetServers(servers);
-                      }}) {
+                      }}),
+        peer_configuration_(
+            settings.peer_configuration,
+            {.table_age = [this] { return catalog_.table_age(); },
+             .known_offset =
+                 [this] { return catalog_.configuration_record().offset; },
+             .addresses = [this] { return totals_.OtherRouterAddresses(); },
+             .ask =
+                 [this](const std::string& address, int64_t offset) {
+                   return AskPeerForConfiguration(client_, address, offset);
+                 },
+             .offer =
+                 [this](const StoredValue& record) {
+                   catalog_.OfferConfiguration(record);
+                 }}) {
     shared_ = {.client = &client_,
                .placement = &placement_,
                .link = &link_,
@@ -148,6 +164,7 @@
       return status;
     runtime_.Spawn([this] { catalog_.FollowConfiguration(stop_); });
     runtime_.Spawn([this] { catalog_.FollowServers(stop_); });
+    runtime_.Spawn([this] { peer_configuration_.Run(stop_); });
     runtime_.Spawn([this] { totals_.RunAuthorityLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunLevelLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunReturnLoop(stop_); });
@@ -193,16 +210,17 @@
   void AnswerPeer(const HttpRequest& request, ResponseWriter& writer) {
     if (request.method == "GET" && request.Path() == "/metrics")
       return AnswerMetrics(writer);
-    ServePeer(request,
-              {.give =
-                   [this](const TransferQuestion& question) {
-                     return totals_.GiveTokens(question);
-                   },
-               .take =
-                   [this](const std::string& workspace, int64_t tokens) {
-                     totals_.TakeTokens(workspace, tokens);
-                   }},
-              writer);
+    ServePeer(
+        request,
+        {.give =
+             [this](const TransferQuestion& question) {
+               return totals_.GiveTokens(question);
+             },
+         .take = [this](
+                     const std::string& workspace,
+                     int64_t tokens) { totals_.TakeTokens(workspace, tokens); },
+         .configuration = [this] { return catalog_.configuration_record(); }},
+        writer);
   }
 
   void AnswerMetrics(ResponseWriter& writer) {
@@ -457,6 +475,7 @@
   PromptPlacement placement_;
   TotalsController<InstrumentedStore<Store>> totals_;
   CatalogController<InstrumentedStore<Store>, D> catalog_;
+  PeerConfiguration peer_configuration_;
   std::map<std::string, RetryBudget> retries_;
   SharedRunState shared_;
   absl::BitGen random_;
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -255,6 +255,10 @@
   TotalsSum sum() const { return book_.sum(BootTime()); }
   // Time since this router's newest durable level record was made.
   absl::Duration record_age() const { return records_.age(); }
+  // Addresses at which the other routers listen for routers.
+  std::vector<std::string> OtherRouterAddresses() const {
+    return records_.OtherRouterAddresses();
+  }
   // Number of known routers, including this one.
   size_t router_count() const { return book_.router_count(); }
   // Each loop keeps one of this router's records up to date until `stop` is
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -44,6 +44,10 @@
 struct TokensReturnedBuilder;
 struct TokensReturnedT;
 
+struct ConfigurationRecord;
+struct ConfigurationRecordBuilder;
+struct ConfigurationRecordT;
+
 struct TimeOfDay;
 struct TimeOfDayBuilder;
 struct TimeOfDayT;
@@ -62,6 +66,8 @@
 bool operator!=(const TokensGivenT &lhs, const TokensGivenT &rhs);
 bool operator==(const TokensReturnedT &lhs, const TokensReturnedT &rhs);
 bool operator!=(const TokensReturnedT &lhs, const TokensReturnedT &rhs);
+bool operator==(const ConfigurationRecordT &lhs, const ConfigurationRecordT &rhs);
+bool operator!=(const ConfigurationRecordT &lhs, const ConfigurationRecordT &rhs);
 bool operator==(const TimeOfDayT &lhs, const TimeOfDayT &rhs);
 bool operator!=(const TimeOfDayT &lhs, const TimeOfDayT &rhs);
 
@@ -940,6 +946,102 @@
 
 flatbuffers::Offset<TokensReturned> CreateTokensReturned(flatbuffers::FlatBufferBuilder &_fbb, const TokensReturnedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ConfigurationRecordT : public flatbuffers::NativeTable {
+  typedef ConfigurationRecord TableType;
+  std::string key{};
+  int64_t offset = 0;
+  std::vector<uint8_t> value{};
+};
+
+struct ConfigurationRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationRecordT NativeTableType;
+  typedef ConfigurationRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_OFFSET = 6,
+    VT_VALUE = 8
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  int64_t offset() const {
+    return GetField<int64_t>(VT_OFFSET, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<int64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           verifier.EndTable();
+  }
+  ConfigurationRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigurationRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ConfigurationRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigurationRecordBuilder {
+  typedef ConfigurationRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(ConfigurationRecord::VT_KEY, key);
+  }
+  void add_offset(int64_t offset) {
+    fbb_.AddElement<int64_t>(ConfigurationRecord::VT_OFFSET, offset, 0);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(ConfigurationRecord::VT_VALUE, value);
+  }
+  explicit ConfigurationRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationRecord> CreateConfigurationRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    int64_t offset = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0) {
+  ConfigurationRecordBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct ConfigurationRecord::Traits {
+  using type = ConfigurationRecord;
+  static auto constexpr Create = CreateConfigurationRecord;
+};
+
+inline flatbuffers::Offset<ConfigurationRecord> CreateConfigurationRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    int64_t offset = 0,
+    const std::vector<uint8_t> *value = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return hawthornhollow::fb::CreateConfigurationRecord(
+      _fbb,
+      key__,
+      offset,
+      value__);
+}
+
+flatbuffers::Offset<ConfigurationRecord> CreateConfigurationRecord(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct TimeOfDayT : public flatbuffers::NativeTable {
   typedef TimeOfDay TableType;
   int64_t unix_us = 0;
@@ -1418,6 +1520,51 @@
 }
 
 
+inline bool operator==(const ConfigurationRecordT &lhs, const ConfigurationRecordT &rhs) {
+  return
+      (lhs.key == rhs.key) &&
+      (lhs.offset == rhs.offset) &&
+      (lhs.value == rhs.value);
+}
+
+inline bool operator!=(const ConfigurationRecordT &lhs, const ConfigurationRecordT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ConfigurationRecordT *ConfigurationRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfigurationRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfigurationRecord::UnPackTo(ConfigurationRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
+}
+
+inline flatbuffers::Offset<ConfigurationRecord> ConfigurationRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigurationRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfigurationRecord> CreateConfigurationRecord(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigurationRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _offset = _o->offset;
+  auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
+  return hawthornhollow::fb::CreateConfigurationRecord(
+      _fbb,
+      _key,
+      _offset,
+      _value);
+}
+
+
 inline bool operator==(const TimeOfDayT &lhs, const TimeOfDayT &rhs) {
   return
       (lhs.unix_us == rhs.unix_us);
