Totals: a router that stops hands its transferred tokens to a holder

Cause: tokens that a router had been given and not used were lost at each planned stop, up to the demand of 600 ms for each workspace.

--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -282,7 +282,11 @@
 
   // Gives back unused tokens. Call it at the end of the process, when no
   // request is in progress and both loops were told to stop.
-  void Close() { records_.Close(); }
+  void Close() {
+    for (const std::string& workspace : book_.workspaces())
+      HandOverAll(workspace);
+    records_.Close();
+  }
 
  private:
   // How often a request that is not first in its queue checks whether its
@@ -439,26 +443,42 @@
     return book_.TransferOut(question, BootTime());
   }
 
+  // A holder that answered of late; empty if there is none.
+  std::string HolderInReach(const std::string& workspace) {
+    for (const std::string& address : book_.OtherHolders(workspace)) {
+      if (ask_paused_until_[address] <= SteadyNow())
+        return address;
+    }
+    return "";
+  }
+
   void HandOverExcess(const std::string& workspace) {
-    const std::vector<std::string> holders = book_.OtherHolders(workspace);
-    const auto holder =
-        std::find_if(holders.begin(), holders.end(), [&](const auto& address) {
-          return ask_paused_until_[address] <= SteadyNow();
-        });
-    if (holder == holders.end())
-      return;
-    const int64_t excess = book_.TakeExcessTransfers(workspace, BootTime());
-    if (excess == 0)
+    const std::string holder = HolderInReach(workspace);
+    if (!holder.empty())
+      HandOver(holder, workspace,
+               book_.TakeExcessTransfers(workspace, BootTime()));
+  }
+
+  void HandOverAll(const std::string& workspace) {
+    const std::string holder = HolderInReach(workspace);
+    if (!holder.empty())
+      HandOver(holder, workspace, book_.TakeAllTransfers(workspace));
+  }
+
+  void HandOver(const std::string& holder,
+                const std::string& workspace,
+                int64_t tokens) {
+    if (tokens == 0)
       return;
-    const absl::Status handed = calls_.hand_over(*holder, workspace, excess);
+    const absl::Status handed = calls_.hand_over(holder, workspace, tokens);
     LogEvent("total.handed_over",
              handed.ok() ? LogSeverity::kInfo : LogSeverity::kWarning)
-        .Add("peer", *holder)
+        .Add("peer", holder)
         .Add("workspace", workspace)
-        .Add("tokens", excess)
+        .Add("tokens", tokens)
         .Add("result", handed);
     if (!handed.ok())
-      ask_paused_until_[*holder] = SteadyNow() + options_.ask_pause;
+      ask_paused_until_[holder] = SteadyNow() + options_.ask_pause;
   }
 
   RelayMetrics& metrics_;
--- a/hawthornhollow/relay/totals_controller_test.cc
+++ b/hawthornhollow/relay/totals_controller_test.cc
@@ -136,6 +136,7 @@
               .hand_over =
                   [this](const std::string& address,
                          const std::string& workspace, int64_t tokens) {
+                    tokens_handed_over_ += tokens;
                     controllers_[std::stoul(address)]->TakeTokens(workspace,
                                                                   tokens);
                     return absl::OkStatus();
@@ -161,6 +162,7 @@
   RelayMetrics metrics_;
   std::unique_ptr<Runtime> runtime_;
   std::vector<std::unique_ptr<Controller>> controllers_;
+  int64_t tokens_handed_over_ = 0;
   std::atomic<bool> stop_{false};
 };
 
@@ -196,6 +198,28 @@
   EXPECT_GT(granted, kTotal / 2);
 }
 
+// A router that is stopped hands over what others transferred to it.
+TEST_P(TotalsControllerTest, ClosedRouter_HandsItsTransfersToAHolder) {
+  int64_t handed_over = 0;
+  RunOnFiber([&] {
+    for (auto& controller : controllers_) {
+      runtime_->Spawn([&] { controller->RunAuthorityLoop(stop_); });
+      runtime_->Spawn([&] { controller->RunLevelLoop(stop_); });
+    }
+    const absl::Time end = SteadyNow() + absl::Seconds(5);
+    while (controllers_[0]->router_count() < controllers_.size() &&
+           SteadyNow() < end)
+      hawthornhollow::SleepFor(absl::Milliseconds(5));
+    controllers_[0]->TakeTokens(kWorkspace, kRequestTokens);
+    stop_ = true;
+    controllers_[0]->Close();
+    handed_over = tokens_handed_over_;
+    for (auto& controller : controllers_)
+      controller->Close();
+  });
+  EXPECT_EQ(handed_over, kRequestTokens);
+}
+
 TEST_P(TotalsControllerTest, WaitingRequestWhoseCallerDisconnects_IsCancelled) {
   RunOnFiber([&] {
     // The record loops do not run, so no tokens become available.
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -373,6 +373,8 @@
   // Removes transferred tokens that this router does not need, and returns how
   // many. They must be handed over to another router, once at most.
   int64_t TakeExcessTransfers(const std::string& workspace, absl::Duration now);
+  // The same for all transferred tokens, at the end of the process.
+  int64_t TakeAllTransfers(const std::string& workspace);
   std::vector<std::string> workspaces() const;
 
  private:
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -47,6 +47,7 @@
 // about it, because one has read an older record, still keep to their quotas.
 
 #include <algorithm>
+#include <utility>
 
 #include "hawthornhollow/totals/shares_internal.h"
 #include "hawthornhollow/totals/totals.h"
@@ -503,6 +504,10 @@
   return excess;
 }
 
+int64_t TotalsBook::TakeAllTransfers(const std::string& workspace) {
+  return std::exchange(UsageOf(workspace).transfers, 0);
+}
+
 std::vector<std::string> TotalsBook::workspaces() const {
   std::vector<std::string> names;
   for (const auto& [workspace, usage] : usages_)
