--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -1,5 +1,6 @@
 #include "testing/platform_standin_messages.h"
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/substitute.h"
@@ -33,6 +34,21 @@
   return !head.Header("Replica-Seal").empty();
 }
 
+std::string AnswerHeadBytes(const std::string& more_lines) {
+  return absl::StrCat(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: $ID\r\nReplica-Seal: proof\r\n",
+      more_lines, "\r\n");
+}
+
+std::string RequestIdOf(const std::string& head) {
+  constexpr absl::string_view kName = "attempt-id: ";
+  const size_t begin = absl::AsciiStrToLower(head).find(kName.data());
+  if (begin == std::string::npos)
+    return "";
+  const size_t value = begin + kName.size();
+  return head.substr(value, head.find('\r', value) - value);
+}
+
 std::string EntrySettings(const std::string& router,
                           const EntryAddresses& addresses) {
   return absl::Substitute(
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -34,6 +34,12 @@
 // Whether an answer bears its server's proof.
 bool IsSealed(const HttpHead& head);
 
+// The head of a server's success answer in bytes, with these lines besides;
+// "$ID" stands for the request's id. And that id, from the bytes of a request's
+// head.
+std::string AnswerHeadBytes(const std::string& more_lines);
+std::string RequestIdOf(const std::string& head);
+
 // The settings file of a router.
 struct EntryAddresses {
   Endpoint callers;
--- a/testing/raw_server_standin.cc
+++ b/testing/raw_server_standin.cc
@@ -9,33 +9,22 @@
 #include <array>
 #include <utility>
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_replace.h"
 #include "hawthornhollow/base/base.h"
+#include "testing/platform_standin_messages.h"
 
 namespace hawthornhollow::standins {
 namespace {
 
 constexpr int kBacklog = 64;
 constexpr int kPollMilliseconds = 20;
-constexpr char kIdHeader[] = "attempt-id: ";
 
 bool IsReady(int socket, short events) {
   pollfd entry{.fd = socket, .events = events};
   return poll(&entry, 1, kPollMilliseconds) > 0;
 }
 
-// The value of the request's Attempt-Id.
-std::string IdOf(const std::string& head) {
-  const std::string lower = absl::AsciiStrToLower(head);
-  const size_t begin = lower.find(kIdHeader);
-  if (begin == std::string::npos)
-    return "";
-  const size_t value = begin + sizeof(kIdHeader) - 1;
-  return head.substr(value, head.find('\r', value) - value);
-}
-
 }  // namespace
 
 absl::StatusOr<std::unique_ptr<RawServerStandin>> RawServerStandin::Start(
@@ -82,7 +71,7 @@
   std::string head;
   if (ReadHead(socket, &head)) {
     ++requests_;
-    const auto fill = [id = IdOf(head)](const std::string& text) {
+    const auto fill = [id = RequestIdOf(head)](const std::string& text) {
       return absl::StrReplaceAll(text, {{"$ID", id}});
     };
     const std::string repeated = fill(script_.repeated);
--- a/testing/raw_server_standin.h
+++ b/testing/raw_server_standin.h
@@ -23,7 +23,7 @@
 class RawServerStandin {
  public:
   // What each connection gets once its first request was read. "$ID" stands for
-  // the request's Attempt-Id.
+  // the request's id.
   struct Script {
     std::string beginning;
     std::string repeated;  // without end; empty: nothing more is sent
--- a/testing/server_trouble_test.cc
+++ b/testing/server_trouble_test.cc
@@ -17,13 +17,15 @@
 
 // The smallest entry VM has this much memory.
 constexpr int64_t kSmallestVmKilobytes = 88 * 1024;
-constexpr char kStreamHead[] =
-    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-    "Attempt-Id: $ID\r\nReplica-Seal: i-raw\r\n"
-    "Transfer-Encoding: chunked\r\n\r\n";
-constexpr char kPlainHead[] =
-    "HTTP/1.1 200 OK\r\nAttempt-Id: $ID\r\nReplica-Seal: i-raw\r\n"
-    "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string StreamHead() {
+  return standins::AnswerHeadBytes(
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+}
+
+std::string PlainHead() {
+  return standins::AnswerHeadBytes("Transfer-Encoding: chunked\r\n");
+}
 
 // A chunk of a body.
 std::string Chunk(const std::string& data) {
@@ -131,24 +133,24 @@
                      .pause = absl::Milliseconds(150)}},
         TroubleCase{"NoHttpWithoutEnd", {.repeated = "junk junk junk\r\n"}},
         TroubleCase{"EventWithoutEnd",
-                    {.beginning = kStreamHead, .repeated = JunkChunk()}},
+                    {.beginning = StreamHead(), .repeated = JunkChunk()}},
         TroubleCase{"EventByteByByte",
-                    {.beginning = kStreamHead,
+                    {.beginning = StreamHead(),
                      .repeated = Chunk("x"),
                      .pause = absl::Milliseconds(100)}},
         TroubleCase{"CommentsNowAndThen",
-                    {.beginning = kStreamHead,
+                    {.beginning = StreamHead(),
                      .repeated = Chunk(": waiting\n\n"),
                      .pause = absl::Milliseconds(100)}},
         TroubleCase{"ChunkSizeWithoutEnd",
-                    {.beginning = std::string(kStreamHead) + "1;",
+                    {.beginning = StreamHead() + "1;",
                      .repeated = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"}}),
     [](const auto& info) { return std::string(info.param.name); });
 
 // An order runs once at most, so its caller learns that the outcome is unknown,
 // and not that it did not run.
 TEST_F(ServerTroubleTest, OrderWithABodyWithoutEnd_EndsWithOutcomeUnknown) {
-  StartBefore({.beginning = kPlainHead, .repeated = JunkChunk()},
+  StartBefore({.beginning = PlainHead(), .repeated = JunkChunk()},
               /*with_sound_server=*/false);
   const auto answer = Send("/order/a");
   ASSERT_TRUE(answer.ok()) << answer.status();
@@ -158,7 +160,7 @@
 
 // Many at once must not take more memory than the smallest VM has.
 TEST_F(ServerTroubleTest, ManyBodiesWithoutEnd_TakeLittleMemory) {
-  StartBefore({.beginning = kPlainHead, .repeated = JunkChunk()},
+  StartBefore({.beginning = PlainHead(), .repeated = JunkChunk()},
               /*with_sound_server=*/false);
   constexpr int kCallers = 40;
   std::vector<std::future<absl::StatusOr<HttpResponse>>> answers;
@@ -182,14 +184,11 @@
 // The late copy of an answer is no answer to the next request.
 TEST_F(ServerTroubleTest, SecondCopyOfAnAnswer_IsNotTakenForTheNextOne) {
   constexpr size_t kIdBytes = 4;  // of "id-1" to "id-9"
+  const std::string copy = standins::AnswerHeadBytes(absl::StrCat(
+                               "Content-Length: ", kIdBytes, "\r\n")) +
+                           "$ID";
   StartBefore(
-      {.beginning = absl::StrCat(
-           "HTTP/1.1 200 OK\r\nAttempt-Id: $ID\r\nReplica-Seal: i-raw\r\n",
-           "Content-Length: ", kIdBytes, "\r\n\r\n$ID"),
-       .repeated = absl::StrCat(
-           "HTTP/1.1 200 OK\r\nAttempt-Id: $ID\r\nReplica-Seal: i-raw\r\n",
-           "Content-Length: ", kIdBytes, "\r\n\r\n$ID"),
-       .pause = absl::Milliseconds(30)},
+      {.beginning = copy, .repeated = copy, .pause = absl::Milliseconds(30)},
       /*with_sound_server=*/false);
   for (int i = 0; i < 9; ++i) {
     const std::string id = NextId();
