--- a/hawthornhollow/relay/totals_controller_test.cc
+++ b/hawthornhollow/relay/totals_controller_test.cc
@@ -207,7 +207,9 @@
       runtime_->Spawn([&] { controller->RunLevelLoop(stop_); });
     }
     const absl::Time end = SteadyNow() + absl::Seconds(5);
-    while (controllers_[0]->router_count() < controllers_.size() &&
+    // Holders are chosen among routers whose address is known.
+    while (controllers_[0]->OtherRouterAddresses().size() + 1 <
+               controllers_.size() &&
            SteadyNow() < end)
       hawthornhollow::SleepFor(absl::Milliseconds(5));
     controllers_[0]->TakeTokens(kWorkspace, kRequestTokens);
