Log servers that are used although their entry is missing

The logs did not tell that a router uses a server without an entry, nor for how long. server.kept, was_leaving and kept_ms on server.gone, and the gauge servers_kept tell it. No decision is changed.

--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -73,6 +73,8 @@
   absl::Duration table_age() const { return SteadyNow() - table_read_; }
   absl::Duration servers_age() const { return SteadyNow() - servers_read_; }
   size_t server_count() const { return servers_.size(); }
+  // Servers that are in use although their entry is missing.
+  size_t kept_server_count() const { return kept_count_; }
 
   // The record of the newest configuration that was read; its offset is -1
   // before the first.
@@ -179,11 +181,31 @@
     missing_kept_ = keep_missing;
     decoded_servers_.Update(entries_.newest());
     std::map<std::string, RelayServer> present = decoded_servers_.servers();
+    kept_count_ = 0;
     if (keep_missing)
-      present.insert(servers_.begin(), servers_.end());
+      KeepMissing(&present);
     ReplaceServers(std::move(present));
   }
 
+  // Adds the servers that are in use and have no entry.
+  void KeepMissing(std::map<std::string, RelayServer>* present) {
+    for (const auto& [key, server] : servers_) {
+      if (!present->try_emplace(key, server).second)
+        continue;
+      ++kept_count_;
+      if (kept_since_.try_emplace(key, servers_read_).second)
+        LogEvent("server.kept").Add("server", server.id);
+    }
+  }
+
+  // How long a server was used without an entry; -1 if it was not.
+  int64_t KeptMilliseconds(const std::string& key) const {
+    const auto since = kept_since_.find(key);
+    return since == kept_since_.end()
+               ? -1
+               : absl::ToInt64Milliseconds(servers_read_ - since->second);
+  }
+
   // Logs one line per outage.
   void LogServersReadFailure(const absl::Status& status) {
     if (std::exchange(read_failure_logged_, true))
@@ -198,6 +220,10 @@
       return;
     LogChanges(present);
     servers_ = std::move(present);
+    std::erase_if(kept_since_, [this](const auto& item) {
+      return !servers_.contains(item.first) ||
+             entries_.newest().contains(item.first);
+    });
     std::vector<RelayServer> list;
     for (const auto& [key, server] : servers_)
       list.push_back(server);
@@ -216,8 +242,12 @@
           .Add("leaving", server.leaving ? 1 : 0);
     }
     for (const auto& [key, server] : servers_) {
-      if (!present.contains(key))
-        LogEvent("server.gone").Add("server", server.id);
+      if (present.contains(key))
+        continue;
+      LogEvent("server.gone")
+          .Add("server", server.id)
+          .Add("was_leaving", server.leaving ? 1 : 0)
+          .Add("kept_ms", KeptMilliseconds(key));
     }
   }
 
@@ -260,6 +290,9 @@
   std::map<std::string, RelayServer> servers_;
   absl::Time servers_read_ = absl::InfinitePast();
   absl::Time grace_until_ = absl::InfinitePast();
+  // Key of a server without an entry -> when the entry was found missing.
+  std::map<std::string, absl::Time> kept_since_;
+  size_t kept_count_ = 0;
   std::map<std::string, int64_t> rejected_;  // key -> offset + 1
   bool store_reachable_ = false;
   bool read_failure_logged_ = false;
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -242,6 +242,7 @@
             .config_age = catalog_.table_age(),
             .servers_age = catalog_.servers_age(),
             .servers = static_cast<int64_t>(catalog_.server_count()),
+            .kept_servers = static_cast<int64_t>(catalog_.kept_server_count()),
             .routers = static_cast<int64_t>(totals_.router_count()),
             .requests_in_progress = in_progress_,
             .caller_connections = static_cast<int64_t>(CallerConnections()),
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -81,6 +81,7 @@
   const std::pair<std::string_view, int64_t> values[] = {
       {"config_version", gauges.config_version},
       {"servers", gauges.servers},
+      {"servers_kept", gauges.kept_servers},
       {"routers", gauges.routers},
       {"requests_in_progress", gauges.requests_in_progress},
       {"caller_connections", gauges.caller_connections},
--- a/hawthornhollow/relay/relay_metrics.h
+++ b/hawthornhollow/relay/relay_metrics.h
@@ -38,6 +38,7 @@
   absl::Duration config_age = absl::InfiniteDuration();
   absl::Duration servers_age = absl::InfiniteDuration();
   int64_t servers = 0;
+  int64_t kept_servers = 0;  // in use although their entry is missing
   int64_t routers = 0;
   int64_t requests_in_progress = 0;
   int64_t caller_connections = 0;  // open connections
