--- a/hawthornhollow/relay/catalog_controller_test.cc
+++ b/hawthornhollow/relay/catalog_controller_test.cc
@@ -196,6 +196,20 @@
   });
 }
 
+// An entry that was there after the outage did not expire during it.
+TEST_F(CatalogControllerTest, EntryRemovedAfterOutage_IsGoneAtOnce) {
+  Follow([&] {
+    AwaitReads(2);
+    store_.SetUnreachable(true);
+    hawthornhollow::SleepFor(absl::Milliseconds(80));
+    store_.SetUnreachable(false);
+    AwaitReads(2);
+    store_.PutServer("key-1", "");
+    AwaitReads(2);
+    EXPECT_EQ(listed_.size(), kServers - 1);
+  });
+}
+
 // A router that cannot read the store takes newer configurations from others,
 // but none before it has read one itself: nobody may know what is current.
 TEST_F(CatalogControllerTest, ConfigurationOfAnotherRouter_IsTakenIfItIsNewer) {
