Servers that left during a router's own loss of the store are not used on

Callers' requests reached backend servers that had said they were leaving, 2.7 to 3.3 s before (DRAIN). Most were answered; one that is sent to a server that has gone is lost.

Cause: a router that had not read the store for 1.5 s took that for an outage of the store, in which entries expire although their servers live, and used servers without an entry for 2.5 s and a poll more (2.85 s in the logs), counted from its own first read, which came up to 3 s after the store's return. If only this router had lost the store, nothing had expired: what was missing had left. The class of fault: a process takes its own loss of a dependency for a failure of the dependency.

Now a router that cannot read the store takes the entries from another router, as it does with the configuration, together with the time for which that one has read them without a gap. If that is longer than its own gap, the store was not down, and nothing is kept. Where all had lost the store, the grace period counts from the first read of any of them, holds only for entries that were missing in it, ends on time and not with the next poll, and the first read comes at most 0.7 s after the store (calls for the entries time out after 0.6 s, not 3 s).

Ruled out: an old choice carried out late (requests reached the server 3 to 9 ms after they were sent).

--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -3,10 +3,11 @@
 
 // Polls the operator's configuration and the registered backend servers.
 //
-// The version of the configuration in force never decreases. A server is
-// removed as soon as its entry is, except for a while after an outage of the
-// store: entries may expire during the outage and be renewed just after it.
+// The version of the configuration in force never decreases. Which servers are
+// in use is decided by ServerList. Both are also taken from other routers while
+// this one cannot read the store.
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -20,6 +21,7 @@
 #include "hawthornhollow/relay/keyed_follower.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/server_entries.h"
+#include "hawthornhollow/relay/server_list.h"
 
 namespace hawthornhollow {
 
@@ -28,15 +30,15 @@
   // Short, because the connection to the store may be dead, and then opening a
   // new one soon is better than waiting.
   absl::Duration call_timeout = absl::Milliseconds(400);
-  // Upper bound after failures. Reading a large configuration over a narrow
-  // link takes longer than `call_timeout`.
+  // Upper bounds after failures. Reading a large configuration over a narrow
+  // link takes longer than `call_timeout`. The servers must be read soon after
+  // the store is back: ServerListOptions::missing_entry_grace counts from
+  // there.
   absl::Duration max_call_timeout = absl::Seconds(3);
+  absl::Duration max_servers_call_timeout = absl::Milliseconds(600);
   // Delay after a failed call.
   absl::Duration retry_delay = absl::Milliseconds(100);
-  // After the store has not answered for `outage_after`, servers whose entries
-  // are missing are kept for another `missing_entry_grace`.
-  absl::Duration outage_after = absl::Milliseconds(1500);
-  absl::Duration missing_entry_grace = absl::Milliseconds(2500);
+  ServerListOptions servers;
 };
 
 struct CatalogCallbacks {
@@ -59,22 +61,26 @@
               Reject("server.rejected", value, status);
             }),
         configuration_timeout_(options.call_timeout, options.max_call_timeout),
-        entries_timeout_(options.call_timeout, options.max_call_timeout) {}
+        entries_timeout_(options.call_timeout,
+                         options.max_servers_call_timeout),
+        list_(options.servers) {}
   CatalogController(const CatalogController&) = delete;
   CatalogController& operator=(const CatalogController&) = delete;
 
   // The configuration in force; null before the first one.
   std::shared_ptr<const RoutingTable> table() const { return table_; }
   // Whether a configuration and at least one server are known.
-  bool ready() const { return table_ != nullptr && !servers_.empty(); }
+  bool ready() const { return table_ != nullptr && !list_.servers().empty(); }
 
-  // Time since the configuration and the server entries were last read;
-  // infinite before the first read.
+  // Time since the configuration and the server entries were last read, the
+  // latter by this router or another one; infinite before the first read.
   absl::Duration table_age() const { return SteadyNow() - table_read_; }
-  absl::Duration servers_age() const { return SteadyNow() - servers_read_; }
-  size_t server_count() const { return servers_.size(); }
+  absl::Duration servers_age() const {
+    return SteadyNow() - list_.reading().last;
+  }
+  size_t server_count() const { return list_.servers().size(); }
   // Servers that are in use although their entry is missing.
-  size_t kept_server_count() const { return kept_count_; }
+  size_t kept_server_count() const { return list_.kept().size(); }
 
   // The record of the newest configuration that was read; its offset is -1
   // before the first.
@@ -90,6 +96,30 @@
     TakeConfiguration(record);
   }
 
+  // The server entries as this router knows them, with the records from offset
+  // `after` on.
+  ServersReport ReportServers(int64_t after) const {
+    ServersReport report{.end = entries_.end(), .reading = list_.reading()};
+    for (const auto& [key, record] : entries_.newest()) {
+      report.keys.push_back(key);
+      if (record.offset >= after)
+        report.records.push_back(record);
+    }
+    return report;
+  }
+  int64_t servers_end() const { return entries_.end(); }
+  // Takes entries that another router has read, unless older than those known
+  // here.
+  void OfferServers(const ServersReport& report) {
+    if (!entries_.Adopt(report.end, report.reading.last, report.keys,
+                        report.records))
+      return;
+    decoded_servers_.Update(entries_.newest());
+    list_.UpdateFromPeer(decoded_servers_.servers(), report.reading,
+                         SteadyNow());
+    ForwardChanges();
+  }
+
   // Each polls until `stop` is set. Call each on its own fiber.
   void FollowConfiguration(const std::atomic<bool>& stop) {
     while (!stop) {
@@ -104,8 +134,8 @@
     while (!stop) {
       const bool reached = PollServers();
       UpdateTimeout(reached, &entries_timeout_);
-      hawthornhollow::SleepFor(reached ? options_.poll_interval
-                                       : options_.retry_delay);
+      SleepUntilNextPoll(reached ? options_.poll_interval
+                                 : options_.retry_delay);
     }
   }
 
@@ -153,57 +183,38 @@
     ApplyConfiguration(record);
   }
 
+  // Polls earlier if servers have to be dropped before.
+  void SleepUntilNextPoll(absl::Duration interval) const {
+    hawthornhollow::SleepFor(std::clamp(list_.next_change() - SteadyNow(),
+                                        absl::ZeroDuration(), interval));
+  }
+
   bool PollServers() {
     const absl::Status status = entries_.Poll(entries_timeout_.next());
     if (!status.ok()) {
       LogServersReadFailure(status);
+      list_.DropExpired(SteadyNow());
+      ForwardChanges();
       return false;
     }
     read_failure_logged_ = false;
-    const absl::Time now = SteadyNow();
-    if (now - servers_read_ > options_.outage_after &&
-        servers_read_ != absl::InfinitePast()) {
-      grace_until_ = now + options_.missing_entry_grace;
-      LogEvent("server.grace")
-          .Add("unread_ms", absl::ToInt64Milliseconds(now - servers_read_))
-          .Add("for_ms",
-               absl::ToInt64Milliseconds(options_.missing_entry_grace));
+    if (listed_changes_ != entries_.changes()) {
+      listed_changes_ = entries_.changes();
+      decoded_servers_.Update(entries_.newest());
     }
-    servers_read_ = now;
-    UpdateServers(/*keep_missing=*/now < grace_until_);
+    list_.Update(decoded_servers_.servers(), SteadyNow());
+    ForwardChanges();
     return true;
   }
 
-  void UpdateServers(bool keep_missing) {
-    if (listed_changes_ == entries_.changes() && missing_kept_ == keep_missing)
+  void ForwardChanges() {
+    if (forwarded_changes_ == list_.changes())
       return;
-    listed_changes_ = entries_.changes();
-    missing_kept_ = keep_missing;
-    decoded_servers_.Update(entries_.newest());
-    std::map<std::string, RelayServer> present = decoded_servers_.servers();
-    kept_count_ = 0;
-    if (keep_missing)
-      KeepMissing(&present);
-    ReplaceServers(std::move(present));
-  }
-
-  // Adds the servers that are in use and have no entry.
-  void KeepMissing(std::map<std::string, RelayServer>* present) {
-    for (const auto& [key, server] : servers_) {
-      if (!present->try_emplace(key, server).second)
-        continue;
-      ++kept_count_;
-      if (kept_since_.try_emplace(key, servers_read_).second)
-        LogEvent("server.kept").Add("server", server.id);
-    }
-  }
-
-  // How long a server was used without an entry; -1 if it was not.
-  int64_t KeptMilliseconds(const std::string& key) const {
-    const auto since = kept_since_.find(key);
-    return since == kept_since_.end()
-               ? -1
-               : absl::ToInt64Milliseconds(servers_read_ - since->second);
+    forwarded_changes_ = list_.changes();
+    std::vector<RelayServer> servers;
+    for (const auto& [key, server] : list_.servers())
+      servers.push_back(server);
+    callbacks_.on_servers(servers);
   }
 
   // Logs one line per outage.
@@ -215,42 +226,6 @@
         .Add("reason", status);
   }
 
-  void ReplaceServers(std::map<std::string, RelayServer> present) {
-    if (present == servers_)
-      return;
-    LogChanges(present);
-    servers_ = std::move(present);
-    std::erase_if(kept_since_, [this](const auto& item) {
-      return !servers_.contains(item.first) ||
-             entries_.newest().contains(item.first);
-    });
-    std::vector<RelayServer> list;
-    for (const auto& [key, server] : servers_)
-      list.push_back(server);
-    callbacks_.on_servers(list);
-  }
-
-  void LogChanges(const std::map<std::string, RelayServer>& present) const {
-    for (const auto& [key, server] : present) {
-      const auto old = servers_.find(key);
-      if (old != servers_.end() && old->second.leaving == server.leaving)
-        continue;
-      LogEvent("server.listed")
-          .Add("server", server.id)
-          .Add("service", server.service)
-          .Add("address", server.address.ToString())
-          .Add("leaving", server.leaving ? 1 : 0);
-    }
-    for (const auto& [key, server] : servers_) {
-      if (present.contains(key))
-        continue;
-      LogEvent("server.gone")
-          .Add("server", server.id)
-          .Add("was_leaving", server.leaving ? 1 : 0)
-          .Add("kept_ms", KeptMilliseconds(key));
-    }
-  }
-
   // Logs one line for each record that cannot be decoded.
   void Reject(std::string_view event,
               const StoredValue& value,
@@ -279,20 +254,16 @@
   KeyedFollower<Store> configuration_;
   KeyedFollower<Store> entries_;
   ServerEntries<D> decoded_servers_;
-  // Change count of `entries_` when the servers were last listed from it.
+  // Change count of `entries_` when they were last decoded.
   uint64_t listed_changes_ = 0;
-  bool missing_kept_ = false;
   CallTimeout configuration_timeout_;
   CallTimeout entries_timeout_;
+  ServerList list_;
+  // Change count of `list_` when the callback was last called.
+  uint64_t forwarded_changes_ = 0;
   std::shared_ptr<const RoutingTable> table_;
   StoredValue configuration_record_{.offset = -1};
   absl::Time table_read_ = absl::InfinitePast();
-  std::map<std::string, RelayServer> servers_;
-  absl::Time servers_read_ = absl::InfinitePast();
-  absl::Time grace_until_ = absl::InfinitePast();
-  // Key of a server without an entry -> when the entry was found missing.
-  std::map<std::string, absl::Time> kept_since_;
-  size_t kept_count_ = 0;
   std::map<std::string, int64_t> rejected_;  // key -> offset + 1
   bool store_reachable_ = false;
   bool read_failure_logged_ = false;
--- a/hawthornhollow/relay/catalog_controller_test.cc
+++ b/hawthornhollow/relay/catalog_controller_test.cc
@@ -148,8 +148,8 @@
       store_,
       {.poll_interval = absl::Milliseconds(2),
        .retry_delay = absl::Milliseconds(2),
-       .outage_after = absl::Milliseconds(50),
-       .missing_entry_grace = absl::Milliseconds(100)},
+       .servers = {.outage_after = absl::Milliseconds(50),
+                   .missing_entry_grace = absl::Milliseconds(100)}},
       {.on_table = [](const std::shared_ptr<const RoutingTable>&) {},
        .on_servers = [this](const auto& servers) { listed_ = servers; }}};
   std::unique_ptr<Runtime> runtime_;
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -1,5 +1,7 @@
 #include "hawthornhollow/relay/peer_service.h"
 
+#include <memory>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -15,6 +17,7 @@
 constexpr char kReturnTarget[] = "/return";
 constexpr char kTimeTarget[] = "/time-of-day";
 constexpr char kConfigurationTarget[] = "/configuration";
+constexpr char kServersTarget[] = "/servers";
 constexpr absl::Duration kPeerCallTimeout = absl::Milliseconds(150);
 constexpr int kOk = 200;
 constexpr int kNoContent = 204;
@@ -100,26 +103,72 @@
   writer.Send({}).IgnoreError();
 }
 
+// The offset in the question's query. Answers and returns nullopt if it cannot
+// be read.
+std::optional<int64_t> KnownOffset(const HttpRequest& request,
+                                   ResponseWriter& writer) {
+  int64_t known = 0;
+  if (absl::SimpleAtoi(request.Query("after").value_or(""), &known))
+    return known;
+  Reject(request,
+         ErrorAt(absl::StatusCode::kInvalidArgument, "peer.read", request.peer,
+                 "after: is no offset"),
+         writer);
+  return std::nullopt;
+}
+
+fb::StoredRecordT EncodeRecord(const StoredValue& stored) {
+  fb::StoredRecordT record;
+  record.key = stored.key;
+  record.offset = stored.offset;
+  record.value.assign(stored.value.begin(), stored.value.end());
+  return record;
+}
+
+StoredValue DecodeRecord(const fb::StoredRecordT& record) {
+  return {.key = record.key,
+          .value = std::string(record.value.begin(), record.value.end()),
+          .offset = record.offset};
+}
+
 void ServeConfiguration(const HttpRequest& request,
                         const PeerHandlers& handlers,
                         ResponseWriter& writer) {
-  int64_t known = 0;
-  if (!absl::SimpleAtoi(request.Query("after").value_or(""), &known)) {
-    return Reject(request,
-                  ErrorAt(absl::StatusCode::kInvalidArgument, "peer.configure",
-                          request.peer, "after: is no offset"),
-                  writer);
-  }
+  const std::optional<int64_t> known = KnownOffset(request, writer);
+  if (!known.has_value())
+    return;
   const StoredValue stored = handlers.configuration();
-  if (stored.offset <= known) {
+  if (stored.offset <= *known) {
     writer.Send({.status = kNoContent}).IgnoreError();
     return;
   }
-  fb::ConfigurationRecordT record;
-  record.key = stored.key;
-  record.offset = stored.offset;
-  record.value.assign(stored.value.begin(), stored.value.end());
-  writer.Send({.body = EncodeMessage<fb::ConfigurationRecord>(record)})
+  writer.Send({.body = EncodeMessage<fb::StoredRecord>(EncodeRecord(stored))})
+      .IgnoreError();
+}
+
+void ServeServers(const HttpRequest& request,
+                  const PeerHandlers& handlers,
+                  ResponseWriter& writer) {
+  const std::optional<int64_t> known = KnownOffset(request, writer);
+  if (!known.has_value())
+    return;
+  const ServersReport report = handlers.servers(*known);
+  if (report.reading.last == absl::InfinitePast()) {
+    writer.Send({.status = kNoContent}).IgnoreError();
+    return;
+  }
+  const absl::Time now = SteadyNow();
+  fb::ServerEntriesT entries;
+  entries.end = report.end;
+  entries.age_us = absl::ToInt64Microseconds(now - report.reading.last);
+  entries.unbroken_us =
+      absl::ToInt64Microseconds(now - report.reading.unbroken_since);
+  entries.keys = report.keys;
+  for (const StoredValue& record : report.records) {
+    entries.records.push_back(
+        std::make_unique<fb::StoredRecordT>(EncodeRecord(record)));
+  }
+  writer.Send({.body = EncodeMessage<fb::ServerEntries>(entries)})
       .IgnoreError();
 }
 
@@ -181,13 +230,35 @@
                                    "?after=" + std::to_string(offset)});
   if (!body.ok())
     return body.status();
-  const auto record = DecodeMessage<fb::ConfigurationRecord>(*body, address);
+  const auto record = DecodeMessage<fb::StoredRecord>(*body, address);
   if (!record.ok())
     return record.status();
-  return StoredValue{
-      .key = record->key,
-      .value = std::string(record->value.begin(), record->value.end()),
-      .offset = record->offset};
+  return DecodeRecord(*record);
+}
+
+absl::StatusOr<ServersReport> AskPeerForServers(HttpClient& client,
+                                                const std::string& address,
+                                                int64_t after) {
+  const absl::Time asked = SteadyNow();
+  const auto body = Ask(client, address,
+                        {.target = std::string(kServersTarget) +
+                                   "?after=" + std::to_string(after)});
+  if (!body.ok())
+    return body.status();
+  const auto entries = DecodeMessage<fb::ServerEntries>(*body, address);
+  if (!entries.ok())
+    return entries.status();
+  // The answer was made between the question and now; neither time is taken to
+  // be better than it is.
+  ServersReport report{
+      .end = entries->end,
+      .reading = {.last = asked - absl::Microseconds(entries->age_us),
+                  .unbroken_since =
+                      SteadyNow() - absl::Microseconds(entries->unbroken_us)},
+      .keys = entries->keys};
+  for (const auto& record : entries->records)
+    report.records.push_back(DecodeRecord(*record));
+  return report;
 }
 
 void ServePeer(const HttpRequest& request,
@@ -197,6 +268,8 @@
     return SendTimeOfDay(writer);
   if (request.method == "GET" && request.Path() == kConfigurationTarget)
     return ServeConfiguration(request, handlers, writer);
+  if (request.method == "GET" && request.Path() == kServersTarget)
+    return ServeServers(request, handlers, writer);
   if (request.method == "POST" && request.Path() == kTransferTarget)
     return ServeTransfer(request, handlers, writer);
   if (request.method == "POST" && request.Path() == kReturnTarget)
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -3,7 +3,8 @@
 
 // Calls between routers, as FlatBuffers over HTTP on the address for other
 // routers: transfers of tokens of a workspace's prepaid total, in both
-// directions, the configuration, and the time of day.
+// directions, the configuration, the entries of backend servers, and the time
+// of day.
 
 #include <functional>
 #include <string>
@@ -11,6 +12,7 @@
 #include "absl/status/statusor.h"
 #include "hawthornhollow/http/http.h"
 #include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/relay/server_list.h"
 #include "hawthornhollow/totals/totals.h"
 
 namespace hawthornhollow {
@@ -39,6 +41,12 @@
                                                     const std::string& address,
                                                     int64_t offset);
 
+// Returns the entries of backend servers as the router at `address` knows them,
+// with the records from offset `after` on. NOT_FOUND if it has read none.
+absl::StatusOr<ServersReport> AskPeerForServers(HttpClient& client,
+                                                const std::string& address,
+                                                int64_t after);
+
 // What a router does when another one calls.
 struct PeerHandlers {
   std::function<TransferAnswer(const TransferQuestion&)> give;
@@ -46,6 +54,7 @@
   // The record of the configuration in force; its offset is -1 if there is
   // none.
   std::function<StoredValue()> configuration;
+  std::function<ServersReport(int64_t after)> servers;
 };
 void ServePeer(const HttpRequest& request,
                const PeerHandlers& handlers,
--- a/hawthornhollow/relay/record_reader.h
+++ b/hawthornhollow/relay/record_reader.h
@@ -6,6 +6,7 @@
 // last read is so long ago that reading the records one by one would take
 // longer.
 
+#include <algorithm>
 #include <utility>
 
 #include "hawthornhollow/base/base.h"
@@ -47,9 +48,18 @@
   int64_t end() const { return end_; }
   // Skips records up to `end`, which the caller itself put.
   void SetEnd(int64_t end) { end_ = end; }
+  // Skips records up to `end`, which another reader read at `read_at`. It must
+  // not be before end().
+  void SkipTo(int64_t end, absl::Time read_at) {
+    end_ = end;
+    read_at_ = std::max(read_at_, read_at);
+  }
 
  private:
   ReadResult RecordRead(ReadResult result) {
+    // SkipTo() has been called since the read began.
+    if (result.page.end < end_)
+      return {.page = {.end = end_}};
     end_ = result.page.end;
     read_at_ = SteadyNow();
     return result;
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -15,7 +15,7 @@
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/instrumented_store.h"
 #include "hawthornhollow/relay/link_load.h"
-#include "hawthornhollow/relay/peer_configuration.h"
+#include "hawthornhollow/relay/peer_reader.h"
 #include "hawthornhollow/relay/peer_service.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
@@ -56,7 +56,7 @@
   CongestionDetectorOptions link;
   LinkLoadOptions link_load;
   CatalogOptions catalog;
-  PeerConfigurationOptions peer_configuration;
+  PeerReaderOptions peer_reader;
   PlacementOptions placement;
 };
 
@@ -107,18 +107,24 @@
                         placement_.SetServers(servers);
                       }}),
         peer_configuration_(
-            settings.peer_configuration,
-            {.table_age = [this] { return catalog_.table_age(); },
-             .known_offset =
-                 [this] { return catalog_.configuration_record().offset; },
+            settings.peer_reader.interval,
+            {.is_needed = [this] { return IsUnread(catalog_.table_age()); },
              .addresses = [this] { return totals_.OtherRouterAddresses(); },
              .ask =
-                 [this](const std::string& address, int64_t offset) {
-                   return AskPeerForConfiguration(client_, address, offset);
+                 [this](const std::string& address) {
+                   return ReadConfigurationFrom(address);
+                 }}),
+        peer_servers_(
+            settings.peer_reader.interval,
+            {.is_needed =
+                 [this] {
+                   return IsUnread(catalog_.servers_age()) ||
+                          catalog_.kept_server_count() > 0;
                  },
-             .offer =
-                 [this](const StoredValue& record) {
-                   catalog_.OfferConfiguration(record);
+             .addresses = [this] { return totals_.OtherRouterAddresses(); },
+             .ask =
+                 [this](const std::string& address) {
+                   return ReadServersFrom(address);
                  }}) {
     shared_ = {.client = &client_,
                .placement = &placement_,
@@ -165,6 +171,7 @@
     runtime_.Spawn([this] { catalog_.FollowConfiguration(stop_); });
     runtime_.Spawn([this] { catalog_.FollowServers(stop_); });
     runtime_.Spawn([this] { peer_configuration_.Run(stop_); });
+    runtime_.Spawn([this] { peer_servers_.Run(stop_); });
     runtime_.Spawn([this] { totals_.RunAuthorityLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunLevelLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunReturnLoop(stop_); });
@@ -219,10 +226,47 @@
          .take = [this](
                      const std::string& workspace,
                      int64_t tokens) { totals_.TakeTokens(workspace, tokens); },
-         .configuration = [this] { return catalog_.configuration_record(); }},
+         .configuration = [this] { return catalog_.configuration_record(); },
+         .servers =
+             [this](int64_t after) { return catalog_.ReportServers(after); }},
         writer);
   }
 
+  bool IsUnread(absl::Duration age) const {
+    return age > settings_.peer_reader.unread_after;
+  }
+
+  absl::Status ReadConfigurationFrom(const std::string& address) {
+    const auto record = AskPeerForConfiguration(
+        client_, address, catalog_.configuration_record().offset);
+    if (!record.ok())
+      return record.status();
+    LogEvent("config.from_peer")
+        .Add("peer", address)
+        .Add("offset", record->offset)
+        .Add("unread_ms", absl::ToInt64Milliseconds(catalog_.table_age()));
+    catalog_.OfferConfiguration(*record);
+    return absl::OkStatus();
+  }
+
+  absl::Status ReadServersFrom(const std::string& address) {
+    const auto report =
+        AskPeerForServers(client_, address, catalog_.servers_end());
+    if (!report.ok())
+      return report.status();
+    const absl::Time now = SteadyNow();
+    LogEvent("servers.from_peer")
+        .Add("peer", address)
+        .Add("end", report->end)
+        .Add("known_end", catalog_.servers_end())
+        .Add("age_ms", absl::ToInt64Milliseconds(now - report->reading.last))
+        .Add("unbroken_ms",
+             absl::ToInt64Milliseconds(now - report->reading.unbroken_since))
+        .Add("unread_ms", absl::ToInt64Milliseconds(catalog_.servers_age()));
+    catalog_.OfferServers(*report);
+    return absl::OkStatus();
+  }
+
   void AnswerMetrics(ResponseWriter& writer) {
     writer
         .Send({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -476,7 +520,8 @@
   PromptPlacement placement_;
   TotalsController<InstrumentedStore<Store>> totals_;
   CatalogController<InstrumentedStore<Store>, D> catalog_;
-  PeerConfiguration peer_configuration_;
+  PeerReader peer_configuration_;
+  PeerReader peer_servers_;
   std::map<std::string, RetryBudget> retries_;
   SharedRunState shared_;
   absl::BitGen random_;
