Log what a failed try had begun and the shared parts of its prompt

The logs could not tell whether one part of a prompt, the retries or the load of earlier crashes ends the servers. No decision is changed.

--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -97,6 +97,7 @@
       return EndWithoutServer();
     summary_.server = choice->server.id;
     got_first_piece_ = false;
+    began_ = false;
     LogEvent("request.placed")
         .Add("request", request_.call.id)
         .Add("server", choice->server.id)
@@ -147,12 +148,24 @@
         .Add("request", request_.call.id)
         .Add("server", choice.server.id)
         .Add("end", NameOf(result))
+        .Add("began", began_ ? 1 : 0)
         .Add("events", summary_.events)
+        .Add("shared_parts", SharedPartsText())
         .Add("caller_gone", caller_->gone ? 1 : 0)
         .Add("left_ms", absl::ToInt64Milliseconds(TimeLeft()))
         .Add("detail", detail_);
   }
 
+  // The ids of the first parts of the prompt that other requests may share.
+  std::string SharedPartsText() const {
+    constexpr size_t kMaxParts = 8;
+    std::string text;
+    const std::vector<PromptPart>& prompt = request_.call.prompt;
+    for (size_t i = 0; i + 1 < prompt.size() && i < kMaxParts; ++i)
+      text += (i == 0 ? "" : ",") + prompt[i].id;
+    return text;
+  }
+
   static std::string_view NameOf(AttemptResult result) {
     switch (result) {
       case AttemptResult::kAnswered:
@@ -311,6 +324,7 @@
       if (!head.ok())
         return FailedRead(head.status());
       const ReplyHead reply = D::DecodeReply(*head);
+      began_ = true;
       if (reply.call_id.empty() || reply.call_id == request_.call.id)
         return ReceiveBody(choice, reply);
       LogEvent("answer.stray", LogSeverity::kWarning)
@@ -480,7 +494,8 @@
   std::set<std::string> excluded_servers_;
   const std::shared_ptr<CallerState> caller_ = std::make_shared<CallerState>();
   bool streaming_ = false;
-  bool got_first_piece_ = false;
+  bool got_first_piece_ = false;  // of the attempt in progress
+  bool began_ = false;  // the attempt in progress has the head of an answer
   std::optional<int64_t> last_event_;
   // The last complete error answer of a server.
   std::optional<HttpResponse> failed_answer_;
