Tests that fail: a part that crashes servers, streams that end inside an event

Two tests of answers without length or chunks pass already.

The fixture starts a second router; the test of a withdrawn key moves to StoreLossTest, whose setup it doubled.

--- a/testing/entry_fixture.h
+++ b/testing/entry_fixture.h
@@ -47,6 +47,7 @@
   }
 
   void TearDown() override {
+    second_.reset();
     entry_.reset();
     replica_servers_.clear();
     store_server_.reset();
@@ -93,6 +94,34 @@
     entry_ = *std::move(process);
   }
 
+  // A second router, which may reach the store by another path.
+  void StartSecond(const Endpoint& store) {
+    const std::string file = folder_ + "-2.json";
+    std::ofstream(file) << standins::EntrySettings(
+        "entry-2", {.callers = second_callers_,
+                    .readiness = {"127.0.0.1", FreePort()},
+                    .peers = {"127.0.0.1", FreePort()},
+                    .store = store});
+    auto process =
+        ChildProcess::Start({ENTRY, "--settings", file}, folder_ + "-2.err");
+    ASSERT_TRUE(process.ok()) << process.status();
+    second_ = *std::move(process);
+  }
+  int StatusAtSecond(const std::string& path) {
+    const auto response =
+        PlainHttp(second_callers_,
+                  standins::MakeCallerRequest(
+                      {.id = NextId(), .path = path, .key = "k1"}),
+                  kWait);
+    return response.ok() ? response->status : 0;
+  }
+  void AwaitStatusAtSecond(int status) {
+    const absl::Time end = absl::Now() + kWait;
+    while (StatusAtSecond("/order/a") != status && absl::Now() < end)
+      absl::SleepFor(absl::Milliseconds(20));
+    EXPECT_EQ(StatusAtSecond("/order/a"), status);
+  }
+
   int Readiness() {
     const auto response =
         PlainHttp(readiness_, {.target = "/ready"}, absl::Seconds(1));
@@ -189,6 +218,8 @@
   int64_t link_mbps_ = 1'000;
   std::string folder_;
   std::unique_ptr<ChildProcess> entry_;
+  const Endpoint second_callers_ = {"127.0.0.1", FreePort()};
+  std::unique_ptr<ChildProcess> second_;
   int ids_ = 0;
 };
 
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -9,7 +9,6 @@
 #include <thread>
 
 #include "testing/entry_fixture.h"
-#include "testing/tcp_relay.h"
 
 namespace hawthornhollow {
 namespace {
@@ -240,48 +239,6 @@
   EXPECT_EQ(*exit, 0);
 }
 
-// The store turns one VM away while a key is withdrawn.
-TEST_F(EntryTest,
-       StoreOutOfReachOfOneRouter_ItLearnsTheConfigurationFromOthers) {
-  auto path_to_store = TcpRelay::Start(store_server_->local());
-  ASSERT_TRUE(path_to_store.ok()) << path_to_store.status();
-  StartReady();
-  const std::string file = folder_ + "-2.json";
-  const Endpoint callers = {"127.0.0.1", FreePort()};
-  std::ofstream(file) << standins::EntrySettings(
-      "entry-2", {.callers = callers,
-                  .readiness = {"127.0.0.1", FreePort()},
-                  .peers = {"127.0.0.1", FreePort()},
-                  .store = (*path_to_store)->endpoint()});
-  auto second =
-      ChildProcess::Start({ENTRY, "--settings", file}, folder_ + "-2.err");
-  ASSERT_TRUE(second.ok()) << second.status();
-  const auto status_at_second = [&] {
-    const auto response =
-        PlainHttp(callers,
-                  standins::MakeCallerRequest(
-                      {.id = NextId(), .path = "/order/a", .key = "k1"}),
-                  kWait);
-    return response.ok() ? response->status : 0;
-  };
-  const auto await = [&](int status) {
-    const absl::Time end = absl::Now() + kWait;
-    while (status_at_second() != status && absl::Now() < end)
-      absl::SleepFor(absl::Milliseconds(20));
-    EXPECT_EQ(status_at_second(), status);
-  };
-  await(200);
-  // Both have read each other's records by then.
-  absl::SleepFor(absl::Seconds(1));
-  (*path_to_store)->SetMode(RelayMode::kSilent);
-  standins::PutConfiguration(
-      store_, {.version = 2,
-               .workspaces = {{.name = "ward-7", .key = "k2", .prepaid = 1}}});
-  const absl::Time withdrawn = absl::Now();
-  await(401);
-  EXPECT_LT(absl::Now() - withdrawn, absl::Seconds(3));
-}
-
 // Load: a workspace's large requests come to one VM whose link is narrow. Its
 // callers are sent to other routers before the link is full, and are welcome
 // again afterwards.
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -176,6 +176,16 @@
   return runs_;
 }
 
+void ReplicaStandin::CountCrash() {
+  const std::lock_guard lock(mutex_);
+  ++crashes_;
+}
+
+int ReplicaStandin::crashes() const {
+  const std::lock_guard lock(mutex_);
+  return crashes_;
+}
+
 void ReplicaStandin::Serve(const HttpRequest& request, ResponseWriter& writer) {
   const std::string id(request.Header("Attempt-Id"));
   Faults faults;
@@ -243,12 +253,22 @@
                      {"Replica-Seal", id_}})
            .ok())
     return;
+  if (!faults.deadly_part.empty() &&
+      std::string(request.Header("Prompt-Prefix"))
+              .find(faults.deadly_part + ":") != std::string::npos) {
+    CountCrash();
+    return writer.Abort();
+  }
   for (int sent = 0; next <= kEvents; ++next, ++sent) {
     if (sent == faults.break_after_events) {
       writer.Write("id: " + std::to_string(next) + "\nda").IgnoreError();
       return writer.Abort();
     }
     hawthornhollow::SleepFor(pause);
+    if (resume.empty() && next == faults.end_inside_event) {
+      writer.Write("id: " + std::to_string(next) + "\nda").IgnoreError();
+      break;
+    }
     if (!writer.Write(Event(next)).ok())
       return;
   }
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -69,6 +69,11 @@
     bool lose_answers = false;
     bool refuse = false;  // answers 503 and does not run
     bool fail = false;    // runs and answers 500
+    // Crashes when it begins a stream whose prompt has this part.
+    std::string deadly_part;
+    // Ends each stream that is not resumed inside this event, as if it were
+    // whole; 0: none.
+    int64_t end_inside_event = 0;
   };
 
   explicit ReplicaStandin(std::string id) : id_(std::move(id)) {}
@@ -78,6 +83,8 @@
   void SetEventPause(absl::Duration pause);
   // How often each request ran, by its id.
   std::map<std::string, int> runs() const;
+  // Requests that crashed it.
+  int crashes() const;
 
   static constexpr int64_t kEvents = 10;
   // The body of a whole stream.
@@ -86,6 +93,7 @@
  private:
   void Serve(const HttpRequest& request, ResponseWriter& writer);
   static std::string Event(int64_t number);
+  void CountCrash();
   void ServeStream(const HttpRequest& request,
                    const Faults& faults,
                    ResponseWriter& writer);
@@ -95,6 +103,7 @@
   Faults faults_;
   absl::Duration event_pause_ = absl::Milliseconds(2);
   std::map<std::string, int> runs_;
+  int crashes_ = 0;
 };
 
 }  // namespace hawthornhollow::standins
--- a/testing/raw_server_standin.cc
+++ b/testing/raw_server_standin.cc
@@ -76,7 +76,7 @@
     };
     const std::string repeated = fill(script_.repeated);
     bool open = SendAll(socket, fill(script_.beginning));
-    while (open && !stop_) {
+    while (open && !stop_ && !script_.closes) {
       absl::SleepFor(script_.pause);
       open = SendAll(socket, repeated);
       std::array<char, 1> byte{};
--- a/testing/raw_server_standin.h
+++ b/testing/raw_server_standin.h
@@ -28,6 +28,7 @@
     std::string beginning;
     std::string repeated;  // without end; empty: nothing more is sent
     absl::Duration pause;  // before each repetition
+    bool closes = false;   // after the beginning
   };
 
   static absl::StatusOr<std::unique_ptr<RawServerStandin>> Start(Script script);
--- a/testing/server_trouble_test.cc
+++ b/testing/server_trouble_test.cc
@@ -217,5 +217,59 @@
   EXPECT_EQ(RunsOfAll(), 1);
 }
 
+TEST_F(ServerTroubleTest, AnswerWithoutLengthOrChunks_IsPassedOnWhole) {
+  StartBefore({.beginning = standins::AnswerHeadBytes("") + "the whole body",
+               .closes = true},
+              /*with_sound_server=*/false);
+  const auto answer = Send("/lookup/a");
+  ASSERT_TRUE(answer.ok()) << answer.status();
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body, "the whole body");
+}
+
+TEST_F(ServerTroubleTest, StreamWithoutLengthOrChunks_IsPassedOnWhole) {
+  const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  StartBefore({.beginning = standins::AnswerHeadBytes(
+                                "Content-Type: text/event-stream\r\n") +
+                            events,
+               .closes = true},
+              /*with_sound_server=*/false);
+  const auto stream = Send("/stream/a");
+  ASSERT_TRUE(stream.ok()) << stream.status();
+  EXPECT_EQ(stream->status, 200);
+  EXPECT_EQ(stream->body, events);
+}
+
+TEST_F(ServerTroubleTest, StreamEndsInsideAnEvent_ItDoesNotLookComplete) {
+  const std::string events = "id: 1\ndata: a\n\nid: 2\nda";
+  const std::string type = "Content-Type: text/event-stream\r\n";
+  const std::string framings[] = {
+      standins::AnswerHeadBytes(type) + events,
+      standins::AnswerHeadBytes(
+          absl::StrCat(type, "Content-Length: ", events.size(), "\r\n")) +
+          events,
+      StreamHead() + Chunk(events) + Chunk("")};
+  for (const std::string& bytes : framings) {
+    auto raw = RawServerStandin::Start({.beginning = bytes, .closes = true});
+    ASSERT_TRUE(raw.ok()) << raw.status();
+    raw_ = *std::move(raw);
+    PutConfiguration(/*prepaid=*/1'000'000'000);
+    standins::PutServer(store_, "i-raw", raw_->local(), /*sequence=*/1);
+    StartEntry();
+    AwaitReady();
+    EXPECT_FALSE(Send("/stream/a").ok()) << bytes;
+    entry_.reset();
+  }
+}
+
+TEST_F(ServerTroubleTest, StreamEndsInsideAnEvent_GoesOnAtAnotherServer) {
+  StartReady();
+  for (auto& replica : replicas_)
+    replica->SetFaults({.end_inside_event = 6});
+  const auto stream = Send("/stream/a");
+  ASSERT_TRUE(stream.ok()) << stream.status();
+  EXPECT_EQ(stream->body, ReplicaStandin::WholeStream());
+}
+
 }  // namespace
 }  // namespace hawthornhollow
--- a/testing/store_loss_test.cc
+++ b/testing/store_loss_test.cc
@@ -1,8 +1,6 @@
 // Routers that lose the store while it changes. What the others know of it, and
 // what happened since, must reach the callers of the router that lost it.
 
-#include <fstream>
-
 #include "testing/entry_fixture.h"
 #include "testing/tcp_relay.h"
 
@@ -24,38 +22,10 @@
     path_to_store_ = *std::move(path);
   }
   void TearDown() override {
-    second_.reset();
-    path_to_store_.reset();
     EntryFixture::TearDown();
+    path_to_store_.reset();
   }
 
-  void StartSecond() {
-    const std::string file = folder_ + "-2.json";
-    std::ofstream(file) << standins::EntrySettings(
-        "entry-2", {.callers = second_callers_,
-                    .readiness = {"127.0.0.1", FreePort()},
-                    .peers = {"127.0.0.1", FreePort()},
-                    .store = path_to_store_->endpoint()});
-    auto process =
-        ChildProcess::Start({ENTRY, "--settings", file}, folder_ + "-2.err");
-    ASSERT_TRUE(process.ok()) << process.status();
-    second_ = *std::move(process);
-  }
-
-  int StatusAtSecond(const std::string& path) {
-    const auto response =
-        PlainHttp(second_callers_,
-                  standins::MakeCallerRequest(
-                      {.id = NextId(), .path = path, .key = "k1"}),
-                  kWait);
-    return response.ok() ? response->status : 0;
-  }
-  void AwaitStatusAtSecond(int status) {
-    const absl::Time end = absl::Now() + kWait;
-    while (StatusAtSecond("/order/a") != status && absl::Now() < end)
-      absl::SleepFor(absl::Milliseconds(20));
-    EXPECT_EQ(StatusAtSecond("/order/a"), status);
-  }
   static void SleepUntil(absl::Time time) {
     absl::SleepFor(time - absl::Now());
   }
@@ -82,15 +52,13 @@
     EXPECT_EQ(RunsOfFirstServer(), runs_before);
   }
 
-  const Endpoint second_callers_ = {"127.0.0.1", FreePort()};
   std::unique_ptr<TcpRelay> path_to_store_;
-  std::unique_ptr<ChildProcess> second_;
 };
 
 TEST_F(StoreLossTest,
        ServerLeavesWhileOneRouterLostTheStore_ThatRouterSendsItNothing) {
   StartReady();
-  StartSecond();
+  StartSecond(path_to_store_->endpoint());
   AwaitStatusAtSecond(200);
   // Both have read each other's records by then.
   absl::SleepFor(absl::Seconds(1));
@@ -102,10 +70,26 @@
        ServerLeavesWhileTheOnlyRouterLostTheStore_ItSendsItNothing) {
   PutConfiguration(/*prepaid=*/1'000'000);
   PutServers();
-  StartSecond();
+  StartSecond(path_to_store_->endpoint());
   AwaitStatusAtSecond(200);
   ExpectNothingForServerThatLeftDuringCut();
 }
 
+// The store turns one VM away while a key is withdrawn.
+TEST_F(StoreLossTest, KeyWithdrawnWhileOneRouterLostTheStore_ThatRouterKnows) {
+  StartReady();
+  StartSecond(path_to_store_->endpoint());
+  AwaitStatusAtSecond(200);
+  // Both have read each other's records by then.
+  absl::SleepFor(absl::Seconds(1));
+  path_to_store_->SetMode(RelayMode::kSilent);
+  standins::PutConfiguration(
+      store_, {.version = 2,
+               .workspaces = {{.name = "ward-7", .key = "k2", .prepaid = 1}}});
+  const absl::Time withdrawn = absl::Now();
+  AwaitStatusAtSecond(401);
+  EXPECT_LT(absl::Now() - withdrawn, absl::Seconds(3));
+}
+
 }  // namespace
 }  // namespace hawthornhollow
