A stream that ends inside an event has been broken off

Callers got a stream as complete although its last event was cut. Cause: the end of a stream was taken from its framing alone; what followed the last whole event was passed on and the answer ended as whole. A server that breaks off without length or chunks ends its connection as one that has finished.

Now such an end is a broken try, so the stream goes on at another server after the last whole event where the route allows it, and is cut otherwise. Comments and empty lines at the end belong to no event and are passed on.

Answers and streams without length or chunks that are whole were right before.

--- a/hawthornhollow/relay/event_splitter.cc
+++ b/hawthornhollow/relay/event_splitter.cc
@@ -40,6 +40,12 @@
 
 }  // namespace
 
+bool EventSplitter::IsInsideEvent(std::string_view rest) {
+  // Lines may also end otherwise, in events that Feed() does not split off.
+  return !IsComment(rest) && !rest.ends_with("\r\n\r\n") &&
+         !rest.ends_with("\r\r");
+}
+
 std::vector<StreamEvent> EventSplitter::Feed(std::string_view piece) {
   rest_.append(piece);
   std::vector<StreamEvent> events;
--- a/hawthornhollow/relay/event_splitter_test.cc
+++ b/hawthornhollow/relay/event_splitter_test.cc
@@ -44,6 +44,24 @@
   EXPECT_EQ(splitter_.rest(), "id: 2\nda");
 }
 
+TEST_F(EventSplitterTest, RestOfAStream_IsInsideAnEventOrNot) {
+  const struct {
+    const char* rest;
+    bool is_inside;
+  } cases[] = {{"", false},
+               {"\n", false},
+               {": waiting", false},
+               {": waiting\n", false},
+               {"id: 2\nda", true},
+               {"id: 2\ndata: b\n", true},
+               {": waiting\ndata: b", true},
+               {"id: 2\r\ndata: b\r\n\r\n", false},
+               {"id: 2\r\ndata: b\r\n", true},
+               {"id: 2\rdata: b\r\r", false}};
+  for (const auto& [rest, is_inside] : cases)
+    EXPECT_EQ(EventSplitter::IsInsideEvent(rest), is_inside) << rest;
+}
+
 TEST_F(EventSplitterTest, AnyDivisionIntoPieces_GivesTheSameEvents) {
   std::string stream;
   for (int i = 0; i < 40; ++i)
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -297,6 +297,9 @@
   std::vector<StreamEvent> Feed(std::string_view piece);
   // Bytes of an incomplete event.
   const std::string& rest() const { return rest_; }
+  // Whether a stream that ends with this `rest` ends inside an event, and not
+  // after one, perhaps with a comment or an empty line.
+  static bool IsInsideEvent(std::string_view rest);
 
  private:
   std::string rest_;
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -478,7 +478,12 @@
     return false;
   }
 
+  // `rest` holds the bytes after the last event.
   AttemptResult FinishStream(const ReplyHead& reply, const std::string& rest) {
+    if (EventSplitter::IsInsideEvent(rest)) {
+      detail_ = "the stream ends inside an event";
+      return AttemptResult::kIncompleteAnswer;
+    }
     if (!Deliver(reply, rest))
       return AttemptResult::kAnswered;
     EndSent(writer_.Finish(), "answered", reply.status);
