Parts of prompts that crash backend servers are kept from them

Callers' requests with one part in their prompts crashed server after server: 32 to 42 in 22 seconds, each with all that was in progress there.

Cause: nothing remembers what a server was doing when it crashed. Each request with the part is new, is placed as any other, and is sent on to a second server after the first has crashed. The class of fault: a failure that the request causes is taken for one of the server.

Now a router notes the parts of a prompt on which a server had just begun (a head, no first piece) when its connection broke off, less those on which answers begin, and tells the other routers. A part that three crashes have in common is quarantined: requests with it are refused at once (503 prompt_quarantined, not run), and ones that have crashed a server are not sent on. An answer on a suspected part clears it at all routers. Quarantines are kept in the store, for routers that start or were not reached, and end ten minutes after the last such request.

Ruled out: withholding second attempts alone (each request still crashes one server); the router's own crashes only, not pooled (each sees a share).

--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/numbers.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
+#include "hawthornhollow/relay/peer_messages_generated.h"
 #include "hawthornhollow/totals/message_bytes.h"
 #include "hawthornhollow/totals/totals_generated.h"
 
@@ -18,6 +19,9 @@
 constexpr char kTimeTarget[] = "/time-of-day";
 constexpr char kConfigurationTarget[] = "/configuration";
 constexpr char kServersTarget[] = "/servers";
+constexpr char kCrashTarget[] = "/server-crash";
+constexpr char kSoundTarget[] = "/sound-parts";
+constexpr char kQuarantineTarget[] = "/quarantine";
 constexpr absl::Duration kPeerCallTimeout = absl::Milliseconds(150);
 constexpr int kOk = 200;
 constexpr int kNoContent = 204;
@@ -172,6 +176,55 @@
       .IgnoreError();
 }
 
+void ServeCrash(const HttpRequest& request,
+                const PeerHandlers& handlers,
+                ResponseWriter& writer) {
+  const auto report =
+      DecodeMessage<fb::CrashReport>(request.body, request.peer);
+  if (!report.ok())
+    return Reject(request, report.status(), writer);
+  handlers.crash({.server = report->server, .parts = report->parts},
+                 request.peer);
+  writer.Send({}).IgnoreError();
+}
+
+void ServeSound(const HttpRequest& request,
+                const PeerHandlers& handlers,
+                ResponseWriter& writer) {
+  const auto report =
+      DecodeMessage<fb::SoundReport>(request.body, request.peer);
+  if (!report.ok())
+    return Reject(request, report.status(), writer);
+  handlers.sound(report->parts);
+  writer.Send({}).IgnoreError();
+}
+
+// Steady times are not comparable between VMs.
+fb::QuarantineRecordT EncodePart(const QuarantinedPart& part) {
+  fb::QuarantineRecordT record;
+  record.part = part.part;
+  record.crashes = part.crashes;
+  record.until_us =
+      absl::ToUnixMicros(TimeOfDayNow() + (part.until - SteadyNow()));
+  return record;
+}
+
+QuarantinedPart DecodePart(const fb::QuarantineRecordT& record) {
+  return {.part = record.part,
+          .crashes = record.crashes,
+          .until = SteadyNow() +
+                   (absl::FromUnixMicros(record.until_us) - TimeOfDayNow())};
+}
+
+void ServeQuarantine(const PeerHandlers& handlers, ResponseWriter& writer) {
+  fb::QuarantineListT list;
+  for (const QuarantinedPart& part : handlers.quarantine()) {
+    list.parts.push_back(
+        std::make_unique<fb::QuarantineRecordT>(EncodePart(part)));
+  }
+  writer.Send({.body = EncodeMessage<fb::QuarantineList>(list)}).IgnoreError();
+}
+
 }  // namespace
 
 absl::StatusOr<TransferAnswer> AskPeerForTokens(
@@ -261,6 +314,58 @@
   return report;
 }
 
+absl::Status ReportCrashToPeer(HttpClient& client,
+                               const std::string& address,
+                               const ServerCrash& crash) {
+  fb::CrashReportT report;
+  report.server = crash.server;
+  report.parts = crash.parts;
+  return Ask(client, address,
+             {.method = "POST",
+              .target = kCrashTarget,
+              .body = EncodeMessage<fb::CrashReport>(report)})
+      .status();
+}
+
+absl::Status ReportSoundToPeer(HttpClient& client,
+                               const std::string& address,
+                               const std::vector<std::string>& parts) {
+  fb::SoundReportT report;
+  report.parts = parts;
+  return Ask(client, address,
+             {.method = "POST",
+              .target = kSoundTarget,
+              .body = EncodeMessage<fb::SoundReport>(report)})
+      .status();
+}
+
+absl::StatusOr<std::vector<QuarantinedPart>> AskPeerForQuarantine(
+    HttpClient& client,
+    const std::string& address) {
+  const auto body = Ask(client, address, {.target = kQuarantineTarget});
+  if (!body.ok())
+    return body.status();
+  const auto list = DecodeMessage<fb::QuarantineList>(*body, address);
+  if (!list.ok())
+    return list.status();
+  std::vector<QuarantinedPart> parts;
+  for (const auto& record : list->parts)
+    parts.push_back(DecodePart(*record));
+  return parts;
+}
+
+std::string EncodeQuarantine(const QuarantinedPart& part) {
+  return EncodeMessage<fb::QuarantineRecord>(EncodePart(part));
+}
+
+absl::StatusOr<QuarantinedPart> DecodeQuarantine(const StoredValue& record) {
+  const auto decoded =
+      DecodeMessage<fb::QuarantineRecord>(record.value, record.key);
+  if (!decoded.ok())
+    return decoded.status();
+  return DecodePart(*decoded);
+}
+
 void ServePeer(const HttpRequest& request,
                const PeerHandlers& handlers,
                ResponseWriter& writer) {
@@ -270,6 +375,12 @@
     return ServeConfiguration(request, handlers, writer);
   if (request.method == "GET" && request.Path() == kServersTarget)
     return ServeServers(request, handlers, writer);
+  if (request.method == "GET" && request.Path() == kQuarantineTarget)
+    return ServeQuarantine(handlers, writer);
+  if (request.method == "POST" && request.Path() == kCrashTarget)
+    return ServeCrash(request, handlers, writer);
+  if (request.method == "POST" && request.Path() == kSoundTarget)
+    return ServeSound(request, handlers, writer);
   if (request.method == "POST" && request.Path() == kTransferTarget)
     return ServeTransfer(request, handlers, writer);
   if (request.method == "POST" && request.Path() == kReturnTarget)
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -3,14 +3,16 @@
 
 // Calls between routers, as FlatBuffers over HTTP on the address for other
 // routers: transfers of tokens of a workspace's prepaid total, in both
-// directions, the configuration, the entries of backend servers, and the time
-// of day.
+// directions, the configuration, the entries of backend servers, crashes of
+// servers and what they are put down to, and the time of day.
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "hawthornhollow/http/http.h"
+#include "hawthornhollow/relay/prompt_quarantine.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/server_list.h"
 #include "hawthornhollow/totals/totals.h"
@@ -47,6 +49,27 @@
                                                 const std::string& address,
                                                 int64_t after);
 
+// Tells the router at `address` of a crash.
+absl::Status ReportCrashToPeer(HttpClient& client,
+                               const std::string& address,
+                               const ServerCrash& crash);
+
+// Tells the router at `address` of parts that it may suspect, on which answers
+// began.
+absl::Status ReportSoundToPeer(HttpClient& client,
+                               const std::string& address,
+                               const std::vector<std::string>& parts);
+
+// Returns the parts of prompts that the router at `address` keeps from servers.
+absl::StatusOr<std::vector<QuarantinedPart>> AskPeerForQuarantine(
+    HttpClient& client,
+    const std::string& address);
+
+// A quarantined part as a record in the store. Times of day are used in it, so
+// it may end early or late by the difference of two VMs' clocks.
+std::string EncodeQuarantine(const QuarantinedPart& part);
+absl::StatusOr<QuarantinedPart> DecodeQuarantine(const StoredValue& record);
+
 // What a router does when another one calls.
 struct PeerHandlers {
   std::function<TransferAnswer(const TransferQuestion&)> give;
@@ -55,6 +78,9 @@
   // none.
   std::function<StoredValue()> configuration;
   std::function<ServersReport(int64_t after)> servers;
+  std::function<void(const ServerCrash& crash, const std::string& peer)> crash;
+  std::function<void(const std::vector<std::string>& parts)> sound;
+  std::function<std::vector<QuarantinedPart>()> quarantine;
 };
 void ServePeer(const HttpRequest& request,
                const PeerHandlers& handlers,
--- /dev/null
+++ b/hawthornhollow/relay/prompt_quarantine.cc
@@ -0,0 +1,230 @@
+// Assumed load: requests with the harmful part are a few per cent of a route's
+// and come at any router; sound ones share their caller and their other parts.
+// When a server crashes, everything in progress there breaks off, so most of
+// what broke off is innocent. Three facts narrow it down:
+//
+//   - The cause had just begun: its answer has a head and no first piece. The
+//     others mostly wait for the head, or have pieces.
+//   - A part is sound if answers on it begin, here or at the router that
+//     reports the crash, and one on which an answer begins after a crash is
+//     cleared at all routers. This leaves out the parts that many requests
+//     share.
+//   - Of the parts that are left, the cause is the one that most crashes have
+//     in common. If several have all of them in common, they always came
+//     together, and the one furthest into the prompt is taken, since the
+//     earlier ones are shared more widely.
+//
+// A crash that a quarantined part explains is no evidence against others.
+//
+// Bounds: a part is quarantined at the third crash that the router knows of, so
+// with reports that arrive, by all routers. Requests sent before that may cause
+// further crashes. The time for a crash is linear in `max_crashes`.
+
+#include "hawthornhollow/relay/prompt_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornhollow {
+namespace {
+
+// The parts that other requests may have, too.
+std::vector<std::string> SharedParts(const std::vector<PromptPart>& prompt) {
+  std::vector<std::string> parts;
+  for (size_t i = 0; i + 1 < prompt.size(); ++i)
+    parts.push_back(prompt[i].id);
+  return parts;
+}
+
+}  // namespace
+
+std::vector<std::string> PromptQuarantine::OnAnswerBegan(
+    const std::vector<PromptPart>& prompt,
+    absl::Time now) {
+  std::vector<std::string> cleared;
+  for (std::string& part : SharedParts(prompt)) {
+    if (MarkSound(part, now))
+      cleared.push_back(std::move(part));
+  }
+  return cleared;
+}
+
+void PromptQuarantine::OnSoundReported(const std::vector<std::string>& parts,
+                                       absl::Time now) {
+  for (const std::string& part : parts)
+    MarkSound(part, now);
+}
+
+bool PromptQuarantine::MarkSound(const std::string& part, absl::Time now) {
+  if (sound_.size() >= options_.max_sound_parts) {
+    std::erase_if(sound_, [&](const auto& item) {
+      return now - item.second > options_.sound_time;
+    });
+  }
+  sound_[part] = now;
+  size_t erased = 0;
+  for (Evidence& evidence : evidence_)
+    erased += std::erase(evidence.crash.parts, part);
+  return erased > 0;
+}
+
+std::optional<ServerCrash> PromptQuarantine::OnCrash(
+    const std::string& server,
+    const std::vector<PromptPart>& prompt,
+    absl::Time now) {
+  ServerCrash crash{.server = server, .parts = SharedParts(prompt)};
+  DropSound(&crash.parts, now);
+  if (crash.parts.empty())
+    return std::nullopt;
+  Record(crash, now);
+  return crash;
+}
+
+void PromptQuarantine::OnReported(const ServerCrash& crash, absl::Time now) {
+  ServerCrash known = crash;
+  DropSound(&known.parts, now);
+  if (!known.parts.empty())
+    Record(std::move(known), now);
+}
+
+bool PromptQuarantine::IsSound(const std::string& part, absl::Time now) const {
+  const auto found = sound_.find(part);
+  return found != sound_.end() && now - found->second <= options_.sound_time;
+}
+
+void PromptQuarantine::DropSound(std::vector<std::string>* parts,
+                                 absl::Time now) const {
+  std::erase_if(*parts,
+                [&](const std::string& part) { return IsSound(part, now); });
+}
+
+void PromptQuarantine::Record(ServerCrash crash, absl::Time now) {
+  const bool is_explained = std::any_of(
+      crash.parts.begin(), crash.parts.end(), [&](const std::string& part) {
+        const auto found = quarantined_.find(part);
+        return found != quarantined_.end() && found->second.until > now;
+      });
+  if (is_explained)
+    return;
+  while (!evidence_.empty() &&
+         (evidence_.size() >= options_.max_crashes ||
+          now - evidence_.front().at > options_.evidence_time))
+    evidence_.pop_front();
+  const std::vector<std::string> parts = crash.parts;
+  evidence_.push_back({.crash = std::move(crash), .at = now});
+  QuarantineCause(parts, now);
+}
+
+int64_t PromptQuarantine::CrashesWith(const std::string& part) const {
+  std::map<std::string, absl::Time> last_crash;  // by server
+  int64_t crashes = 0;
+  for (const auto& [crash, at] : evidence_) {
+    if (std::ranges::find(crash.parts, part) == crash.parts.end())
+      continue;
+    const auto [found, is_first] = last_crash.try_emplace(crash.server, at);
+    if (is_first || at - found->second > options_.crash_time)
+      ++crashes;
+    found->second = at;
+  }
+  return crashes;
+}
+
+// Only parts of the newest crash can have become the cause.
+void PromptQuarantine::QuarantineCause(const std::vector<std::string>& parts,
+                                       absl::Time now) {
+  std::string cause;
+  int64_t most = 0;
+  for (const std::string& part : parts) {
+    const int64_t crashes = CrashesWith(part);
+    if (crashes < most)
+      continue;
+    most = crashes;
+    cause = part;
+  }
+  if (most < options_.crashes)
+    return;
+  const QuarantinedPart decided = {
+      .part = cause, .crashes = most, .until = now + options_.duration};
+  Insert(decided);
+  decided_.push_back(decided);
+  unsaved_.insert(cause);
+}
+
+void PromptQuarantine::Insert(QuarantinedPart part) {
+  std::erase_if(evidence_, [&](const Evidence& evidence) {
+    return std::ranges::find(evidence.crash.parts, part.part) !=
+           evidence.crash.parts.end();
+  });
+  if (quarantined_.size() >= options_.max_quarantined) {
+    const auto first_to_end =
+        std::min_element(quarantined_.begin(), quarantined_.end(),
+                         [](const auto& a, const auto& b) {
+                           return a.second.until < b.second.until;
+                         });
+    quarantined_.erase(first_to_end);
+  }
+  std::string key = part.part;
+  quarantined_.insert_or_assign(std::move(key), std::move(part));
+}
+
+bool PromptQuarantine::Adopt(const QuarantinedPart& part, absl::Time now) {
+  const absl::Time until = std::min(part.until, now + options_.duration);
+  if (until <= now)
+    return false;
+  if (const auto found = quarantined_.find(part.part);
+      found != quarantined_.end()) {
+    found->second.until = std::max(found->second.until, until);
+    return false;
+  }
+  if (IsSound(part.part, now))
+    return false;
+  Insert({.part = part.part, .crashes = part.crashes, .until = until});
+  return true;
+}
+
+const QuarantinedPart* PromptQuarantine::Find(
+    const std::vector<PromptPart>& prompt,
+    absl::Time now) {
+  if (quarantined_.empty())
+    return nullptr;
+  for (size_t i = 0; i + 1 < prompt.size(); ++i) {
+    const auto found = quarantined_.find(prompt[i].id);
+    if (found == quarantined_.end())
+      continue;
+    QuarantinedPart& part = found->second;
+    if (part.until <= now) {
+      quarantined_.erase(found);
+      continue;
+    }
+    // Prolonged seldom, because each time it is saved.
+    if (part.until - now < options_.duration / 2) {
+      part.until = now + options_.duration;
+      unsaved_.insert(part.part);
+    }
+    return &part;
+  }
+  return nullptr;
+}
+
+std::vector<QuarantinedPart> PromptQuarantine::TakeUnsaved() {
+  std::vector<QuarantinedPart> parts;
+  for (const std::string& part : unsaved_) {
+    const auto found = quarantined_.find(part);
+    if (found != quarantined_.end())
+      parts.push_back(found->second);
+  }
+  unsaved_.clear();
+  return parts;
+}
+
+std::vector<QuarantinedPart> PromptQuarantine::quarantined(
+    absl::Time now) const {
+  std::vector<QuarantinedPart> parts;
+  for (const auto& [id, part] : quarantined_) {
+    if (part.until > now)
+      parts.push_back(part);
+  }
+  return parts;
+}
+
+}  // namespace hawthornhollow
--- /dev/null
+++ b/hawthornhollow/relay/prompt_quarantine.h
@@ -0,0 +1,134 @@
+#ifndef HAWTHORNHOLLOW_RELAY_PROMPT_QUARANTINE_H_
+#define HAWTHORNHOLLOW_RELAY_PROMPT_QUARANTINE_H_
+
+// Decides which parts of prompts must not be sent to backend servers, because
+// servers crash when they begin an answer on them. Has no I/O and no clock.
+//
+// Each request with such a part is new, so nothing is learned from the request
+// itself. What a crash tells is the parts of the prompts on which the server
+// had just begun. A part that several crashes have in common, and on which no
+// answer began since, is quarantined.
+//
+//   PromptQuarantine quarantine(options);
+//   TellOtherRouters(quarantine.OnAnswerBegan(prompt, now));
+//   if (auto crash = quarantine.OnCrash(server, prompt, now))
+//     TellOtherRouters(*crash);             // they call OnReported()
+//   if (quarantine.Find(prompt, now) != nullptr)
+//     Refuse();
+//   for (const QuarantinedPart& part : quarantine.TakeUnsaved())
+//     Save(part);                           // others call Adopt()
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "hawthornhollow/relay/relay.h"
+
+namespace hawthornhollow {
+
+struct PromptQuarantineOptions {
+  // Crashes that a part must have in common with no other explanation. Two may
+  // coincide when several servers crash for another reason.
+  int64_t crashes = 3;
+  // A part on which an answer began this recently is not the cause of a crash.
+  absl::Duration sound_time = absl::Seconds(10);
+  // Older crashes are forgotten.
+  absl::Duration evidence_time = absl::Minutes(10);
+  // Ends of connections to one server within this time are one crash.
+  absl::Duration crash_time = absl::Seconds(2);
+  // A quarantine ends this long after the last request with the part.
+  absl::Duration duration = absl::Minutes(10);
+  // Bounds memory.
+  size_t max_crashes = 256;
+  size_t max_sound_parts = 4096;
+  size_t max_quarantined = 256;
+};
+
+// A server's connection broke off when an answer had just begun.
+struct ServerCrash {
+  std::string server;
+  // The parts of the prompt that may be the cause, in order of the text.
+  std::vector<std::string> parts;
+  friend auto operator<=>(const ServerCrash&, const ServerCrash&) = default;
+};
+
+struct QuarantinedPart {
+  std::string part;
+  int64_t crashes = 0;  // that it was found by
+  absl::Time until;
+  friend auto operator<=>(const QuarantinedPart&,
+                          const QuarantinedPart&) = default;
+};
+
+class PromptQuarantine {
+ public:
+  explicit PromptQuarantine(const PromptQuarantineOptions& options)
+      : options_(options) {}
+
+  // The first piece of an answer on this prompt has arrived. Returns its parts
+  // that had been suspected: other routers should know.
+  std::vector<std::string> OnAnswerBegan(const std::vector<PromptPart>& prompt,
+                                         absl::Time now);
+  // A server broke off between the head and the first piece of its answer.
+  // Returns what other routers should know, if any part may be the cause.
+  std::optional<ServerCrash> OnCrash(const std::string& server,
+                                     const std::vector<PromptPart>& prompt,
+                                     absl::Time now);
+  // Another router has seen a crash.
+  void OnReported(const ServerCrash& crash, absl::Time now);
+  // Another router has seen answers begin on these parts.
+  void OnSoundReported(const std::vector<std::string>& parts, absl::Time now);
+  // Takes a quarantine that another router, or an earlier incarnation of this
+  // one, has decided. Returns whether it is news.
+  bool Adopt(const QuarantinedPart& part, absl::Time now);
+
+  // Returns the quarantined part of this prompt, or null, and prolongs its
+  // quarantine. The last part is the request's own and never the cause.
+  const QuarantinedPart* Find(const std::vector<PromptPart>& prompt,
+                              absl::Time now);
+
+  // Returns the quarantines that were decided here since the last call.
+  std::vector<QuarantinedPart> TakeDecided() {
+    return std::exchange(decided_, {});
+  }
+  // Returns those that were decided here, or have become much longer, since the
+  // last call.
+  std::vector<QuarantinedPart> TakeUnsaved();
+  // Saving failed; TakeUnsaved() returns it again.
+  void MarkUnsaved(const std::string& part) { unsaved_.insert(part); }
+  std::vector<QuarantinedPart> quarantined(absl::Time now) const;
+
+ private:
+  struct Evidence {
+    ServerCrash crash;
+    absl::Time at;
+  };
+
+  bool IsSound(const std::string& part, absl::Time now) const;
+  // Returns whether the part had been suspected.
+  bool MarkSound(const std::string& part, absl::Time now);
+  void DropSound(std::vector<std::string>* parts, absl::Time now) const;
+  void Record(ServerCrash crash, absl::Time now);
+  int64_t CrashesWith(const std::string& part) const;
+  void QuarantineCause(const std::vector<std::string>& parts, absl::Time now);
+  void Insert(QuarantinedPart part);
+
+  const PromptQuarantineOptions options_;
+  std::deque<Evidence> evidence_;  // oldest first
+  // Part -> when an answer on it last began.
+  std::map<std::string, absl::Time> sound_;
+  std::map<std::string, QuarantinedPart> quarantined_;  // keyed by part
+  std::vector<QuarantinedPart> decided_;
+  std::set<std::string> unsaved_;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_RELAY_PROMPT_QUARANTINE_H_
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -353,6 +353,7 @@
   kRefused,            // servers refused; the request was not executed
   kTokensUnavailable,  // tokens may be left, but not at this router in time
   kOutcomeUnknown,     // it may have been executed; there is no answer
+  kPromptQuarantined,  // a part of its prompt crashes servers; not executed
   kTimedOut,           // it may have been executed; the deadline passed
 };
 struct RelayErrorTraits {
@@ -381,6 +382,7 @@
   kServers,
   kAuthorities,  // routers' authority records, keyed by router
   kLevels,       // routers' level records, keyed by router
+  kQuarantine,   // prompt parts that crash servers, keyed by part
 };
 
 // Position of a record among those of its writer. Sequences are consecutive
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -17,6 +17,7 @@
 #include "hawthornhollow/relay/link_load.h"
 #include "hawthornhollow/relay/peer_reader.h"
 #include "hawthornhollow/relay/peer_service.h"
+#include "hawthornhollow/relay/quarantine_controller.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
 #include "hawthornhollow/relay/request_run.h"
@@ -57,6 +58,7 @@
   LinkLoadOptions link_load;
   CatalogOptions catalog;
   PeerReaderOptions peer_reader;
+  QuarantineControllerOptions quarantine;
   PlacementOptions placement;
 };
 
@@ -125,6 +127,31 @@
              .ask =
                  [this](const std::string& address) {
                    return ReadServersFrom(address);
+                 }}),
+        quarantine_(
+            store_,
+            settings.quarantine,
+            {.spawn =
+                 [&runtime](std::function<void()> task) {
+                   runtime.Spawn(std::move(task));
+                 },
+             .addresses = [this] { return totals_.OtherRouterAddresses(); },
+             .report_crash =
+                 [this](const std::string& address, const ServerCrash& crash) {
+                   return ReportCrashToPeer(client_, address, crash);
+                 },
+             .report_sound =
+                 [this](const std::string& address,
+                        const std::vector<std::string>& parts) {
+                   return ReportSoundToPeer(client_, address, parts);
+                 }}),
+        peer_quarantine_(
+            settings.peer_reader.interval,
+            {.is_needed = [this] { return quarantine_.is_unread(); },
+             .addresses = [this] { return totals_.OtherRouterAddresses(); },
+             .ask =
+                 [this](const std::string& address) {
+                   return ReadQuarantineFrom(address);
                  }}) {
     shared_ = {.client = &client_,
                .placement = &placement_,
@@ -132,6 +159,19 @@
                .link_load = &link_load_,
                .buffered_bytes = &buffered_bytes_,
                .metrics = &metrics_,
+               .prompts = {.is_quarantined =
+                               [this](const RelayCall& call) {
+                                 return quarantine_.IsQuarantined(call);
+                               },
+                           .on_answer_began =
+                               [this](const RelayCall& call) {
+                                 quarantine_.OnAnswerBegan(call);
+                               },
+                           .on_crash =
+                               [this](const RelayCall& call,
+                                      const std::string& server) {
+                                 quarantine_.OnCrash(call, server);
+                               }},
                .retries = &retries_,
                .retry_ratio = settings.retry_ratio / 2};
   }
@@ -172,6 +212,8 @@
     runtime_.Spawn([this] { catalog_.FollowServers(stop_); });
     runtime_.Spawn([this] { peer_configuration_.Run(stop_); });
     runtime_.Spawn([this] { peer_servers_.Run(stop_); });
+    runtime_.Spawn([this] { quarantine_.Run(stop_); });
+    runtime_.Spawn([this] { peer_quarantine_.Run(stop_); });
     runtime_.Spawn([this] { totals_.RunAuthorityLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunLevelLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunReturnLoop(stop_); });
@@ -228,7 +270,16 @@
                      int64_t tokens) { totals_.TakeTokens(workspace, tokens); },
          .configuration = [this] { return catalog_.configuration_record(); },
          .servers =
-             [this](int64_t after) { return catalog_.ReportServers(after); }},
+             [this](int64_t after) { return catalog_.ReportServers(after); },
+         .crash =
+             [this](const ServerCrash& crash, const std::string& peer) {
+               quarantine_.OnReported(crash, peer);
+             },
+         .sound =
+             [this](const std::vector<std::string>& parts) {
+               quarantine_.OnSoundReported(parts);
+             },
+         .quarantine = [this] { return quarantine_.quarantined(); }},
         writer);
   }
 
@@ -267,6 +318,14 @@
     return absl::OkStatus();
   }
 
+  absl::Status ReadQuarantineFrom(const std::string& address) {
+    const auto parts = AskPeerForQuarantine(client_, address);
+    if (!parts.ok())
+      return parts.status();
+    quarantine_.Adopt(*parts, "peer");
+    return absl::OkStatus();
+  }
+
   void AnswerMetrics(ResponseWriter& writer) {
     writer
         .Send({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -288,6 +347,8 @@
             .servers = static_cast<int64_t>(catalog_.server_count()),
             .kept_servers = static_cast<int64_t>(catalog_.kept_server_count()),
             .routers = static_cast<int64_t>(totals_.router_count()),
+            .quarantined_parts =
+                static_cast<int64_t>(quarantine_.quarantined().size()),
             .requests_in_progress = in_progress_,
             .caller_connections = static_cast<int64_t>(CallerConnections()),
             .available_tokens = tokens.available,
@@ -390,6 +451,10 @@
   }
 
   void ReserveAndRun(RunContext& run, ResponseWriter& writer) {
+    if (quarantine_.IsQuarantined(run.call)) {
+      RefuseRun(run, RelayError::kPromptQuarantined, writer);
+      return;
+    }
     shared_.retry_burst = OwnRetryBurst();
     const int64_t tokens = run.call.prompt_tokens + run.call.max_output_tokens;
     std::shared_ptr<TokenHold> hold;
@@ -463,7 +528,7 @@
 
   void Refuse(const RelayCall& call, RelayError error, ResponseWriter& writer) {
     const absl::Duration retry_after =
-        JitteredRetryAfter(settings_.run.retry_after, random_);
+        JitteredRetryAfter(settings_.run.RetryAfter(error), random_);
     HttpResponse response = D::EncodeRefusal(call, error, retry_after);
     if (link_load_.IsBusy(SteadyNow()))
       response.headers.push_back(kCloseConnection);
@@ -522,6 +587,8 @@
   CatalogController<InstrumentedStore<Store>, D> catalog_;
   PeerReader peer_configuration_;
   PeerReader peer_servers_;
+  QuarantineController<InstrumentedStore<Store>> quarantine_;
+  PeerReader peer_quarantine_;
   std::map<std::string, RetryBudget> retries_;
   SharedRunState shared_;
   absl::BitGen random_;
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -13,6 +13,8 @@
       return "authorities";
     case StoreSubject::kLevels:
       return "levels";
+    case StoreSubject::kQuarantine:
+      return "quarantine";
   }
   return "";
 }
@@ -83,6 +85,7 @@
       {"servers", gauges.servers},
       {"servers_kept", gauges.kept_servers},
       {"routers", gauges.routers},
+      {"prompt_parts_quarantined", gauges.quarantined_parts},
       {"requests_in_progress", gauges.requests_in_progress},
       {"caller_connections", gauges.caller_connections},
       {"tokens_available", gauges.available_tokens},
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -92,12 +92,16 @@
     if (TimeLeft() < options_.min_attempt_time)
       return Refuse(summary_.may_have_run ? RelayError::kTimedOut
                                           : RelayError::kNoServer);
+    if (shared_.prompts.is_quarantined(request_.call))
+      return Refuse(summary_.may_have_run ? RelayError::kOutcomeUnknown
+                                          : RelayError::kPromptQuarantined);
     auto choice = shared_.placement->Choose(Query(), SteadyNow());
     if (!choice.ok())
       return EndWithoutServer();
     summary_.server = choice->server.id;
     got_first_piece_ = false;
     began_ = false;
+    broke_off_ = false;
     LogEvent("request.placed")
         .Add("request", request_.call.id)
         .Add("server", choice->server.id)
@@ -107,6 +111,8 @@
         .Add("left_ms", absl::ToInt64Milliseconds(TimeLeft()));
     const AttemptResult result = AttemptAt(*choice);
     Report(*choice, result);
+    if (began_ && broke_off_ && !got_first_piece_ && !caller_->gone)
+      shared_.prompts.on_crash(request_.call, choice->server.id);
     if (result == AttemptResult::kAnswered)
       return true;
     excluded_servers_.insert(choice->server.id);
@@ -229,7 +235,7 @@
     if (streaming_)
       return AbortStream();
     const absl::Duration retry_after =
-        JitteredRetryAfter(options_.retry_after, random_);
+        JitteredRetryAfter(options_.RetryAfter(error), random_);
     HttpResponse response = D::EncodeRefusal(request_.call, error, retry_after);
     response.headers = AnswerHeaders(std::move(response.headers));
     return EndSent(writer_.Send(response), TraitsOf(error).code,
@@ -324,7 +330,6 @@
       if (!head.ok())
         return FailedRead(head.status());
       const ReplyHead reply = D::DecodeReply(*head);
-      began_ = true;
       if (reply.call_id.empty() || reply.call_id == request_.call.id)
         return ReceiveBody(choice, reply);
       LogEvent("answer.stray", LogSeverity::kWarning)
@@ -340,6 +345,7 @@
 
   AttemptResult FailedRead(const absl::Status& status) {
     detail_ = std::string(status.message());
+    broke_off_ = status.code() == absl::StatusCode::kAborted;
     return status.code() == absl::StatusCode::kDeadlineExceeded
                ? AttemptResult::kNoResponse
                : AttemptResult::kIncompleteAnswer;
@@ -357,6 +363,7 @@
       detail_ = "success status without proof of origin";
       return AttemptResult::kIncompleteAnswer;
     }
+    began_ = success;
     if (success && is_stream())
       return RelayStream(choice, reply);
     HttpResponse answer{.status = reply.status,
@@ -398,6 +405,7 @@
     if (std::exchange(got_first_piece_, true))
       return;
     shared_.placement->OnFirstToken(choice);
+    shared_.prompts.on_answer_began(request_.call);
     if (summary_.first_event == absl::InfiniteDuration())
       summary_.first_event = SteadyNow() - request_.arrived;
   }
@@ -499,8 +507,11 @@
   std::set<std::string> excluded_servers_;
   const std::shared_ptr<CallerState> caller_ = std::make_shared<CallerState>();
   bool streaming_ = false;
-  bool got_first_piece_ = false;  // of the attempt in progress
-  bool began_ = false;  // the attempt in progress has the head of an answer
+  // Of the attempt in progress: the head of a success answer has arrived, so
+  // has its first piece, and the connection ended before the answer.
+  bool began_ = false;
+  bool got_first_piece_ = false;
+  bool broke_off_ = false;
   std::optional<int64_t> last_event_;
   // The last complete error answer of a server.
   std::optional<HttpResponse> failed_answer_;
--- a/hawthornhollow/relay/routing_table.cc
+++ b/hawthornhollow/relay/routing_table.cc
@@ -83,6 +83,9 @@
     case RelayError::kTokensUnavailable:
       return {503, "total_not_at_hand",
               "the router could not reserve the request's tokens in time"};
+    case RelayError::kPromptQuarantined:
+      return {503, "prompt_quarantined",
+              "backend servers crash on a part of the prompt"};
     case RelayError::kOutcomeUnknown:
       return {502, "outcome_unknown",
               "the backend server broke off; the request may have run"};
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -41,12 +41,26 @@
   // No attempt is made if less than this time is left.
   absl::Duration min_attempt_time = absl::Milliseconds(20);
   absl::Duration retry_after = absl::Milliseconds(400);
+  // A quarantine of a part lasts for minutes.
+  absl::Duration quarantine_retry_after = absl::Seconds(60);
+
+  absl::Duration RetryAfter(RelayError error) const {
+    return error == RelayError::kPromptQuarantined ? quarantine_retry_after
+                                                   : retry_after;
+  }
 };
 
 // Makes an answer the last one on its connection.
 inline const std::pair<std::string, std::string> kCloseConnection = {
     "Connection", "close"};
 
+// What a request reports, and asks, about prompts that crash servers.
+struct PromptWatch {
+  std::function<bool(const RelayCall&)> is_quarantined;
+  std::function<void(const RelayCall&)> on_answer_began;
+  std::function<void(const RelayCall&, const std::string& server)> on_crash;
+};
+
 // State shared by all requests of a router.
 struct SharedRunState {
   HttpClient* client = nullptr;
@@ -55,6 +69,7 @@
   LinkLoad* link_load = nullptr;
   size_t* buffered_bytes = nullptr;  // of answers that are not complete
   RelayMetrics* metrics = nullptr;
+  PromptWatch prompts;
   std::map<std::string, RetryBudget>* retries = nullptr;  // keyed by service
   double retry_ratio = 0.1;
   double retry_burst = 5;
