Relay: what other routers are asked for stands in PeerFallback; one schema of messages

The three readers of other routers move to peer_fallback.h, and the messages about the configuration and servers from totals.fbs to relay/peer_messages.fbs. No decision is changed.

--- /dev/null
+++ b/hawthornhollow/relay/peer_fallback.h
@@ -0,0 +1,127 @@
+#ifndef HAWTHORNHOLLOW_RELAY_PEER_FALLBACK_H_
+#define HAWTHORNHOLLOW_RELAY_PEER_FALLBACK_H_
+
+// Keeps the configuration, the backend servers and the quarantined parts of
+// prompts current through other routers while this one cannot read the store.
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "hawthornhollow/base/base.h"
+#include "hawthornhollow/http/http.h"
+#include "hawthornhollow/relay/peer_reader.h"
+#include "hawthornhollow/relay/peer_service.h"
+#include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/runtime/runtime.h"
+
+namespace hawthornhollow {
+
+// `Catalog` is a CatalogController, `Quarantine` a QuarantineController.
+template <typename Catalog, typename Quarantine>
+class PeerFallback {
+ public:
+  // All references must outlive this object. `addresses` returns those of the
+  // other routers.
+  PeerFallback(const PeerReaderOptions& options,
+               std::function<std::vector<std::string>()> addresses,
+               HttpClient& client,
+               Catalog& catalog,
+               Quarantine& quarantine)
+      : options_(options),
+        client_(client),
+        catalog_(catalog),
+        quarantine_(quarantine),
+        configuration_(
+            options.interval,
+            {.is_needed = [this] { return IsUnread(catalog_.table_age()); },
+             .addresses = addresses,
+             .ask =
+                 [this](const std::string& address) {
+                   return ReadConfiguration(address);
+                 }}),
+        servers_(options.interval,
+                 {.is_needed =
+                      [this] {
+                        return IsUnread(catalog_.servers_age()) ||
+                               catalog_.kept_server_count() > 0;
+                      },
+                  .addresses = addresses,
+                  .ask =
+                      [this](const std::string& address) {
+                        return ReadServers(address);
+                      }}),
+        prompts_(options.interval,
+                 {.is_needed = [this] { return quarantine_.is_unread(); },
+                  .addresses = std::move(addresses),
+                  .ask =
+                      [this](const std::string& address) {
+                        return ReadQuarantine(address);
+                      }}) {}
+  PeerFallback(const PeerFallback&) = delete;
+  PeerFallback& operator=(const PeerFallback&) = delete;
+
+  // Starts fibers that run until `stop` is set.
+  void Start(Runtime& runtime, const std::atomic<bool>& stop) {
+    for (PeerReader* reader : {&configuration_, &servers_, &prompts_})
+      runtime.Spawn([reader, &stop] { reader->Run(stop); });
+  }
+
+ private:
+  bool IsUnread(absl::Duration age) const {
+    return age > options_.unread_after;
+  }
+
+  absl::Status ReadConfiguration(const std::string& address) {
+    const auto record = AskPeerForConfiguration(
+        client_, address, catalog_.configuration_record().offset);
+    if (!record.ok())
+      return record.status();
+    LogEvent("config.from_peer")
+        .Add("peer", address)
+        .Add("offset", record->offset)
+        .Add("unread_ms", absl::ToInt64Milliseconds(catalog_.table_age()));
+    catalog_.OfferConfiguration(*record);
+    return absl::OkStatus();
+  }
+
+  absl::Status ReadServers(const std::string& address) {
+    const auto report =
+        AskPeerForServers(client_, address, catalog_.servers_end());
+    if (!report.ok())
+      return report.status();
+    const absl::Time now = SteadyNow();
+    LogEvent("servers.from_peer")
+        .Add("peer", address)
+        .Add("end", report->end)
+        .Add("known_end", catalog_.servers_end())
+        .Add("age_ms", absl::ToInt64Milliseconds(now - report->reading.last))
+        .Add("unbroken_ms",
+             absl::ToInt64Milliseconds(now - report->reading.unbroken_since))
+        .Add("unread_ms", absl::ToInt64Milliseconds(catalog_.servers_age()));
+    catalog_.OfferServers(*report);
+    return absl::OkStatus();
+  }
+
+  absl::Status ReadQuarantine(const std::string& address) {
+    const auto parts = AskPeerForQuarantine(client_, address);
+    if (!parts.ok())
+      return parts.status();
+    quarantine_.Adopt(*parts, "peer");
+    return absl::OkStatus();
+  }
+
+  const PeerReaderOptions options_;
+  HttpClient& client_;
+  Catalog& catalog_;
+  Quarantine& quarantine_;
+  PeerReader configuration_;
+  PeerReader servers_;
+  PeerReader prompts_;
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_RELAY_PEER_FALLBACK_H_
--- a/hawthornhollow/relay/peer_messages_generated.h
+++ b/hawthornhollow/relay/peer_messages_generated.h
@@ -16,6 +16,14 @@
 namespace hawthornhollow {
 namespace fb {
 
+struct StoredRecord;
+struct StoredRecordBuilder;
+struct StoredRecordT;
+
+struct ServerEntries;
+struct ServerEntriesBuilder;
+struct ServerEntriesT;
+
 struct CrashReport;
 struct CrashReportBuilder;
 struct CrashReportT;
@@ -32,6 +40,10 @@
 struct QuarantineListBuilder;
 struct QuarantineListT;
 
+bool operator==(const StoredRecordT &lhs, const StoredRecordT &rhs);
+bool operator!=(const StoredRecordT &lhs, const StoredRecordT &rhs);
+bool operator==(const ServerEntriesT &lhs, const ServerEntriesT &rhs);
+bool operator!=(const ServerEntriesT &lhs, const ServerEntriesT &rhs);
 bool operator==(const CrashReportT &lhs, const CrashReportT &rhs);
 bool operator!=(const CrashReportT &lhs, const CrashReportT &rhs);
 bool operator==(const SoundReportT &lhs, const SoundReportT &rhs);
@@ -41,6 +53,230 @@
 bool operator==(const QuarantineListT &lhs, const QuarantineListT &rhs);
 bool operator!=(const QuarantineListT &lhs, const QuarantineListT &rhs);
 
+struct StoredRecordT : public flatbuffers::NativeTable {
+  typedef StoredRecord TableType;
+  std::string key{};
+  int64_t offset = 0;
+  std::vector<uint8_t> value{};
+};
+
+struct StoredRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoredRecordT NativeTableType;
+  typedef StoredRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_OFFSET = 6,
+    VT_VALUE = 8
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  int64_t offset() const {
+    return GetField<int64_t>(VT_OFFSET, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<int64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           verifier.EndTable();
+  }
+  StoredRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StoredRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StoredRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoredRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StoredRecordBuilder {
+  typedef StoredRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(StoredRecord::VT_KEY, key);
+  }
+  void add_offset(int64_t offset) {
+    fbb_.AddElement<int64_t>(StoredRecord::VT_OFFSET, offset, 0);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(StoredRecord::VT_VALUE, value);
+  }
+  explicit StoredRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoredRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoredRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoredRecord> CreateStoredRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    int64_t offset = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0) {
+  StoredRecordBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct StoredRecord::Traits {
+  using type = StoredRecord;
+  static auto constexpr Create = CreateStoredRecord;
+};
+
+inline flatbuffers::Offset<StoredRecord> CreateStoredRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    int64_t offset = 0,
+    const std::vector<uint8_t> *value = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return hawthornhollow::fb::CreateStoredRecord(
+      _fbb,
+      key__,
+      offset,
+      value__);
+}
+
+flatbuffers::Offset<StoredRecord> CreateStoredRecord(flatbuffers::FlatBufferBuilder &_fbb, const StoredRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ServerEntriesT : public flatbuffers::NativeTable {
+  typedef ServerEntries TableType;
+  int64_t end = 0;
+  int64_t age_us = 0;
+  int64_t unbroken_us = 0;
+  std::vector<std::string> keys{};
+  std::vector<std::unique_ptr<hawthornhollow::fb::StoredRecordT>> records{};
+  ServerEntriesT() = default;
+  ServerEntriesT(const ServerEntriesT &o);
+  ServerEntriesT(ServerEntriesT&&) FLATBUFFERS_NOEXCEPT = default;
+  ServerEntriesT &operator=(ServerEntriesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ServerEntries FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerEntriesT NativeTableType;
+  typedef ServerEntriesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_END = 4,
+    VT_AGE_US = 6,
+    VT_UNBROKEN_US = 8,
+    VT_KEYS = 10,
+    VT_RECORDS = 12
+  };
+  int64_t end() const {
+    return GetField<int64_t>(VT_END, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  int64_t unbroken_us() const {
+    return GetField<int64_t>(VT_UNBROKEN_US, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *keys() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KEYS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> *>(VT_RECORDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_END, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_UNBROKEN_US, 8) &&
+           VerifyOffset(verifier, VT_KEYS) &&
+           verifier.VerifyVector(keys()) &&
+           verifier.VerifyVectorOfStrings(keys()) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           verifier.EndTable();
+  }
+  ServerEntriesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServerEntriesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServerEntries> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServerEntriesBuilder {
+  typedef ServerEntries Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_end(int64_t end) {
+    fbb_.AddElement<int64_t>(ServerEntries::VT_END, end, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(ServerEntries::VT_AGE_US, age_us, 0);
+  }
+  void add_unbroken_us(int64_t unbroken_us) {
+    fbb_.AddElement<int64_t>(ServerEntries::VT_UNBROKEN_US, unbroken_us, 0);
+  }
+  void add_keys(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys) {
+    fbb_.AddOffset(ServerEntries::VT_KEYS, keys);
+  }
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>>> records) {
+    fbb_.AddOffset(ServerEntries::VT_RECORDS, records);
+  }
+  explicit ServerEntriesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerEntries> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerEntries>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerEntries> CreateServerEntries(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t end = 0,
+    int64_t age_us = 0,
+    int64_t unbroken_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>>> records = 0) {
+  ServerEntriesBuilder builder_(_fbb);
+  builder_.add_unbroken_us(unbroken_us);
+  builder_.add_age_us(age_us);
+  builder_.add_end(end);
+  builder_.add_records(records);
+  builder_.add_keys(keys);
+  return builder_.Finish();
+}
+
+struct ServerEntries::Traits {
+  using type = ServerEntries;
+  static auto constexpr Create = CreateServerEntries;
+};
+
+inline flatbuffers::Offset<ServerEntries> CreateServerEntriesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t end = 0,
+    int64_t age_us = 0,
+    int64_t unbroken_us = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *keys = nullptr,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> *records = nullptr) {
+  auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*keys) : 0;
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>>(*records) : 0;
+  return hawthornhollow::fb::CreateServerEntries(
+      _fbb,
+      end,
+      age_us,
+      unbroken_us,
+      keys__,
+      records__);
+}
+
+flatbuffers::Offset<ServerEntries> CreateServerEntries(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CrashReportT : public flatbuffers::NativeTable {
   typedef CrashReport TableType;
   std::string server{};
@@ -362,6 +598,122 @@
 flatbuffers::Offset<QuarantineList> CreateQuarantineList(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineListT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 
+inline bool operator==(const StoredRecordT &lhs, const StoredRecordT &rhs) {
+  return
+      (lhs.key == rhs.key) &&
+      (lhs.offset == rhs.offset) &&
+      (lhs.value == rhs.value);
+}
+
+inline bool operator!=(const StoredRecordT &lhs, const StoredRecordT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline StoredRecordT *StoredRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StoredRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StoredRecord::UnPackTo(StoredRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
+}
+
+inline flatbuffers::Offset<StoredRecord> StoredRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoredRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStoredRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StoredRecord> CreateStoredRecord(flatbuffers::FlatBufferBuilder &_fbb, const StoredRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StoredRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _offset = _o->offset;
+  auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
+  return hawthornhollow::fb::CreateStoredRecord(
+      _fbb,
+      _key,
+      _offset,
+      _value);
+}
+
+
+inline bool operator==(const ServerEntriesT &lhs, const ServerEntriesT &rhs) {
+  return
+      (lhs.end == rhs.end) &&
+      (lhs.age_us == rhs.age_us) &&
+      (lhs.unbroken_us == rhs.unbroken_us) &&
+      (lhs.keys == rhs.keys) &&
+      (lhs.records.size() == rhs.records.size() && std::equal(lhs.records.cbegin(), lhs.records.cend(), rhs.records.cbegin(), [](std::unique_ptr<hawthornhollow::fb::StoredRecordT> const &a, std::unique_ptr<hawthornhollow::fb::StoredRecordT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const ServerEntriesT &lhs, const ServerEntriesT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ServerEntriesT::ServerEntriesT(const ServerEntriesT &o)
+      : end(o.end),
+        age_us(o.age_us),
+        unbroken_us(o.unbroken_us),
+        keys(o.keys) {
+  records.reserve(o.records.size());
+  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new hawthornhollow::fb::StoredRecordT(*records_) : nullptr); }
+}
+
+inline ServerEntriesT &ServerEntriesT::operator=(ServerEntriesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(end, o.end);
+  std::swap(age_us, o.age_us);
+  std::swap(unbroken_us, o.unbroken_us);
+  std::swap(keys, o.keys);
+  std::swap(records, o.records);
+  return *this;
+}
+
+inline ServerEntriesT *ServerEntries::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServerEntriesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServerEntries::UnPackTo(ServerEntriesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = end(); _o->end = _e; }
+  { auto _e = age_us(); _o->age_us = _e; }
+  { auto _e = unbroken_us(); _o->unbroken_us = _e; }
+  { auto _e = keys(); if (_e) { _o->keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->keys[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<hawthornhollow::fb::StoredRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ServerEntries> ServerEntries::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServerEntries(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServerEntries> CreateServerEntries(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServerEntriesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _end = _o->end;
+  auto _age_us = _o->age_us;
+  auto _unbroken_us = _o->unbroken_us;
+  auto _keys = _o->keys.size() ? _fbb.CreateVectorOfStrings(_o->keys) : 0;
+  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateStoredRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hawthornhollow::fb::CreateServerEntries(
+      _fbb,
+      _end,
+      _age_us,
+      _unbroken_us,
+      _keys,
+      _records);
+}
+
+
 inline bool operator==(const CrashReportT &lhs, const CrashReportT &rhs) {
   return
       (lhs.server == rhs.server) &&
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -15,7 +15,7 @@
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/instrumented_store.h"
 #include "hawthornhollow/relay/link_load.h"
-#include "hawthornhollow/relay/peer_reader.h"
+#include "hawthornhollow/relay/peer_fallback.h"
 #include "hawthornhollow/relay/peer_service.h"
 #include "hawthornhollow/relay/quarantine_controller.h"
 #include "hawthornhollow/relay/relay.h"
@@ -108,26 +108,6 @@
                       [this](const std::vector<RelayServer>& servers) {
                         placement_.SetServers(servers);
                       }}),
-        peer_configuration_(
-            settings.peer_reader.interval,
-            {.is_needed = [this] { return IsUnread(catalog_.table_age()); },
-             .addresses = [this] { return totals_.OtherRouterAddresses(); },
-             .ask =
-                 [this](const std::string& address) {
-                   return ReadConfigurationFrom(address);
-                 }}),
-        peer_servers_(
-            settings.peer_reader.interval,
-            {.is_needed =
-                 [this] {
-                   return IsUnread(catalog_.servers_age()) ||
-                          catalog_.kept_server_count() > 0;
-                 },
-             .addresses = [this] { return totals_.OtherRouterAddresses(); },
-             .ask =
-                 [this](const std::string& address) {
-                   return ReadServersFrom(address);
-                 }}),
         quarantine_(
             store_,
             settings.quarantine,
@@ -145,14 +125,12 @@
                         const std::vector<std::string>& parts) {
                    return ReportSoundToPeer(client_, address, parts);
                  }}),
-        peer_quarantine_(
-            settings.peer_reader.interval,
-            {.is_needed = [this] { return quarantine_.is_unread(); },
-             .addresses = [this] { return totals_.OtherRouterAddresses(); },
-             .ask =
-                 [this](const std::string& address) {
-                   return ReadQuarantineFrom(address);
-                 }}) {
+        fallback_(
+            settings.peer_reader,
+            [this] { return totals_.OtherRouterAddresses(); },
+            client_,
+            catalog_,
+            quarantine_) {
     shared_ = {.client = &client_,
                .placement = &placement_,
                .link = &link_,
@@ -210,10 +188,8 @@
       return status;
     runtime_.Spawn([this] { catalog_.FollowConfiguration(stop_); });
     runtime_.Spawn([this] { catalog_.FollowServers(stop_); });
-    runtime_.Spawn([this] { peer_configuration_.Run(stop_); });
-    runtime_.Spawn([this] { peer_servers_.Run(stop_); });
     runtime_.Spawn([this] { quarantine_.Run(stop_); });
-    runtime_.Spawn([this] { peer_quarantine_.Run(stop_); });
+    fallback_.Start(runtime_, stop_);
     runtime_.Spawn([this] { totals_.RunAuthorityLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunLevelLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunReturnLoop(stop_); });
@@ -283,49 +259,6 @@
         writer);
   }
 
-  bool IsUnread(absl::Duration age) const {
-    return age > settings_.peer_reader.unread_after;
-  }
-
-  absl::Status ReadConfigurationFrom(const std::string& address) {
-    const auto record = AskPeerForConfiguration(
-        client_, address, catalog_.configuration_record().offset);
-    if (!record.ok())
-      return record.status();
-    LogEvent("config.from_peer")
-        .Add("peer", address)
-        .Add("offset", record->offset)
-        .Add("unread_ms", absl::ToInt64Milliseconds(catalog_.table_age()));
-    catalog_.OfferConfiguration(*record);
-    return absl::OkStatus();
-  }
-
-  absl::Status ReadServersFrom(const std::string& address) {
-    const auto report =
-        AskPeerForServers(client_, address, catalog_.servers_end());
-    if (!report.ok())
-      return report.status();
-    const absl::Time now = SteadyNow();
-    LogEvent("servers.from_peer")
-        .Add("peer", address)
-        .Add("end", report->end)
-        .Add("known_end", catalog_.servers_end())
-        .Add("age_ms", absl::ToInt64Milliseconds(now - report->reading.last))
-        .Add("unbroken_ms",
-             absl::ToInt64Milliseconds(now - report->reading.unbroken_since))
-        .Add("unread_ms", absl::ToInt64Milliseconds(catalog_.servers_age()));
-    catalog_.OfferServers(*report);
-    return absl::OkStatus();
-  }
-
-  absl::Status ReadQuarantineFrom(const std::string& address) {
-    const auto parts = AskPeerForQuarantine(client_, address);
-    if (!parts.ok())
-      return parts.status();
-    quarantine_.Adopt(*parts, "peer");
-    return absl::OkStatus();
-  }
-
   void AnswerMetrics(ResponseWriter& writer) {
     writer
         .Send({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -585,10 +518,10 @@
   PromptPlacement placement_;
   TotalsController<InstrumentedStore<Store>> totals_;
   CatalogController<InstrumentedStore<Store>, D> catalog_;
-  PeerReader peer_configuration_;
-  PeerReader peer_servers_;
   QuarantineController<InstrumentedStore<Store>> quarantine_;
-  PeerReader peer_quarantine_;
+  PeerFallback<CatalogController<InstrumentedStore<Store>, D>,
+               QuarantineController<InstrumentedStore<Store>>>
+      fallback_;
   std::map<std::string, RetryBudget> retries_;
   SharedRunState shared_;
   absl::BitGen random_;
