Servers kept after an outage stay until a router has read the store since

A router that has not read the store since an outage began knows of no gap yet. Its report ended the grace period of one that had, so servers whose entries expired would have been dropped (only if the store drops entries without a record of it: otherwise the report is older and ignored). ServerListTest. PeerThatDidNotReadSince_DoesNotEndTheGracePeriod failed before.

--- a/hawthornhollow/relay/server_list.cc
+++ b/hawthornhollow/relay/server_list.cc
@@ -6,10 +6,10 @@
 // that was seen after the outage and is removed later did not expire, so its
 // server is dropped at once.
 //
-// If another router has read the entries since before this router's gap began,
-// the store was not down, and nothing is kept. If it began to read before this
-// router did, the store was back by then, and the grace period counts from
-// there.
+// If another router has read the entries since before this router's gap began
+// and until it ended, the store was not down, and nothing is kept. If it began
+// to read before this router did, the store was back by then, and the grace
+// period counts from there.
 
 #include "hawthornhollow/relay/server_list.h"
 
@@ -32,7 +32,7 @@
                                 absl::Time now) {
   if (IsAfterGap(reading))
     StartGrace(reading, now);
-  else if (!kept_.empty())
+  else if (!kept_.empty() && CoversGap(reading))
     kept_until_ = reading.unbroken_since <= gap_began_
                       ? absl::InfinitePast()
                       : std::min(kept_until_, reading.unbroken_since +
@@ -55,6 +55,11 @@
          reading.unbroken_since > reading_.last;
 }
 
+bool ServerList::CoversGap(const ReadingTime& reading) const {
+  const absl::Time gap_ended = reading_.unbroken_since;
+  return gap_ended - reading.last <= options_.outage_after;
+}
+
 void ServerList::NoteReading(const ReadingTime& reading) {
   reading_.unbroken_since =
       IsAfterGap(reading)
--- a/hawthornhollow/relay/server_list_test.cc
+++ b/hawthornhollow/relay/server_list_test.cc
@@ -90,6 +90,16 @@
   EXPECT_EQ(InUse(), Ids({"a"}));
 }
 
+// It has no gap yet only because it has not read again.
+TEST_F(ServerListTest, PeerThatDidNotReadSince_DoesNotEndTheGracePeriod) {
+  Read(0, {"a", "b"});
+  Read(5, {"a"});
+  list_.UpdateFromPeer(Entries({"a"}),
+                       {.last = At(0.2), .unbroken_since = At(-10)}, At(5.1));
+  EXPECT_EQ(InUse(), Ids({"a", "b"}));
+  EXPECT_EQ(list_.next_change(), At(7));
+}
+
 TEST_F(ServerListTest, PeerWithAGapOfItsOwn_GracePeriodCountsFromItsFirstRead) {
   const struct { bool own_read_first; } cases[] = {{true}, {false}};
   for (const auto& [own_read_first] : cases) {
