A quarantine that another router has saved is not saved again

All routers decide a quarantine within milliseconds, and each appended it under the condition that nobody else had: on a site of 103 routers a race of 103 writers. One that finds it in the store now leaves it. PromptQuarantineTest covers it.

--- a/hawthornhollow/relay/prompt_quarantine.cc
+++ b/hawthornhollow/relay/prompt_quarantine.cc
@@ -217,6 +217,15 @@
   return parts;
 }
 
+void PromptQuarantine::OnSaved(const QuarantinedPart& part) {
+  const auto found = quarantined_.find(part.part);
+  if (found == quarantined_.end())
+    return;
+  // Routers decide the same at slightly different times.
+  if (part.until + options_.duration / 4 >= found->second.until)
+    unsaved_.erase(part.part);
+}
+
 std::vector<QuarantinedPart> PromptQuarantine::quarantined(
     absl::Time now) const {
   std::vector<QuarantinedPart> parts;
--- a/hawthornhollow/relay/prompt_quarantine.h
+++ b/hawthornhollow/relay/prompt_quarantine.h
@@ -101,6 +101,8 @@
   // Returns those that were decided here, or have become much longer, since the
   // last call.
   std::vector<QuarantinedPart> TakeUnsaved();
+  // The store has this quarantine, whoever saved it.
+  void OnSaved(const QuarantinedPart& part);
   // Saving failed; TakeUnsaved() returns it again.
   void MarkUnsaved(const std::string& part) { unsaved_.insert(part); }
   std::vector<QuarantinedPart> quarantined(absl::Time now) const;
--- a/hawthornhollow/relay/prompt_quarantine_test.cc
+++ b/hawthornhollow/relay/prompt_quarantine_test.cc
@@ -123,6 +123,19 @@
   EXPECT_FALSE(Refuses(now, "dead"));
 }
 
+TEST_F(PromptQuarantineTest, QuarantineSavedByAnotherRouter_IsNotSavedAgain) {
+  for (int i = 0; i < 3; ++i)
+    Crash(i, absl::StrCat("s", i), "dead");
+  const auto saved_until = [&](absl::Duration until) {
+    quarantine_.OnSaved({.part = "dead", .crashes = 3, .until = At(0) + until});
+    const bool is_unsaved = !quarantine_.TakeUnsaved().empty();
+    quarantine_.MarkUnsaved("dead");
+    return !is_unsaved;
+  };
+  EXPECT_FALSE(saved_until(absl::Minutes(5)));
+  EXPECT_TRUE(saved_until(absl::Minutes(10)));
+}
+
 TEST_F(PromptQuarantineTest, QuarantineOfAnotherRouter_IsTakenUnlessOver) {
   const auto adopt = [&](const std::string& part, double until, double now) {
     return quarantine_.Adopt({.part = part, .crashes = 3, .until = At(until)},
--- a/hawthornhollow/relay/quarantine_controller.h
+++ b/hawthornhollow/relay/quarantine_controller.h
@@ -148,6 +148,7 @@
       const auto part = DecodeQuarantine(record);
       if (part.ok()) {
         Adopt({*part}, "store");
+        quarantine_.OnSaved(*part);
         continue;
       }
       LogEvent("prompt.record_rejected", LogSeverity::kWarning)
