Reading times of routers are joined only if they leave no gap

A second report of a router that had not read the store since an outage began ended the grace period after all, since the first one had made this router's own reading look unbroken. ServerListTest.PeerThatDidNotReadSince_DoesNotEndTheGracePeriod, with three reports, failed before.

--- a/hawthornhollow/relay/server_list.cc
+++ b/hawthornhollow/relay/server_list.cc
@@ -32,7 +32,7 @@
                                 absl::Time now) {
   if (IsAfterGap(reading))
     StartGrace(reading, now);
-  else if (!kept_.empty() && CoversGap(reading))
+  else if (!kept_.empty() && Adjoins(reading))
     kept_until_ = reading.unbroken_since <= gap_began_
                       ? absl::InfinitePast()
                       : std::min(kept_until_, reading.unbroken_since +
@@ -55,16 +55,16 @@
          reading.unbroken_since > reading_.last;
 }
 
-bool ServerList::CoversGap(const ReadingTime& reading) const {
-  const absl::Time gap_ended = reading_.unbroken_since;
-  return gap_ended - reading.last <= options_.outage_after;
+bool ServerList::Adjoins(const ReadingTime& reading) const {
+  return reading_.unbroken_since - reading.last <= options_.outage_after;
 }
 
 void ServerList::NoteReading(const ReadingTime& reading) {
-  reading_.unbroken_since =
-      IsAfterGap(reading)
-          ? reading.unbroken_since
-          : std::min(reading_.unbroken_since, reading.unbroken_since);
+  if (IsAfterGap(reading) || reading_.last == absl::InfinitePast())
+    reading_.unbroken_since = reading.unbroken_since;
+  else if (Adjoins(reading))
+    reading_.unbroken_since =
+        std::min(reading_.unbroken_since, reading.unbroken_since);
   reading_.last = std::max(reading_.last, reading.last);
 }
 
--- a/hawthornhollow/relay/server_list.h
+++ b/hawthornhollow/relay/server_list.h
@@ -90,8 +90,8 @@
   // Whether the store may have been down between what is known here and
   // `reading`.
   bool IsAfterGap(const ReadingTime& reading) const;
-  // Whether `reading` goes on to the end of the gap for which servers are kept.
-  bool CoversGap(const ReadingTime& reading) const;
+  // Whether `reading` goes on until the reading known here began.
+  bool Adjoins(const ReadingTime& reading) const;
   void NoteReading(const ReadingTime& reading);
   void StartGrace(const ReadingTime& reading, absl::Time now);
   void Take(const Servers& entries, absl::Time now);
--- a/hawthornhollow/relay/server_list_test.cc
+++ b/hawthornhollow/relay/server_list_test.cc
@@ -94,10 +94,13 @@
 TEST_F(ServerListTest, PeerThatDidNotReadSince_DoesNotEndTheGracePeriod) {
   Read(0, {"a", "b"});
   Read(5, {"a"});
-  list_.UpdateFromPeer(Entries({"a"}),
-                       {.last = At(0.2), .unbroken_since = At(-10)}, At(5.1));
-  EXPECT_EQ(InUse(), Ids({"a", "b"}));
-  EXPECT_EQ(list_.next_change(), At(7));
+  for (int i = 0; i < 3; ++i) {
+    list_.UpdateFromPeer(Entries({"a"}),
+                         {.last = At(0.2), .unbroken_since = At(-10)}, At(5.1));
+    EXPECT_EQ(InUse(), Ids({"a", "b"}));
+    EXPECT_EQ(list_.next_change(), At(7));
+    EXPECT_EQ(list_.reading().unbroken_since, At(5));
+  }
 }
 
 TEST_F(ServerListTest, PeerWithAGapOfItsOwn_GracePeriodCountsFromItsFirstRead) {
