--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -339,6 +339,11 @@
   // The server did not execute the request and never will.
   bool not_run = false;
   bool sealed = false;  // carries the server's proof of origin
+  // Requests per second that the server takes from all routers together, for as
+  // long as its answers say so; unset if this one states no limit.
+  std::optional<double> requests_per_second;
+  // Why a stated limit cannot be used; empty if it can, or none is stated.
+  std::string bad_limit;
   HttpHeaders headers;  // to be passed to the caller
 };
 
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -330,8 +330,10 @@
       if (!head.ok())
         return FailedRead(head.status());
       const ReplyHead reply = D::DecodeReply(*head);
-      if (reply.call_id.empty() || reply.call_id == request_.call.id)
+      if (reply.call_id.empty() || reply.call_id == request_.call.id) {
+        LogLimit(choice.server.id, reply);
         return ReceiveBody(choice, reply);
+      }
       LogEvent("answer.stray", LogSeverity::kWarning)
           .Add("request", request_.call.id)
           .Add("belongs_to", reply.call_id)
@@ -343,6 +345,21 @@
     return AttemptResult::kIncompleteAnswer;
   }
 
+  void LogLimit(const std::string& server, const ReplyHead& reply) const {
+    if (!reply.bad_limit.empty()) {
+      LogEvent("server.limit_rejected", LogSeverity::kWarning)
+          .Add("request", request_.call.id)
+          .Add("server", server)
+          .Add("reason", reply.bad_limit);
+    }
+    if (reply.requests_per_second.has_value()) {
+      LogEvent("server.limit_stated")
+          .Add("request", request_.call.id)
+          .Add("server", server)
+          .Add("per_second", *reply.requests_per_second);
+    }
+  }
+
   AttemptResult FailedRead(const absl::Status& status) {
     detail_ = std::string(status.message());
     broke_off_ = status.code() == absl::StatusCode::kAborted;
