--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -181,6 +181,22 @@
   ++crashes_;
 }
 
+std::vector<absl::Time> ReplicaStandin::arrivals() const {
+  const std::lock_guard lock(mutex_);
+  return arrivals_;
+}
+
+HttpHeaders ReplicaStandin::AnswerHeaders(const std::string& seal,
+                                          const std::string& request,
+                                          const Faults& faults) {
+  HttpHeaders headers = {{"Attempt-Id", request}};
+  if (!seal.empty())
+    headers.emplace_back("Replica-Seal", seal);
+  if (!faults.stated_limit.empty())
+    headers.emplace_back("Server-Limit", faults.stated_limit);
+  return headers;
+}
+
 int ReplicaStandin::crashes() const {
   const std::lock_guard lock(mutex_);
   return crashes_;
@@ -192,6 +208,7 @@
   {
     const std::lock_guard lock(mutex_);
     faults = faults_;
+    arrivals_.push_back(absl::Now());
   }
   if (request.Header("Expect-Replica") != id_) {
     writer.Send({.status = kMisdirected, .headers = {{"Replica-Id", id_}}})
@@ -199,8 +216,9 @@
     return;
   }
   if (faults.refuse) {
-    writer.Send({.status = kUnavailable, .headers = {{"Not-Executed", "1"}}})
-        .IgnoreError();
+    HttpHeaders headers = AnswerHeaders("", id, faults);
+    headers.emplace_back("Not-Executed", "1");
+    writer.Send({.status = kUnavailable, .headers = headers}).IgnoreError();
     return;
   }
   {
@@ -214,14 +232,12 @@
   if (faults.fail) {
     writer
         .Send({.status = kInternalError,
-               .headers = {{"Attempt-Id", id}, {"Replica-Seal", id_}},
+               .headers = AnswerHeaders(id_, id, faults),
                .body = "failed"})
         .IgnoreError();
     return;
   }
-  writer
-      .Send({.headers = {{"Attempt-Id", id}, {"Replica-Seal", id_}},
-             .body = "done " + id})
+  writer.Send({.headers = AnswerHeaders(id_, id, faults), .body = "done " + id})
       .IgnoreError();
 }
 
@@ -246,12 +262,10 @@
   }
   const std::string resume(request.Header("Last-Event-Id"));
   int64_t next = resume.empty() ? 1 : std::stoll(resume) + 1;
-  if (!writer
-           .StartStream(
-               kOk, {{"Content-Type", "text/event-stream"},
-                     {"Attempt-Id", std::string(request.Header("Attempt-Id"))},
-                     {"Replica-Seal", id_}})
-           .ok())
+  HttpHeaders headers =
+      AnswerHeaders(id_, std::string(request.Header("Attempt-Id")), faults);
+  headers.emplace_back("Content-Type", "text/event-stream");
+  if (!writer.StartStream(kOk, headers).ok())
     return;
   if (!faults.deadly_part.empty() &&
       std::string(request.Header("Prompt-Prefix"))
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -71,6 +71,8 @@
     bool fail = false;    // runs and answers 500
     // Crashes when it begins a stream whose prompt has this part.
     std::string deadly_part;
+    // States this limit of requests a second in all answers; empty: none.
+    std::string stated_limit;
     // Ends each stream that is not resumed inside this event, as if it were
     // whole; 0: none.
     int64_t end_inside_event = 0;
@@ -83,6 +85,8 @@
   void SetEventPause(absl::Duration pause);
   // How often each request ran, by its id.
   std::map<std::string, int> runs() const;
+  // When requests arrived, whether or not they ran.
+  std::vector<absl::Time> arrivals() const;
   // Requests that crashed it.
   int crashes() const;
 
@@ -94,6 +98,9 @@
   void Serve(const HttpRequest& request, ResponseWriter& writer);
   static std::string Event(int64_t number);
   void CountCrash();
+  static HttpHeaders AnswerHeaders(const std::string& seal,
+                                   const std::string& request,
+                                   const Faults& faults);
   void ServeStream(const HttpRequest& request,
                    const Faults& faults,
                    ResponseWriter& writer);
@@ -103,6 +110,7 @@
   Faults faults_;
   absl::Duration event_pause_ = absl::Milliseconds(2);
   std::map<std::string, int> runs_;
+  std::vector<absl::Time> arrivals_;
   int crashes_ = 0;
 };
 
