--- a/hawthornhollow/relay/peer_fallback.h
+++ b/hawthornhollow/relay/peer_fallback.h
@@ -2,7 +2,8 @@
 #define HAWTHORNHOLLOW_RELAY_PEER_FALLBACK_H_
 
 // Keeps the configuration, the backend servers and the quarantined parts of
-// prompts current through other routers while this one cannot read the store.
+// prompts current through other routers while this one cannot read the store,
+// and asks them after its start for limits that servers stated.
 
 #include <atomic>
 #include <functional>
@@ -15,6 +16,7 @@
 #include "hawthornhollow/relay/peer_reader.h"
 #include "hawthornhollow/relay/peer_service.h"
 #include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/relay/server_limits_controller.h"
 #include "hawthornhollow/runtime/runtime.h"
 
 namespace hawthornhollow {
@@ -29,11 +31,13 @@
                std::function<std::vector<std::string>()> addresses,
                HttpClient& client,
                Catalog& catalog,
-               Quarantine& quarantine)
+               Quarantine& quarantine,
+               ServerLimitsController& limits)
       : options_(options),
         client_(client),
         catalog_(catalog),
         quarantine_(quarantine),
+        limits_(limits),
         configuration_(
             options.interval,
             {.is_needed = [this] { return IsUnread(catalog_.table_age()); },
@@ -55,17 +59,29 @@
                       }}),
         prompts_(options.interval,
                  {.is_needed = [this] { return quarantine_.is_unread(); },
-                  .addresses = std::move(addresses),
+                  .addresses = addresses,
                   .ask =
                       [this](const std::string& address) {
                         return ReadQuarantine(address);
-                      }}) {}
+                      }}),
+        server_limits_(options.interval,
+                       {.is_needed =
+                            [this] {
+                              return !limits_.has_asked() ||
+                                     IsUnread(catalog_.table_age());
+                            },
+                        .addresses = std::move(addresses),
+                        .ask =
+                            [this](const std::string& address) {
+                              return ReadLimits(address);
+                            }}) {}
   PeerFallback(const PeerFallback&) = delete;
   PeerFallback& operator=(const PeerFallback&) = delete;
 
   // Starts fibers that run until `stop` is set.
   void Start(Runtime& runtime, const std::atomic<bool>& stop) {
-    for (PeerReader* reader : {&configuration_, &servers_, &prompts_})
+    for (PeerReader* reader :
+         {&configuration_, &servers_, &prompts_, &server_limits_})
       runtime.Spawn([reader, &stop] { reader->Run(stop); });
   }
 
@@ -113,13 +129,25 @@
     return absl::OkStatus();
   }
 
+  // Routers tell one another what is new; one that was not there asks.
+  absl::Status ReadLimits(const std::string& address) {
+    const auto statements = AskPeerForLimits(client_, address);
+    if (!statements.ok())
+      return statements.status();
+    limits_.OnTold(*statements, address);
+    limits_.set_has_asked();
+    return absl::OkStatus();
+  }
+
   const PeerReaderOptions options_;
   HttpClient& client_;
   Catalog& catalog_;
   Quarantine& quarantine_;
+  ServerLimitsController& limits_;
   PeerReader configuration_;
   PeerReader servers_;
   PeerReader prompts_;
+  PeerReader server_limits_;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/peer_messages_generated.h
+++ b/hawthornhollow/relay/peer_messages_generated.h
@@ -40,6 +40,22 @@
 struct QuarantineListBuilder;
 struct QuarantineListT;
 
+struct ServerLimit;
+struct ServerLimitBuilder;
+struct ServerLimitT;
+
+struct ServerLimitList;
+struct ServerLimitListBuilder;
+struct ServerLimitListT;
+
+struct PermitWanted;
+struct PermitWantedBuilder;
+struct PermitWantedT;
+
+struct PermitAnswer;
+struct PermitAnswerBuilder;
+struct PermitAnswerT;
+
 bool operator==(const StoredRecordT &lhs, const StoredRecordT &rhs);
 bool operator!=(const StoredRecordT &lhs, const StoredRecordT &rhs);
 bool operator==(const ServerEntriesT &lhs, const ServerEntriesT &rhs);
@@ -52,6 +68,14 @@
 bool operator!=(const QuarantineRecordT &lhs, const QuarantineRecordT &rhs);
 bool operator==(const QuarantineListT &lhs, const QuarantineListT &rhs);
 bool operator!=(const QuarantineListT &lhs, const QuarantineListT &rhs);
+bool operator==(const ServerLimitT &lhs, const ServerLimitT &rhs);
+bool operator!=(const ServerLimitT &lhs, const ServerLimitT &rhs);
+bool operator==(const ServerLimitListT &lhs, const ServerLimitListT &rhs);
+bool operator!=(const ServerLimitListT &lhs, const ServerLimitListT &rhs);
+bool operator==(const PermitWantedT &lhs, const PermitWantedT &rhs);
+bool operator!=(const PermitWantedT &lhs, const PermitWantedT &rhs);
+bool operator==(const PermitAnswerT &lhs, const PermitAnswerT &rhs);
+bool operator!=(const PermitAnswerT &lhs, const PermitAnswerT &rhs);
 
 struct StoredRecordT : public flatbuffers::NativeTable {
   typedef StoredRecord TableType;
@@ -597,6 +621,357 @@
 
 flatbuffers::Offset<QuarantineList> CreateQuarantineList(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineListT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ServerLimitT : public flatbuffers::NativeTable {
+  typedef ServerLimit TableType;
+  std::string server{};
+  double requests_per_second = 0.0;
+  int64_t age_us = 0;
+};
+
+struct ServerLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerLimitT NativeTableType;
+  typedef ServerLimitBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_REQUESTS_PER_SECOND = 6,
+    VT_AGE_US = 8
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  double requests_per_second() const {
+    return GetField<double>(VT_REQUESTS_PER_SECOND, 0.0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<double>(verifier, VT_REQUESTS_PER_SECOND, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           verifier.EndTable();
+  }
+  ServerLimitT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServerLimitT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServerLimit> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServerLimitBuilder {
+  typedef ServerLimit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerLimit::VT_SERVER, server);
+  }
+  void add_requests_per_second(double requests_per_second) {
+    fbb_.AddElement<double>(ServerLimit::VT_REQUESTS_PER_SECOND, requests_per_second, 0.0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(ServerLimit::VT_AGE_US, age_us, 0);
+  }
+  explicit ServerLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerLimit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerLimit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerLimit> CreateServerLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    double requests_per_second = 0.0,
+    int64_t age_us = 0) {
+  ServerLimitBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_requests_per_second(requests_per_second);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct ServerLimit::Traits {
+  using type = ServerLimit;
+  static auto constexpr Create = CreateServerLimit;
+};
+
+inline flatbuffers::Offset<ServerLimit> CreateServerLimitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    double requests_per_second = 0.0,
+    int64_t age_us = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return hawthornhollow::fb::CreateServerLimit(
+      _fbb,
+      server__,
+      requests_per_second,
+      age_us);
+}
+
+flatbuffers::Offset<ServerLimit> CreateServerLimit(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ServerLimitListT : public flatbuffers::NativeTable {
+  typedef ServerLimitList TableType;
+  std::vector<std::unique_ptr<hawthornhollow::fb::ServerLimitT>> limits{};
+  ServerLimitListT() = default;
+  ServerLimitListT(const ServerLimitListT &o);
+  ServerLimitListT(ServerLimitListT&&) FLATBUFFERS_NOEXCEPT = default;
+  ServerLimitListT &operator=(ServerLimitListT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ServerLimitList FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerLimitListT NativeTableType;
+  typedef ServerLimitListBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIMITS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::ServerLimit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::ServerLimit>> *>(VT_LIMITS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
+           verifier.EndTable();
+  }
+  ServerLimitListT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServerLimitListT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServerLimitList> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitListT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServerLimitListBuilder {
+  typedef ServerLimitList Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::ServerLimit>>> limits) {
+    fbb_.AddOffset(ServerLimitList::VT_LIMITS, limits);
+  }
+  explicit ServerLimitListBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerLimitList> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerLimitList>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerLimitList> CreateServerLimitList(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::ServerLimit>>> limits = 0) {
+  ServerLimitListBuilder builder_(_fbb);
+  builder_.add_limits(limits);
+  return builder_.Finish();
+}
+
+struct ServerLimitList::Traits {
+  using type = ServerLimitList;
+  static auto constexpr Create = CreateServerLimitList;
+};
+
+inline flatbuffers::Offset<ServerLimitList> CreateServerLimitListDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::ServerLimit>> *limits = nullptr) {
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::ServerLimit>>(*limits) : 0;
+  return hawthornhollow::fb::CreateServerLimitList(
+      _fbb,
+      limits__);
+}
+
+flatbuffers::Offset<ServerLimitList> CreateServerLimitList(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitListT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PermitWantedT : public flatbuffers::NativeTable {
+  typedef PermitWanted TableType;
+  std::string router{};
+  int64_t urgency = 0;
+  std::unique_ptr<hawthornhollow::fb::ServerLimitT> limit{};
+  PermitWantedT() = default;
+  PermitWantedT(const PermitWantedT &o);
+  PermitWantedT(PermitWantedT&&) FLATBUFFERS_NOEXCEPT = default;
+  PermitWantedT &operator=(PermitWantedT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PermitWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitWantedT NativeTableType;
+  typedef PermitWantedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTER = 4,
+    VT_URGENCY = 6,
+    VT_LIMIT = 8
+  };
+  const flatbuffers::String *router() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTER);
+  }
+  int64_t urgency() const {
+    return GetField<int64_t>(VT_URGENCY, 0);
+  }
+  const hawthornhollow::fb::ServerLimit *limit() const {
+    return GetPointer<const hawthornhollow::fb::ServerLimit *>(VT_LIMIT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTER) &&
+           verifier.VerifyString(router()) &&
+           VerifyField<int64_t>(verifier, VT_URGENCY, 8) &&
+           VerifyOffset(verifier, VT_LIMIT) &&
+           verifier.VerifyTable(limit()) &&
+           verifier.EndTable();
+  }
+  PermitWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitWantedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PermitWanted> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PermitWantedBuilder {
+  typedef PermitWanted Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_router(flatbuffers::Offset<flatbuffers::String> router) {
+    fbb_.AddOffset(PermitWanted::VT_ROUTER, router);
+  }
+  void add_urgency(int64_t urgency) {
+    fbb_.AddElement<int64_t>(PermitWanted::VT_URGENCY, urgency, 0);
+  }
+  void add_limit(flatbuffers::Offset<hawthornhollow::fb::ServerLimit> limit) {
+    fbb_.AddOffset(PermitWanted::VT_LIMIT, limit);
+  }
+  explicit PermitWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitWanted> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitWanted>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitWanted> CreatePermitWanted(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> router = 0,
+    int64_t urgency = 0,
+    flatbuffers::Offset<hawthornhollow::fb::ServerLimit> limit = 0) {
+  PermitWantedBuilder builder_(_fbb);
+  builder_.add_urgency(urgency);
+  builder_.add_limit(limit);
+  builder_.add_router(router);
+  return builder_.Finish();
+}
+
+struct PermitWanted::Traits {
+  using type = PermitWanted;
+  static auto constexpr Create = CreatePermitWanted;
+};
+
+inline flatbuffers::Offset<PermitWanted> CreatePermitWantedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *router = nullptr,
+    int64_t urgency = 0,
+    flatbuffers::Offset<hawthornhollow::fb::ServerLimit> limit = 0) {
+  auto router__ = router ? _fbb.CreateString(router) : 0;
+  return hawthornhollow::fb::CreatePermitWanted(
+      _fbb,
+      router__,
+      urgency,
+      limit);
+}
+
+flatbuffers::Offset<PermitWanted> CreatePermitWanted(flatbuffers::FlatBufferBuilder &_fbb, const PermitWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PermitAnswerT : public flatbuffers::NativeTable {
+  typedef PermitAnswer TableType;
+  bool granted = false;
+  int64_t retry_after_us = 0;
+  std::unique_ptr<hawthornhollow::fb::ServerLimitT> limit{};
+  PermitAnswerT() = default;
+  PermitAnswerT(const PermitAnswerT &o);
+  PermitAnswerT(PermitAnswerT&&) FLATBUFFERS_NOEXCEPT = default;
+  PermitAnswerT &operator=(PermitAnswerT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PermitAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitAnswerT NativeTableType;
+  typedef PermitAnswerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GRANTED = 4,
+    VT_RETRY_AFTER_US = 6,
+    VT_LIMIT = 8
+  };
+  bool granted() const {
+    return GetField<uint8_t>(VT_GRANTED, 0) != 0;
+  }
+  int64_t retry_after_us() const {
+    return GetField<int64_t>(VT_RETRY_AFTER_US, 0);
+  }
+  const hawthornhollow::fb::ServerLimit *limit() const {
+    return GetPointer<const hawthornhollow::fb::ServerLimit *>(VT_LIMIT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
+           VerifyField<int64_t>(verifier, VT_RETRY_AFTER_US, 8) &&
+           VerifyOffset(verifier, VT_LIMIT) &&
+           verifier.VerifyTable(limit()) &&
+           verifier.EndTable();
+  }
+  PermitAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PermitAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PermitAnswerBuilder {
+  typedef PermitAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_granted(bool granted) {
+    fbb_.AddElement<uint8_t>(PermitAnswer::VT_GRANTED, static_cast<uint8_t>(granted), 0);
+  }
+  void add_retry_after_us(int64_t retry_after_us) {
+    fbb_.AddElement<int64_t>(PermitAnswer::VT_RETRY_AFTER_US, retry_after_us, 0);
+  }
+  void add_limit(flatbuffers::Offset<hawthornhollow::fb::ServerLimit> limit) {
+    fbb_.AddOffset(PermitAnswer::VT_LIMIT, limit);
+  }
+  explicit PermitAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitAnswer> CreatePermitAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool granted = false,
+    int64_t retry_after_us = 0,
+    flatbuffers::Offset<hawthornhollow::fb::ServerLimit> limit = 0) {
+  PermitAnswerBuilder builder_(_fbb);
+  builder_.add_retry_after_us(retry_after_us);
+  builder_.add_limit(limit);
+  builder_.add_granted(granted);
+  return builder_.Finish();
+}
+
+struct PermitAnswer::Traits {
+  using type = PermitAnswer;
+  static auto constexpr Create = CreatePermitAnswer;
+};
+
+flatbuffers::Offset<PermitAnswer> CreatePermitAnswer(flatbuffers::FlatBufferBuilder &_fbb, const PermitAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 
 inline bool operator==(const StoredRecordT &lhs, const StoredRecordT &rhs) {
   return
@@ -883,6 +1258,214 @@
       _parts);
 }
 
+
+inline bool operator==(const ServerLimitT &lhs, const ServerLimitT &rhs) {
+  return
+      (lhs.server == rhs.server) &&
+      (lhs.requests_per_second == rhs.requests_per_second) &&
+      (lhs.age_us == rhs.age_us);
+}
+
+inline bool operator!=(const ServerLimitT &lhs, const ServerLimitT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ServerLimitT *ServerLimit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServerLimitT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServerLimit::UnPackTo(ServerLimitT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = requests_per_second(); _o->requests_per_second = _e; }
+  { auto _e = age_us(); _o->age_us = _e; }
+}
+
+inline flatbuffers::Offset<ServerLimit> ServerLimit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServerLimit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServerLimit> CreateServerLimit(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServerLimitT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _requests_per_second = _o->requests_per_second;
+  auto _age_us = _o->age_us;
+  return hawthornhollow::fb::CreateServerLimit(
+      _fbb,
+      _server,
+      _requests_per_second,
+      _age_us);
+}
+
+
+inline bool operator==(const ServerLimitListT &lhs, const ServerLimitListT &rhs) {
+  return
+      (lhs.limits.size() == rhs.limits.size() && std::equal(lhs.limits.cbegin(), lhs.limits.cend(), rhs.limits.cbegin(), [](std::unique_ptr<hawthornhollow::fb::ServerLimitT> const &a, std::unique_ptr<hawthornhollow::fb::ServerLimitT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const ServerLimitListT &lhs, const ServerLimitListT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ServerLimitListT::ServerLimitListT(const ServerLimitListT &o) {
+  limits.reserve(o.limits.size());
+  for (const auto &limits_ : o.limits) { limits.emplace_back((limits_) ? new hawthornhollow::fb::ServerLimitT(*limits_) : nullptr); }
+}
+
+inline ServerLimitListT &ServerLimitListT::operator=(ServerLimitListT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(limits, o.limits);
+  return *this;
+}
+
+inline ServerLimitListT *ServerLimitList::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServerLimitListT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServerLimitList::UnPackTo(ServerLimitListT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = std::unique_ptr<hawthornhollow::fb::ServerLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ServerLimitList> ServerLimitList::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitListT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServerLimitList(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServerLimitList> CreateServerLimitList(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitListT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServerLimitListT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _limits = _o->limits.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::ServerLimit>> (_o->limits.size(), [](size_t i, _VectorArgs *__va) { return CreateServerLimit(*__va->__fbb, __va->__o->limits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hawthornhollow::fb::CreateServerLimitList(
+      _fbb,
+      _limits);
+}
+
+
+inline bool operator==(const PermitWantedT &lhs, const PermitWantedT &rhs) {
+  return
+      (lhs.router == rhs.router) &&
+      (lhs.urgency == rhs.urgency) &&
+      ((lhs.limit == rhs.limit) || (lhs.limit && rhs.limit && *lhs.limit == *rhs.limit));
+}
+
+inline bool operator!=(const PermitWantedT &lhs, const PermitWantedT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PermitWantedT::PermitWantedT(const PermitWantedT &o)
+      : router(o.router),
+        urgency(o.urgency),
+        limit((o.limit) ? new hawthornhollow::fb::ServerLimitT(*o.limit) : nullptr) {
+}
+
+inline PermitWantedT &PermitWantedT::operator=(PermitWantedT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(router, o.router);
+  std::swap(urgency, o.urgency);
+  std::swap(limit, o.limit);
+  return *this;
+}
+
+inline PermitWantedT *PermitWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PermitWantedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PermitWanted::UnPackTo(PermitWantedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = router(); if (_e) _o->router = _e->str(); }
+  { auto _e = urgency(); _o->urgency = _e; }
+  { auto _e = limit(); if (_e) _o->limit = std::unique_ptr<hawthornhollow::fb::ServerLimitT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<PermitWanted> PermitWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermitWanted(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PermitWanted> CreatePermitWanted(flatbuffers::FlatBufferBuilder &_fbb, const PermitWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitWantedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _router = _o->router.empty() ? 0 : _fbb.CreateString(_o->router);
+  auto _urgency = _o->urgency;
+  auto _limit = _o->limit ? CreateServerLimit(_fbb, _o->limit.get(), _rehasher) : 0;
+  return hawthornhollow::fb::CreatePermitWanted(
+      _fbb,
+      _router,
+      _urgency,
+      _limit);
+}
+
+
+inline bool operator==(const PermitAnswerT &lhs, const PermitAnswerT &rhs) {
+  return
+      (lhs.granted == rhs.granted) &&
+      (lhs.retry_after_us == rhs.retry_after_us) &&
+      ((lhs.limit == rhs.limit) || (lhs.limit && rhs.limit && *lhs.limit == *rhs.limit));
+}
+
+inline bool operator!=(const PermitAnswerT &lhs, const PermitAnswerT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PermitAnswerT::PermitAnswerT(const PermitAnswerT &o)
+      : granted(o.granted),
+        retry_after_us(o.retry_after_us),
+        limit((o.limit) ? new hawthornhollow::fb::ServerLimitT(*o.limit) : nullptr) {
+}
+
+inline PermitAnswerT &PermitAnswerT::operator=(PermitAnswerT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(granted, o.granted);
+  std::swap(retry_after_us, o.retry_after_us);
+  std::swap(limit, o.limit);
+  return *this;
+}
+
+inline PermitAnswerT *PermitAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PermitAnswerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PermitAnswer::UnPackTo(PermitAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = retry_after_us(); _o->retry_after_us = _e; }
+  { auto _e = limit(); if (_e) _o->limit = std::unique_ptr<hawthornhollow::fb::ServerLimitT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<PermitAnswer> PermitAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermitAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PermitAnswer> CreatePermitAnswer(flatbuffers::FlatBufferBuilder &_fbb, const PermitAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _granted = _o->granted;
+  auto _retry_after_us = _o->retry_after_us;
+  auto _limit = _o->limit ? CreateServerLimit(_fbb, _o->limit.get(), _rehasher) : 0;
+  return hawthornhollow::fb::CreatePermitAnswer(
+      _fbb,
+      _granted,
+      _retry_after_us,
+      _limit);
+}
+
 inline const hawthornhollow::fb::QuarantineList *GetQuarantineList(const void *buf) {
   return flatbuffers::GetRoot<hawthornhollow::fb::QuarantineList>(buf);
 }
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -1,5 +1,6 @@
 #include "hawthornhollow/relay/peer_service.h"
 
+#include <cmath>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -22,18 +23,23 @@
 constexpr char kCrashTarget[] = "/server-crash";
 constexpr char kSoundTarget[] = "/sound-parts";
 constexpr char kQuarantineTarget[] = "/quarantine";
+constexpr char kPermitTarget[] = "/server-permit";
+constexpr char kLimitsTarget[] = "/server-limits";
 constexpr absl::Duration kPeerCallTimeout = absl::Milliseconds(150);
+// A request waits for the answer.
+constexpr absl::Duration kPermitTimeout = absl::Milliseconds(100);
 constexpr int kOk = 200;
 constexpr int kNoContent = 204;
 
 // Sends a request to another router and returns the body of its answer.
 absl::StatusOr<std::string> Ask(HttpClient& client,
                                 const std::string& address,
-                                HttpRequest question) {
+                                HttpRequest question,
+                                absl::Duration timeout = kPeerCallTimeout) {
   const auto endpoint = Endpoint::Parse(address);
   if (!endpoint.ok())
     return endpoint.status();
-  auto response = client.Call(*endpoint, question, kPeerCallTimeout);
+  auto response = client.Call(*endpoint, question, timeout);
   if (!response.ok())
     return response.status();
   if (response->status == kNoContent) {
@@ -225,6 +231,102 @@
   writer.Send({.body = EncodeMessage<fb::QuarantineList>(list)}).IgnoreError();
 }
 
+// Steady times are not comparable between VMs.
+fb::ServerLimitT EncodeLimit(const ServerLimitStatement& statement) {
+  fb::ServerLimitT limit;
+  limit.server = statement.server;
+  limit.requests_per_second = statement.requests_per_second.value_or(0);
+  limit.age_us = absl::ToInt64Microseconds(SteadyNow() - statement.as_of);
+  return limit;
+}
+
+// The message may have been on its way for a while. A limit is taken to be as
+// new as it may be, and its end as old, so that no limit ends too early.
+absl::StatusOr<ServerLimitStatement> DecodeLimit(const fb::ServerLimitT& limit,
+                                                 std::string_view peer) {
+  if (!std::isfinite(limit.requests_per_second) ||
+      limit.requests_per_second < 0) {
+    return ErrorAt(absl::StatusCode::kInvalidArgument, "peer.limit", peer,
+                   "requests_per_second: is no number from zero on");
+  }
+  ServerLimitStatement statement{
+      .server = limit.server,
+      .as_of = SteadyNow() - absl::Microseconds(limit.age_us)};
+  if (limit.requests_per_second > 0)
+    statement.requests_per_second = limit.requests_per_second;
+  else
+    statement.as_of -= kPeerCallTimeout;
+  return statement;
+}
+
+fb::ServerLimitListT EncodeLimits(
+    const std::vector<ServerLimitStatement>& statements) {
+  fb::ServerLimitListT list;
+  for (const ServerLimitStatement& statement : statements) {
+    list.limits.push_back(
+        std::make_unique<fb::ServerLimitT>(EncodeLimit(statement)));
+  }
+  return list;
+}
+
+absl::StatusOr<std::vector<ServerLimitStatement>> DecodeLimits(
+    std::string_view bytes,
+    std::string_view peer) {
+  const auto list = DecodeMessage<fb::ServerLimitList>(bytes, peer);
+  if (!list.ok())
+    return list.status();
+  std::vector<ServerLimitStatement> statements;
+  for (const auto& limit : list->limits) {
+    auto statement = DecodeLimit(*limit, peer);
+    if (!statement.ok())
+      return statement.status();
+    statements.push_back(*std::move(statement));
+  }
+  return statements;
+}
+
+void ServePermit(const HttpRequest& request,
+                 const PeerHandlers& handlers,
+                 ResponseWriter& writer) {
+  const auto wanted =
+      DecodeMessage<fb::PermitWanted>(request.body, request.peer);
+  if (!wanted.ok())
+    return Reject(request, wanted.status(), writer);
+  if (wanted->limit == nullptr) {
+    return Reject(request,
+                  ErrorAt(absl::StatusCode::kInvalidArgument, "peer.permit",
+                          request.peer, "limit: is missing"),
+                  writer);
+  }
+  const auto statement = DecodeLimit(*wanted->limit, request.peer);
+  if (!statement.ok())
+    return Reject(request, statement.status(), writer);
+  const PermitAnswer answer = handlers.permit({.router = wanted->router,
+                                               .urgency = wanted->urgency,
+                                               .statement = *statement});
+  fb::PermitAnswerT message;
+  message.granted = answer.permit.granted;
+  message.retry_after_us = absl::ToInt64Microseconds(answer.permit.retry_after);
+  message.limit =
+      std::make_unique<fb::ServerLimitT>(EncodeLimit(answer.statement));
+  writer.Send({.body = EncodeMessage<fb::PermitAnswer>(message)}).IgnoreError();
+}
+
+void ServeLimitsTold(const HttpRequest& request,
+                     const PeerHandlers& handlers,
+                     ResponseWriter& writer) {
+  const auto statements = DecodeLimits(request.body, request.peer);
+  if (!statements.ok())
+    return Reject(request, statements.status(), writer);
+  handlers.limits_told(*statements);
+  writer.Send({}).IgnoreError();
+}
+
+void ServeLimits(const PeerHandlers& handlers, ResponseWriter& writer) {
+  const auto list = EncodeLimits(handlers.limits());
+  writer.Send({.body = EncodeMessage<fb::ServerLimitList>(list)}).IgnoreError();
+}
+
 }  // namespace
 
 absl::StatusOr<TransferAnswer> AskPeerForTokens(
@@ -354,6 +456,58 @@
   return parts;
 }
 
+absl::StatusOr<PermitAnswer> AskPeerForPermit(HttpClient& client,
+                                              const std::string& address,
+                                              const PermitQuestion& question) {
+  fb::PermitWantedT wanted;
+  wanted.router = question.router;
+  wanted.urgency = question.urgency;
+  wanted.limit =
+      std::make_unique<fb::ServerLimitT>(EncodeLimit(question.statement));
+  const auto body = Ask(client, address,
+                        {.method = "POST",
+                         .target = kPermitTarget,
+                         .body = EncodeMessage<fb::PermitWanted>(wanted)},
+                        kPermitTimeout);
+  if (!body.ok())
+    return body.status();
+  const auto answer = DecodeMessage<fb::PermitAnswer>(*body, address);
+  if (!answer.ok())
+    return answer.status();
+  if (answer->limit == nullptr) {
+    return ErrorAt(absl::StatusCode::kDataLoss, "peer.permit", address,
+                   "limit: is missing");
+  }
+  auto statement = DecodeLimit(*answer->limit, address);
+  if (!statement.ok())
+    return statement.status();
+  return PermitAnswer{
+      .permit = {.granted = answer->granted,
+                 .retry_after = absl::Microseconds(answer->retry_after_us)},
+      .statement = *std::move(statement)};
+}
+
+absl::Status TellPeerOfLimits(
+    HttpClient& client,
+    const std::string& address,
+    const std::vector<ServerLimitStatement>& statements) {
+  return Ask(client, address,
+             {.method = "POST",
+              .target = kLimitsTarget,
+              .body =
+                  EncodeMessage<fb::ServerLimitList>(EncodeLimits(statements))})
+      .status();
+}
+
+absl::StatusOr<std::vector<ServerLimitStatement>> AskPeerForLimits(
+    HttpClient& client,
+    const std::string& address) {
+  const auto body = Ask(client, address, {.target = kLimitsTarget});
+  if (!body.ok())
+    return body.status();
+  return DecodeLimits(*body, address);
+}
+
 std::string EncodeQuarantine(const QuarantinedPart& part) {
   return EncodeMessage<fb::QuarantineRecord>(EncodePart(part));
 }
@@ -377,6 +531,12 @@
     return ServeServers(request, handlers, writer);
   if (request.method == "GET" && request.Path() == kQuarantineTarget)
     return ServeQuarantine(handlers, writer);
+  if (request.method == "GET" && request.Path() == kLimitsTarget)
+    return ServeLimits(handlers, writer);
+  if (request.method == "POST" && request.Path() == kLimitsTarget)
+    return ServeLimitsTold(request, handlers, writer);
+  if (request.method == "POST" && request.Path() == kPermitTarget)
+    return ServePermit(request, handlers, writer);
   if (request.method == "POST" && request.Path() == kCrashTarget)
     return ServeCrash(request, handlers, writer);
   if (request.method == "POST" && request.Path() == kSoundTarget)
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -4,7 +4,8 @@
 // Calls between routers, as FlatBuffers over HTTP on the address for other
 // routers: transfers of tokens of a workspace's prepaid total, in both
 // directions, the configuration, the entries of backend servers, crashes of
-// servers and what they are put down to, and the time of day.
+// servers and what they are put down to, limits that servers state and permits
+// to send to them, and the time of day.
 
 #include <functional>
 #include <string>
@@ -14,6 +15,7 @@
 #include "hawthornhollow/http/http.h"
 #include "hawthornhollow/relay/prompt_quarantine.h"
 #include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/relay/server_limits.h"
 #include "hawthornhollow/relay/server_list.h"
 #include "hawthornhollow/totals/totals.h"
 
@@ -65,6 +67,22 @@
     HttpClient& client,
     const std::string& address);
 
+// Asks the router at `address` for a permit, as the granter of the server.
+absl::StatusOr<PermitAnswer> AskPeerForPermit(HttpClient& client,
+                                              const std::string& address,
+                                              const PermitQuestion& question);
+
+// Tells the router at `address` what servers said of their limits.
+absl::Status TellPeerOfLimits(
+    HttpClient& client,
+    const std::string& address,
+    const std::vector<ServerLimitStatement>& statements);
+
+// Returns what the router at `address` knows of servers' limits.
+absl::StatusOr<std::vector<ServerLimitStatement>> AskPeerForLimits(
+    HttpClient& client,
+    const std::string& address);
+
 // A quarantined part as a record in the store. Times of day are used in it, so
 // it may end early or late by the difference of two VMs' clocks.
 std::string EncodeQuarantine(const QuarantinedPart& part);
@@ -81,6 +99,9 @@
   std::function<void(const ServerCrash& crash, const std::string& peer)> crash;
   std::function<void(const std::vector<std::string>& parts)> sound;
   std::function<std::vector<QuarantinedPart>()> quarantine;
+  std::function<PermitAnswer(const PermitQuestion&)> permit;
+  std::function<void(const std::vector<ServerLimitStatement>&)> limits_told;
+  std::function<std::vector<ServerLimitStatement>()> limits;
 };
 void ServePeer(const HttpRequest& request,
                const PeerHandlers& handlers,
--- a/hawthornhollow/relay/prompt_placement.cc
+++ b/hawthornhollow/relay/prompt_placement.cc
@@ -117,7 +117,7 @@
   return wait;
 }
 
-absl::StatusOr<PromptPlacement::Choice> PromptPlacement::Choose(
+absl::StatusOr<PromptPlacement::Choice> PromptPlacement::Propose(
     const PlacementQuery& query,
     absl::Time now) {
   const std::vector<State*> candidates = Candidates(query, now);
@@ -153,15 +153,32 @@
     return ErrorAt(absl::StatusCode::kNotFound, "placement.choose",
                    query.service, "no server can be used");
   }
-  ++best->in_flight;
-  best->unread_tokens += best_uncached;
-  RecordCachedParts(best, query, now);
   return Choice{.server = best->server,
                 .uncached_tokens = best_uncached,
                 .predicted_wait = best_wait,
                 .registration = best->registration};
 }
 
+void PromptPlacement::Begin(const Choice& choice,
+                            const PlacementQuery& query,
+                            absl::Time now) {
+  State* const state = Find(choice);
+  if (state == nullptr)
+    return;
+  ++state->in_flight;
+  state->unread_tokens += choice.uncached_tokens;
+  RecordCachedParts(state, query, now);
+}
+
+absl::StatusOr<PromptPlacement::Choice> PromptPlacement::Choose(
+    const PlacementQuery& query,
+    absl::Time now) {
+  auto choice = Propose(query, now);
+  if (choice.ok())
+    Begin(*choice, query, now);
+  return choice;
+}
+
 void PromptPlacement::RecordCachedParts(State* state,
                                         const PlacementQuery& query,
                                         absl::Time now) {
@@ -214,6 +231,16 @@
   }
 }
 
+std::vector<std::string> PromptPlacement::ServersOf(
+    std::string_view service) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, state] : servers_) {
+    if (state.server.service == service && !state.server.leaving)
+      ids.push_back(id);
+  }
+  return ids;
+}
+
 int64_t PromptPlacement::in_flight(std::string_view server) const {
   const auto found = servers_.find(server);
   return found == servers_.end() ? 0 : found->second.in_flight;
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -213,8 +213,12 @@
     uint64_t registration = 0;
     friend auto operator<=>(const Choice&, const Choice&) = default;
   };
-  // Chooses a server and counts the request as in flight there. Returns
-  // NOT_FOUND if no server of the service may be used.
+  // Chooses a server. Returns NOT_FOUND if no server of the service may be
+  // used.
+  absl::StatusOr<Choice> Propose(const PlacementQuery& query, absl::Time now);
+  // Counts the request as in flight at the proposed server.
+  void Begin(const Choice& choice, const PlacementQuery& query, absl::Time now);
+  // Both in one.
   absl::StatusOr<Choice> Choose(const PlacementQuery& query, absl::Time now);
 
   // Reports the progress of a choice. OnFirstToken is called at most once;
@@ -231,6 +235,8 @@
                   Outcome outcome,
                   absl::Time now);
 
+  // Ids of the service's servers that are not leaving.
+  std::vector<std::string> ServersOf(std::string_view service) const;
   int64_t in_flight(std::string_view server) const;
   bool IsSuspect(std::string_view server, absl::Time now) const;
 
@@ -358,6 +364,7 @@
   kRefused,            // servers refused; the request was not executed
   kTokensUnavailable,  // tokens may be left, but not at this router in time
   kOutcomeUnknown,     // it may have been executed; there is no answer
+  kServersLimited,     // servers take no more requests now; not executed
   kPromptQuarantined,  // a part of its prompt crashes servers; not executed
   kTimedOut,           // it may have been executed; the deadline passed
 };
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -21,6 +21,7 @@
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
 #include "hawthornhollow/relay/request_run.h"
+#include "hawthornhollow/relay/server_limits_controller.h"
 #include "hawthornhollow/relay/totals_controller.h"
 
 namespace hawthornhollow {
@@ -59,6 +60,7 @@
   CatalogOptions catalog;
   PeerReaderOptions peer_reader;
   QuarantineControllerOptions quarantine;
+  ServerLimitsControllerOptions server_limits;
   PlacementOptions placement;
 };
 
@@ -107,6 +109,7 @@
                   .on_servers =
                       [this](const std::vector<RelayServer>& servers) {
                         placement_.SetServers(servers);
+                        server_limits_.KeepServers(servers);
                       }}),
         quarantine_(
             store_,
@@ -125,12 +128,31 @@
                         const std::vector<std::string>& parts) {
                    return ReportSoundToPeer(client_, address, parts);
                  }}),
+        server_limits_(
+            settings.router,
+            settings.server_limits,
+            {.spawn =
+                 [&runtime](std::function<void()> task) {
+                   runtime.Spawn(std::move(task));
+                 },
+             .routers = [this] { return totals_.LivingRouters(); },
+             .ask =
+                 [this](const std::string& address,
+                        const PermitQuestion& question) {
+                   return AskPeerForPermit(client_, address, question);
+                 },
+             .tell =
+                 [this](const std::string& address,
+                        const std::vector<ServerLimitStatement>& statements) {
+                   return TellPeerOfLimits(client_, address, statements);
+                 }}),
         fallback_(
             settings.peer_reader,
             [this] { return totals_.OtherRouterAddresses(); },
             client_,
             catalog_,
-            quarantine_) {
+            quarantine_,
+            server_limits_) {
     shared_ = {.client = &client_,
                .placement = &placement_,
                .link = &link_,
@@ -150,6 +172,7 @@
                                       const std::string& server) {
                                  quarantine_.OnCrash(call, server);
                                }},
+               .limits = LimitCalls(),
                .retries = &retries_,
                .retry_ratio = settings.retry_ratio / 2};
   }
@@ -189,6 +212,7 @@
     runtime_.Spawn([this] { catalog_.FollowConfiguration(stop_); });
     runtime_.Spawn([this] { catalog_.FollowServers(stop_); });
     runtime_.Spawn([this] { quarantine_.Run(stop_); });
+    runtime_.Spawn([this] { server_limits_.Run(stop_); });
     fallback_.Start(runtime_, stop_);
     runtime_.Spawn([this] { totals_.RunAuthorityLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunLevelLoop(stop_); });
@@ -255,10 +279,39 @@
              [this](const std::vector<std::string>& parts) {
                quarantine_.OnSoundReported(parts);
              },
-         .quarantine = [this] { return quarantine_.quarantined(); }},
+         .quarantine = [this] { return quarantine_.quarantined(); },
+         .permit =
+             [this](const PermitQuestion& question) {
+               return server_limits_.OnPermitWanted(question);
+             },
+         .limits_told =
+             [this](const std::vector<ServerLimitStatement>& statements) {
+               server_limits_.OnTold(statements, "peer");
+             },
+         .limits = [this] { return server_limits_.statements(); }},
         writer);
   }
 
+  LimitWatch LimitCalls() {
+    return {
+        .on_answer =
+            [this](const std::string& server, std::optional<double> limit,
+                   absl::Time sent_at) {
+              server_limits_.OnAnswer(server, limit, sent_at);
+            },
+        .limited_servers = [this] { return server_limits_.LimitedServers(); },
+        .blocked =
+            [this](int64_t urgency) { return server_limits_.Blocked(urgency); },
+        .acquire =
+            [this](const std::string& server, int64_t urgency) {
+              return server_limits_.Acquire(server, urgency);
+            },
+        .retry_after =
+            [this](const std::vector<std::string>& servers, int64_t urgency) {
+              return server_limits_.RetryAfter(servers, urgency);
+            }};
+  }
+
   void AnswerMetrics(ResponseWriter& writer) {
     writer
         .Send({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -274,19 +327,21 @@
   RelayGauges Gauges() const {
     const auto table = catalog_.table();
     const TotalsSum tokens = totals_.sum();
-    return {.config_version = table == nullptr ? 0 : table->version(),
-            .config_age = catalog_.table_age(),
-            .servers_age = catalog_.servers_age(),
-            .servers = static_cast<int64_t>(catalog_.server_count()),
-            .kept_servers = static_cast<int64_t>(catalog_.kept_server_count()),
-            .routers = static_cast<int64_t>(totals_.router_count()),
-            .quarantined_parts =
-                static_cast<int64_t>(quarantine_.quarantined().size()),
-            .requests_in_progress = in_progress_,
-            .caller_connections = static_cast<int64_t>(CallerConnections()),
-            .available_tokens = tokens.available,
-            .waiting_tokens = tokens.waiting,
-            .record_age = totals_.record_age()};
+    return {
+        .config_version = table == nullptr ? 0 : table->version(),
+        .config_age = catalog_.table_age(),
+        .servers_age = catalog_.servers_age(),
+        .servers = static_cast<int64_t>(catalog_.server_count()),
+        .kept_servers = static_cast<int64_t>(catalog_.kept_server_count()),
+        .routers = static_cast<int64_t>(totals_.router_count()),
+        .quarantined_parts =
+            static_cast<int64_t>(quarantine_.quarantined().size()),
+        .limited_servers = static_cast<int64_t>(server_limits_.limited_count()),
+        .requests_in_progress = in_progress_,
+        .caller_connections = static_cast<int64_t>(CallerConnections()),
+        .available_tokens = tokens.available,
+        .waiting_tokens = tokens.waiting,
+        .record_age = totals_.record_age()};
   }
 
   void AnswerReadiness(ResponseWriter& writer) {
@@ -519,6 +574,7 @@
   TotalsController<InstrumentedStore<Store>> totals_;
   CatalogController<InstrumentedStore<Store>, D> catalog_;
   QuarantineController<InstrumentedStore<Store>> quarantine_;
+  ServerLimitsController server_limits_;
   PeerFallback<CatalogController<InstrumentedStore<Store>, D>,
                QuarantineController<InstrumentedStore<Store>>>
       fallback_;
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -86,6 +86,7 @@
       {"servers_kept", gauges.kept_servers},
       {"routers", gauges.routers},
       {"prompt_parts_quarantined", gauges.quarantined_parts},
+      {"servers_limited", gauges.limited_servers},
       {"requests_in_progress", gauges.requests_in_progress},
       {"caller_connections", gauges.caller_connections},
       {"tokens_available", gauges.available_tokens},
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -67,6 +67,8 @@
   static constexpr int kFirstRedirect = 300;
   static constexpr int kServerError = 500;
   static constexpr int kMisdirected = 421;
+  // Then the request goes to a server without a limit, or is refused.
+  static constexpr int kMaxPermitsDenied = 3;
 
   absl::Duration TimeLeft() const { return request_.deadline - SteadyNow(); }
   bool is_stream() const { return request_.route->kind == RouteKind::kStream; }
@@ -95,7 +97,7 @@
     if (shared_.prompts.is_quarantined(request_.call))
       return Refuse(summary_.may_have_run ? RelayError::kOutcomeUnknown
                                           : RelayError::kPromptQuarantined);
-    auto choice = shared_.placement->Choose(Query(), SteadyNow());
+    auto choice = ChooseServer();
     if (!choice.ok())
       return EndWithoutServer();
     summary_.server = choice->server.id;
@@ -126,12 +128,34 @@
     return EndAfter(result);
   }
 
-  PlacementQuery Query() const {
+  // Chooses a server that this request may be sent to, with a permit if the
+  // server has a limit.
+  absl::StatusOr<PromptPlacement::Choice> ChooseServer() {
+    const int64_t urgency = UrgencyOf(request_);
+    for (int denials = 0;; ++denials) {
+      std::set<std::string> excluded = excluded_servers_;
+      excluded.merge(shared_.limits.blocked(urgency));
+      if (denials >= kMaxPermitsDenied) {
+        for (const std::string& server : shared_.limits.limited_servers())
+          excluded.insert(server);
+      }
+      const PlacementQuery query = Query(std::move(excluded));
+      auto choice = shared_.placement->Propose(query, SteadyNow());
+      if (!choice.ok())
+        return choice;
+      if (shared_.limits.acquire(choice->server.id, urgency)) {
+        shared_.placement->Begin(*choice, query, SteadyNow());
+        return choice;
+      }
+    }
+  }
+
+  PlacementQuery Query(std::set<std::string> excluded) const {
     return {.service = request_.service,
             .prompt = request_.call.prompt,
             .prompt_tokens = request_.call.prompt_tokens,
             .failure_domain = options_.failure_domain,
-            .excluded_servers = excluded_servers_};
+            .excluded_servers = std::move(excluded)};
   }
 
   void Report(const PromptPlacement::Choice& choice, AttemptResult result) {
@@ -227,15 +251,35 @@
   bool EndWithoutServer() {
     if (failed_answer_.has_value())
       return ForwardFailedAnswer();
-    return Refuse(summary_.may_have_run ? RelayError::kOutcomeUnknown
-                                        : RelayError::kNoServer);
+    if (summary_.may_have_run)
+      return Refuse(RelayError::kOutcomeUnknown);
+    const std::vector<std::string> limited = LimitedServersLeft();
+    if (limited.empty())
+      return Refuse(RelayError::kNoServer);
+    return Refuse(RelayError::kServersLimited,
+                  shared_.limits.retry_after(limited, UrgencyOf(request_)));
+  }
+
+  // Servers that were not tried, because of their limits.
+  std::vector<std::string> LimitedServersLeft() const {
+    std::vector<std::string> usable =
+        shared_.placement->ServersOf(request_.service);
+    const std::vector<std::string> limited = shared_.limits.limited_servers();
+    std::erase_if(usable, [&](const std::string& server) {
+      return excluded_servers_.contains(server) ||
+             std::find(limited.begin(), limited.end(), server) == limited.end();
+    });
+    return usable;
   }
 
   bool Refuse(RelayError error) {
+    return Refuse(error, options_.RetryAfter(error));
+  }
+
+  bool Refuse(RelayError error, absl::Duration retry_base) {
     if (streaming_)
       return AbortStream();
-    const absl::Duration retry_after =
-        JitteredRetryAfter(options_.RetryAfter(error), random_);
+    const absl::Duration retry_after = JitteredRetryAfter(retry_base, random_);
     HttpResponse response = D::EncodeRefusal(request_.call, error, retry_after);
     response.headers = AnswerHeaders(std::move(response.headers));
     return EndSent(writer_.Send(response), TraitsOf(error).code,
@@ -268,6 +312,7 @@
                                .urgency = UrgencyOf(request_),
                                .resume_after = last_event_};
     const HttpRequest sent = D::EncodeAttempt(*request_.request, attempt);
+    sent_at_ = SteadyNow();
     auto opened = Open(choice.server, sent);
     if (!opened.ok()) {
       detail_ = std::string(opened.status().message());
@@ -331,7 +376,7 @@
         return FailedRead(head.status());
       const ReplyHead reply = D::DecodeReply(*head);
       if (reply.call_id.empty() || reply.call_id == request_.call.id) {
-        LogLimit(choice.server.id, reply);
+        ReportLimit(choice.server.id, reply);
         return ReceiveBody(choice, reply);
       }
       LogEvent("answer.stray", LogSeverity::kWarning)
@@ -345,19 +390,24 @@
     return AttemptResult::kIncompleteAnswer;
   }
 
-  void LogLimit(const std::string& server, const ReplyHead& reply) const {
+  void ReportLimit(const std::string& server, const ReplyHead& reply) const {
     if (!reply.bad_limit.empty()) {
       LogEvent("server.limit_rejected", LogSeverity::kWarning)
           .Add("request", request_.call.id)
           .Add("server", server)
           .Add("reason", reply.bad_limit);
+      return;
     }
+    // Another server may have answered, or something that is no server.
+    if (reply.status == kMisdirected || !(reply.sealed || reply.not_run))
+      return;
     if (reply.requests_per_second.has_value()) {
       LogEvent("server.limit_stated")
           .Add("request", request_.call.id)
           .Add("server", server)
           .Add("per_second", *reply.requests_per_second);
     }
+    shared_.limits.on_answer(server, reply.requests_per_second, sent_at_);
   }
 
   AttemptResult FailedRead(const absl::Status& status) {
@@ -529,6 +579,7 @@
   bool began_ = false;
   bool got_first_piece_ = false;
   bool broke_off_ = false;
+  absl::Time sent_at_;  // or a little earlier
   std::optional<int64_t> last_event_;
   // The last complete error answer of a server.
   std::optional<HttpResponse> failed_answer_;
--- a/hawthornhollow/relay/routing_table.cc
+++ b/hawthornhollow/relay/routing_table.cc
@@ -83,6 +83,9 @@
     case RelayError::kTokensUnavailable:
       return {503, "total_not_at_hand",
               "the router could not reserve the request's tokens in time"};
+    case RelayError::kServersLimited:
+      return {503, "servers_limited",
+              "the backend servers take no more requests a second"};
     case RelayError::kPromptQuarantined:
       return {503, "prompt_quarantined",
               "backend servers crash on a part of the prompt"};
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -8,8 +8,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/link_load.h"
@@ -61,6 +64,23 @@
   std::function<void(const RelayCall&, const std::string& server)> on_crash;
 };
 
+// What a request reports, and asks, about servers that state a limit of
+// requests per second.
+struct LimitWatch {
+  // `limit` is unset if the answer states none.
+  std::function<void(const std::string& server,
+                     std::optional<double> limit,
+                     absl::Time sent_at)>
+      on_answer;
+  std::function<std::vector<std::string>()> limited_servers;
+  std::function<std::set<std::string>(int64_t urgency)> blocked;
+  // Whether a request may be sent to the server now; may wait for a router.
+  std::function<bool(const std::string& server, int64_t urgency)> acquire;
+  std::function<absl::Duration(const std::vector<std::string>& servers,
+                               int64_t urgency)>
+      retry_after;
+};
+
 // State shared by all requests of a router.
 struct SharedRunState {
   HttpClient* client = nullptr;
@@ -70,6 +90,7 @@
   size_t* buffered_bytes = nullptr;  // of answers that are not complete
   RelayMetrics* metrics = nullptr;
   PromptWatch prompts;
+  LimitWatch limits;
   std::map<std::string, RetryBudget>* retries = nullptr;  // keyed by service
   double retry_ratio = 0.1;
   double retry_burst = 5;
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -259,6 +259,9 @@
   std::vector<std::string> OtherRouterAddresses() const {
     return records_.OtherRouterAddresses();
   }
+  std::vector<RouterAddress> LivingRouters() const {
+    return book_.LivingRouters();
+  }
   // Number of known routers, including this one.
   size_t router_count() const { return book_.router_count(); }
   // Each loop keeps one of this router's records up to date until `stop` is
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -204,6 +204,13 @@
                           const HolderCandidate&) = default;
 };
 
+// A router and where other routers reach it.
+struct RouterAddress {
+  std::string router;
+  std::string address;
+  friend auto operator<=>(const RouterAddress&, const RouterAddress&) = default;
+};
+
 // Chooses the routers that hold the total of a workspace: at most `count`, in
 // different failure domains as far as there are any. All routers that know the
 // same candidates choose the same holders, and a router that comes or goes
@@ -264,6 +271,8 @@
   }
   const OtherRoutersSums& other_routers_sums(
       const std::string& workspace) const;
+  // The routers that have not ended in order, this one included.
+  std::vector<RouterAddress> LivingRouters() const;
   // Addresses of the other routers that hold the workspace's total, those in
   // this router's failure domain first.
   std::vector<std::string> OtherHolders(const std::string& workspace) const;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -128,6 +128,15 @@
   return candidates;
 }
 
+std::vector<RouterAddress> TotalsBook::LivingRouters() const {
+  std::vector<RouterAddress> routers = {{options_.router, options_.address}};
+  for (const auto& [router, records] : other_routers_) {
+    if (IsCandidate(records))
+      routers.push_back({router, records.authority->address});
+  }
+  return routers;
+}
+
 const std::vector<std::string>& TotalsBook::HoldersOf(
     const std::string& workspace) const {
   const auto [found, is_new] = holders_.try_emplace(workspace);
--- a/testing/server_limit_test.cc
+++ b/testing/server_limit_test.cc
@@ -59,17 +59,23 @@
 
   void StartAnother(int number) {
     more_callers_.push_back({"127.0.0.1", FreePort()});
+    more_peers_.push_back({"127.0.0.1", FreePort()});
+    more_.push_back(nullptr);
+    Restart(number);
+  }
+
+  void Restart(int number) {
     const std::string name = absl::StrCat("entry-", number + 2);
     const std::string file = absl::StrCat(folder_, "-", name, ".json");
     std::ofstream(file) << standins::EntrySettings(
-        name, {.callers = more_callers_.back(),
+        name, {.callers = more_callers_[number],
                .readiness = {"127.0.0.1", FreePort()},
-               .peers = {"127.0.0.1", FreePort()},
+               .peers = more_peers_[number],
                .store = store_server_->local()});
     auto process = ChildProcess::Start({ENTRY, "--settings", file},
                                        absl::StrCat(folder_, "-", name));
     ASSERT_TRUE(process.ok()) << process.status();
-    more_.push_back(*std::move(process));
+    more_[number] = *std::move(process);
   }
 
   absl::StatusOr<HttpResponse> SendTo(const Endpoint& router,
@@ -95,6 +101,15 @@
   std::vector<HttpResponse> SendFor(absl::Duration time) {
     std::vector<Endpoint> routers = more_callers_;
     routers.push_back(callers_);
+    return SendTo(routers, time);
+  }
+  std::vector<HttpResponse> SendToLiving(absl::Duration time, int killed) {
+    std::vector<Endpoint> routers = more_callers_;
+    routers[killed] = callers_;
+    return SendTo(routers, time);
+  }
+  std::vector<HttpResponse> SendTo(const std::vector<Endpoint>& routers,
+                                   absl::Duration time) {
     std::vector<HttpResponse> answers;
     const absl::Time end = absl::Now() + time;
     for (size_t i = 0; absl::Now() < end; ++i) {
@@ -115,6 +130,7 @@
   }
 
   std::vector<Endpoint> more_callers_;
+  std::vector<Endpoint> more_peers_;
   std::vector<std::unique_ptr<ChildProcess>> more_;
 };
 
@@ -130,5 +146,63 @@
   EXPECT_EQ(CountOf(answers, 200), static_cast<int>(answers.size()));
 }
 
+TEST_F(ServerLimitTest, AllServersName_RequestsAreRefusedAtOnceAndNotRun) {
+  for (auto& replica : replicas_)
+    replica->SetFaults({.stated_limit = "1"});
+  SendFor(kContactTime);
+  const absl::Time begin = absl::Now();
+  const size_t runs = static_cast<size_t>(RunsOfAll());
+  const std::vector<HttpResponse> answers = SendFor(kWindow);
+  for (const auto& replica : replicas_)
+    EXPECT_LE(MostInWindow(replica->arrivals(), begin), MostAllowed(1));
+  EXPECT_GT(CountOf(answers, 503), 0);
+  EXPECT_GT(CountOf(answers, 200), 0);
+  EXPECT_EQ(static_cast<size_t>(RunsOfAll()) - runs,
+            static_cast<size_t>(CountOf(answers, 200)));
+  // None waited: a request and its pause take 10 ms or little more.
+  EXPECT_GT(answers.size(), 150U);
+  for (const HttpResponse& answer : answers) {
+    if (answer.status != 503)
+      continue;
+    EXPECT_THAT(answer.body, testing::HasSubstr("servers_limited"));
+    EXPECT_GT(std::stod(std::string(answer.Header("Retry-After"))), 0);
+  }
+}
+
+TEST_F(ServerLimitTest, LimitThatEnds_ServerIsUsedAgain) {
+  replicas_[0]->SetFaults({.stated_limit = "2"});
+  SendFor(kContactTime);
+  replicas_[0]->SetFaults({});
+  SendFor(absl::Seconds(2));
+  const size_t before = replicas_[0]->arrivals().size();
+  const std::vector<HttpResponse> answers = SendFor(absl::Seconds(2));
+  EXPECT_GT(replicas_[0]->arrivals().size() - before, answers.size() / 4);
+}
+
+// One of them is the router that the others ask.
+TEST_F(ServerLimitTest, RoutersKilledInTurn_LimitHolds) {
+  replicas_[0]->SetFaults({.stated_limit = "1"});
+  SendFor(kContactTime);
+  const absl::Time begin = absl::Now();
+  for (int i = 0; i < kMoreRouters; ++i) {
+    ASSERT_TRUE(more_[i]->Signal(SIGKILL).ok());
+    ASSERT_TRUE(more_[i]->Wait(kWait).ok());
+    SendToLiving(absl::Seconds(1), i);
+    Restart(i);
+    AwaitService(more_callers_[i]);
+    SendFor(absl::Seconds(1));
+  }
+  EXPECT_LE(MostInWindow(replicas_[0]->arrivals(), begin), MostAllowed(1));
+}
+
+TEST_F(ServerLimitTest, LimitThatCannotBeRead_ChangesNothing) {
+  replicas_[0]->SetFaults({.stated_limit = "nan"});
+  SendFor(absl::Seconds(1));
+  const size_t before = replicas_[0]->arrivals().size();
+  const std::vector<HttpResponse> answers = SendFor(absl::Seconds(1));
+  EXPECT_EQ(CountOf(answers, 200), static_cast<int>(answers.size()));
+  EXPECT_GT(replicas_[0]->arrivals().size() - before, answers.size() / 4);
+}
+
 }  // namespace
 }  // namespace hawthornhollow
