--- a/hawthornhollow/relay/record_reader.h
+++ b/hawthornhollow/relay/record_reader.h
@@ -58,8 +58,13 @@
  private:
   ReadResult RecordRead(ReadResult result) {
     // SkipTo() has been called since the read began.
-    if (result.page.end < end_)
+    if (result.page.end < end_) {
+      LogEvent("store.read_behind", LogSeverity::kWarning)
+          .Add("subject", NameOf(subject_))
+          .Add("end", result.page.end)
+          .Add("known_end", end_);
       return {.page = {.end = end_}};
+    }
     end_ = result.page.end;
     read_at_ = SteadyNow();
     return result;
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -397,6 +397,8 @@
   kQuarantine,   // prompt parts that crash servers, keyed by part
 };
 
+std::string_view NameOf(StoreSubject subject);
+
 // Position of a record among those of its writer. Sequences are consecutive
 // within an epoch, and no record of an epoch is accepted once a later epoch has
 // begun.
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -3,22 +3,6 @@
 namespace hawthornhollow {
 namespace {
 
-std::string_view NameOf(StoreSubject subject) {
-  switch (subject) {
-    case StoreSubject::kConfiguration:
-      return "configuration";
-    case StoreSubject::kServers:
-      return "servers";
-    case StoreSubject::kAuthorities:
-      return "authorities";
-    case StoreSubject::kLevels:
-      return "levels";
-    case StoreSubject::kQuarantine:
-      return "quarantine";
-  }
-  return "";
-}
-
 // An age that is infinite, because nothing was read yet, is omitted.
 void SetAge(MetricRegistry& registry,
             std::string_view name,
--- a/hawthornhollow/relay/routing_table.cc
+++ b/hawthornhollow/relay/routing_table.cc
@@ -63,6 +63,22 @@
   return found == by_service_.end() ? nullptr : found->second;
 }
 
+std::string_view NameOf(StoreSubject subject) {
+  switch (subject) {
+    case StoreSubject::kConfiguration:
+      return "configuration";
+    case StoreSubject::kServers:
+      return "servers";
+    case StoreSubject::kAuthorities:
+      return "authorities";
+    case StoreSubject::kLevels:
+      return "levels";
+    case StoreSubject::kQuarantine:
+      return "quarantine";
+  }
+  return "";
+}
+
 RelayErrorTraits TraitsOf(RelayError error) {
   switch (error) {
     case RelayError::kBadRequest:
