Readers follow a store that comes back from an older copy

Cause: offsets were taken to mean the same for ever. A page that ended before the known offset was dropped, so nothing was read until the store had grown past it, and quotas, which are put on the condition of that offset, never were again.

A position is now an era and an offset. The store's client gives no result of another era than that in which the call began; readers that see a later era read the newest record of every key; what routers tell one another carries the era, and the configuration its version. A lost configuration stays in force, may be written again with other content, and for ten seconds after a start or a restore other routers are asked whether they know a newer one. Quarantines are saved again.

Missing entries are treated as after an outage.

--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -3,8 +3,9 @@
 
 // Polls the operator's configuration and the registered backend servers.
 //
-// The version of the configuration in force never decreases. Which servers are
-// in use is decided by ServerList. Both are also taken from other routers while
+// The version of the configuration in force never decreases, also when the
+// store comes back from a copy that holds an older one. Which servers are in
+// use is decided by ServerList. Both are also taken from other routers while
 // this one cannot read the store.
 
 #include <algorithm>
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,6 +40,11 @@
   absl::Duration max_servers_call_timeout = absl::Milliseconds(600);
   // Delay after a failed call.
   absl::Duration retry_delay = absl::Milliseconds(100);
+  // After the store came back from an older copy, and after a start, other
+  // routers may know a newer configuration than the store for this time: the
+  // operator has to write it again.
+  absl::Duration older_configuration_time = absl::Seconds(10);
+  ServerEntriesOptions entries;
   ServerListOptions servers;
 };
 
@@ -57,6 +64,7 @@
         configuration_(store, StoreSubject::kConfiguration),
         entries_(store, StoreSubject::kServers),
         decoded_servers_(
+            options.entries,
             [this](const StoredValue& value, const absl::Status& status) {
               Reject("server.rejected", value, status);
             }),
@@ -82,10 +90,19 @@
   // Servers that are in use although their entry is missing.
   size_t kept_server_count() const { return list_.kept().size(); }
 
-  // The record of the newest configuration that was read; its offset is -1
-  // before the first.
-  const StoredValue& configuration_record() const {
-    return configuration_record_;
+  // The version of the configuration in force; -1 before the first.
+  int64_t version_in_force() const {
+    return table_ == nullptr ? -1 : table_->version();
+  }
+  // The record of the configuration in force if it is newer than `version`.
+  std::optional<StoredValue> ConfigurationAfter(int64_t version) const {
+    if (version_in_force() <= version)
+      return std::nullopt;
+    return record_in_force_;
+  }
+  // Whether the store may have lost a newer configuration of late.
+  bool may_have_older_configuration() const {
+    return SteadyNow() - era_began_ < options_.older_configuration_time;
   }
   // Takes a record that another router has read. It is ignored before this
   // router has read one itself: after a restart of several routers, nobody may
@@ -93,13 +110,15 @@
   void OfferConfiguration(const StoredValue& record) {
     if (table_ == nullptr || record.key != D::kConfigurationKey)
       return;
-    TakeConfiguration(record);
+    ApplyConfiguration(record);
   }
 
-  // The server entries as this router knows them, with the records from offset
-  // `after` on.
-  ServersReport ReportServers(int64_t after) const {
-    ServersReport report{.end = entries_.end(), .reading = list_.reading()};
+  // The server entries as this router knows them, with the records from `known`
+  // on.
+  ServersReport ReportServers(const StorePosition& known) const {
+    ServersReport report{.position = entries_.position(),
+                         .reading = list_.reading()};
+    const int64_t after = known.era == report.position.era ? known.offset : 0;
     for (const auto& [key, record] : entries_.newest()) {
       report.keys.push_back(key);
       if (record.offset >= after)
@@ -107,14 +126,14 @@
     }
     return report;
   }
-  int64_t servers_end() const { return entries_.end(); }
+  const StorePosition& servers_position() const { return entries_.position(); }
   // Takes entries that another router has read, unless older than those known
   // here.
   void OfferServers(const ServersReport& report) {
-    if (!entries_.Adopt(report.end, report.reading.last, report.keys,
+    if (!entries_.Adopt(report.position, report.reading.last, report.keys,
                         report.records))
       return;
-    decoded_servers_.Update(entries_.newest());
+    DecodeEntries();
     list_.UpdateFromPeer(decoded_servers_.servers(), report.reading,
                          SteadyNow());
     ForwardChanges();
@@ -155,32 +174,43 @@
       Reject("config.rejected", value, decoded.status());
       return;
     }
-    if (table_ != nullptr && (*decoded)->version() <= table_->version())
+    if (!Replaces(**decoded, value))
       return;
     LogEvent("config.in_force")
         .Add("version", (*decoded)->version())
         .Add("previous", table_ == nullptr ? 0 : table_->version())
         .Add("offset", value.offset);
+    record_in_force_ = value;
     table_ = *std::move(decoded);
     callbacks_.on_table(table_);
   }
 
+  // A newer version does. If the store has lost the one in force, the operator
+  // may write it anew with other content.
+  bool Replaces(const RoutingTable& table, const StoredValue& record) const {
+    if (table_ == nullptr || table.version() > table_->version())
+      return true;
+    return table.version() == table_->version() && is_record_lost_ &&
+           record.value != record_in_force_.value;
+  }
+
   bool PollConfiguration() {
     if (!configuration_.Poll(configuration_timeout_.next()).ok())
       return false;
     table_read_ = SteadyNow();
+    if (std::exchange(era_, configuration_.position().era) != era_)
+      era_began_ = SteadyNow();
     const auto found =
         configuration_.newest().find(std::string(D::kConfigurationKey));
-    if (found != configuration_.newest().end())
-      TakeConfiguration(found->second);
-    return true;
-  }
-
-  void TakeConfiguration(const StoredValue& record) {
-    if (record.offset <= configuration_record_.offset)
-      return;
-    configuration_record_ = record;
+    if (found == configuration_.newest().end())
+      return true;
+    const StoredValue& record = found->second;
+    if (record == last_read_)
+      return true;
+    last_read_ = record;
     ApplyConfiguration(record);
+    is_record_lost_ = record.value != record_in_force_.value;
+    return true;
   }
 
   // Polls earlier if servers have to be dropped before.
@@ -198,15 +228,22 @@
       return false;
     }
     read_failure_logged_ = false;
-    if (listed_changes_ != entries_.changes()) {
-      listed_changes_ = entries_.changes();
-      decoded_servers_.Update(entries_.newest());
-    }
-    list_.Update(decoded_servers_.servers(), SteadyNow());
+    const bool is_new_era = entries_.position().era != listed_era_;
+    const absl::Time now = SteadyNow();
+    if (listed_changes_ != entries_.changes() ||
+        now >= decoded_servers_.next_change())
+      DecodeEntries();
+    list_.Update(decoded_servers_.servers(), now, is_new_era);
     ForwardChanges();
     return true;
   }
 
+  void DecodeEntries() {
+    listed_changes_ = entries_.changes();
+    listed_era_ = entries_.position().era;
+    decoded_servers_.Update(entries_.newest(), listed_era_, SteadyNow());
+  }
+
   void ForwardChanges() {
     if (forwarded_changes_ == list_.changes())
       return;
@@ -256,13 +293,19 @@
   ServerEntries<D> decoded_servers_;
   // Change count of `entries_` when they were last decoded.
   uint64_t listed_changes_ = 0;
+  int64_t listed_era_ = 0;  // of the store, then
   CallTimeout configuration_timeout_;
   CallTimeout entries_timeout_;
   ServerList list_;
   // Change count of `list_` when the callback was last called.
   uint64_t forwarded_changes_ = 0;
   std::shared_ptr<const RoutingTable> table_;
-  StoredValue configuration_record_{.offset = -1};
+  StoredValue record_in_force_;
+  StoredValue last_read_{.offset = -1};  // from the store
+  // The store holds another, older record than the one in force.
+  bool is_record_lost_ = false;
+  int64_t era_ = -1;  // of the store, when the configuration was last read
+  absl::Time era_began_ = absl::InfinitePast();  // here
   absl::Time table_read_ = absl::InfinitePast();
   std::map<std::string, int64_t> rejected_;  // key -> offset + 1
   bool store_reachable_ = false;
--- a/hawthornhollow/relay/catalog_controller_test.cc
+++ b/hawthornhollow/relay/catalog_controller_test.cc
@@ -23,6 +23,14 @@
   void PutConfiguration(const StoredValue& record) { configuration_ = record; }
   void SetUnreachable(bool unreachable) { unreachable_ = unreachable; }
   int reads() const { return reads_; }
+  // Comes back from an older copy that has these entries.
+  void Restore(const std::vector<std::string>& keys) {
+    log_.clear();
+    ++era_;
+    for (const std::string& key : keys)
+      PutServer(key, key);
+  }
+  int64_t era() const { return era_; }
 
   absl::StatusOr<StoredPage> Newest(StoreSubject subject,
                                     absl::Duration /*timeout*/) {
@@ -64,6 +72,7 @@
   std::vector<StoredValue> log_;
   std::optional<StoredValue> configuration_;
   bool unreachable_ = false;
+  int64_t era_ = 0;
   int reads_ = 0;
 };
 
@@ -241,5 +250,31 @@
   }
 }
 
+// The store comes back from an older copy, and the operator writes the lost
+// version again, perhaps with other content.
+TEST_F(CatalogControllerTest, ConfigurationThatWasLost_IsTakenAgainNotOlder) {
+  const auto record = [](const std::string& value, int64_t offset) {
+    return StoredValue{.key = std::string(FakeMessageCodec::kConfigurationKey),
+                       .value = value,
+                       .offset = offset};
+  };
+  store_.PutConfiguration(record("3", 5));
+  FollowConfiguration([&] {
+    while (catalog_.version_in_force() != 3)
+      hawthornhollow::SleepFor(absl::Milliseconds(1));
+    store_.Restore({});
+    store_.PutConfiguration(record("2", 4));
+    hawthornhollow::SleepFor(absl::Milliseconds(50));
+    EXPECT_EQ(catalog_.version_in_force(), 3);
+    EXPECT_TRUE(catalog_.may_have_older_configuration());
+    store_.PutConfiguration(record("3 anew", 5));
+    hawthornhollow::SleepFor(absl::Milliseconds(50));
+    EXPECT_EQ(catalog_.ConfigurationAfter(2)->value, "3 anew");
+    store_.PutConfiguration(record("4", 6));
+    hawthornhollow::SleepFor(absl::Milliseconds(50));
+    EXPECT_EQ(catalog_.version_in_force(), 4);
+  });
+}
+
 }  // namespace
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/instrumented_store.h
+++ b/hawthornhollow/relay/instrumented_store.h
@@ -21,6 +21,8 @@
   InstrumentedStore(const InstrumentedStore&) = delete;
   InstrumentedStore& operator=(const InstrumentedStore&) = delete;
 
+  int64_t era() const { return store_.era(); }
+
   absl::StatusOr<StoredPage> Newest(StoreSubject subject,
                                     absl::Duration timeout) {
     return Counted("newest", subject,
--- a/hawthornhollow/relay/keyed_follower.h
+++ b/hawthornhollow/relay/keyed_follower.h
@@ -36,29 +36,32 @@
     return absl::OkStatus();
   }
 
-  // Takes the records of another follower, which read up to `end` at `read_at`:
-  // `keys` are all its keys, and `records` those that are newer than end()
-  // here. Returns false, and takes nothing, if this one has read further.
-  bool Adopt(int64_t end,
+  // Takes the records of another follower, which read up to `position` at
+  // `read_at`: `keys` are all its keys, and `records` those from position()
+  // here on, all of them if its era is a later one. Returns false, and takes
+  // nothing, if this one has read further.
+  bool Adopt(const StorePosition& position,
              absl::Time read_at,
              const std::vector<std::string>& keys,
              const std::vector<StoredValue>& records) {
-    if (end < reader_.end())
+    if (position < reader_.position())
       return false;
+    if (position.era > reader_.position().era)
+      newest_.clear();
     const std::set<std::string> present(keys.begin(), keys.end());
     std::erase_if(newest_, [&](const auto& item) {
       return !present.contains(item.first);
     });
     for (const StoredValue& record : records)
       Apply(record);
-    reader_.SkipTo(end, read_at);
+    reader_.SkipTo(position, read_at);
     ++changes_;
     return true;
   }
 
   const std::map<std::string, StoredValue>& newest() const { return newest_; }
-  // The offset up to which records were read.
-  int64_t end() const { return reader_.end(); }
+  // Up to where records were read.
+  const StorePosition& position() const { return reader_.position(); }
   // Number of polls that may have changed the records.
   uint64_t changes() const { return changes_; }
 
--- a/hawthornhollow/relay/peer_fallback.h
+++ b/hawthornhollow/relay/peer_fallback.h
@@ -38,14 +38,17 @@
         catalog_(catalog),
         quarantine_(quarantine),
         limits_(limits),
-        configuration_(
-            options.interval,
-            {.is_needed = [this] { return IsUnread(catalog_.table_age()); },
-             .addresses = addresses,
-             .ask =
-                 [this](const std::string& address) {
-                   return ReadConfiguration(address);
-                 }}),
+        configuration_(options.interval,
+                       {.is_needed =
+                            [this] {
+                              return IsUnread(catalog_.table_age()) ||
+                                     catalog_.may_have_older_configuration();
+                            },
+                        .addresses = addresses,
+                        .ask =
+                            [this](const std::string& address) {
+                              return ReadConfiguration(address);
+                            }}),
         servers_(options.interval,
                  {.is_needed =
                       [this] {
@@ -91,8 +94,8 @@
   }
 
   absl::Status ReadConfiguration(const std::string& address) {
-    const auto record = AskPeerForConfiguration(
-        client_, address, catalog_.configuration_record().offset);
+    const auto record =
+        AskPeerForConfiguration(client_, address, catalog_.version_in_force());
     if (!record.ok())
       return record.status();
     LogEvent("config.from_peer")
@@ -105,14 +108,15 @@
 
   absl::Status ReadServers(const std::string& address) {
     const auto report =
-        AskPeerForServers(client_, address, catalog_.servers_end());
+        AskPeerForServers(client_, address, catalog_.servers_position());
     if (!report.ok())
       return report.status();
     const absl::Time now = SteadyNow();
     LogEvent("servers.from_peer")
         .Add("peer", address)
-        .Add("end", report->end)
-        .Add("known_end", catalog_.servers_end())
+        .Add("era", report->position.era)
+        .Add("end", report->position.offset)
+        .Add("known_end", catalog_.servers_position().offset)
         .Add("age_ms", absl::ToInt64Milliseconds(now - report->reading.last))
         .Add("unbroken_ms",
              absl::ToInt64Milliseconds(now - report->reading.unbroken_since))
--- a/hawthornhollow/relay/peer_messages_generated.h
+++ b/hawthornhollow/relay/peer_messages_generated.h
@@ -180,6 +180,7 @@
   int64_t unbroken_us = 0;
   std::vector<std::string> keys{};
   std::vector<std::unique_ptr<hawthornhollow::fb::StoredRecordT>> records{};
+  int64_t era = 0;
   ServerEntriesT() = default;
   ServerEntriesT(const ServerEntriesT &o);
   ServerEntriesT(ServerEntriesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -195,7 +196,8 @@
     VT_AGE_US = 6,
     VT_UNBROKEN_US = 8,
     VT_KEYS = 10,
-    VT_RECORDS = 12
+    VT_RECORDS = 12,
+    VT_ERA = 14
   };
   int64_t end() const {
     return GetField<int64_t>(VT_END, 0);
@@ -212,6 +214,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> *>(VT_RECORDS);
   }
+  int64_t era() const {
+    return GetField<int64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_END, 8) &&
@@ -223,6 +228,7 @@
            VerifyOffset(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
+           VerifyField<int64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   ServerEntriesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -249,6 +255,9 @@
   void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>>> records) {
     fbb_.AddOffset(ServerEntries::VT_RECORDS, records);
   }
+  void add_era(int64_t era) {
+    fbb_.AddElement<int64_t>(ServerEntries::VT_ERA, era, 0);
+  }
   explicit ServerEntriesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -266,8 +275,10 @@
     int64_t age_us = 0,
     int64_t unbroken_us = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>>> records = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>>> records = 0,
+    int64_t era = 0) {
   ServerEntriesBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_unbroken_us(unbroken_us);
   builder_.add_age_us(age_us);
   builder_.add_end(end);
@@ -287,7 +298,8 @@
     int64_t age_us = 0,
     int64_t unbroken_us = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *keys = nullptr,
-    const std::vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> *records = nullptr) {
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> *records = nullptr,
+    int64_t era = 0) {
   auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*keys) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>>(*records) : 0;
   return hawthornhollow::fb::CreateServerEntries(
@@ -296,7 +308,8 @@
       age_us,
       unbroken_us,
       keys__,
-      records__);
+      records__,
+      era);
 }
 
 flatbuffers::Offset<ServerEntries> CreateServerEntries(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1024,7 +1037,8 @@
       (lhs.age_us == rhs.age_us) &&
       (lhs.unbroken_us == rhs.unbroken_us) &&
       (lhs.keys == rhs.keys) &&
-      (lhs.records.size() == rhs.records.size() && std::equal(lhs.records.cbegin(), lhs.records.cend(), rhs.records.cbegin(), [](std::unique_ptr<hawthornhollow::fb::StoredRecordT> const &a, std::unique_ptr<hawthornhollow::fb::StoredRecordT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.records.size() == rhs.records.size() && std::equal(lhs.records.cbegin(), lhs.records.cend(), rhs.records.cbegin(), [](std::unique_ptr<hawthornhollow::fb::StoredRecordT> const &a, std::unique_ptr<hawthornhollow::fb::StoredRecordT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.era == rhs.era);
 }
 
 inline bool operator!=(const ServerEntriesT &lhs, const ServerEntriesT &rhs) {
@@ -1036,7 +1050,8 @@
       : end(o.end),
         age_us(o.age_us),
         unbroken_us(o.unbroken_us),
-        keys(o.keys) {
+        keys(o.keys),
+        era(o.era) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new hawthornhollow::fb::StoredRecordT(*records_) : nullptr); }
 }
@@ -1047,6 +1062,7 @@
   std::swap(unbroken_us, o.unbroken_us);
   std::swap(keys, o.keys);
   std::swap(records, o.records);
+  std::swap(era, o.era);
   return *this;
 }
 
@@ -1064,6 +1080,7 @@
   { auto _e = unbroken_us(); _o->unbroken_us = _e; }
   { auto _e = keys(); if (_e) { _o->keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->keys[_i] = _e->Get(_i)->str(); } } }
   { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<hawthornhollow::fb::StoredRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<ServerEntries> ServerEntries::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1079,13 +1096,15 @@
   auto _unbroken_us = _o->unbroken_us;
   auto _keys = _o->keys.size() ? _fbb.CreateVectorOfStrings(_o->keys) : 0;
   auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateStoredRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _era = _o->era;
   return hawthornhollow::fb::CreateServerEntries(
       _fbb,
       _end,
       _age_us,
       _unbroken_us,
       _keys,
-      _records);
+      _records,
+      _era);
 }
 
 
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -25,6 +25,9 @@
 constexpr char kQuarantineTarget[] = "/quarantine";
 constexpr char kPermitTarget[] = "/server-permit";
 constexpr char kLimitsTarget[] = "/server-limits";
+constexpr char kVersionParameter[] = "version";
+constexpr char kEraParameter[] = "era";
+constexpr char kOffsetParameter[] = "after";
 constexpr absl::Duration kPeerCallTimeout = absl::Milliseconds(150);
 // A request waits for the answer.
 constexpr absl::Duration kPermitTimeout = absl::Milliseconds(100);
@@ -113,16 +116,17 @@
   writer.Send({}).IgnoreError();
 }
 
-// The offset in the question's query. Answers and returns nullopt if it cannot
-// be read.
-std::optional<int64_t> KnownOffset(const HttpRequest& request,
+// A whole number in the question's query. Answers and returns nullopt if it
+// cannot be read.
+std::optional<int64_t> QueryNumber(const HttpRequest& request,
+                                   std::string_view name,
                                    ResponseWriter& writer) {
-  int64_t known = 0;
-  if (absl::SimpleAtoi(request.Query("after").value_or(""), &known))
-    return known;
+  int64_t number = 0;
+  if (absl::SimpleAtoi(request.Query(name).value_or(""), &number))
+    return number;
   Reject(request,
          ErrorAt(absl::StatusCode::kInvalidArgument, "peer.read", request.peer,
-                 "after: is no offset"),
+                 std::string(name) + ": is no number"),
          writer);
   return std::nullopt;
 }
@@ -144,32 +148,40 @@
 void ServeConfiguration(const HttpRequest& request,
                         const PeerHandlers& handlers,
                         ResponseWriter& writer) {
-  const std::optional<int64_t> known = KnownOffset(request, writer);
-  if (!known.has_value())
+  const std::optional<int64_t> version =
+      QueryNumber(request, kVersionParameter, writer);
+  if (!version.has_value())
     return;
-  const StoredValue stored = handlers.configuration();
-  if (stored.offset <= *known) {
+  const std::optional<StoredValue> stored = handlers.configuration(*version);
+  if (!stored.has_value()) {
     writer.Send({.status = kNoContent}).IgnoreError();
     return;
   }
-  writer.Send({.body = EncodeMessage<fb::StoredRecord>(EncodeRecord(stored))})
+  writer.Send({.body = EncodeMessage<fb::StoredRecord>(EncodeRecord(*stored))})
       .IgnoreError();
 }
 
 void ServeServers(const HttpRequest& request,
                   const PeerHandlers& handlers,
                   ResponseWriter& writer) {
-  const std::optional<int64_t> known = KnownOffset(request, writer);
-  if (!known.has_value())
+  const std::optional<int64_t> era =
+      QueryNumber(request, kEraParameter, writer);
+  if (!era.has_value())
     return;
-  const ServersReport report = handlers.servers(*known);
+  const std::optional<int64_t> offset =
+      QueryNumber(request, kOffsetParameter, writer);
+  if (!offset.has_value())
+    return;
+  const ServersReport report =
+      handlers.servers({.era = *era, .offset = *offset});
   if (report.reading.last == absl::InfinitePast()) {
     writer.Send({.status = kNoContent}).IgnoreError();
     return;
   }
   const absl::Time now = SteadyNow();
   fb::ServerEntriesT entries;
-  entries.end = report.end;
+  entries.end = report.position.offset;
+  entries.era = report.position.era;
   entries.age_us = absl::ToInt64Microseconds(now - report.reading.last);
   entries.unbroken_us =
       absl::ToInt64Microseconds(now - report.reading.unbroken_since);
@@ -379,10 +391,11 @@
 
 absl::StatusOr<StoredValue> AskPeerForConfiguration(HttpClient& client,
                                                     const std::string& address,
-                                                    int64_t offset) {
-  const auto body = Ask(client, address,
-                        {.target = std::string(kConfigurationTarget) +
-                                   "?after=" + std::to_string(offset)});
+                                                    int64_t version) {
+  const auto body =
+      Ask(client, address,
+          {.target = std::string(kConfigurationTarget) + "?" +
+                     kVersionParameter + "=" + std::to_string(version)});
   if (!body.ok())
     return body.status();
   const auto record = DecodeMessage<fb::StoredRecord>(*body, address);
@@ -393,11 +406,13 @@
 
 absl::StatusOr<ServersReport> AskPeerForServers(HttpClient& client,
                                                 const std::string& address,
-                                                int64_t after) {
+                                                const StorePosition& known) {
   const absl::Time asked = SteadyNow();
-  const auto body = Ask(client, address,
-                        {.target = std::string(kServersTarget) +
-                                   "?after=" + std::to_string(after)});
+  const auto body =
+      Ask(client, address,
+          {.target = std::string(kServersTarget) + "?" + kEraParameter + "=" +
+                     std::to_string(known.era) + "&" + kOffsetParameter + "=" +
+                     std::to_string(known.offset)});
   if (!body.ok())
     return body.status();
   const auto entries = DecodeMessage<fb::ServerEntries>(*body, address);
@@ -406,7 +421,7 @@
   // The answer was made between the question and now; neither time is taken to
   // be better than it is.
   ServersReport report{
-      .end = entries->end,
+      .position = {.era = entries->era, .offset = entries->end},
       .reading = {.last = asked - absl::Microseconds(entries->age_us),
                   .unbroken_since =
                       SteadyNow() - absl::Microseconds(entries->unbroken_us)},
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -8,6 +8,7 @@
 // to send to them, and the time of day.
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,17 +40,17 @@
 absl::StatusOr<absl::Time> AskPeerTimeOfDay(HttpClient& client,
                                             const std::string& address);
 
-// Returns the configuration that the router at `address` has in force if its
-// record is newer than `offset`, else NOT_FOUND.
+// Returns the record of the configuration that the router at `address` has in
+// force if it is newer than `version`, else NOT_FOUND.
 absl::StatusOr<StoredValue> AskPeerForConfiguration(HttpClient& client,
                                                     const std::string& address,
-                                                    int64_t offset);
+                                                    int64_t version);
 
 // Returns the entries of backend servers as the router at `address` knows them,
-// with the records from offset `after` on. NOT_FOUND if it has read none.
+// with the records from `known` on. NOT_FOUND if it has read none.
 absl::StatusOr<ServersReport> AskPeerForServers(HttpClient& client,
                                                 const std::string& address,
-                                                int64_t after);
+                                                const StorePosition& known);
 
 // Tells the router at `address` of a crash.
 absl::Status ReportCrashToPeer(HttpClient& client,
@@ -92,10 +93,9 @@
 struct PeerHandlers {
   std::function<TransferAnswer(const TransferQuestion&)> give;
   std::function<void(const std::string& workspace, int64_t tokens)> take;
-  // The record of the configuration in force; its offset is -1 if there is
-  // none.
-  std::function<StoredValue()> configuration;
-  std::function<ServersReport(int64_t after)> servers;
+  // The record of the configuration in force if it is newer than `version`.
+  std::function<std::optional<StoredValue>(int64_t version)> configuration;
+  std::function<ServersReport(const StorePosition& known)> servers;
   std::function<void(const ServerCrash& crash, const std::string& peer)> crash;
   std::function<void(const std::vector<std::string>& parts)> sound;
   std::function<std::vector<QuarantinedPart>()> quarantine;
--- a/hawthornhollow/relay/quarantine_controller.h
+++ b/hawthornhollow/relay/quarantine_controller.h
@@ -133,6 +133,8 @@
     if (!records_.Poll(options_.call_timeout).ok())
       return false;
     read_at_ = SteadyNow();
+    if (std::exchange(era_, records_.position().era) != era_)
+      SaveAllAgain();
     AdoptRecords();
     bool saved = true;
     for (const QuarantinedPart& part : quarantine_.TakeUnsaved())
@@ -140,6 +142,13 @@
     return saved;
   }
 
+  // The store may have lost what it had saved. AdoptRecords() finds out what is
+  // still there.
+  void SaveAllAgain() {
+    for (const QuarantinedPart& part : quarantine_.quarantined(SteadyNow()))
+      quarantine_.MarkUnsaved(part.part);
+  }
+
   void AdoptRecords() {
     if (adopted_changes_ == records_.changes())
       return;
@@ -161,9 +170,9 @@
   // Other routers may write at the same time: then the record is read first,
   // and saved with the next round.
   bool Save(const QuarantinedPart& part) {
-    const auto end = store_.AppendAt(StoreSubject::kQuarantine, part.part,
-                                     EncodeQuarantine(part), records_.end(),
-                                     options_.call_timeout);
+    const auto end = store_.AppendAt(
+        StoreSubject::kQuarantine, part.part, EncodeQuarantine(part),
+        records_.position().offset, options_.call_timeout);
     if (end.ok())
       return true;
     quarantine_.MarkUnsaved(part.part);
@@ -234,6 +243,7 @@
   Store& store_;
   KeyedFollower<Store> records_;
   PromptQuarantine quarantine_;
+  int64_t era_ = 0;  // of the store, when its records were last read
   uint64_t adopted_changes_ = 0;
   absl::Time read_at_ = absl::InfinitePast();
   std::deque<absl::Time> reports_;  // of the last second
--- a/hawthornhollow/relay/record_reader.h
+++ b/hawthornhollow/relay/record_reader.h
@@ -2,9 +2,9 @@
 #define HAWTHORNHOLLOW_RELAY_RECORD_READER_H_
 
 // Reads one subject of the store: the records since the last read; or the
-// newest record of every key, if some records were deleted meanwhile or the
-// last read is so long ago that reading the records one by one would take
-// longer.
+// newest record of every key, if some records were deleted meanwhile, the store
+// came back from an older copy, or the last read is so long ago that reading
+// the records one by one would take longer.
 
 #include <algorithm>
 #include <utility>
@@ -28,9 +28,9 @@
   };
   // After an error the next call reads the same records and newer ones.
   absl::StatusOr<ReadResult> Read(absl::Duration timeout) {
-    if (SteadyNow() - read_at_ > max_catch_up_)
+    if (store_.era() > position_.era || SteadyNow() - read_at_ > max_catch_up_)
       return ReadAll(timeout);
-    auto page = store_.ReadFrom(subject_, end_, timeout);
+    auto page = store_.ReadFrom(subject_, position_.offset, timeout);
     if (page.status().code() == absl::StatusCode::kOutOfRange)
       return ReadAll(timeout);
     if (!page.ok())
@@ -44,28 +44,36 @@
     return RecordRead({.page = *std::move(page), .is_snapshot = true});
   }
 
-  // The offset up to which records were read.
-  int64_t end() const { return end_; }
-  // Skips records up to `end`, which the caller itself put.
-  void SetEnd(int64_t end) { end_ = end; }
-  // Skips records up to `end`, which another reader read at `read_at`. It must
-  // not be before end().
-  void SkipTo(int64_t end, absl::Time read_at) {
-    end_ = end;
+  // Up to where records were read.
+  const StorePosition& position() const { return position_; }
+  // Skips records up to the offset `end`, which the caller itself put.
+  void SetEnd(int64_t end) { position_.offset = end; }
+  // Skips records up to `position`, which another reader read at `read_at`. It
+  // must not be before position().
+  void SkipTo(const StorePosition& position, absl::Time read_at) {
+    position_ = position;
     read_at_ = std::max(read_at_, read_at);
   }
 
  private:
-  ReadResult RecordRead(ReadResult result) {
+  absl::StatusOr<ReadResult> RecordRead(ReadResult result) {
+    const int64_t era = store_.era();
+    // Another reader is further, and SkipTo() has been called since.
+    const bool is_old = era < position_.era;
+    const bool is_cut = era > position_.era && !result.is_snapshot;
+    if (is_old || is_cut) {
+      return ErrorAt(absl::StatusCode::kAborted, "store.read", NameOf(subject_),
+                     "the page is of another era");
+    }
     // SkipTo() has been called since the read began.
-    if (result.page.end < end_) {
+    if (era == position_.era && result.page.end < position_.offset) {
       LogEvent("store.read_behind", LogSeverity::kWarning)
           .Add("subject", NameOf(subject_))
           .Add("end", result.page.end)
-          .Add("known_end", end_);
-      return {.page = {.end = end_}};
+          .Add("known_end", position_.offset);
+      return ReadResult{.page = {.end = position_.offset}};
     }
-    end_ = result.page.end;
+    position_ = {.era = era, .offset = result.page.end};
     read_at_ = SteadyNow();
     return result;
   }
@@ -73,7 +81,7 @@
   Store& store_;
   const StoreSubject subject_;
   const absl::Duration max_catch_up_;
-  int64_t end_ = 0;
+  StorePosition position_;
   absl::Time read_at_ = absl::InfinitePast();
 };
 
--- a/hawthornhollow/relay/record_synchronizer.h
+++ b/hawthornhollow/relay/record_synchronizer.h
@@ -323,7 +323,7 @@
 
   Outcome PutAuthority(const fb::AuthorityRecordT& record) {
     authority_bytes_ = EncodeAuthority(record);
-    authority_offset_ = authorities_.end();
+    authority_offset_ = authorities_.position().offset;
     return ResolveAuthorityPut(SendAuthority());
   }
 
--- a/hawthornhollow/relay/record_synchronizer_test.cc
+++ b/hawthornhollow/relay/record_synchronizer_test.cc
@@ -17,6 +17,8 @@
   bool lose_next_put_answer = false;
   bool fail_next_read = false;
 
+  int64_t era() const { return 0; }
+
   absl::StatusOr<StoredPage> Newest(StoreSubject /*subject*/,
                                     absl::Duration /*timeout*/) {
     return StoredPage{.end = end()};
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -142,6 +142,14 @@
 // ---------------------------------------------------------------------------
 // Backend servers
 
+// Orders what a server says of itself: by its start, then by a count.
+struct ServerRevision {
+  int64_t born_ms = 0;  // milliseconds since 1970
+  int64_t sequence = 0;
+  friend auto operator<=>(const ServerRevision&,
+                          const ServerRevision&) = default;
+};
+
 // One incarnation of a backend server, as it registered itself.
 struct RelayServer {
   std::string id;
@@ -150,6 +158,7 @@
   std::string failure_domain;
   int64_t slots = 1;
   bool leaving = false;
+  ServerRevision revision;
   friend auto operator<=>(const RelayServer&, const RelayServer&) = default;
 };
 
@@ -399,6 +408,15 @@
 
 std::string_view NameOf(StoreSubject subject);
 
+// Up to where the records of a subject were read. An offset has a meaning only
+// within its era: a store that comes back from an older copy has lost records,
+// and gives their offsets out again.
+struct StorePosition {
+  int64_t era = 0;
+  int64_t offset = 0;
+  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
 // Position of a record among those of its writer. Sequences are consecutive
 // within an epoch, and no record of an epoch is accepted once a later epoch has
 // begun.
@@ -418,12 +436,18 @@
 //   AppendAt    Appends a record if `at` is the end offset, else returns
 //               FAILED_PRECONDITION. After any other error the record may have
 //               been written, or may still be for a while.
+//   era         The number of times that the store came back from an older
+//   copy,
+//               by its newest answer. All results that are OK are of this era,
+//               and of the era in which their call began. After another error
+//               than OUT_OF_RANGE and FAILED_PRECONDITION it may have risen.
 //   AppendNext  Appends a record that directly follows its writer's last one.
 //               Idempotent: repeating the last record changes nothing and
 //               returns OK. FAILED_PRECONDITION if the record does not follow.
 //               Other errors as for AppendAt.
 template <typename T>
 concept SharedStore = requires(T store, const std::string& text) {
+  { store.era() } -> std::same_as<int64_t>;
   {
     store.Newest(StoreSubject::kServers, absl::Duration())
     } -> std::same_as<absl::StatusOr<StoredPage>>;
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -259,37 +259,42 @@
   void AnswerPeer(const HttpRequest& request, ResponseWriter& writer) {
     if (request.method == "GET" && request.Path() == "/metrics")
       return AnswerMetrics(writer);
-    ServePeer(
-        request,
-        {.give =
-             [this](const TransferQuestion& question) {
-               return totals_.GiveTokens(question);
-             },
-         .take = [this](
-                     const std::string& workspace,
-                     int64_t tokens) { totals_.TakeTokens(workspace, tokens); },
-         .configuration = [this] { return catalog_.configuration_record(); },
-         .servers =
-             [this](int64_t after) { return catalog_.ReportServers(after); },
-         .crash =
-             [this](const ServerCrash& crash, const std::string& peer) {
-               quarantine_.OnReported(crash, peer);
-             },
-         .sound =
-             [this](const std::vector<std::string>& parts) {
-               quarantine_.OnSoundReported(parts);
-             },
-         .quarantine = [this] { return quarantine_.quarantined(); },
-         .permit =
-             [this](const PermitQuestion& question) {
-               return server_limits_.OnPermitWanted(question);
-             },
-         .limits_told =
-             [this](const std::vector<ServerLimitStatement>& statements) {
-               server_limits_.OnTold(statements, "peer");
-             },
-         .limits = [this] { return server_limits_.statements(); }},
-        writer);
+    ServePeer(request,
+              {.give =
+                   [this](const TransferQuestion& question) {
+                     return totals_.GiveTokens(question);
+                   },
+               .take =
+                   [this](const std::string& workspace, int64_t tokens) {
+                     totals_.TakeTokens(workspace, tokens);
+                   },
+               .configuration =
+                   [this](int64_t version) {
+                     return catalog_.ConfigurationAfter(version);
+                   },
+               .servers =
+                   [this](const StorePosition& known) {
+                     return catalog_.ReportServers(known);
+                   },
+               .crash =
+                   [this](const ServerCrash& crash, const std::string& peer) {
+                     quarantine_.OnReported(crash, peer);
+                   },
+               .sound =
+                   [this](const std::vector<std::string>& parts) {
+                     quarantine_.OnSoundReported(parts);
+                   },
+               .quarantine = [this] { return quarantine_.quarantined(); },
+               .permit =
+                   [this](const PermitQuestion& question) {
+                     return server_limits_.OnPermitWanted(question);
+                   },
+               .limits_told =
+                   [this](const std::vector<ServerLimitStatement>& statements) {
+                     server_limits_.OnTold(statements, "peer");
+                   },
+               .limits = [this] { return server_limits_.statements(); }},
+              writer);
   }
 
   LimitWatch LimitCalls() {
--- a/hawthornhollow/relay/server_list.cc
+++ b/hawthornhollow/relay/server_list.cc
@@ -20,8 +20,11 @@
 
 namespace hawthornhollow {
 
-void ServerList::Update(const Servers& entries, absl::Time now) {
-  const bool is_gap = now - reading_.last > options_.outage_after;
+void ServerList::Update(const Servers& entries,
+                        absl::Time now,
+                        bool is_restored) {
+  const bool is_gap =
+      is_restored || now - reading_.last > options_.outage_after;
   const ReadingTime reading = {
       .last = now, .unbroken_since = is_gap ? now : reading_.unbroken_since};
   UpdateFromPeer(entries, reading, now);
--- a/hawthornhollow/relay/server_list.h
+++ b/hawthornhollow/relay/server_list.h
@@ -50,7 +50,7 @@
 
 // What a router tells another one of the entries.
 struct ServersReport {
-  int64_t end = 0;  // the offset up to which the entries were read
+  StorePosition position;  // up to where the entries were read
   ReadingTime reading;
   std::vector<std::string> keys;     // of all entries
   std::vector<StoredValue> records;  // those that the other one may not have
@@ -63,8 +63,10 @@
 
   explicit ServerList(const ServerListOptions& options) : options_(options) {}
 
-  // Takes all entries as this router read them at `now`.
-  void Update(const Servers& entries, absl::Time now);
+  // Takes all entries as this router read them at `now`. After the store came
+  // back from an older copy, `is_restored`, entries may be missing as after an
+  // outage.
+  void Update(const Servers& entries, absl::Time now, bool is_restored = false);
   // Takes all entries as another router read them. They must not be older than
   // those known here.
   void UpdateFromPeer(const Servers& entries,
--- a/hawthornhollow/relay/totals_controller_test.cc
+++ b/hawthornhollow/relay/totals_controller_test.cc
@@ -19,6 +19,8 @@
  public:
   explicit FakeStore(double lost_answers) : lost_answers_(lost_answers) {}
 
+  int64_t era() const { return 0; }
+
   absl::StatusOr<StoredPage> Newest(StoreSubject subject,
                                     absl::Duration /*timeout*/) {
     std::map<std::string, StoredValue> newest;
