Quotas survive a store that comes back from an older copy

Cause: the argument that no total is overdrawn rests on records that last once they were acknowledged. After a restore, the sum of the quotas in the store says nothing of those in use; a successor is charged by a level record from before commitments of many seconds; and a put in flight may take effect at an offset that was given out again.

Epochs now tell the era in which a record was written. A router that lives through a restore drops what is in flight, keeps to the smaller of its two quotas, and writes its level and then its quota again. A successor of one that did not is charged its whole quota, and says so (incomplete). A level record from before its quota's era is not believed. The argument stands at the head of totals_book.cc.

Ruled out: waiting a fixed time alone (a router that is cut off writes later); expiry of quotas of routers that do not come back (nobody knows how much).

--- a/hawthornhollow/relay/record_synchronizer.h
+++ b/hawthornhollow/relay/record_synchronizer.h
@@ -175,6 +175,7 @@
       return false;
     if (!book_.started())
       return true;
+    ObserveEra();
     if (!ResolvePending())
       return false;
     book_.BeginClosing();
@@ -183,7 +184,7 @@
       if (!level_closed_)
         return false;
     }
-    return ReadAuthorities() &&
+    return ReadAuthorities() && !ObserveEra() &&
            PutAuthority(book_.MakeAuthority(BootTime())) == Outcome::kDurable;
   }
 
@@ -194,14 +195,33 @@
            RetryAuthorityPut() != Outcome::kUnknown;
   }
 
+  // Tells the book if the store has come back from an older copy; returns
+  // whether it has. Nothing may be put that was made before.
+  bool ObserveEra() {
+    if (store_.era() <= book_.era())
+      return false;
+    LogEvent("total.era", LogSeverity::kWarning)
+        .Add("era", store_.era())
+        .Add("previous", book_.era())
+        .Add("started", book_.started() ? 1 : 0);
+    book_.BeginEra(store_.era(), BootTime());
+    level_closed_ = false;
+    authority_wanted_.Notify();
+    level_wanted_.Notify();
+    changed_.Notify();
+    return true;
+  }
+
   // Reads all records and starts this incarnation.
   bool StartIncarnation() {
     const auto authorities = authorities_.ReadAll(options_.call_timeout);
     if (!authorities.ok())
       return false;
     auto levels = store_.Newest(StoreSubject::kLevels, options_.call_timeout);
-    if (!levels.ok())
+    if (!levels.ok() || store_.era() != authorities_.position().era)
       return false;
+    const int64_t era = store_.era();
+    const absl::Duration read_at = BootTime();
     RouterRecords previous;
     if (!PartitionRecords(
             authorities->page, &DecodeAuthority, &previous.authority,
@@ -212,7 +232,9 @@
             [this](auto record) { book_.ApplyLevel(std::move(record)); }))
       return false;
     levels_read_ = SteadyNow();
-    const IncarnationStart start = MakeIncarnationStart(previous);
+    IncarnationStart start = MakeIncarnationStart(previous);
+    start.store_era = era;
+    start.read_at = read_at;
     LogInheritedCharges(previous, start, book_.Start(previous, start));
     return SyncAuthority();
   }
@@ -288,7 +310,8 @@
         .Add("routers", static_cast<int64_t>(book_.router_count()))
         .Add("previous_epoch",
              previous.authority.has_value() ? previous.authority->epoch : 0)
-        .Add("age_from", NameOf(record_age.source));
+        .Add("age_from", NameOf(record_age.source))
+        .Add("era", start.store_era);
   }
 
   // Returns -1 for an unknown (infinite) duration.
@@ -300,6 +323,7 @@
 
   // Returns whether the store answered.
   bool SyncAuthority() {
+    ObserveEra();
     if (book_.pending_authority().has_value())
       return RetryAuthorityPut() != Outcome::kUnknown;
     if (!ReadLevels())
@@ -309,6 +333,7 @@
     for (int i = 0; i < kTries; ++i) {
       if (!ReadAuthorities())
         return false;
+      ObserveEra();
       if (!book_.NeedsAuthorityRecord(BootTime()))
         return true;
       const Outcome outcome = PutAuthority(book_.MakeAuthority(BootTime()));
@@ -357,6 +382,9 @@
   }
 
   Outcome ResolveAuthorityPut(Outcome outcome) {
+    // The store has come back from an older copy meanwhile.
+    if (ObserveEra() || !book_.pending_authority().has_value())
+      return Outcome::kUnknown;
     if (outcome == Outcome::kUnknown)
       return outcome;
     if (outcome == Outcome::kDurable)
@@ -370,6 +398,7 @@
 
   // Returns whether the store answered.
   bool SyncLevel() {
+    ObserveEra();
     if (book_.pending_level().has_value())
       return SendPendingLevel();
     const absl::Duration now = BootTime();
@@ -391,25 +420,31 @@
   }
 
   bool SendPendingLevel() {
-    const fb::LevelRecordT& record = *book_.pending_level();
+    const absl::Duration written =
+        absl::Microseconds(book_.pending_level()->written_us);
+    const WriterPosition position{.writer = book_.router(),
+                                  .epoch = book_.pending_level()->epoch,
+                                  .sequence = book_.pending_level()->sequence};
     const absl::Status status =
         store_.AppendNext(StoreSubject::kLevels, book_.router(), level_bytes_,
-                          {.writer = record.router,
-                           .epoch = record.epoch,
-                           .sequence = record.sequence},
-                          options_.call_timeout);
+                          position, options_.call_timeout);
+    // The store has come back from an older copy meanwhile.
+    if (ObserveEra() || !book_.pending_level().has_value())
+      return false;
     if (status.code() == absl::StatusCode::kFailedPrecondition) {
       LogEvent("total.level_refused", LogSeverity::kError)
-          .Add("epoch", record.epoch)
-          .Add("sequence", record.sequence)
+          .Add("epoch", position.epoch)
+          .Add("sequence", position.sequence)
           .Add("reason", status);
       book_.OnLevelRefused();
       return false;
     }
     if (!status.ok())
       return false;
-    last_durable_ = absl::Microseconds(record.written_us);
+    last_durable_ = written;
     book_.OnLevelDurable();
+    if (book_.NeedsRecordsAnew())
+      authority_wanted_.Notify();
     changed_.Notify();
     return true;
   }
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -115,7 +115,7 @@
             .Add("total", *workspace.prepaid)
             .Add("previous", previous);
       }
-      book_.SetTotal(workspace.name, *workspace.prepaid);
+      book_.SetTotal(workspace.name, *workspace.prepaid, BootTime());
     }
     records_.changed().Notify();
   }
--- a/hawthornhollow/totals/router_record.cc
+++ b/hawthornhollow/totals/router_record.cc
@@ -15,6 +15,8 @@
 // only a small part of it.
 constexpr absl::Duration kLateBurstRampUp = absl::Seconds(1);
 
+constexpr int kEpochBitsOfEra = 32;
+
 double NonNegative(int64_t tokens) {
   return static_cast<double>(std::max<int64_t>(0, tokens));
 }
@@ -41,6 +43,14 @@
          static_cast<int64_t>(std::min(allowance, kMaxAllowance));
 }
 
+int64_t FirstEpochOf(int64_t era) {
+  return (era + 1) << kEpochBitsOfEra;
+}
+
+int64_t EraOf(int64_t epoch) {
+  return (epoch >> kEpochBitsOfEra) - 1;
+}
+
 std::string EncodeAuthority(const fb::AuthorityRecordT& record) {
   return EncodeMessage<fb::AuthorityRecord>(record);
 }
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -57,6 +57,7 @@
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/totals/restored_totals.h"
 #include "hawthornhollow/totals/totals_generated.h"
 
 namespace hawthornhollow {
@@ -73,6 +74,14 @@
 std::string EncodeLevel(const fb::LevelRecordT& record);
 absl::StatusOr<fb::LevelRecordT> DecodeLevel(std::string_view bytes);
 
+// The era of a store is the number of times that it came back from an older
+// copy. Epochs of records that are written in a later era are greater than
+// those of all earlier eras.
+int64_t FirstEpochOf(int64_t era);
+// The era in which a record of this epoch was written; -1 for records of
+// versions of this program that did not know eras.
+int64_t EraOf(int64_t epoch);
+
 // The records of one router in the store; unset if it has not written one.
 struct RouterRecords {
   std::optional<fb::AuthorityRecordT> authority;
@@ -89,6 +98,10 @@
   // The latest time of day shown by this VM or any router that was asked; unset
   // if too few routers answered.
   std::optional<absl::Time> latest_time_of_day;
+  // Of the store when the records were read, and when that was, since the VM's
+  // boot.
+  int64_t store_era = 0;
+  absl::Duration read_at;
 };
 
 // The clock by which a new incarnation determined the age of the last level
@@ -172,7 +185,7 @@
   int64_t total = 0;
   int64_t committed = 0;   // committed or held by all routers, as recorded
   int64_t available = 0;   // tokens that this router can reserve now
-  int64_t unassigned = 0;  // part of the total that is in no router's quota
+  int64_t unassigned = 0;  // part of the total that quotas may be raised by
   friend auto operator<=>(const TotalState&, const TotalState&) = default;
 };
 
@@ -257,7 +270,7 @@
   const std::string& boot() const { return options_.boot; }
 
   // Sets the total of a workspace. A top-up raises it.
-  void SetTotal(std::string_view workspace, int64_t tokens);
+  void SetTotal(std::string_view workspace, int64_t tokens, absl::Duration now);
 
   // Applies records of other routers. A record that is older than the one
   // already known is ignored.
@@ -285,9 +298,16 @@
   std::vector<InheritedCharge> Start(const RouterRecords& previous,
                                      const IncarnationStart& start);
   // Reports an authority record of this router that this incarnation did not
-  // put: the previous incarnation sent it and it took effect late.
+  // put, or put earlier: it took effect late.
   void OnStaleAuthority(const fb::AuthorityRecordT& record);
   bool started() const { return started_; }
+  // Reports that the store has come back from an older copy. Records that were
+  // acknowledged may be gone, and those in flight must not be relied on. Writes
+  // both records anew before a quota is raised.
+  void BeginEra(int64_t era, absl::Duration now);
+  int64_t era() const { return era_; }
+  // Whether this router's quota has to be written anew, after its level record.
+  bool NeedsRecordsAnew() const;
 
   // Records that a request needs `tokens`, once for each request.
   void ObserveDemand(const std::string& workspace,
@@ -421,6 +441,24 @@
   // Whether an authority record of the current epoch is durable.
   bool HasOwnAuthority() const;
   int64_t DurableAuthority(const std::string& workspace) const;
+  // Part of a total by which this router's quota may be raised.
+  int64_t Assignable(const std::string& workspace, absl::Duration now) const;
+  // Whether the quotas of all known routers are known in spite of what the
+  // store may have lost.
+  bool AreQuotasCertain(absl::Duration now) const;
+  bool AreOtherQuotasCertain() const;
+  bool IsQuotaCertain(const RouterRecords& records) const;
+  // Whether this incarnation has lived through a change of the era and has not
+  // written a level record since.
+  bool NeedsLevelFirst() const;
+  // Takes the quotas known now as those when the store came back.
+  void BeginUncertainty(absl::Duration now);
+  void NoteQuotas(const fb::AuthorityRecordT& record);
+  // What the previous incarnation is charged for one workspace.
+  int64_t InheritedTokens(const fb::AuthorityShareT& authority,
+                          const fb::LevelShareT& share,
+                          const RouterRecords& previous,
+                          const RecordAge& record_age) const;
   // Adds another router's record to the sums, or subtracts it if `sign` is -1.
   void AddToSums(const fb::AuthorityRecordT& record, int64_t sign);
   void AddToSums(const fb::LevelRecordT& record, int64_t sign);
@@ -473,6 +511,19 @@
   absl::Time earliest_boot_ = absl::InfiniteFuture();
   bool started_ = false;
   bool closing_ = false;
+  int64_t era_ = 0;  // of the store
+  // This incarnation has lived through a change of the era.
+  bool carried_over_ = false;
+  // Commitments of an earlier incarnation may be missing from all records.
+  bool incomplete_ = false;
+  // The store has another authority record of this router than the newest one.
+  bool is_authority_replaced_ = false;
+  // Since the store came back. Until `settled_at_` living routers write their
+  // records again.
+  RestoredTotals restored_;
+  absl::Duration settled_at_ = -absl::InfiniteDuration();
+  // Computed when needed and cleared when a record or the era changes.
+  mutable std::optional<bool> others_certain_;
   int64_t epoch_ = 0;
   int64_t authority_sequence_ = 0;
   int64_t level_sequence_ = 0;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -43,6 +43,21 @@
 // themselves are unspent. A successor of the holder is charged by a record from
 // before, that is, for more.
 //
+// The store may lose what it has acknowledged, when it comes back from an older
+// copy. Epochs tell in which era a record was written. A router that lives on
+// keeps to the smaller one of its durable record and the one in flight, and
+// writes both of its records again, the level first; its quota is certain then.
+// A quota is uncertain as long as its newest record is of an earlier era, and
+// for good (`incomplete`) if an incarnation has ended without writing it again:
+// nobody knows what it was raised to. While any quota is uncertain, and for
+// kSettleTime, nobody raises one by what was not assigned: whatever was lost,
+// all quotas were within the total then, and quotas that are given back may
+// have been given out again (see restored_totals.h). The successor of an
+// incarnation that did not write its records again is charged its whole quota.
+// What a router that nobody has heard of was given is outside the argument: if
+// its first record is lost, it writes one again within kSettleTime, or it was
+// cut off from the store and from all others.
+//
 // Which routers are holders is not part of the argument. Routers that disagree
 // about it, because one has read an older record, still keep to their quotas.
 
@@ -55,6 +70,10 @@
 namespace hawthornhollow {
 namespace {
 
+// Living routers, if they reach the store, write their records again in this
+// time after it came back.
+constexpr absl::Duration kSettleTime = absl::Seconds(3);
+
 template <typename Record>
 bool IsNewer(const Record& record, const std::optional<Record>& known) {
   return !known.has_value() || std::pair(record.epoch, record.sequence) >
@@ -74,9 +93,13 @@
 
 TotalsBook::TotalsBook(const TotalsOptions& options) : options_(options) {}
 
-void TotalsBook::SetTotal(std::string_view workspace, int64_t tokens) {
-  totals_[std::string(workspace)] = tokens;
-  UsageOf(std::string(workspace));
+void TotalsBook::SetTotal(std::string_view workspace,
+                          int64_t tokens,
+                          absl::Duration now) {
+  const std::string name(workspace);
+  totals_[name] = tokens;
+  restored_.NoteTotal(name, tokens, now);
+  UsageOf(name);
 }
 
 template <typename Record>
@@ -85,6 +108,7 @@
   std::optional<Record>& known = other_routers_[record.router].*kind;
   if (!IsNewer(record, known))
     return;
+  others_certain_.reset();
   if (known.has_value())
     AddToSums(*known, -1);
   AddToSums(record, 1);
@@ -96,6 +120,7 @@
 }
 
 void TotalsBook::ApplyAuthority(fb::AuthorityRecordT record) {
+  NoteQuotas(record);
   ApplyOther(&RouterRecords::authority, std::move(record));
 }
 
@@ -170,8 +195,17 @@
 std::vector<InheritedCharge> TotalsBook::Start(const RouterRecords& previous,
                                                const IncarnationStart& start) {
   started_ = true;
-  epoch_ = 1 + std::max(previous.authority ? previous.authority->epoch : 0,
-                        previous.level ? previous.level->epoch : 0);
+  era_ = start.store_era;
+  others_certain_.reset();
+  epoch_ =
+      std::max(FirstEpochOf(era_),
+               1 + std::max(previous.authority ? previous.authority->epoch : 0,
+                            previous.level ? previous.level->epoch : 0));
+  incomplete_ = previous.authority.has_value() ? !IsQuotaCertain(previous)
+                                               : previous.level.has_value();
+  // Living routers may not have written their records again.
+  if (incomplete_ || !AreQuotasCertain(start.read_at))
+    BeginUncertainty(start.read_at);
   if (!previous.authority.has_value())
     return {};
   durable_authority_ = previous.authority;
@@ -188,19 +222,17 @@
   std::vector<InheritedCharge> inherited;
   for (auto& authority : durable_authority_->shares) {
     const fb::LevelShareT* share = FindShare(level, authority->workspace);
-    if (share == nullptr) {
+    if (share == nullptr && !incomplete_) {
       authority->tokens = 0;
       continue;
     }
-    int64_t max_committed = authority->tokens;
-    if (level->final)
-      max_committed = share->committed;
-    else if (record_age.source != AgeSource::kUnknown)
-      max_committed = ScheduleLimit(*share, record_age.age);
-    const int64_t charged = std::min(authority->tokens, max_committed);
+    const int64_t charged =
+        share == nullptr
+            ? authority->tokens
+            : InheritedTokens(*authority, *share, previous, record_age);
     UsageOf(authority->workspace).committed += charged;
     inherited.push_back({.workspace = authority->workspace,
-                         .recorded = share->committed,
+                         .recorded = share == nullptr ? 0 : share->committed,
                          .charged = charged,
                          .authority = authority->tokens});
     // A record sent by the previous incarnation may still take effect and lower
@@ -211,15 +243,123 @@
   return inherited;
 }
 
+// The level record is of use only if it was written in the era of the quota, or
+// later: an incarnation that lives through a change of the era writes it first.
+int64_t TotalsBook::InheritedTokens(const fb::AuthorityShareT& authority,
+                                    const fb::LevelShareT& share,
+                                    const RouterRecords& previous,
+                                    const RecordAge& record_age) const {
+  if (incomplete_ ||
+      EraOf(previous.level->epoch) < EraOf(previous.authority->epoch))
+    return authority.tokens;
+  if (previous.level->final)
+    return std::min(authority.tokens, share.committed);
+  if (record_age.source == AgeSource::kUnknown)
+    return authority.tokens;
+  return std::min(authority.tokens, ScheduleLimit(share, record_age.age));
+}
+
+void TotalsBook::BeginEra(int64_t era, absl::Duration now) {
+  if (era <= era_)
+    return;
+  era_ = era;
+  others_certain_.reset();
+  if (!started_)
+    return;
+  // Others may rely on the smaller one of the two.
+  if (pending_authority_.has_value() && durable_authority_.has_value()) {
+    for (auto& share : durable_authority_->shares)
+      share->tokens = EffectiveAuthority(share->workspace);
+  }
+  pending_authority_.reset();
+  pending_level_.reset();
+  epoch_ = FirstEpochOf(era);
+  authority_sequence_ = 0;
+  level_sequence_ = 0;
+  carried_over_ = true;
+  BeginUncertainty(now);
+}
+
+void TotalsBook::BeginUncertainty(absl::Duration now) {
+  settled_at_ = now + kSettleTime;
+  restored_.Begin(now);
+  for (const auto& [router, records] : other_routers_) {
+    if (records.authority.has_value())
+      NoteQuotas(*records.authority);
+  }
+  if (durable_authority_.has_value())
+    NoteQuotas(*durable_authority_);
+  for (const auto& [workspace, total] : totals_)
+    restored_.NoteTotal(workspace, total, now);
+  restored_.EndOfBase();
+}
+
+void TotalsBook::NoteQuotas(const fb::AuthorityRecordT& record) {
+  if (settled_at_ == -absl::InfiniteDuration())
+    return;
+  for (const auto& share : record.shares)
+    restored_.NoteQuota(record.router, share->workspace, share->tokens);
+}
+
+bool TotalsBook::IsQuotaCertain(const RouterRecords& records) const {
+  const int64_t era = EraOf(records.authority->epoch);
+  return !records.authority->incomplete && (era < 0 || era == era_);
+}
+
+bool TotalsBook::AreQuotasCertain(absl::Duration now) const {
+  if (now < settled_at_ || incomplete_)
+    return false;
+  if (!others_certain_.has_value())
+    others_certain_ = AreOtherQuotasCertain();
+  return *others_certain_;
+}
+
+bool TotalsBook::AreOtherQuotasCertain() const {
+  return std::all_of(
+      other_routers_.begin(), other_routers_.end(), [this](const auto& item) {
+        const RouterRecords& records = item.second;
+        const bool has_ended = records.level.has_value() &&
+                               records.level->final &&
+                               records.authority.has_value() &&
+                               records.level->epoch >= records.authority->epoch;
+        return !records.authority.has_value() || IsQuotaCertain(records) ||
+               (has_ended && !records.authority->incomplete);
+      });
+}
+
+int64_t TotalsBook::Assignable(const std::string& workspace,
+                               absl::Duration now) const {
+  const int64_t unassigned = TotalOf(workspace) -
+                             other_routers_sums(workspace).authority -
+                             DurableAuthority(workspace);
+  if (AreQuotasCertain(now))
+    return unassigned;
+  return std::min(unassigned,
+                  restored_.Assignable(workspace, TotalOf(workspace)));
+}
+
+bool TotalsBook::NeedsLevelFirst() const {
+  return carried_over_ &&
+         (!durable_level_.has_value() || EraOf(durable_level_->epoch) < era_);
+}
+
+bool TotalsBook::NeedsRecordsAnew() const {
+  return carried_over_ && !HasOwnAuthority();
+}
+
 void TotalsBook::ObserveTimeOfDay(absl::Time time_of_day, absl::Duration now) {
   earliest_boot_ = std::min(earliest_boot_, time_of_day - now);
 }
 
 void TotalsBook::OnStaleAuthority(const fb::AuthorityRecordT& record) {
   // No such record can take effect once a record of this incarnation is
-  // durable.
-  if (!HasOwnAuthority())
+  // durable, but for one of an earlier era whose offset was given out again.
+  if (!HasOwnAuthority()) {
     epoch_ = std::max(epoch_, record.epoch + 1);
+    return;
+  }
+  is_authority_replaced_ = record.epoch != durable_authority_->epoch ||
+                           record.sequence != durable_authority_->sequence;
 }
 
 bool TotalsBook::HasOwnAuthority() const {
@@ -400,8 +540,7 @@
   const LocalUsage* usage = FindUsage(workspace);
   TotalState state{.total = TotalOf(workspace),
                    .committed = other_routers_sums(workspace).committed};
-  state.unassigned = state.total - other_routers_sums(workspace).authority -
-                     DurableAuthority(workspace);
+  state.unassigned = Assignable(workspace, now);
   if (usage != nullptr) {
     state.committed += usage->committed + usage->held;
     state.available =
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -167,6 +167,7 @@
   std::string address{};
   std::vector<std::unique_ptr<hawthornhollow::fb::AuthorityShareT>> shares{};
   std::string failure_domain{};
+  bool incomplete = false;
   AuthorityRecordT() = default;
   AuthorityRecordT(const AuthorityRecordT &o);
   AuthorityRecordT(AuthorityRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -183,7 +184,8 @@
     VT_SEQUENCE = 8,
     VT_ADDRESS = 10,
     VT_SHARES = 12,
-    VT_FAILURE_DOMAIN = 14
+    VT_FAILURE_DOMAIN = 14,
+    VT_INCOMPLETE = 16
   };
   const flatbuffers::String *router() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTER);
@@ -203,6 +205,9 @@
   const flatbuffers::String *failure_domain() const {
     return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
   }
+  bool incomplete() const {
+    return GetField<uint8_t>(VT_INCOMPLETE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ROUTER) &&
@@ -216,6 +221,7 @@
            verifier.VerifyVectorOfTables(shares()) &&
            VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
            verifier.VerifyString(failure_domain()) &&
+           VerifyField<uint8_t>(verifier, VT_INCOMPLETE, 1) &&
            verifier.EndTable();
   }
   AuthorityRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -245,6 +251,9 @@
   void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
     fbb_.AddOffset(AuthorityRecord::VT_FAILURE_DOMAIN, failure_domain);
   }
+  void add_incomplete(bool incomplete) {
+    fbb_.AddElement<uint8_t>(AuthorityRecord::VT_INCOMPLETE, static_cast<uint8_t>(incomplete), 0);
+  }
   explicit AuthorityRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -263,7 +272,8 @@
     int64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>> shares = 0,
-    flatbuffers::Offset<flatbuffers::String> failure_domain = 0) {
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
+    bool incomplete = false) {
   AuthorityRecordBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_epoch(epoch);
@@ -271,6 +281,7 @@
   builder_.add_shares(shares);
   builder_.add_address(address);
   builder_.add_router(router);
+  builder_.add_incomplete(incomplete);
   return builder_.Finish();
 }
 
@@ -286,7 +297,8 @@
     int64_t sequence = 0,
     const char *address = nullptr,
     const std::vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *shares = nullptr,
-    const char *failure_domain = nullptr) {
+    const char *failure_domain = nullptr,
+    bool incomplete = false) {
   auto router__ = router ? _fbb.CreateString(router) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>(*shares) : 0;
@@ -298,7 +310,8 @@
       sequence,
       address__,
       shares__,
-      failure_domain__);
+      failure_domain__,
+      incomplete);
 }
 
 flatbuffers::Offset<AuthorityRecord> CreateAuthorityRecord(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1051,7 +1064,8 @@
       (lhs.sequence == rhs.sequence) &&
       (lhs.address == rhs.address) &&
       (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &a, std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
-      (lhs.failure_domain == rhs.failure_domain);
+      (lhs.failure_domain == rhs.failure_domain) &&
+      (lhs.incomplete == rhs.incomplete);
 }
 
 inline bool operator!=(const AuthorityRecordT &lhs, const AuthorityRecordT &rhs) {
@@ -1064,7 +1078,8 @@
         epoch(o.epoch),
         sequence(o.sequence),
         address(o.address),
-        failure_domain(o.failure_domain) {
+        failure_domain(o.failure_domain),
+        incomplete(o.incomplete) {
   shares.reserve(o.shares.size());
   for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new hawthornhollow::fb::AuthorityShareT(*shares_) : nullptr); }
 }
@@ -1076,6 +1091,7 @@
   std::swap(address, o.address);
   std::swap(shares, o.shares);
   std::swap(failure_domain, o.failure_domain);
+  std::swap(incomplete, o.incomplete);
   return *this;
 }
 
@@ -1094,6 +1110,7 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<hawthornhollow::fb::AuthorityShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
+  { auto _e = incomplete(); _o->incomplete = _e; }
 }
 
 inline flatbuffers::Offset<AuthorityRecord> AuthorityRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1110,6 +1127,7 @@
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateAuthorityShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
+  auto _incomplete = _o->incomplete;
   return hawthornhollow::fb::CreateAuthorityRecord(
       _fbb,
       _router,
@@ -1117,7 +1135,8 @@
       _sequence,
       _address,
       _shares,
-      _failure_domain);
+      _failure_domain,
+      _incomplete);
 }
 
 
--- a/hawthornhollow/totals/totals_records.cc
+++ b/hawthornhollow/totals/totals_records.cc
@@ -69,9 +69,7 @@
   const int64_t wanted = taken + TargetHeadroom(workspace, usage, now);
   if (wanted <= durable)
     return wanted;
-  const int64_t unassigned = std::max<int64_t>(
-      0,
-      TotalOf(workspace) - other_routers_sums(workspace).authority - durable);
+  const int64_t unassigned = std::max<int64_t>(0, Assignable(workspace, now));
   return durable + std::min(wanted - durable, unassigned);
 }
 
@@ -82,6 +80,7 @@
   record.sequence = ++authority_sequence_;
   record.address = options_.address;
   record.failure_domain = options_.failure_domain;
+  record.incomplete = incomplete_;
   for (const auto& [workspace, usage] : usages_) {
     auto share = std::make_unique<fb::AuthorityShareT>();
     share->workspace = workspace;
@@ -97,6 +96,8 @@
 void TotalsBook::OnAuthorityDurable() {
   durable_authority_ = std::move(pending_authority_);
   pending_authority_.reset();
+  is_authority_replaced_ = false;
+  NoteQuotas(*durable_authority_);
 }
 
 void TotalsBook::OnAuthorityRefused() {
@@ -106,7 +107,9 @@
 bool TotalsBook::NeedsAuthorityRecord(absl::Duration now) const {
   if (!started_ || pending_authority_.has_value())
     return false;
-  if (!HasOwnAuthority())
+  if (NeedsLevelFirst())
+    return false;
+  if (!HasOwnAuthority() || is_authority_replaced_)
     return true;
   return std::any_of(usages_.begin(), usages_.end(), [&](const auto& item) {
     const auto& [workspace, usage] = item;
@@ -201,7 +204,11 @@
 }
 
 bool TotalsBook::NeedsLevelRecord(absl::Duration now) const {
-  if (!started_ || pending_level_.has_value() || !HasOwnAuthority())
+  if (!started_ || pending_level_.has_value())
+    return false;
+  if (NeedsLevelFirst())
+    return true;
+  if (!HasOwnAuthority())
     return false;
   if (!durable_level_.has_value())
     return true;
