A refusal that a server repeats is not believed for the next request

What callers would see: a faulty server writes an earlier refusal once more on a kept connection, and an order that it may be running is answered 503, not run. Reported by other operators; shown here by RepeatedRefusalTest, which failed for copies without an id ('Twice' and 'WithoutAnId').

Cause: an answer without a request's id was taken for that of the request which waits. Now it can only be the first one on its connection. A connection on which an answer came that was not asked for is closed after the answer that was.

Bytes that arrive before a request is sent are found when the connection is taken (connection_pool.cc), as before.

--- a/hawthornhollow/http/exchange.cc
+++ b/hawthornhollow/http/exchange.cc
@@ -81,9 +81,9 @@
 }
 
 bool HttpExchange::Impl::CanKeepConnection() const {
-  return !cancelled_ && !broken_ && parser_.has_value() && parser_->is_done() &&
-         parser_->keep_alive() && connection_->buffer.size() == 0 &&
-         write_->done && !write_->error;
+  return !cancelled_ && !broken_ && !close_afterwards_ && parser_.has_value() &&
+         parser_->is_done() && parser_->keep_alive() &&
+         connection_->buffer.size() == 0 && write_->done && !write_->error;
 }
 
 error_code HttpExchange::Impl::Write(
@@ -227,4 +227,8 @@
   impl_->Cancel();
 }
 
+void HttpExchange::CloseAfterwards() {
+  impl_->CloseAfterwards();
+}
+
 }  // namespace hawthornhollow
--- a/hawthornhollow/http/exchange_internal.h
+++ b/hawthornhollow/http/exchange_internal.h
@@ -32,6 +32,7 @@
   absl::StatusOr<HttpHead> ReadHead(absl::Duration timeout);
   absl::StatusOr<std::string_view> ReadSome(absl::Duration timeout);
   void Cancel();
+  void CloseAfterwards() { close_afterwards_ = true; }
   std::optional<absl::Duration> connect_time() const { return connect_time_; }
   void SetConnectTime(absl::Duration took) { connect_time_ = took; }
 
@@ -66,6 +67,7 @@
   std::optional<absl::Duration> connect_time_;
   bool cancelled_ = false;
   bool broken_ = false;
+  bool close_afterwards_ = false;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -177,6 +177,10 @@
   // How long the connection took to be made; nullopt if it was kept from an
   // earlier request.
   std::optional<absl::Duration> connect_time() const;
+  bool is_reused() const { return !connect_time().has_value(); }
+
+  // The connection is not kept for another request.
+  void CloseAfterwards();
 
   // Fails the reads in progress and all later ones with CANCELLED and closes
   // the connection. Callable from any fiber of the exchange's thread.
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -375,7 +375,7 @@
       if (!head.ok())
         return FailedRead(head.status());
       const ReplyHead reply = D::DecodeReply(*head);
-      if (reply.call_id.empty() || reply.call_id == request_.call.id) {
+      if (IsOwn(reply, stray_count)) {
         ReportLimit(choice.server.id, reply);
         return ReceiveBody(choice, reply);
       }
@@ -383,6 +383,8 @@
           .Add("request", request_.call.id)
           .Add("belongs_to", reply.call_id)
           .Add("server", choice.server.id);
+      // More of them may follow.
+      caller_->exchange->CloseAfterwards();
       std::string discarded;
       if (!ReadWhole(&discarded).ok())
         return AttemptResult::kIncompleteAnswer;
@@ -390,6 +392,15 @@
     return AttemptResult::kIncompleteAnswer;
   }
 
+  // An answer that does not say whose it is can only be the first one on its
+  // connection: on a kept one it may be a copy of an earlier answer.
+  bool IsOwn(const ReplyHead& reply, int stray_count) const {
+    if (!reply.call_id.empty())
+      return reply.call_id == request_.call.id;
+    return request_.call.id.empty() ||
+           (stray_count == 0 && !caller_->exchange->is_reused());
+  }
+
   void ReportLimit(const std::string& server, const ReplyHead& reply) const {
     if (!reply.bad_limit.empty()) {
       LogEvent("server.limit_rejected", LogSeverity::kWarning)
--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -49,6 +49,24 @@
   return head.substr(value, head.find('\r', value) - value);
 }
 
+std::string RefusalBytes(const std::string& id) {
+  const std::string id_line =
+      id.empty() ? "" : absl::StrCat("Attempt-Id: ", id, "\r\n");
+  return absl::StrCat("HTTP/1.1 503 Unavailable\r\n", id_line,
+                      "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
+std::string CallerRequestBytes(const CallerRequest& request) {
+  const HttpRequest made = MakeCallerRequest(request);
+  std::string bytes =
+      absl::StrCat(made.method, " ", made.target, " HTTP/1.1\r\n");
+  for (const auto& [name, value] : made.headers)
+    absl::StrAppend(&bytes, name, ": ", value, "\r\n");
+  absl::StrAppend(&bytes, "Content-Length: ", made.body.size(),
+                  "\r\nConnection: close\r\n\r\n", made.body);
+  return bytes;
+}
+
 std::string EntrySettings(const std::string& router,
                           const EntryAddresses& addresses) {
   return absl::Substitute(
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -39,6 +39,10 @@
 // head.
 std::string AnswerHeadBytes(const std::string& more_lines);
 std::string RequestIdOf(const std::string& head);
+// A refusal with this id, none if it is empty: not run, and never will be.
+std::string RefusalBytes(const std::string& id);
+// A caller's request in bytes, on a connection of its own.
+std::string CallerRequestBytes(const CallerRequest& request);
 
 // The settings file of a router.
 struct EntryAddresses {
--- a/testing/processes.cc
+++ b/testing/processes.cc
@@ -21,6 +21,7 @@
 #include <set>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/time/clock.h"
 #include "hawthornhollow/base/base.h"
 
@@ -258,4 +259,29 @@
   return promise.get_future().get();
 }
 
+std::string RawExchange(const Endpoint& endpoint,
+                        const std::string& bytes,
+                        absl::Duration timeout) {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  const absl::Cleanup closed = [socket] { close(socket); };
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+  const timeval limit = absl::ToTimeval(timeout);
+  setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  if (connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+          0 ||
+      send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0)
+    return "";
+  std::string received;
+  std::array<char, 4096> piece{};
+  while (true) {
+    const ssize_t count = recv(socket, piece.data(), piece.size(), 0);
+    if (count <= 0)
+      return received;
+    received.append(piece.data(), static_cast<size_t>(count));
+  }
+}
+
 }  // namespace hawthornhollow
--- a/testing/processes.h
+++ b/testing/processes.h
@@ -82,6 +82,12 @@
                                        const HttpRequest& request,
                                        absl::Duration timeout);
 
+// Sends bytes on a new connection, and returns all that comes until it ends or
+// `timeout` has passed; empty if there is no connection.
+std::string RawExchange(const Endpoint& endpoint,
+                        const std::string& bytes,
+                        absl::Duration timeout);
+
 }  // namespace hawthornhollow
 
 #endif  // TESTING_PROCESSES_H_
--- a/testing/raw_server_standin.cc
+++ b/testing/raw_server_standin.cc
@@ -76,6 +76,10 @@
     };
     const std::string repeated = fill(script_.repeated);
     bool open = SendAll(socket, fill(script_.beginning));
+    if (open && !script_.on_later_request.empty()) {
+      ServeLater(socket, RequestIdOf(head));
+      open = false;
+    }
     while (open && !stop_ && !script_.closes) {
       absl::SleepFor(script_.pause);
       open = SendAll(socket, repeated);
@@ -89,6 +93,22 @@
   close(socket);
 }
 
+void RawServerStandin::ServeLater(int socket, const std::string& first_id) {
+  while (!stop_) {
+    if (!IsReady(socket, POLLIN))
+      continue;
+    std::string head;
+    if (!ReadHead(socket, &head))
+      return;
+    ++later_requests_;
+    const std::string bytes =
+        absl::StrReplaceAll(script_.on_later_request,
+                            {{"$ID", RequestIdOf(head)}, {"$FIRST", first_id}});
+    if (!SendAll(socket, bytes))
+      return;
+  }
+}
+
 bool RawServerStandin::ReadHead(int socket, std::string* head) {
   std::array<char, 4096> piece{};
   while (!absl::StrContains(*head, "\r\n\r\n")) {
--- a/testing/raw_server_standin.h
+++ b/testing/raw_server_standin.h
@@ -23,12 +23,15 @@
 class RawServerStandin {
  public:
   // What each connection gets once its first request was read. "$ID" stands for
-  // the request's id.
+  // the request's id, "$FIRST" for that of the connection's first one.
   struct Script {
     std::string beginning;
     std::string repeated;  // without end; empty: nothing more is sent
     absl::Duration pause;  // before each repetition
     bool closes = false;   // after the beginning
+    // What each further request on the connection gets in place of `repeated`;
+    // empty: further requests are not read.
+    std::string on_later_request;
   };
 
   static absl::StatusOr<std::unique_ptr<RawServerStandin>> Start(Script script);
@@ -42,11 +45,15 @@
   // closed since.
   int requests() const { return requests_; }
   int closed() const { return closed_; }
+  // Requests on connections that had served one before.
+  int later_requests() const { return later_requests_; }
 
  private:
   RawServerStandin(Script script, int listener, Endpoint local);
   void Accept();
   void Serve(int socket);
+  // Answers further requests until the connection ends.
+  void ServeLater(int socket, const std::string& first_id);
   // Returns false if the connection has ended.
   static bool ReadHead(int socket, std::string* head);
   bool SendAll(int socket, const std::string& bytes) const;
@@ -57,6 +64,7 @@
   std::atomic<bool> stop_{false};
   std::atomic<int> requests_{0};
   std::atomic<int> closed_{0};
+  std::atomic<int> later_requests_{0};
   std::vector<std::thread> connections_;  // used by the acceptor only
   std::thread acceptor_;
 };
--- a/testing/server_trouble_test.cc
+++ b/testing/server_trouble_test.cc
@@ -206,6 +206,125 @@
   }
 }
 
+struct RepeatedRefusalCase {
+  const char* name;
+  // Sent when the second request on a kept connection was read.
+  std::string bytes;
+};
+
+// A server refuses a request, and repeats the refusal when it has taken the
+// next one on the same connection, which it may be running.
+class RepeatedRefusalTest
+    : public ServerTroubleTest,
+      public testing::WithParamInterface<RepeatedRefusalCase> {};
+
+TEST_P(RepeatedRefusalTest, OrderThatMayRun_IsNotToldItDidNot) {
+  StartBefore({.beginning = standins::RefusalBytes("$ID"),
+               .on_later_request = GetParam().bytes},
+              /*with_sound_server=*/false);
+  EXPECT_EQ(StatusOf("/order/a"), 503);
+  const auto answer = Send("/order/b");
+  ASSERT_TRUE(answer.ok()) << answer.status();
+  ASSERT_EQ(raw_->later_requests(), 1);
+  EXPECT_THAT(answer->status, testing::AnyOf(502, 504));
+  ExpectConnectionsClosed();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Refusals,
+    RepeatedRefusalTest,
+    testing::Values(
+        RepeatedRefusalCase{"WithTheEarlierId",
+                            standins::RefusalBytes("$FIRST")},
+        RepeatedRefusalCase{"WithoutAnId", standins::RefusalBytes("")},
+        RepeatedRefusalCase{"Twice", standins::RefusalBytes("") +
+                                         standins::RefusalBytes("$FIRST")}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// The connection is not used again: more copies may follow.
+TEST_F(ServerTroubleTest, AnswerAfterARepeatedRefusal_ClosesTheConnection) {
+  constexpr size_t kIdBytes = 4;  // of "id-1" to "id-9"
+  const std::string answer = standins::AnswerHeadBytes(absl::StrCat(
+                                 "Content-Length: ", kIdBytes, "\r\n")) +
+                             "$ID";
+  StartBefore({.beginning = standins::RefusalBytes("$ID"),
+               .on_later_request = standins::RefusalBytes("$FIRST") + answer},
+              /*with_sound_server=*/false);
+  EXPECT_EQ(StatusOf("/order/a"), 503);
+  EXPECT_EQ(StatusOf("/order/b"), 200);
+  ASSERT_EQ(raw_->later_requests(), 1);
+  ExpectConnectionsClosed();
+}
+
+struct StreamEndCase {
+  const char* name;
+  std::string answer;  // of the server at which a stream goes on
+};
+
+std::string ErrorBytes(const std::string& status_line,
+                       const std::string& more_lines = "") {
+  const std::string body = "<html>\n\n<p>an error\n\n";
+  return absl::StrCat("HTTP/1.1 ", status_line,
+                      "\r\nAttempt-Id: $ID\r\nReplica-Seal: proof\r\n",
+                      more_lines, "Content-Length: ", body.size(), "\r\n\r\n",
+                      body);
+}
+
+// A stream breaks off, and the server at which it goes on has no stream.
+class StreamThatBrokeOffTest
+    : public ServerTroubleTest,
+      public testing::WithParamInterface<StreamEndCase> {
+ protected:
+  void TearDown() override {
+    ServerTroubleTest::TearDown();
+    second_raw_.reset();
+  }
+  std::unique_ptr<RawServerStandin> second_raw_;
+};
+
+TEST_P(StreamThatBrokeOffTest, NextServerAnswersWithAnError_StreamIsCut) {
+  const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  auto second =
+      RawServerStandin::Start({.beginning = GetParam().answer, .closes = true});
+  ASSERT_TRUE(second.ok()) << second.status();
+  second_raw_ = *std::move(second);
+  StartBefore({.beginning = StreamHead() + Chunk(events), .closes = true},
+              /*with_sound_server=*/false);
+  standins::PutServer(store_, "i-second", second_raw_->local(),
+                      /*sequence=*/1);
+  absl::SleepFor(absl::Seconds(1));
+  // Of two servers without load the first one is chosen.
+  const std::string bytes =
+      RawExchange(callers_,
+                  standins::CallerRequestBytes(
+                      {.id = NextId(), .path = "/stream/a", .key = "k1"}),
+                  kWait);
+  ASSERT_EQ(raw_->requests(), 1);
+  ASSERT_EQ(second_raw_->requests(), 1);
+  EXPECT_THAT(bytes, testing::HasSubstr("data: b"));
+  EXPECT_THAT(bytes, testing::Not(testing::HasSubstr("an error")));
+  EXPECT_THAT(bytes, testing::Not(testing::EndsWith("0\r\n\r\n")));
+  EXPECT_EQ(bytes.rfind("HTTP/1.1"), 0U) << bytes;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers,
+    StreamThatBrokeOffTest,
+    testing::Values(
+        StreamEndCase{"Redirect", ErrorBytes("302 Found", "Location: /x\r\n")},
+        StreamEndCase{"BadRequest", ErrorBytes("400 Bad Request")},
+        StreamEndCase{"NotFound", ErrorBytes("404 Not Found")},
+        StreamEndCase{"TooMany", ErrorBytes("429 Too Many Requests")},
+        StreamEndCase{"NotRun",
+                      ErrorBytes("503 Unavailable", "Not-Executed: 1\r\n")},
+        StreamEndCase{"ServerError", ErrorBytes("500 Server Error")},
+        StreamEndCase{"PageInPlaceOfAStream",
+                      ErrorBytes("200 OK", "Content-Type: text/html\r\n")},
+        StreamEndCase{
+            "StreamFromItsStart",
+            StreamHead() + Chunk("id: 1\ndata: an error\n\n") + Chunk("")}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 // A stream whose events come slowly, but come, is not cut.
 TEST_F(ServerTroubleTest, SlowButSoundStream_IsNotCut) {
   StartReady();
