A stream that broke off goes on only with a stream that goes on

What callers would see: a stream breaks off, the next server answers with a page, and the page's text stands in the middle of the stream, which ends as if it were complete; or a server begins the stream anew, and events come twice.

Cause: once a stream had begun, the next server's answer was checked for success only. It now needs the status and type of the answer that began the stream, and ids after the last event that was delivered.

A caller that speaks HTTP/1.0 gets a reset when its stream breaks off, since the end of the connection is the end of the body there (test written with the change, not run before it).

--- a/hawthornhollow/http/response_writer.cc
+++ b/hawthornhollow/http/response_writer.cc
@@ -158,6 +158,13 @@
 void BeastResponseWriter::Abort() {
   if (state_ == State::kDone || state_ == State::kAborted)
     return;
+  // Without chunks the end of the connection would make the body look whole.
+  if (state_ == State::kStreaming && !chunked_) {
+    boost::system::error_code ignored;
+    stream_->socket().set_option(
+        boost::asio::socket_base::linger(/*enable=*/true, /*timeout=*/0),
+        ignored);
+  }
   state_ = State::kAborted;
   watch_.Disarm();
   stream_->close();
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -67,6 +67,7 @@
   static constexpr int kFirstRedirect = 300;
   static constexpr int kServerError = 500;
   static constexpr int kMisdirected = 421;
+  static constexpr std::string_view kContentType = "Content-Type";
   // Then the request goes to a server without a limit, or is refused.
   static constexpr int kMaxPermitsDenied = 3;
 
@@ -441,6 +442,10 @@
       detail_ = "success status without proof of origin";
       return AttemptResult::kIncompleteAnswer;
     }
+    if (streaming_ && !GoesOn(reply)) {
+      detail_ = "the answer is no stream that goes on";
+      return AttemptResult::kIncompleteAnswer;
+    }
     began_ = success;
     if (success && is_stream())
       return RelayStream(choice, reply);
@@ -460,6 +465,12 @@
     return AttemptResult::kAnswered;
   }
 
+  // Whether an answer continues the stream of which the caller has a part.
+  bool GoesOn(const ReplyHead& reply) const {
+    return reply.status == stream_status_ &&
+           FindHeader(reply.headers, kContentType) == stream_type_;
+  }
+
   absl::Status ReadWhole(std::string* body) {
     const absl::Cleanup release = [this, body] {
       *shared_.buffered_bytes -= body->size();
@@ -510,6 +521,10 @@
         return FinishStream(reply, splitter.rest());
       shared_.link_load->OnRelayed(piece->size(), SteadyNow());
       for (const StreamEvent& event : splitter.Feed(*piece)) {
+        if (StartsAnew(event)) {
+          detail_ = "the stream does not go on after its last event";
+          return AttemptResult::kIncompleteAnswer;
+        }
         if (!event.is_comment)
           OnFirstPiece(choice);
         if (!Deliver(reply, event.bytes))
@@ -528,6 +543,12 @@
     }
   }
 
+  // Whether an event comes again, or one from before it: ids increase.
+  bool StartsAnew(const StreamEvent& event) const {
+    return streaming_ && event.id.has_value() && last_event_.has_value() &&
+           *event.id <= *last_event_;
+  }
+
   // While the link is busy, each answer is the last on its connection, so that
   // the caller's next request may go to another router.
   HttpHeaders AnswerHeaders(HttpHeaders headers) const {
@@ -542,6 +563,8 @@
       if (!MayDeliverAnswer())
         return false;
       streaming_ = true;
+      stream_status_ = reply.status;
+      stream_type_ = std::string(FindHeader(reply.headers, kContentType));
       if (!writer_.StartStream(reply.status, AnswerHeaders(reply.headers))
                .ok()) {
         End("caller_gone", 0);
@@ -585,6 +608,9 @@
   std::set<std::string> excluded_servers_;
   const std::shared_ptr<CallerState> caller_ = std::make_shared<CallerState>();
   bool streaming_ = false;
+  // Of the answer that began the caller's stream.
+  int stream_status_ = 0;
+  std::string stream_type_;
   // Of the attempt in progress: the head of a success answer has arrived, so
   // has its first piece, and the connection ended before the answer.
   bool began_ = false;
--- a/testing/processes.cc
+++ b/testing/processes.cc
@@ -259,9 +259,9 @@
   return promise.get_future().get();
 }
 
-std::string RawExchange(const Endpoint& endpoint,
-                        const std::string& bytes,
-                        absl::Duration timeout) {
+RawAnswer RawExchange(const Endpoint& endpoint,
+                      const std::string& bytes,
+                      absl::Duration timeout) {
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
   const absl::Cleanup closed = [socket] { close(socket); };
   sockaddr_in address{};
@@ -273,14 +273,16 @@
   if (connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
           0 ||
       send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0)
-    return "";
-  std::string received;
+    return {};
+  RawAnswer answer;
   std::array<char, 4096> piece{};
   while (true) {
     const ssize_t count = recv(socket, piece.data(), piece.size(), 0);
-    if (count <= 0)
-      return received;
-    received.append(piece.data(), static_cast<size_t>(count));
+    if (count <= 0) {
+      answer.was_reset = count < 0 && errno == ECONNRESET;
+      return answer;
+    }
+    answer.bytes.append(piece.data(), static_cast<size_t>(count));
   }
 }
 
--- a/testing/processes.h
+++ b/testing/processes.h
@@ -83,10 +83,14 @@
                                        absl::Duration timeout);
 
 // Sends bytes on a new connection, and returns all that comes until it ends or
-// `timeout` has passed; empty if there is no connection.
-std::string RawExchange(const Endpoint& endpoint,
-                        const std::string& bytes,
-                        absl::Duration timeout);
+// `timeout` has passed; nothing if there is no connection.
+struct RawAnswer {
+  std::string bytes;
+  bool was_reset = false;  // and not closed in order
+};
+RawAnswer RawExchange(const Endpoint& endpoint,
+                      const std::string& bytes,
+                      absl::Duration timeout);
 
 }  // namespace hawthornhollow
 
--- a/testing/server_trouble_test.cc
+++ b/testing/server_trouble_test.cc
@@ -298,7 +298,8 @@
       RawExchange(callers_,
                   standins::CallerRequestBytes(
                       {.id = NextId(), .path = "/stream/a", .key = "k1"}),
-                  kWait);
+                  kWait)
+          .bytes;
   ASSERT_EQ(raw_->requests(), 1);
   ASSERT_EQ(second_raw_->requests(), 1);
   EXPECT_THAT(bytes, testing::HasSubstr("data: b"));
@@ -325,6 +326,20 @@
             StreamHead() + Chunk("id: 1\ndata: an error\n\n") + Chunk("")}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Such a caller takes the end of its connection for that of the stream.
+TEST_F(ServerTroubleTest, StreamThatBreaksOffForHttp10_EndsWithAReset) {
+  StartBefore(
+      {.beginning = StreamHead() + Chunk("id: 1\ndata: a\n\n"), .closes = true},
+      /*with_sound_server=*/false);
+  std::string request = standins::CallerRequestBytes(
+      {.id = NextId(), .path = "/stream/a", .key = "k1"});
+  const size_t version = request.find("HTTP/1.1");
+  request.replace(version, 8, "HTTP/1.0");
+  const RawAnswer answer = RawExchange(callers_, request, kWait);
+  EXPECT_THAT(answer.bytes, testing::HasSubstr("data: a"));
+  EXPECT_TRUE(answer.was_reset);
+}
+
 // A stream whose events come slowly, but come, is not cut.
 TEST_F(ServerTroubleTest, SlowButSoundStream_IsNotCut) {
   StartReady();
