One odd entry among those of the servers costs no other

Reported by other operators: one odd entry, and the routers stopped following the list. Shown by OddServerEntries_CostNoOtherServer: a key that is no valid UTF-8 made the whole list of newest records unreadable, so a router that started never became ready. Entries with a port of 0 or with no slots were used as servers.

Deep nesting, numbers too large, ports out of range, names of 200,000 bytes and keys given twice were right before: each is rejected alone.

--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -94,6 +94,50 @@
   store.Put("keyed.servers", id, "");
 }
 
+void PutOddServers(StoreStandin& store, const Endpoint& address) {
+  constexpr int kDeep = 20'000;
+  constexpr size_t kLong = 200'000;
+  const auto entry = [](const std::string& at, const std::string& slots,
+                        const std::string& more) {
+    return absl::Substitute(R"({"service":"engine","address":"$0","zone":"z",
+      "version":"v1","slots":$1,"state":"ready","sequence":1$2})",
+                            at, slots, more);
+  };
+  const std::string at = address.ToString();
+  std::string arrays;
+  for (int i = 0; i < kDeep; ++i)
+    arrays += "[";
+  const std::string entries[] = {
+      "",
+      "no JSON",
+      "null",
+      arrays,
+      entry(at, "8", absl::StrCat(",\"more\":", arrays)),
+      entry(at, "1e400", ""),
+      entry(at, "99999999999999999999999", ""),
+      entry(at, "8.5", ""),
+      entry(at, "-3", ""),
+      entry(at, "8", ",\"born\":1e300"),
+      entry(absl::StrCat(address.address, ":0"), "8", ""),
+      entry(absl::StrCat(address.address, ":65536"), "8", ""),
+      entry(absl::StrCat(address.address, ":-1"), "8", ""),
+      entry(absl::StrCat(address.address, ":4294967297"), "8", ""),
+      entry(absl::StrCat(address.address, ":"), "8", ""),
+      entry(std::string(kLong, '1'), "8", ""),
+      entry(at, "\"8\"", ""),
+      entry("\xff\xfe", "8", ""),
+      R"({"service":")" + std::string(kLong, 'x') + R"("})",
+      R"({"service":"engine","service":"engine","address":["a"]})"};
+  int number = 0;
+  for (const std::string& text : entries) {
+    // Before and after the sound ones in the order of keys.
+    store.Put("keyed.servers", absl::StrCat("a-", number), text);
+    store.Put("keyed.servers", absl::StrCat("z-", number++), text);
+  }
+  store.Put("keyed.servers", "i-\xff\xfe\xc0", entry(at, "8", ""));
+  store.Put("keyed.servers", std::string(255, 'k'), "no JSON");
+}
+
 void PutConfiguration(StoreStandin& store,
                       const StandinConfiguration& configuration) {
   const std::string workspaces = absl::StrJoin(
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -61,6 +61,9 @@
                const Endpoint& address,
                int64_t sequence);
 void DropServer(StoreStandin& store, const std::string& id);
+// Entries among those of the servers that no server wrote. Their servers would
+// be at `address`; no router may use one.
+void PutOddServers(StoreStandin& store, const Endpoint& address);
 
 // A configuration with the routes "/stream/" (resumable, two tries), "/order/"
 // (once at most) and "/lookup/" of one service, for the host "h.example".
--- a/testing/server_trouble_test.cc
+++ b/testing/server_trouble_test.cc
@@ -206,6 +206,27 @@
   }
 }
 
+// Another writer has left them in the store, before the router starts and while
+// it runs.
+TEST_F(ServerTroubleTest, OddServerEntries_CostNoOtherServer) {
+  auto raw = RawServerStandin::Start({.closes = true});
+  ASSERT_TRUE(raw.ok()) << raw.status();
+  raw_ = *std::move(raw);
+  standins::PutOddServers(store_, raw_->local());
+  StartReady();
+  EXPECT_EQ(StatusOf("/order/a"), 200);
+  standins::PutOddServers(store_, raw_->local());
+  standins::DropServer(store_, "i-0");
+  absl::SleepFor(absl::Seconds(1));
+  const size_t runs = replicas_[0]->runs().size();
+  for (int i = 0; i < 10; ++i)
+    EXPECT_EQ(StatusOf("/order/a"), 200);
+  // The list is followed.
+  EXPECT_EQ(replicas_[0]->runs().size(), runs);
+  EXPECT_EQ(raw_->requests(), 0);
+  EXPECT_LT(PeakKilobytes(), kSmallestVmKilobytes);
+}
+
 struct RepeatedRefusalCase {
   const char* name;
   // Sent when the second request on a kept connection was read.
