What routers give back after a restore may be assigned while quotas are uncertain

One router was killed before it had written its records again, so its quota stayed uncertain; the two others were stopped in order later, gave back 700 of 1,000 million tokens, and could not take them again.

Cause: while a quota is uncertain nothing that was given back was assigned again, since before the restore it may have been given out. What a quota that was written in this era gives back is certain. Records carry the quota when the era began (restored), and quotas grow by what others have shrunk, and by what was added to the total. This needs only the records in the store, and replaces the largest quotas seen.

--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -451,9 +451,12 @@
   // Whether this incarnation has lived through a change of the era and has not
   // written a level record since.
   bool NeedsLevelFirst() const;
-  // Takes the quotas known now as those when the store came back.
-  void BeginUncertainty(absl::Duration now);
-  void NoteQuotas(const fb::AuthorityRecordT& record);
+  // What the quotas that were written in this era have become smaller since it
+  // began, less what others have grown by.
+  int64_t GivenBack(const std::string& workspace) const;
+  // The store came back, or this incarnation starts in a store whose quotas may
+  // be uncertain.
+  void BeginRestored(absl::Duration now);
   // What the previous incarnation is charged for one workspace.
   int64_t InheritedTokens(const fb::AuthorityShareT& authority,
                           const fb::LevelShareT& share,
@@ -524,6 +527,9 @@
   absl::Duration settled_at_ = -absl::InfiniteDuration();
   // Computed when needed and cleared when a record or the era changes.
   mutable std::optional<bool> others_certain_;
+  mutable std::map<std::string, int64_t> others_given_back_;
+  // This router's quotas when the era began; keyed by workspace.
+  std::map<std::string, int64_t> restored_quotas_;
   int64_t epoch_ = 0;
   int64_t authority_sequence_ = 0;
   int64_t level_sequence_ = 0;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -49,14 +49,18 @@
 // writes both of its records again, the level first; its quota is certain then.
 // A quota is uncertain as long as its newest record is of an earlier era, and
 // for good (`incomplete`) if an incarnation has ended without writing it again:
-// nobody knows what it was raised to. While any quota is uncertain, and for
-// kSettleTime, nobody raises one by what was not assigned: whatever was lost,
-// all quotas were within the total then, and quotas that are given back may
-// have been given out again (see restored_totals.h). The successor of an
-// incarnation that did not write its records again is charged its whole quota.
-// What a router that nobody has heard of was given is outside the argument: if
-// its first record is lost, it writes one again within kSettleTime, or it was
-// cut off from the store and from all others.
+// nobody knows what it was raised to. Its successor is charged its whole quota,
+// as far as the store knows it.
+//
+// While any quota is uncertain, and for kSettleTime, only this is assigned: what
+// was added to the total since the era began, and what quotas that were written
+// in this era have given back since. Records carry what a router's quota was
+// when the era began (`restored`). All quotas of that time were within the total
+// of that time, whatever was lost. Together they grow by no more than what was
+// added to that total, so all commitments are within the total. A router that
+// nobody has heard of is outside the argument: if its first record is lost, it
+// writes one again within kSettleTime, unless it is cut off from the store and
+// all others.
 //
 // Which routers are holders is not part of the argument. Routers that disagree
 // about it, because one has read an older record, still keep to their quotas.
@@ -109,6 +113,7 @@
   if (!IsNewer(record, known))
     return;
   others_certain_.reset();
+  others_given_back_.clear();
   if (known.has_value())
     AddToSums(*known, -1);
   AddToSums(record, 1);
@@ -120,7 +125,6 @@
 }
 
 void TotalsBook::ApplyAuthority(fb::AuthorityRecordT record) {
-  NoteQuotas(record);
   ApplyOther(&RouterRecords::authority, std::move(record));
 }
 
@@ -204,8 +208,9 @@
   incomplete_ = previous.authority.has_value() ? !IsQuotaCertain(previous)
                                                : previous.level.has_value();
   // Living routers may not have written their records again.
-  if (incomplete_ || !AreQuotasCertain(start.read_at))
-    BeginUncertainty(start.read_at);
+  BeginRestored(start.read_at);
+  if (!incomplete_ && AreOtherQuotasCertain())
+    settled_at_ = -absl::InfiniteDuration();
   if (!previous.authority.has_value())
     return {};
   durable_authority_ = previous.authority;
@@ -223,6 +228,7 @@
   for (auto& authority : durable_authority_->shares) {
     const fb::LevelShareT* share = FindShare(level, authority->workspace);
     if (share == nullptr && !incomplete_) {
+      restored_quotas_[authority->workspace] = authority->restored;
       authority->tokens = 0;
       continue;
     }
@@ -230,6 +236,10 @@
         share == nullptr
             ? authority->tokens
             : InheritedTokens(*authority, *share, previous, record_age);
+    restored_quotas_[authority->workspace] =
+        incomplete_ && EraOf(previous.authority->epoch) < era_
+            ? charged
+            : authority->restored;
     UsageOf(authority->workspace).committed += charged;
     inherited.push_back({.workspace = authority->workspace,
                          .recorded = share == nullptr ? 0 : share->committed,
@@ -264,6 +274,7 @@
     return;
   era_ = era;
   others_certain_.reset();
+  others_given_back_.clear();
   if (!started_)
     return;
   // Others may rely on the smaller one of the two.
@@ -277,28 +288,19 @@
   authority_sequence_ = 0;
   level_sequence_ = 0;
   carried_over_ = true;
-  BeginUncertainty(now);
+  restored_quotas_.clear();
+  if (durable_authority_.has_value()) {
+    for (const auto& share : durable_authority_->shares)
+      restored_quotas_[share->workspace] = share->tokens;
+  }
+  BeginRestored(now);
 }
 
-void TotalsBook::BeginUncertainty(absl::Duration now) {
+void TotalsBook::BeginRestored(absl::Duration now) {
   settled_at_ = now + kSettleTime;
   restored_.Begin(now);
-  for (const auto& [router, records] : other_routers_) {
-    if (records.authority.has_value())
-      NoteQuotas(*records.authority);
-  }
-  if (durable_authority_.has_value())
-    NoteQuotas(*durable_authority_);
   for (const auto& [workspace, total] : totals_)
     restored_.NoteTotal(workspace, total, now);
-  restored_.EndOfBase();
-}
-
-void TotalsBook::NoteQuotas(const fb::AuthorityRecordT& record) {
-  if (settled_at_ == -absl::InfiniteDuration())
-    return;
-  for (const auto& share : record.shares)
-    restored_.NoteQuota(record.router, share->workspace, share->tokens);
 }
 
 bool TotalsBook::IsQuotaCertain(const RouterRecords& records) const {
@@ -334,8 +336,22 @@
                              DurableAuthority(workspace);
   if (AreQuotasCertain(now))
     return unassigned;
-  return std::min(unassigned,
-                  restored_.Assignable(workspace, TotalOf(workspace)));
+  const int64_t added = TotalOf(workspace) - restored_.TotalThen(workspace);
+  return std::min(unassigned, added + GivenBack(workspace));
+}
+
+int64_t TotalsBook::GivenBack(const std::string& workspace) const {
+  const auto [found, is_new] = others_given_back_.try_emplace(workspace, 0);
+  if (is_new) {
+    for (const auto& [router, records] : other_routers_) {
+      const auto* share = FindShare(records.authority, workspace);
+      if (share != nullptr && EraOf(records.authority->epoch) == era_)
+        found->second += share->restored - share->tokens;
+    }
+  }
+  const auto own = restored_quotas_.find(workspace);
+  const int64_t own_then = own == restored_quotas_.end() ? 0 : own->second;
+  return found->second + own_then - DurableAuthority(workspace);
 }
 
 bool TotalsBook::NeedsLevelFirst() const {
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -70,6 +70,7 @@
   std::string workspace{};
   int64_t tokens = 0;
   int64_t demand = 0;
+  int64_t restored = 0;
 };
 
 struct AuthorityShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -79,7 +80,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WORKSPACE = 4,
     VT_TOKENS = 6,
-    VT_DEMAND = 8
+    VT_DEMAND = 8,
+    VT_RESTORED = 10
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -90,12 +92,16 @@
   int64_t demand() const {
     return GetField<int64_t>(VT_DEMAND, 0);
   }
+  int64_t restored() const {
+    return GetField<int64_t>(VT_RESTORED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
            verifier.VerifyString(workspace()) &&
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_DEMAND, 8) &&
+           VerifyField<int64_t>(verifier, VT_RESTORED, 8) &&
            verifier.EndTable();
   }
   AuthorityShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -116,6 +122,9 @@
   void add_demand(int64_t demand) {
     fbb_.AddElement<int64_t>(AuthorityShare::VT_DEMAND, demand, 0);
   }
+  void add_restored(int64_t restored) {
+    fbb_.AddElement<int64_t>(AuthorityShare::VT_RESTORED, restored, 0);
+  }
   explicit AuthorityShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -131,8 +140,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
     int64_t tokens = 0,
-    int64_t demand = 0) {
+    int64_t demand = 0,
+    int64_t restored = 0) {
   AuthorityShareBuilder builder_(_fbb);
+  builder_.add_restored(restored);
   builder_.add_demand(demand);
   builder_.add_tokens(tokens);
   builder_.add_workspace(workspace);
@@ -148,13 +159,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *workspace = nullptr,
     int64_t tokens = 0,
-    int64_t demand = 0) {
+    int64_t demand = 0,
+    int64_t restored = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return hawthornhollow::fb::CreateAuthorityShare(
       _fbb,
       workspace__,
       tokens,
-      demand);
+      demand,
+      restored);
 }
 
 flatbuffers::Offset<AuthorityShare> CreateAuthorityShare(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1016,7 +1029,8 @@
   return
       (lhs.workspace == rhs.workspace) &&
       (lhs.tokens == rhs.tokens) &&
-      (lhs.demand == rhs.demand);
+      (lhs.demand == rhs.demand) &&
+      (lhs.restored == rhs.restored);
 }
 
 inline bool operator!=(const AuthorityShareT &lhs, const AuthorityShareT &rhs) {
@@ -1036,6 +1050,7 @@
   { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
   { auto _e = tokens(); _o->tokens = _e; }
   { auto _e = demand(); _o->demand = _e; }
+  { auto _e = restored(); _o->restored = _e; }
 }
 
 inline flatbuffers::Offset<AuthorityShare> AuthorityShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1049,11 +1064,13 @@
   auto _workspace = _o->workspace.empty() ? 0 : _fbb.CreateString(_o->workspace);
   auto _tokens = _o->tokens;
   auto _demand = _o->demand;
+  auto _restored = _o->restored;
   return hawthornhollow::fb::CreateAuthorityShare(
       _fbb,
       _workspace,
       _tokens,
-      _demand);
+      _demand,
+      _restored);
 }
 
 
--- a/hawthornhollow/totals/totals_records.cc
+++ b/hawthornhollow/totals/totals_records.cc
@@ -86,7 +86,10 @@
     share->workspace = workspace;
     share->tokens = TargetAuthority(workspace, usage, now);
     share->demand = static_cast<int64_t>(OwnDemand(usage, now));
-    if (share->tokens != 0 || share->demand != 0)
+    const auto restored = restored_quotas_.find(workspace);
+    if (restored != restored_quotas_.end())
+      share->restored = restored->second;
+    if (share->tokens != 0 || share->demand != 0 || share->restored != 0)
       record.shares.push_back(std::move(share));
   }
   pending_authority_ = record;
@@ -97,7 +100,6 @@
   durable_authority_ = std::move(pending_authority_);
   pending_authority_.reset();
   is_authority_replaced_ = false;
-  NoteQuotas(*durable_authority_);
 }
 
 void TotalsBook::OnAuthorityRefused() {
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -3,6 +3,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <set>
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
@@ -76,6 +77,22 @@
   ++era_;
 }
 
+bool StoreStandin::has_copy() const {
+  const std::lock_guard lock(mutex_);
+  return !copied_topics_.empty();
+}
+
+size_t StoreStandin::router_count() const {
+  const std::lock_guard lock(mutex_);
+  const auto found = topics_.find("keyed.levels");
+  std::set<std::string> keys;
+  if (found != topics_.end()) {
+    for (const Record& record : found->second)
+      keys.insert(record.key);
+  }
+  return keys.size();
+}
+
 HttpHeaders StoreStandin::EraHeader() const {
   const std::lock_guard lock(mutex_);
   return {{"Store-Era", std::to_string(era_)}};
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -35,6 +35,9 @@
   // lost, its offsets are given out again, and the era is one higher.
   void TakeCopy();
   void Restore();
+  bool has_copy() const;
+  // Keys in the topic of the routers' level records.
+  size_t router_count() const;
 
  private:
   struct Record {
--- a/testing/soak/fault_plan.cc
+++ b/testing/soak/fault_plan.cc
@@ -8,6 +8,7 @@
 
 constexpr absl::Duration kShortest = absl::Milliseconds(100);
 constexpr absl::Duration kLongest = absl::Seconds(4);
+constexpr absl::Duration kLongestRestore = absl::Seconds(1);
 // A series strikes the same kind of thing again shortly after.
 constexpr double kSeriesChance = 0.3;
 constexpr absl::Duration kSeriesGap = absl::Milliseconds(400);
@@ -24,7 +25,8 @@
       "server_cut",           "server_refuses",
       "server_fails",         "server_breaks_streams",
       "server_loses_answers", "server_slow",
-      "server_unlisted",      "config_changed"};
+      "server_unlisted",      "config_changed",
+      "store_restored"};
   return kNames[static_cast<int>(kind)];
 }
 
@@ -43,7 +45,7 @@
     } else {
       fault.at = up_to(options.duration);
       fault.kind = static_cast<FaultKind>(
-          std::uniform_int_distribution<int>(0, kFaultKinds - 1)(random));
+          std::uniform_int_distribution<int>(0, kDrawnKinds - 1)(random));
     }
     fault.at = std::min(fault.at, options.duration);
     fault.target = random() % (options.routers * options.servers);
@@ -51,6 +53,13 @@
         std::min(kShortest + up_to(kLongest), options.duration - fault.at);
     plan.push_back(fault);
   }
+  for (int i = 0; i < options.restores; ++i) {
+    const absl::Duration at = up_to(options.duration);
+    plan.push_back(
+        {.at = at,
+         .lasts = std::min(up_to(kLongestRestore), options.duration - at),
+         .kind = FaultKind::kStoreRestored});
+  }
   std::stable_sort(plan.begin(), plan.end(),
                    [](const Fault& a, const Fault& b) { return a.at < b.at; });
   return plan;
--- a/testing/soak/fault_plan.h
+++ b/testing/soak/fault_plan.h
@@ -31,8 +31,11 @@
   kServerSlow,
   kServerUnlisted,  // its entry is gone, and comes back at the end
   kConfigChanged,   // a top-up, and another version
+  kStoreRestored,   // away, and back from a copy of some seconds before
 };
-constexpr int kFaultKinds = static_cast<int>(FaultKind::kConfigChanged) + 1;
+// Those that are drawn for each fault; restores are drawn apart from them.
+constexpr int kDrawnKinds = static_cast<int>(FaultKind::kConfigChanged) + 1;
+constexpr int kFaultKinds = kDrawnKinds + 1;
 std::string_view NameOf(FaultKind kind);
 
 struct Fault {
@@ -48,6 +51,7 @@
   size_t routers = 3;
   size_t servers = 3;
   double faults_per_second = 1.5;
+  int restores = 0;  // of the store, besides
 };
 
 // In the order of their beginnings; all have ended by the duration.
--- a/testing/soak/promises_test.cc
+++ b/testing/soak/promises_test.cc
@@ -87,7 +87,7 @@
 
 TEST(FaultPlanTest, PlansOfManySeeds_EndInTimeAndUseEveryKind) {
   std::set<FaultKind> kinds;
-  const PlanOptions options;
+  const PlanOptions options{.restores = 1};
   for (uint64_t seed = 1; seed <= 50; ++seed) {
     const std::vector<Fault> plan = DrawPlan(seed, options);
     EXPECT_EQ(plan, DrawPlan(seed, options));
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -26,6 +26,7 @@
   int jobs = 1;
   int seconds = 10;
   int routers = 3;
+  int restores = 0;
   char* folder = nullptr;
   char* entry = nullptr;
 };
@@ -40,6 +41,7 @@
       .folder = folder};
   options.plan.duration = absl::Seconds(arguments.seconds);
   options.plan.routers = static_cast<size_t>(arguments.routers);
+  options.plan.restores = arguments.restores;
   const SoakResult result = RunSoak(options);
   const std::lock_guard lock(output);
   std::printf("seed %d: %zu faults, %lld requests, %lld answered, %lld refused",
@@ -83,6 +85,8 @@
       {"seconds", 's', POPT_ARG_INT, &arguments.seconds, 0,
        "how long faults come", "N"},
       {"routers", 'r', POPT_ARG_INT, &arguments.routers, 0, "processes", "N"},
+      {"restores", 'o', POPT_ARG_INT, &arguments.restores, 0,
+       "how often the store comes back from an older copy", "N"},
       {"folder", 'd', POPT_ARG_STRING, &arguments.folder, 0,
        "where logs of broken runs are kept", "FOLDER"},
       {"entry", 'e', POPT_ARG_STRING, &arguments.entry, 0,
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -75,6 +75,7 @@
       for (; next < plan.size() && plan[next].at <= now; ++next)
         Begin(plan[next]);
       EndDue(now);
+      CopyStore();
       Tick();
       absl::SleepFor(kTick);
     }
@@ -105,9 +106,10 @@
                         ++sequence_);
   }
 
+  // The newest version, perhaps once more.
   void PutConfiguration() {
     standins::PutConfiguration(
-        store_, {.version = ++version_,
+        store_, {.version = version_,
                  .tokens_per_event = kTokensPerEvent,
                  .order_attempts = 2,
                  .workspaces = {{.name = kScarce,
@@ -147,6 +149,7 @@
         return standins::DropServer(store_, ServerOf(fault).id);
       case FaultKind::kConfigChanged:
         total_ += kTopUp;
+        ++version_;
         return PutConfiguration();
       default:
         return Apply();
@@ -161,11 +164,34 @@
         RouterOf(fault).Continue();
       if (fault.kind == FaultKind::kServerUnlisted)
         PutServer(ServerOf(fault));
+      if (fault.kind == FaultKind::kStoreRestored)
+        RestoreStore();
       return true;
     });
     Apply();
   }
 
+  // What the operator and the servers wrote is written again.
+  void RestoreStore() {
+    if (!store_.has_copy())
+      return;
+    store_.Restore();
+    PutConfiguration();
+    for (size_t i = 0; i < servers_.size(); ++i) {
+      if (!IsOpen(FaultKind::kServerUnlisted, i, servers_.size()))
+        PutServer(servers_[i]);
+    }
+  }
+
+  // A copy holds a record of each router.
+  void CopyStore() {
+    constexpr absl::Duration kCopyInterval = absl::Seconds(4);
+    if (absl::Now() < next_copy_ || store_.router_count() < routers_.size())
+      return;
+    store_.TakeCopy();
+    next_copy_ = absl::Now() + kCopyInterval;
+  }
+
   bool IsOpen(FaultKind kind, size_t number, size_t count) const {
     return std::any_of(open_.begin(), open_.end(), [&](const Fault& fault) {
       return fault.kind == kind && fault.target % count == number;
@@ -174,7 +200,8 @@
 
   // Brings links and servers into the state that the open faults ask for.
   void Apply() {
-    store_.SetOutage(IsOpen(FaultKind::kStoreOutage, 0, 1));
+    store_.SetOutage(IsOpen(FaultKind::kStoreOutage, 0, 1) ||
+                     IsOpen(FaultKind::kStoreRestored, 0, 1));
     for (size_t i = 0; i < store_links_.size(); ++i) {
       const auto is_open = [&](FaultKind kind) {
         return IsOpen(kind, i, store_links_.size());
@@ -286,7 +313,8 @@
   std::vector<Fault> open_;
   std::vector<std::string> broken_;
   int64_t total_ = kFirstTotal;
-  int64_t version_ = 0;
+  int64_t version_ = 1;
+  absl::Time next_copy_;
   int64_t sequence_ = 0;
 };
 
--- a/testing/soak/soak_test.cc
+++ b/testing/soak/soak_test.cc
@@ -8,26 +8,40 @@
 
 #include <filesystem>
 
+#include "absl/strings/str_cat.h"
+
 namespace hawthornhollow::soak {
 namespace {
 
-class SoakTest : public testing::TestWithParam<uint64_t> {};
+class SoakTest : public testing::TestWithParam<uint64_t> {
+ protected:
+  // Routers' logs are left in a folder that is named by the seed.
+  static SoakResult Play(int restores) {
+    const std::string folder =
+        absl::StrCat(testing::TempDir(), "/soak-", GetParam(), "-", restores);
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    SoakOptions options{.seed = GetParam(), .entry = ENTRY, .folder = folder};
+    options.plan.duration = absl::Seconds(8);
+    options.plan.restores = restores;
+    return RunSoak(options);
+  }
+};
 
 TEST_P(SoakTest, RoutersUnderFaults_KeepTheirPromises) {
-  const std::string folder =
-      testing::TempDir() + "/soak-" + std::to_string(GetParam());
-  std::filesystem::remove_all(folder);
-  std::filesystem::create_directories(folder);
-  SoakOptions options{.seed = GetParam(), .entry = ENTRY, .folder = folder};
-  options.plan.duration = absl::Seconds(8);
-  const SoakResult result = RunSoak(options);
-  EXPECT_THAT(result.broken, testing::IsEmpty()) << "logs in " << folder;
+  const SoakResult result = Play(/*restores=*/0);
+  EXPECT_THAT(result.broken, testing::IsEmpty());
   // A run in which hardly anything is answered says little.
   EXPECT_GT(result.answered, 50);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, SoakTest, testing::Values(1, 2, 3));
 
+// The store comes back from an older copy, twice.
+TEST_P(SoakTest, StoreRestored_RoutersKeepTheirPromises) {
+  EXPECT_THAT(Play(/*restores=*/2).broken, testing::IsEmpty());
+}
+
 // 41007: SIGHUP while the process was exiting ended it by the signal.
 // 41050: so did one just after it had begun to listen.
 INSTANTIATE_TEST_SUITE_P(FailedBefore, SoakTest, testing::Values(41007, 41050));
