--- /dev/null
+++ b/hawthornhollow/relay/peer_codec.cc
@@ -0,0 +1,108 @@
+#include "hawthornhollow/relay/peer_codec_internal.h"
+
+#include <cmath>
+#include <memory>
+#include <utility>
+
+#include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/boot_clock.h"
+#include "hawthornhollow/totals/message_bytes.h"
+
+namespace hawthornhollow {
+
+fb::StoredRecordT EncodeRecord(const StoredValue& stored) {
+  fb::StoredRecordT record;
+  record.key = stored.key;
+  record.offset = stored.offset;
+  record.value.assign(stored.value.begin(), stored.value.end());
+  return record;
+}
+
+StoredValue DecodeRecord(const fb::StoredRecordT& record) {
+  return {.key = record.key,
+          .value = std::string(record.value.begin(), record.value.end()),
+          .offset = record.offset};
+}
+
+fb::QuarantineRecordT EncodePart(const QuarantinedPart& part) {
+  fb::QuarantineRecordT record;
+  record.part = part.part;
+  record.crashes = part.crashes;
+  record.until_us =
+      absl::ToUnixMicros(TimeOfDayNow() + (part.until - SteadyNow()));
+  return record;
+}
+
+QuarantinedPart DecodePart(const fb::QuarantineRecordT& record) {
+  return {.part = record.part,
+          .crashes = record.crashes,
+          .until = SteadyNow() +
+                   (absl::FromUnixMicros(record.until_us) - TimeOfDayNow())};
+}
+
+fb::ServerLimitT EncodeLimit(const ServerLimitStatement& statement) {
+  fb::ServerLimitT limit;
+  limit.server = statement.server;
+  limit.requests_per_second = statement.requests_per_second.value_or(0);
+  limit.age_us = absl::ToInt64Microseconds(SteadyNow() - statement.as_of);
+  return limit;
+}
+
+// The message may have been on its way for a while. A limit is taken to be as
+// new as it may be, and its end as old, so that no limit ends too early.
+absl::StatusOr<ServerLimitStatement> DecodeLimit(const fb::ServerLimitT& limit,
+                                                 std::string_view peer) {
+  if (!std::isfinite(limit.requests_per_second) ||
+      limit.requests_per_second < 0) {
+    return ErrorAt(absl::StatusCode::kInvalidArgument, "peer.limit", peer,
+                   "requests_per_second: is no number from zero on");
+  }
+  ServerLimitStatement statement{
+      .server = limit.server,
+      .as_of = SteadyNow() - absl::Microseconds(limit.age_us)};
+  if (limit.requests_per_second > 0)
+    statement.requests_per_second = limit.requests_per_second;
+  else
+    statement.as_of -= kPeerCallTimeout;
+  return statement;
+}
+
+fb::ServerLimitListT EncodeLimits(
+    const std::vector<ServerLimitStatement>& statements) {
+  fb::ServerLimitListT list;
+  for (const ServerLimitStatement& statement : statements) {
+    list.limits.push_back(
+        std::make_unique<fb::ServerLimitT>(EncodeLimit(statement)));
+  }
+  return list;
+}
+
+absl::StatusOr<std::vector<ServerLimitStatement>> DecodeLimits(
+    std::string_view bytes,
+    std::string_view peer) {
+  const auto list = DecodeMessage<fb::ServerLimitList>(bytes, peer);
+  if (!list.ok())
+    return list.status();
+  std::vector<ServerLimitStatement> statements;
+  for (const auto& limit : list->limits) {
+    auto statement = DecodeLimit(*limit, peer);
+    if (!statement.ok())
+      return statement.status();
+    statements.push_back(*std::move(statement));
+  }
+  return statements;
+}
+
+std::string EncodeQuarantine(const QuarantinedPart& part) {
+  return EncodeMessage<fb::QuarantineRecord>(EncodePart(part));
+}
+
+absl::StatusOr<QuarantinedPart> DecodeQuarantine(const StoredValue& record) {
+  const auto decoded =
+      DecodeMessage<fb::QuarantineRecord>(record.value, record.key);
+  if (!decoded.ok())
+    return decoded.status();
+  return DecodePart(*decoded);
+}
+
+}  // namespace hawthornhollow
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -1,6 +1,7 @@
+// The side of the router that answers.
+
 #include "hawthornhollow/relay/peer_service.h"
 
-#include <cmath>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -8,54 +9,13 @@
 #include "absl/strings/numbers.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
-#include "hawthornhollow/relay/peer_messages_generated.h"
+#include "hawthornhollow/relay/peer_codec_internal.h"
 #include "hawthornhollow/totals/message_bytes.h"
 #include "hawthornhollow/totals/totals_generated.h"
 
 namespace hawthornhollow {
 namespace {
 
-constexpr char kTransferTarget[] = "/transfer";
-constexpr char kReturnTarget[] = "/return";
-constexpr char kTimeTarget[] = "/time-of-day";
-constexpr char kConfigurationTarget[] = "/configuration";
-constexpr char kServersTarget[] = "/servers";
-constexpr char kCrashTarget[] = "/server-crash";
-constexpr char kSoundTarget[] = "/sound-parts";
-constexpr char kQuarantineTarget[] = "/quarantine";
-constexpr char kPermitTarget[] = "/server-permit";
-constexpr char kLimitsTarget[] = "/server-limits";
-constexpr char kVersionParameter[] = "version";
-constexpr char kEraParameter[] = "era";
-constexpr char kOffsetParameter[] = "after";
-constexpr absl::Duration kPeerCallTimeout = absl::Milliseconds(150);
-// A request waits for the answer.
-constexpr absl::Duration kPermitTimeout = absl::Milliseconds(100);
-constexpr int kOk = 200;
-constexpr int kNoContent = 204;
-
-// Sends a request to another router and returns the body of its answer.
-absl::StatusOr<std::string> Ask(HttpClient& client,
-                                const std::string& address,
-                                HttpRequest question,
-                                absl::Duration timeout = kPeerCallTimeout) {
-  const auto endpoint = Endpoint::Parse(address);
-  if (!endpoint.ok())
-    return endpoint.status();
-  auto response = client.Call(*endpoint, question, timeout);
-  if (!response.ok())
-    return response.status();
-  if (response->status == kNoContent) {
-    return ErrorAt(absl::StatusCode::kNotFound, "peer.ask", address,
-                   "nothing newer");
-  }
-  if (response->status != kOk) {
-    return ErrorAt(absl::StatusCode::kUnavailable, "peer.ask", address,
-                   "status " + std::to_string(response->status));
-  }
-  return std::move(response->body);
-}
-
 void SendTimeOfDay(ResponseWriter& writer) {
   fb::TimeOfDayT time_of_day;
   time_of_day.unix_us = absl::ToUnixMicros(TimeOfDayNow());
@@ -131,20 +91,6 @@
   return std::nullopt;
 }
 
-fb::StoredRecordT EncodeRecord(const StoredValue& stored) {
-  fb::StoredRecordT record;
-  record.key = stored.key;
-  record.offset = stored.offset;
-  record.value.assign(stored.value.begin(), stored.value.end());
-  return record;
-}
-
-StoredValue DecodeRecord(const fb::StoredRecordT& record) {
-  return {.key = record.key,
-          .value = std::string(record.value.begin(), record.value.end()),
-          .offset = record.offset};
-}
-
 void ServeConfiguration(const HttpRequest& request,
                         const PeerHandlers& handlers,
                         ResponseWriter& writer) {
@@ -217,23 +163,6 @@
   writer.Send({}).IgnoreError();
 }
 
-// Steady times are not comparable between VMs.
-fb::QuarantineRecordT EncodePart(const QuarantinedPart& part) {
-  fb::QuarantineRecordT record;
-  record.part = part.part;
-  record.crashes = part.crashes;
-  record.until_us =
-      absl::ToUnixMicros(TimeOfDayNow() + (part.until - SteadyNow()));
-  return record;
-}
-
-QuarantinedPart DecodePart(const fb::QuarantineRecordT& record) {
-  return {.part = record.part,
-          .crashes = record.crashes,
-          .until = SteadyNow() +
-                   (absl::FromUnixMicros(record.until_us) - TimeOfDayNow())};
-}
-
 void ServeQuarantine(const PeerHandlers& handlers, ResponseWriter& writer) {
   fb::QuarantineListT list;
   for (const QuarantinedPart& part : handlers.quarantine()) {
@@ -243,60 +172,6 @@
   writer.Send({.body = EncodeMessage<fb::QuarantineList>(list)}).IgnoreError();
 }
 
-// Steady times are not comparable between VMs.
-fb::ServerLimitT EncodeLimit(const ServerLimitStatement& statement) {
-  fb::ServerLimitT limit;
-  limit.server = statement.server;
-  limit.requests_per_second = statement.requests_per_second.value_or(0);
-  limit.age_us = absl::ToInt64Microseconds(SteadyNow() - statement.as_of);
-  return limit;
-}
-
-// The message may have been on its way for a while. A limit is taken to be as
-// new as it may be, and its end as old, so that no limit ends too early.
-absl::StatusOr<ServerLimitStatement> DecodeLimit(const fb::ServerLimitT& limit,
-                                                 std::string_view peer) {
-  if (!std::isfinite(limit.requests_per_second) ||
-      limit.requests_per_second < 0) {
-    return ErrorAt(absl::StatusCode::kInvalidArgument, "peer.limit", peer,
-                   "requests_per_second: is no number from zero on");
-  }
-  ServerLimitStatement statement{
-      .server = limit.server,
-      .as_of = SteadyNow() - absl::Microseconds(limit.age_us)};
-  if (limit.requests_per_second > 0)
-    statement.requests_per_second = limit.requests_per_second;
-  else
-    statement.as_of -= kPeerCallTimeout;
-  return statement;
-}
-
-fb::ServerLimitListT EncodeLimits(
-    const std::vector<ServerLimitStatement>& statements) {
-  fb::ServerLimitListT list;
-  for (const ServerLimitStatement& statement : statements) {
-    list.limits.push_back(
-        std::make_unique<fb::ServerLimitT>(EncodeLimit(statement)));
-  }
-  return list;
-}
-
-absl::StatusOr<std::vector<ServerLimitStatement>> DecodeLimits(
-    std::string_view bytes,
-    std::string_view peer) {
-  const auto list = DecodeMessage<fb::ServerLimitList>(bytes, peer);
-  if (!list.ok())
-    return list.status();
-  std::vector<ServerLimitStatement> statements;
-  for (const auto& limit : list->limits) {
-    auto statement = DecodeLimit(*limit, peer);
-    if (!statement.ok())
-      return statement.status();
-    statements.push_back(*std::move(statement));
-  }
-  return statements;
-}
-
 void ServePermit(const HttpRequest& request,
                  const PeerHandlers& handlers,
                  ResponseWriter& writer) {
@@ -341,200 +216,6 @@
 
 }  // namespace
 
-absl::StatusOr<TransferAnswer> AskPeerForTokens(
-    HttpClient& client,
-    const std::string& address,
-    const TransferQuestion& question) {
-  fb::TokensWantedT wanted;
-  wanted.workspace = question.workspace;
-  wanted.tokens = question.wanted;
-  wanted.needed = question.needed;
-  wanted.waiting = question.waiting;
-  wanted.router = question.router;
-  wanted.demand = question.demand;
-  const auto body = Ask(client, address,
-                        {.method = "POST",
-                         .target = kTransferTarget,
-                         .body = EncodeMessage<fb::TokensWanted>(wanted)});
-  if (!body.ok())
-    return body.status();
-  const auto given = DecodeMessage<fb::TokensGiven>(*body, address);
-  if (!given.ok())
-    return given.status();
-  return TransferAnswer{.tokens = given->tokens, .left = given->left};
-}
-
-absl::Status HandTokensToPeer(HttpClient& client,
-                              const std::string& address,
-                              const std::string& workspace,
-                              int64_t tokens) {
-  fb::TokensReturnedT returned;
-  returned.workspace = workspace;
-  returned.tokens = tokens;
-  return Ask(client, address,
-             {.method = "POST",
-              .target = kReturnTarget,
-              .body = EncodeMessage<fb::TokensReturned>(returned)})
-      .status();
-}
-
-absl::StatusOr<absl::Time> AskPeerTimeOfDay(HttpClient& client,
-                                            const std::string& address) {
-  const auto body = Ask(client, address, {.target = kTimeTarget});
-  if (!body.ok())
-    return body.status();
-  const auto shown = DecodeMessage<fb::TimeOfDay>(*body, address);
-  if (!shown.ok())
-    return shown.status();
-  return absl::FromUnixMicros(shown->unix_us);
-}
-
-absl::StatusOr<StoredValue> AskPeerForConfiguration(HttpClient& client,
-                                                    const std::string& address,
-                                                    int64_t version) {
-  const auto body =
-      Ask(client, address,
-          {.target = std::string(kConfigurationTarget) + "?" +
-                     kVersionParameter + "=" + std::to_string(version)});
-  if (!body.ok())
-    return body.status();
-  const auto record = DecodeMessage<fb::StoredRecord>(*body, address);
-  if (!record.ok())
-    return record.status();
-  return DecodeRecord(*record);
-}
-
-absl::StatusOr<ServersReport> AskPeerForServers(HttpClient& client,
-                                                const std::string& address,
-                                                const StorePosition& known) {
-  const absl::Time asked = SteadyNow();
-  const auto body =
-      Ask(client, address,
-          {.target = std::string(kServersTarget) + "?" + kEraParameter + "=" +
-                     std::to_string(known.era) + "&" + kOffsetParameter + "=" +
-                     std::to_string(known.offset)});
-  if (!body.ok())
-    return body.status();
-  const auto entries = DecodeMessage<fb::ServerEntries>(*body, address);
-  if (!entries.ok())
-    return entries.status();
-  // The answer was made between the question and now; neither time is taken to
-  // be better than it is.
-  ServersReport report{
-      .position = {.era = entries->era, .offset = entries->end},
-      .reading = {.last = asked - absl::Microseconds(entries->age_us),
-                  .unbroken_since =
-                      SteadyNow() - absl::Microseconds(entries->unbroken_us)},
-      .keys = entries->keys};
-  for (const auto& record : entries->records)
-    report.records.push_back(DecodeRecord(*record));
-  return report;
-}
-
-absl::Status ReportCrashToPeer(HttpClient& client,
-                               const std::string& address,
-                               const ServerCrash& crash) {
-  fb::CrashReportT report;
-  report.server = crash.server;
-  report.parts = crash.parts;
-  return Ask(client, address,
-             {.method = "POST",
-              .target = kCrashTarget,
-              .body = EncodeMessage<fb::CrashReport>(report)})
-      .status();
-}
-
-absl::Status ReportSoundToPeer(HttpClient& client,
-                               const std::string& address,
-                               const std::vector<std::string>& parts) {
-  fb::SoundReportT report;
-  report.parts = parts;
-  return Ask(client, address,
-             {.method = "POST",
-              .target = kSoundTarget,
-              .body = EncodeMessage<fb::SoundReport>(report)})
-      .status();
-}
-
-absl::StatusOr<std::vector<QuarantinedPart>> AskPeerForQuarantine(
-    HttpClient& client,
-    const std::string& address) {
-  const auto body = Ask(client, address, {.target = kQuarantineTarget});
-  if (!body.ok())
-    return body.status();
-  const auto list = DecodeMessage<fb::QuarantineList>(*body, address);
-  if (!list.ok())
-    return list.status();
-  std::vector<QuarantinedPart> parts;
-  for (const auto& record : list->parts)
-    parts.push_back(DecodePart(*record));
-  return parts;
-}
-
-absl::StatusOr<PermitAnswer> AskPeerForPermit(HttpClient& client,
-                                              const std::string& address,
-                                              const PermitQuestion& question) {
-  fb::PermitWantedT wanted;
-  wanted.router = question.router;
-  wanted.urgency = question.urgency;
-  wanted.limit =
-      std::make_unique<fb::ServerLimitT>(EncodeLimit(question.statement));
-  const auto body = Ask(client, address,
-                        {.method = "POST",
-                         .target = kPermitTarget,
-                         .body = EncodeMessage<fb::PermitWanted>(wanted)},
-                        kPermitTimeout);
-  if (!body.ok())
-    return body.status();
-  const auto answer = DecodeMessage<fb::PermitAnswer>(*body, address);
-  if (!answer.ok())
-    return answer.status();
-  if (answer->limit == nullptr) {
-    return ErrorAt(absl::StatusCode::kDataLoss, "peer.permit", address,
-                   "limit: is missing");
-  }
-  auto statement = DecodeLimit(*answer->limit, address);
-  if (!statement.ok())
-    return statement.status();
-  return PermitAnswer{
-      .permit = {.granted = answer->granted,
-                 .retry_after = absl::Microseconds(answer->retry_after_us)},
-      .statement = *std::move(statement)};
-}
-
-absl::Status TellPeerOfLimits(
-    HttpClient& client,
-    const std::string& address,
-    const std::vector<ServerLimitStatement>& statements) {
-  return Ask(client, address,
-             {.method = "POST",
-              .target = kLimitsTarget,
-              .body =
-                  EncodeMessage<fb::ServerLimitList>(EncodeLimits(statements))})
-      .status();
-}
-
-absl::StatusOr<std::vector<ServerLimitStatement>> AskPeerForLimits(
-    HttpClient& client,
-    const std::string& address) {
-  const auto body = Ask(client, address, {.target = kLimitsTarget});
-  if (!body.ok())
-    return body.status();
-  return DecodeLimits(*body, address);
-}
-
-std::string EncodeQuarantine(const QuarantinedPart& part) {
-  return EncodeMessage<fb::QuarantineRecord>(EncodePart(part));
-}
-
-absl::StatusOr<QuarantinedPart> DecodeQuarantine(const StoredValue& record) {
-  const auto decoded =
-      DecodeMessage<fb::QuarantineRecord>(record.value, record.key);
-  if (!decoded.ok())
-    return decoded.status();
-  return DecodePart(*decoded);
-}
-
 void ServePeer(const HttpRequest& request,
                const PeerHandlers& handlers,
                ResponseWriter& writer) {
