--- a/hawthornhollow/relay/server_limits_controller.h
+++ b/hawthornhollow/relay/server_limits_controller.h
@@ -9,6 +9,7 @@
 //   if (controller.IsLimited(server) && !controller.Acquire(server, urgency))
 //     ChooseAnotherServer();
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -31,6 +32,8 @@
   absl::Duration tell_interval = absl::Milliseconds(50);
   // A granter that did not answer is not asked again for this time.
   absl::Duration ask_pause = absl::Milliseconds(400);
+  // Callers whose requests were denied come back after this time at least.
+  absl::Duration min_retry_after = absl::Milliseconds(50);
 };
 
 // What ServerLimitsController needs of its router.
@@ -107,7 +110,7 @@
                             limits_.BlockedUntil(server, urgency, now) - now);
       }
     }
-    return earliest;
+    return std::max(earliest, options_.min_retry_after);
   }
 
   // Obtains a permit for one request to a limited server, asking its granter if
