A successor's epoch is later than that of a router that lived into the era

A router that lives through a restore writes its level record in the era's first epoch; its successor, if it was killed before, began with the same one, and a late level record of the dead one would have been taken for its own. Found by reading; SuccessorOfARouterThatLivedOn_HasALaterEpoch.

--- a/hawthornhollow/totals/store_era_test.cc
+++ b/hawthornhollow/totals/store_era_test.cc
@@ -154,6 +154,16 @@
   EXPECT_TRUE(next.MakeAuthority(absl::ZeroDuration()).incomplete);
 }
 
+// Its predecessor's level record may take effect late.
+TEST_F(StoreEraTest, SuccessorOfARouterThatLivedOn_HasALaterEpoch) {
+  const RouterRecords copy = Write(&book_, absl::ZeroDuration());
+  book_.BeginEra(kEra + 1, absl::ZeroDuration());
+  const int64_t in_flight = book_.MakeLevel(absl::ZeroDuration()).epoch;
+  TotalsBook next({.router = "router-1", .boot = "boot-1", .address = "a"});
+  next.Start(copy, {.boot = "boot-1", .store_era = kEra + 1});
+  EXPECT_GT(next.MakeAuthority(absl::ZeroDuration()).epoch, in_flight);
+}
+
 // Its predecessor was killed between the two records.
 TEST_F(StoreEraTest, LevelRecordFromBeforeTheQuotasEra_IsNotBelieved) {
   QuotaWanted(absl::ZeroDuration());
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -181,8 +181,10 @@
   started_ = true;
   era_ = start.store_era;
   others_certain_.reset();
+  // A predecessor that lived into this era may have records of its first epoch
+  // in flight.
   epoch_ =
-      std::max(FirstEpochOf(era_),
+      std::max(FirstEpochOf(era_) + 1,
                1 + std::max(previous.authority ? previous.authority->epoch : 0,
                             previous.level ? previous.level->epoch : 0));
   incomplete_ = previous.authority.has_value() ? !IsQuotaCertain(previous)
