--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -49,6 +49,15 @@
   return head.substr(value, head.find('\r', value) - value);
 }
 
+std::string SealedAnswerBytes(const std::string& status_line,
+                              const std::string& more_lines,
+                              const std::string& body) {
+  return absl::StrCat("HTTP/1.1 ", status_line,
+                      "\r\nAttempt-Id: $ID\r\nReplica-Seal: proof\r\n",
+                      more_lines, "Content-Length: ", body.size(), "\r\n\r\n",
+                      body);
+}
+
 std::string RefusalBytes(const std::string& id) {
   const std::string id_line =
       id.empty() ? "" : absl::StrCat("Attempt-Id: ", id, "\r\n");
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -39,6 +39,10 @@
 // head.
 std::string AnswerHeadBytes(const std::string& more_lines);
 std::string RequestIdOf(const std::string& head);
+// A whole answer of a server with this status line and these lines besides.
+std::string SealedAnswerBytes(const std::string& status_line,
+                              const std::string& more_lines,
+                              const std::string& body);
 // A refusal with this id, none if it is empty: not run, and never will be.
 std::string RefusalBytes(const std::string& id);
 // A caller's request in bytes, on a connection of its own.
--- a/testing/server_trouble_test.cc
+++ b/testing/server_trouble_test.cc
@@ -284,11 +284,8 @@
 
 std::string ErrorBytes(const std::string& status_line,
                        const std::string& more_lines = "") {
-  const std::string body = "<html>\n\n<p>an error\n\n";
-  return absl::StrCat("HTTP/1.1 ", status_line,
-                      "\r\nAttempt-Id: $ID\r\nReplica-Seal: proof\r\n",
-                      more_lines, "Content-Length: ", body.size(), "\r\n\r\n",
-                      body);
+  return standins::SealedAnswerBytes(status_line, more_lines,
+                                     "<html>\n\n<p>an error\n\n");
 }
 
 // A stream breaks off, and the server at which it goes on has no stream.
@@ -337,8 +334,7 @@
         StreamEndCase{"BadRequest", ErrorBytes("400 Bad Request")},
         StreamEndCase{"NotFound", ErrorBytes("404 Not Found")},
         StreamEndCase{"TooMany", ErrorBytes("429 Too Many Requests")},
-        StreamEndCase{"NotRun",
-                      ErrorBytes("503 Unavailable", "Not-Executed: 1\r\n")},
+        StreamEndCase{"NotRun", standins::RefusalBytes("$ID")},
         StreamEndCase{"ServerError", ErrorBytes("500 Server Error")},
         StreamEndCase{"PageInPlaceOfAStream",
                       ErrorBytes("200 OK", "Content-Type: text/html\r\n")},
