review/2: a leaving replica gets new orders until it exits, and loses them

Rule DRAIN with Server-Leaving. The store takes a replica's report that it leaves and goes silent for 4.5 s. The router passes on answers with Server-Leaving from that replica, and sends it new orders until it exits 4 s after the report.

--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -583,6 +583,7 @@
   if (!head.has_value())
     return answer;
   answer.status = head->Status();
+  answer.head = *head;
   if (head->Header("Transfer-Encoding").empty()) {
     answer.is_whole =
         connection->ReadBytes(head->ContentLength(), &answer.body);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -241,6 +241,7 @@
 
 struct ClientAnswer {
   int status = 0;  // 0: no answer
+  Head head;
   std::string body;
   bool is_whole = false;
 };
