--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -481,10 +481,13 @@
   _exit(127);
 }
 
-Process::Process(const std::function<void()>& body) {
+Process::Process(const std::function<void()>& body) : is_group_(true) {
   pid_ = fork();
-  if (pid_ != 0)
+  if (pid_ != 0) {
+    setpgid(pid_, pid_);
     return;
+  }
+  setpgid(0, 0);
   body();
   _exit(0);
 }
@@ -502,6 +505,8 @@
   if (pid_ <= 0 || ended_)
     return;
   kill(pid_, SIGKILL);
+  if (is_group_)
+    kill(-pid_, SIGKILL);
   waitpid(pid_, nullptr, 0);
   ended_ = true;
 }
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -183,7 +183,7 @@
   Process(const std::vector<std::string>& command,
           const std::vector<std::string>& environment,
           const std::string& output);
-  // Runs a function in a child process.
+  // Runs a function in a child process, which leads a process group.
   explicit Process(const std::function<void()>& body);
   ~Process();
   Process(const Process&) = delete;
@@ -195,6 +195,7 @@
 
  private:
   pid_t pid_ = -1;
+  bool is_group_ = false;
   bool ended_ = false;
 };
 
