review/2: an order that ran when its replica crashed is answered 503

Rule REFUSED. As in case 1 a replica is killed while it works on two orders whose bodies it has not read; the other six replicas are full. The router tells both clients 503, which promises that the orders have not run.

--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,12 +1,12 @@
-// Case 2: the store goes down just after a replica has reported that it leaves.
-// The replica says so in all its answers too, but the router goes on sending it
-// new orders until it exits, and those in work then are lost.
-// Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not
-// run.
+// Case 2: a replica crashes while it works on orders whose long bodies it has
+// not read yet, and the other replicas are full. The router tells the clients
+// 503, which promises that the orders have not run.
+// Exit code: 1 if an order ran and was answered 503, 0 if none, 2 if the case
+// could not run.
 
 #include <sys/prctl.h>
 
-#include <atomic>
+#include <condition_variable>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -17,29 +17,26 @@
 namespace review {
 namespace {
 
-constexpr int kReplicas = 7;
-constexpr int kClients = 28;
-constexpr int64_t kWorkMs = 500;
-constexpr int64_t kDrainMs = 2000;  // bound drain_ms of the site
-// The replica exits so long after the store has taken its report: drain_ms and
-// "a little longer (at times many seconds)".
-constexpr int64_t kExitAfterMs = 4000;
-constexpr int64_t kOutageMs = 4500;  // the site's platform_down: for_s = 4.5
-
-std::atomic<bool> is_leaving = false;
+constexpr int kReplicas = 7;  // one of them crashes: a share of 0.143
+constexpr int kSlots = 2;
+constexpr int kQueue = 1;  // "and queues a few more"
+constexpr int kOrders = kReplicas * (kSlots + kQueue);
+constexpr size_t kBodyBytes = 1'000'000;  // the config allows 4194304
+constexpr int64_t kWorkMs = 400;
+constexpr int64_t kLatestKillMs = 20'000;
 
+// Works on a request as soon as its head is in, and reads a long body later.
 class Replica {
  public:
   Replica(std::string id, const Address& local, Record& record)
       : id_(std::move(id)), local_(local), record_(record) {}
 
-  // Runs until SIGTERM; from SIGUSR1 on it is leaving.
+  // Runs until the process is killed.
   void Run() {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    signal(SIGUSR1, [](int) { is_leaving = true; });
-    signal(SIGTERM, [](int) { _exit(0); });
     const Server server(local_,
-                        [this](Connection& connection) { Serve(connection); });
+                        [this](Connection& connection) { Serve(connection); },
+                        {.receive_buffer = 16 * 1024, .segment = 1460});
     while (true)
       SleepMs(1000);
   }
@@ -48,110 +45,139 @@
   void Serve(Connection& connection) {
     while (const auto head = connection.ReadHead()) {
       const std::string request = head->Header("Attempt-Id");
-      std::string body;
-      if (!connection.ReadBytes(head->ContentLength(), &body))
-        return;
       if (head->Header("Expect-Replica") != id_) {
         connection.Send("HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n");
         return;
       }
+      if (!Begin()) {
+        record_.Line("full " + request + " at " + id_);
+        connection.Send("HTTP/1.1 503 x\r\nAttempt-Id: " + request +
+                        "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        std::string unread;
+        if (!connection.ReadBytes(head->ContentLength(), &unread))
+          return;
+        continue;
+      }
       record_.Line("run " + request + " at " + id_);
       SleepMs(kWorkMs);
-      record_.Line("done " + request + " at " + id_);
+      End();
+      std::string body;
+      if (!connection.ReadBytes(head->ContentLength(), &body))
+        return;
       const std::string answer = "done " + request;
       if (!connection.Send("HTTP/1.1 200 OK\r\nAttempt-Id: " + request +
-                           "\r\nReplica-Seal: proof-" + id_ + "\r\n" +
-                           (is_leaving ? "Server-Leaving: 1\r\n" : "") +
-                           "Content-Length: " + std::to_string(answer.size()) +
-                           "\r\n\r\n" + answer))
+                           "\r\nReplica-Seal: proof-" + id_ +
+                           "\r\nContent-Length: " +
+                           std::to_string(answer.size()) + "\r\n\r\n" + answer))
         return;
     }
   }
 
+  // Waits for a slot; false if the queue is full.
+  bool Begin() {
+    std::unique_lock lock(mutex_);
+    if (working_ >= kSlots && waiting_ >= kQueue)
+      return false;
+    ++waiting_;
+    slot_is_free_.wait(lock, [this] { return working_ < kSlots; });
+    --waiting_;
+    ++working_;
+    return true;
+  }
+  void End() {
+    const std::lock_guard lock(mutex_);
+    --working_;
+    slot_is_free_.notify_one();
+  }
+
   const std::string id_;
   const Address local_;
   Record& record_;
+  std::mutex mutex_;
+  std::condition_variable slot_is_free_;
+  int working_ = 0;
+  int waiting_ = 0;
 };
 
 constexpr char kConfig[] = R"({"version":3,
  "routes":[{"name":"orders","host":"h.example","path_prefix":"/orders/",
-  "kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":300,
+  "kind":"non_idempotent","timeout_ms":6000,"target_latency_ms":1000,
   "service":"desk","max_attempts":1}],
  "services":[{"name":"desk","health_path":"/health"}],
  "tenants":[{"name":"ward","api_keys":["k1"]}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
   "header_timeout_ms":5000,"idle_timeout_ms":60000}})";
 
-// Sends one order after the other until `stop`.
-void RunClient(int number,
-               const Router& router,
-               Record& record,
-               const std::atomic<bool>& stop) {
-  for (int i = 0; !stop; ++i) {
-    const std::string id =
-        "c" + std::to_string(number) + "-" + std::to_string(i);
-    record.Line("sent " + id);
-    const ClientAnswer answer = SendRequest(
-        router.callers,
-        {.id = id, .path = "/orders/new", .deadline_ms = 1500, .body = "x"});
-    record.Line(
-        "answer " + id + " " + std::to_string(answer.status) + " " +
-        (answer.head.Header("Server-Leaving").empty() ? "-" : "leaving"));
-    SleepMs(20);
+// Sends orders at the same time and waits for all answers.
+void SendOrders(const Router& router,
+                const std::string& name,
+                size_t body_bytes,
+                Record& record,
+                const std::function<void()>& meanwhile) {
+  std::vector<std::thread> clients;
+  for (int i = 0; i < kOrders; ++i) {
+    clients.emplace_back([&, i] {
+      const std::string id = name + "-" + std::to_string(i);
+      record.Line("sent " + id);
+      const ClientAnswer answer =
+          SendRequest(router.callers, {.id = id,
+                                       .path = "/orders/new",
+                                       .body = std::string(body_bytes, 'b')});
+      record.Line("answer " + id + " " + std::to_string(answer.status));
+    });
   }
+  meanwhile();
+  for (std::thread& client : clients)
+    client.join();
 }
 
-struct Sent {
-  int64_t at_ms = 0;
-  std::string answer;
-};
+// The replica at which the first of the orders runs; -1 if none does.
+int FirstReplica(const std::string& record_path, const std::string& name) {
+  std::ifstream lines(record_path);
+  std::string line;
+  while (std::getline(lines, line)) {
+    const size_t place = line.find(" at i-");
+    if (line.find("run " + name) != std::string::npos &&
+        place != std::string::npos)
+      return std::stoi(line.substr(place + 6));
+  }
+  return -1;
+}
 
 int Judge(const std::string& record_path) {
-  std::map<std::string, Sent> sent;
-  std::map<std::string, int> at_leaving;
-  int64_t told_ms = -1;  // when the router had first passed on that it leaves
-  int answers = 0;
+  std::map<std::string, std::vector<std::string>> runs;
+  std::map<std::string, std::string> answers;
   std::ifstream lines(record_path);
   std::string line;
   while (std::getline(lines, line)) {
     std::istringstream words(line);
-    int64_t at_ms = 0;
+    std::string time;
     std::string unit;
     std::string what;
     std::string id;
-    std::string more;
-    std::string last;
-    words >> at_ms >> unit >> what >> id >> more >> last;
-    if (what == "sent")
-      sent[id].at_ms = at_ms;
-    if (what == "answer") {
-      sent[id].answer = more;
-      ++answers;
-      if (last == "leaving" && told_ms < 0)
-        told_ms = at_ms;
-    }
-    if (what == "run" && last == "i-0")
-      at_leaving[id] = 1;
+    std::string rest;
+    words >> time >> unit >> what >> id;
+    std::getline(words, rest);
+    if (what == "run")
+      runs[id].push_back(rest);
+    if (what == "answer")
+      answers[id] = rest;
   }
-  int late = 0;
-  int lost = 0;
-  for (const auto& [id, one] : at_leaving) {
-    if (told_ms < 0 || sent[id].at_ms <= told_ms + kDrainMs)
+  int broken = 0;
+  int refused = 0;
+  for (const auto& [id, answer] : answers) {
+    if (answer != " 503")
       continue;
-    ++late;
-    if (sent[id].answer != "200") {
-      ++lost;
-      std::cout << "lost: " << id << " was sent " << sent[id].at_ms - told_ms
-                << " ms after, its client got " << sent[id].answer << "\n";
-    }
+    ++refused;
+    if (runs[id].empty())
+      continue;
+    ++broken;
+    std::cout << "REFUSED: " << id << " ran" << runs[id].front()
+              << ", its client got 503\n";
   }
-  std::cout << answers << " orders answered; " << late
-            << " reached the leaving replica later than " << kDrainMs
-            << " ms after the router had passed on Server-Leaving, " << lost
-            << " of them were lost\n";
-  if (answers == 0 || told_ms < 0)
-    return 2;
-  return late > 0 ? 1 : 0;
+  std::cout << answers.size() << " orders answered, " << refused
+            << " of them 503, and " << broken << " of these had run\n";
+  return answers.size() < kOrders ? 2 : broken > 0 ? 1 : 0;
 }
 
 int Main(const std::string& record_path) {
@@ -159,6 +185,7 @@
   const TemporaryFolder folder;
   Record record(record_path);
   const std::string ip = LoopbackIp(0);
+  // The replicas' processes start before any thread does.
   std::vector<Address> addresses;
   std::vector<std::unique_ptr<Process>> replicas;
   for (int i = 0; i < kReplicas; ++i) {
@@ -178,39 +205,34 @@
         "keyed.servers", "i-" + std::to_string(i),
         ServerEntry("desk", addresses[static_cast<size_t>(i)], "ready", 1));
   }
-  Store::Front* const front = store.AddFront(ip);
   Router router{.name = "front-1",
                 .ip = LoopbackIp(1),
-                .store = front->address,
+                .store = store.AddFront(ip)->address,
                 .folder = folder.path()};
   router.Prepare();
   const auto process = router.Start();
   if (!router.AwaitReady(milliseconds(10'000)))
     return 2;
-  std::atomic<bool> stop = false;
-  std::vector<std::thread> clients;
-  for (int i = 0; i < kClients; ++i)
-    clients.emplace_back([&, i] { RunClient(i, router, record, stop); });
-  SleepMs(2000);
-  record.Line("leave i-0");
-  replicas[0]->Signal(SIGUSR1);
-  store.Put("keyed.servers", "i-0",
-            ServerEntry("desk", addresses[0], "draining", 2));
-  if (HasTrouble()) {
-    record.Line("store-down");
-    store.SetMode(front, Store::Mode::kSilent);
+  // Short orders first, so that the router has kept connections.
+  for (int round = 0; round < 3; ++round) {
+    SendOrders(router, "short" + std::to_string(round), 100, record, [] {});
   }
-  SleepMs(kExitAfterMs);
-  record.Line("exit i-0");
-  replicas[0]->Signal(SIGTERM);
-  SleepMs(kOutageMs - kExitAfterMs);
-  store.SetMode(front, Store::Mode::kServe);
-  record.Line("store-up");
-  store.Put("keyed.servers", "i-0", "");
-  SleepMs(2000);
-  stop = true;
-  for (std::thread& client : clients)
-    client.join();
+  bool killed = false;
+  SendOrders(router, "long", kBodyBytes, record, [&] {
+    int replica = -1;
+    while (replica < 0 && record.NowMs() < kLatestKillMs) {
+      SleepMs(10);
+      replica = FirstReplica(record_path, "long");
+    }
+    if (!HasTrouble() || replica < 0)
+      return;
+    SleepMs(kWorkMs / 2);
+    record.Line("kill i-" + std::to_string(replica));
+    replicas[static_cast<size_t>(replica)]->Kill();
+    killed = true;
+  });
+  if (HasTrouble() && !killed)
+    return 2;
   return Judge(record_path);
 }
 
