--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,10 +1,13 @@
 // Case 1: a replica crashes while it works on orders whose long bodies it has
 // not read yet. The router sends them to other replicas, where they run again.
-// Exit code: 1 if an order ran more than once, 0 if none did, 2 if the case
-// could not run.
+// FULL=1, a variant: the other replicas are full and turn them away. The router
+// tells the clients 503, which promises that the orders have not run.
+// Exit code: 1 if an order ran more than once (FULL=1: ran and was answered
+// 503), 0 if none, 2 if the case could not run.
 
 #include <sys/prctl.h>
 
+#include <condition_variable>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -16,11 +19,22 @@
 namespace {
 
 constexpr int kReplicas = 7;  // one of them crashes: a share of 0.143
-constexpr int kOrders = 14;
+constexpr int kManySlots = 64;
+constexpr int kSlots = 2;                 // with FULL=1
+constexpr int kQueue = 1;                 // "and queues a few more"
 constexpr size_t kBodyBytes = 1'000'000;  // the config allows 4194304
 constexpr int64_t kWorkMs = 400;
 constexpr int64_t kLatestKillMs = 20'000;
 
+bool AllFull() {
+  return std::getenv("FULL") != nullptr;
+}
+
+// Orders sent at a time: two for each replica; or all that they take.
+int Orders() {
+  return kReplicas * (AllFull() ? kSlots + kQueue : kSlots);
+}
+
 // Works on a request as soon as its head is in, and reads a long body later.
 class Replica {
  public:
@@ -45,8 +59,18 @@
         connection.Send("HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n");
         return;
       }
+      if (!Begin()) {
+        record_.Line("full " + request + " at " + id_);
+        connection.Send("HTTP/1.1 503 x\r\nAttempt-Id: " + request +
+                        "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        std::string unread;
+        if (!connection.ReadBytes(head->ContentLength(), &unread))
+          return;
+        continue;
+      }
       record_.Line("run " + request + " at " + id_);
       SleepMs(kWorkMs);
+      End();
       std::string body;
       if (!connection.ReadBytes(head->ContentLength(), &body))
         return;
@@ -59,9 +83,31 @@
     }
   }
 
+  // Waits for a slot; false if the queue is full.
+  bool Begin() {
+    std::unique_lock lock(mutex_);
+    const int slots = AllFull() ? kSlots : kManySlots;
+    if (working_ >= slots && waiting_ >= kQueue)
+      return false;
+    ++waiting_;
+    slot_is_free_.wait(lock, [&] { return working_ < slots; });
+    --waiting_;
+    ++working_;
+    return true;
+  }
+  void End() {
+    const std::lock_guard lock(mutex_);
+    --working_;
+    slot_is_free_.notify_one();
+  }
+
   const std::string id_;
   const Address local_;
   Record& record_;
+  std::mutex mutex_;
+  std::condition_variable slot_is_free_;
+  int working_ = 0;
+  int waiting_ = 0;
 };
 
 constexpr char kConfig[] = R"({"version":3,
@@ -80,7 +126,7 @@
                 Record& record,
                 const std::function<void()>& meanwhile) {
   std::vector<std::thread> clients;
-  for (int i = 0; i < kOrders; ++i) {
+  for (int i = 0; i < Orders(); ++i) {
     clients.emplace_back([&, i] {
       const std::string id = name + "-" + std::to_string(i);
       record.Line("sent " + id);
@@ -128,19 +174,28 @@
     if (what == "answer")
       answers[id] = rest;
   }
-  int broken = 0;
+  size_t twice = 0;
+  size_t refused = 0;
   for (const auto& [id, places] : runs) {
-    if (places.size() < 2)
-      continue;
-    ++broken;
-    std::cout << "TWICE: " << id << " ran";
-    for (const std::string& place : places)
-      std::cout << place << ";";
-    std::cout << " its client got" << answers[id] << "\n";
+    if (places.size() > 1) {
+      ++twice;
+      std::cout << "TWICE: " << id << " ran";
+      for (const std::string& place : places)
+        std::cout << place << ";";
+      std::cout << " its client got" << answers[id] << "\n";
+    }
+    if (answers[id] == " 503") {
+      ++refused;
+      std::cout << "REFUSED: " << id << " ran" << places.front()
+                << ", its client got 503\n";
+    }
   }
-  std::cout << runs.size() << " orders ran, " << broken
-            << " of them more than once\n";
-  return runs.size() < kOrders ? 2 : broken > 0 ? 1 : 0;
+  std::cout << answers.size() << " orders answered, " << runs.size() << " ran, "
+            << twice << " of them more than once, " << refused
+            << " were answered 503\n";
+  if (runs.size() < static_cast<size_t>(Orders()))
+    return 2;
+  return (AllFull() ? refused : twice) > 0 ? 1 : 0;
 }
 
 int Main(const std::string& record_path) {
--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -459,7 +460,8 @@
 
 Process::Process(const std::vector<std::string>& command,
                  const std::vector<std::string>& environment,
-                 const std::string& output) {
+                 const std::string& output,
+                 int max_fds) {
   std::vector<std::string> variables = environment;
   const char* path = std::getenv("PATH");
   variables.push_back(std::string("PATH=") + (path == nullptr ? "" : path));
@@ -477,6 +479,11 @@
   const int file = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(file, STDOUT_FILENO);
   dup2(file, STDERR_FILENO);
+  if (max_fds > 0) {
+    const rlimit limit{.rlim_cur = static_cast<rlim_t>(max_fds),
+                       .rlim_max = static_cast<rlim_t>(max_fds)};
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
   execve(arguments[0], arguments.data(), settings.data());
   _exit(127);
 }
@@ -541,7 +548,7 @@
   const std::vector<std::string> environment = {
       "HAWTHORNHOLLOW_SETTINGS=" + folder + "/" + name + ".json"};
   return std::make_unique<Process>(command, environment,
-                                   folder + "/" + name + ".log");
+                                   folder + "/" + name + ".log", max_fds);
 }
 
 bool Router::AwaitReady(milliseconds timeout) const {
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -179,10 +179,11 @@
 class Process {
  public:
   // Runs the command with these variables besides PATH; its output goes to
-  // `output`.
+  // `output`. It may open `max_fds` descriptors; 0: as many as this process.
   Process(const std::vector<std::string>& command,
           const std::vector<std::string>& environment,
-          const std::string& output);
+          const std::string& output,
+          int max_fds = 0);
   // Runs a function in a child process, which leads a process group.
   explicit Process(const std::function<void()>& body);
   ~Process();
@@ -192,6 +193,7 @@
   // Kills the process and waits for its end.
   void Kill();
   bool IsRunning();
+  pid_t pid() const { return pid_; }
 
  private:
   pid_t pid_ = -1;
@@ -209,6 +211,7 @@
   Address peers;
   Address store;
   std::string folder;  // for its settings and its output
+  int max_fds = 0;     // of the machine; 0: not limited
 
   // Chooses ports and writes the settings file.
   void Prepare();
