--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -56,7 +56,8 @@
     while (const auto head = connection.ReadHead()) {
       const std::string request = head->Header("Attempt-Id");
       if (head->Header("Expect-Replica") != id_) {
-        connection.Send("HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n");
+        connection.Send("HTTP/1.1 421 x\r\nAttempt-Id: " + request +
+                        "\r\nContent-Length: 0\r\n\r\n");
         return;
       }
       if (!Begin()) {
@@ -219,9 +220,9 @@
   Store store;
   store.Put("keyed.op", "config", kConfig);
   for (int i = 0; i < kReplicas; ++i) {
-    store.Put(
-        "keyed.servers", "i-" + std::to_string(i),
-        ServerEntry("desk", addresses[static_cast<size_t>(i)], "ready", 1));
+    store.Put("keyed.servers", "i-" + std::to_string(i),
+              ServerEntry("desk", addresses[static_cast<size_t>(i)], "ready", 1,
+                          AllFull() ? kSlots : kManySlots));
   }
   Router router{.name = "front-1",
                 .ip = LoopbackIp(1),
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -52,7 +52,8 @@
       if (!connection.ReadBytes(head->ContentLength(), &body))
         return;
       if (head->Header("Expect-Replica") != id_) {
-        connection.Send("HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n");
+        connection.Send("HTTP/1.1 421 x\r\nAttempt-Id: " + request +
+                        "\r\nContent-Length: 0\r\n\r\n");
         return;
       }
       record_.Line("run " + request + " at " + id_);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -170,7 +170,8 @@
 std::string ServerEntry(const std::string& service,
                         const Address& address,
                         const std::string& state,
-                        int64_t sequence);
+                        int64_t sequence,
+                        int slots = 64);
 
 // ---------------------------------------------------------------------------
 // Processes
