Log a request that is written again to a new connection, with the bytes that had left

Hypotheses: 1. A write that fails on a kept connection is repeated on a new one, whatever part of the request has left; the new connection is refused, and the order counts as not sent. 2. The order is tried again after it was counted as possibly run (MayRetry). 3. The client's side repeats it. The logs could not tell 1 from a server that was never reached: both end as request.try_failed end=not_sent with the refused connect. The new event http.sent_again has the bytes of the first write.

No logic changed.

--- a/hawthornhollow/http/exchange.cc
+++ b/hawthornhollow/http/exchange.cc
@@ -113,9 +113,10 @@
   SetTimeout(&connection_->stream, timeout);
   http::async_write(
       connection_->stream, message_,
-      [write = write_](const error_code& error, size_t /*bytes*/) {
+      [write = write_](const error_code& error, size_t bytes) {
         write->done = true;
         write->error = error;
+        write->bytes = bytes;
         write->written.Done();
         write->written_or_readable.Done();
       });
--- a/hawthornhollow/http/exchange_internal.h
+++ b/hawthornhollow/http/exchange_internal.h
@@ -35,6 +35,8 @@
   void CloseAfterwards() { close_afterwards_ = true; }
   std::optional<absl::Duration> connect_time() const { return connect_time_; }
   void SetConnectTime(absl::Duration took) { connect_time_ = took; }
+  // Of the request, head and body, that have left this process.
+  size_t sent_bytes() const { return write_ == nullptr ? 0 : write_->bytes; }
 
  private:
   using Message =
@@ -47,6 +49,7 @@
   struct PendingWrite {
     bool done = false;
     boost::system::error_code error;
+    size_t bytes = 0;  // that have left, once it is done
     FiberWait written;
     FiberWait written_or_readable;
   };
--- a/hawthornhollow/http/http_client.cc
+++ b/hawthornhollow/http/http_client.cc
@@ -78,6 +78,10 @@
       return std::make_unique<HttpExchange>(std::move(exchange));
     if (error == boost::beast::error::timeout)
       return WriteError(error, endpoint);
+    LogEvent("http.sent_again")
+        .Add("endpoint", endpoint.ToString())
+        .Add("sent_bytes", exchange->sent_bytes())
+        .Add("reason", error.message());
   }
   const absl::Time begun = SteadyNow();
   ConnectionOr connection =
