An order whose long body was partly written is not sent to a second server

Cause: HttpClient::Open took a failed write on a kept connection for a request that the server cannot have run, whatever part had left, and repeated it on a new connection; the refused second connect (UNAVAILABLE) hid the first write. Evidence: 239 to 290 KB had left in each case. Ruled out: a retry after may_have_run (end=not_sent in all cases), the client.

Why it works: a repeat needs that no byte has left, which the count of the write tells. After the first byte nothing is repeated; what the server answered before the break is read, so a 200 or a refusal that came is used, and otherwise the outcome is unknown (502). The same Open serves the store's client, peers, the gate and the log client.

Tests, failed before (PartlySentTest, 4 of 8): status 503 and 200 in place of 502, 2 sends in place of 1, UNAVAILABLE and OK in place of ABORTED.

Cost: such an order now ends with 502 if its kept connection breaks after its first byte. RawServerStandin can reset a connection with a body unread.

--- a/hawthornhollow/http/exchange.cc
+++ b/hawthornhollow/http/exchange.cc
@@ -9,6 +9,7 @@
 #include <limits>
 
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 #include "hawthornhollow/base/base.h"
@@ -93,7 +94,7 @@
   StartWrite(timeout);
   if (request_.body.size() <= kShortBodyBytes) {
     write_->written.Wait();
-    return write_->error;
+    return WriteFailure();
   }
   Socket& socket = connection_->stream.socket();
   socket.async_wait(Socket::wait_read,
@@ -105,21 +106,26 @@
     return {};  // the answer has begun
   error_code ignored;
   socket.cancel(ignored);  // the wait for the answer
-  return write_->error;
+  return WriteFailure();
+}
+
+error_code HttpExchange::Impl::WriteFailure() const {
+  const bool may_be_answered =
+      write_->bytes > 0 && write_->error != boost::beast::error::timeout;
+  return may_be_answered ? error_code() : write_->error;
 }
 
 void HttpExchange::Impl::StartWrite(absl::Duration timeout) {
   write_ = std::make_shared<PendingWrite>();
   SetTimeout(&connection_->stream, timeout);
-  http::async_write(
-      connection_->stream, message_,
-      [write = write_](const error_code& error, size_t bytes) {
-        write->done = true;
-        write->error = error;
-        write->bytes = bytes;
-        write->written.Done();
-        write->written_or_readable.Done();
-      });
+  http::async_write(connection_->stream, message_,
+                    [write = write_](const error_code& error, size_t bytes) {
+                      write->done = true;
+                      write->error = error;
+                      write->bytes = bytes;
+                      write->written.Done();
+                      write->written_or_readable.Done();
+                    });
 }
 
 // The write refers to the message: it has to end before this does.
@@ -194,10 +200,14 @@
     code = absl::StatusCode::kDeadlineExceeded;
   else if (IsMalformed(error))
     code = absl::StatusCode::kDataLoss;
-  if (cancelled_)
-    code = absl::StatusCode::kCancelled;
-  return ErrorAt(code, "http.receive", endpoint_.ToString(),
-                 cancelled_ ? "cancelled by the caller" : error.message());
+  if (cancelled_) {
+    return ErrorAt(absl::StatusCode::kCancelled, "http.receive",
+                   endpoint_.ToString(), "cancelled by the caller");
+  }
+  std::string detail = error.message();
+  if (write_->done && write_->error)
+    absl::StrAppend(&detail, "; sent in part, ", write_->bytes, " bytes");
+  return ErrorAt(code, "http.receive", endpoint_.ToString(), detail);
 }
 
 void HttpExchange::Impl::Cancel() {
--- a/hawthornhollow/http/exchange_internal.h
+++ b/hawthornhollow/http/exchange_internal.h
@@ -26,6 +26,9 @@
 
   // Writes the request to `connection`. Returns once it is written, or the
   // server has begun to answer: an answer may come before the body is in.
+  // An error tells that no byte of it has left, or that `timeout` has passed. A
+  // write that breaks off after its first byte is no error here: what the
+  // server answered before, or that it did not, is told by ReadHead.
   boost::system::error_code Write(std::unique_ptr<ClientConnection> connection,
                                   absl::Duration timeout);
 
@@ -35,8 +38,6 @@
   void CloseAfterwards() { close_afterwards_ = true; }
   std::optional<absl::Duration> connect_time() const { return connect_time_; }
   void SetConnectTime(absl::Duration took) { connect_time_ = took; }
-  // Of the request, head and body, that have left this process.
-  size_t sent_bytes() const { return write_ == nullptr ? 0 : write_->bytes; }
 
  private:
   using Message =
@@ -56,6 +57,7 @@
 
   void StartWrite(absl::Duration timeout);
   void AwaitWrite();
+  boost::system::error_code WriteFailure() const;
   bool CanKeepConnection() const;
   absl::Status ReadError(const boost::system::error_code& error) const;
 
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -212,8 +212,10 @@
   HttpClient& operator=(const HttpClient&) = delete;
   ~HttpClient();
 
-  // Sends the request within `timeout` and returns once it is written, or the
-  // server has begun to answer. Errors as Call's.
+  // Sends the request within `timeout` and returns once it is written, the
+  // server has begun to answer, or the connection has broken after a part of
+  // the request had left: ReadHead then returns what the server had answered,
+  // or ABORTED. Errors as Call's.
   absl::StatusOr<std::unique_ptr<HttpExchange>> Open(const Endpoint& endpoint,
                                                      const HttpRequest& request,
                                                      absl::Duration timeout);
@@ -225,8 +227,8 @@
       absl::Duration connect_timeout);
 
   // A whole exchange within `timeout`. UNAVAILABLE if no connection could be
-  // made (the request was not sent); ABORTED if the connection broke after the
-  // request may have been sent; DEADLINE_EXCEEDED.
+  // made, and no byte of the request has left; ABORTED if the connection broke
+  // when the server may have begun to work on the request; DEADLINE_EXCEEDED.
   absl::StatusOr<HttpResponse> Call(const Endpoint& endpoint,
                                     const HttpRequest& request,
                                     absl::Duration timeout);
--- a/hawthornhollow/http/http_client.cc
+++ b/hawthornhollow/http/http_client.cc
@@ -1,8 +1,9 @@
 // A connection is taken from the calling thread's idle ones or made anew. A
-// write that fails on a reused connection did not hand over the whole request,
-// so the server cannot have run it, and it is sent once more on a fresh
-// connection. After a complete write nothing is repeated: the request may have
-// run, and the caller learns ABORTED.
+// server may work on a request as soon as it has its head, so a request is sent
+// once more, on a fresh connection, only if no byte of it had left when the
+// write to a reused connection failed. Once a byte has left nothing is
+// repeated: the server may have answered before the connection broke, so the
+// answer is read, and if there is none the caller learns ABORTED.
 
 #include <algorithm>
 
@@ -80,7 +81,6 @@
       return WriteError(error, endpoint);
     LogEvent("http.sent_again")
         .Add("endpoint", endpoint.ToString())
-        .Add("sent_bytes", exchange->sent_bytes())
         .Add("reason", error.message());
   }
   const absl::Time begun = SteadyNow();
--- a/testing/raw_server_standin.cc
+++ b/testing/raw_server_standin.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -35,6 +36,14 @@
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
   auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  if (script.receive_buffer_bytes > 0) {
+    // Long segments of loopback would fill the sender's buffer with more.
+    constexpr int kSegmentBytes = 1460;
+    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &script.receive_buffer_bytes,
+               sizeof(script.receive_buffer_bytes));
+    setsockopt(listener, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes,
+               sizeof(kSegmentBytes));
+  }
   if (listener < 0 || bind(listener, generic, size) != 0 ||
       listen(listener, kBacklog) != 0 ||
       getsockname(listener, generic, &size) != 0)
@@ -62,7 +71,9 @@
     if (!IsReady(listener_, POLLIN))
       continue;
     const int socket = accept(listener_, nullptr, nullptr);
-    if (socket >= 0)
+    if (socket < 0)
+      absl::SleepFor(absl::Milliseconds(kPollMilliseconds));  // refuses
+    else
       connections_.emplace_back([this, socket] { Serve(socket); });
   }
 }
@@ -76,7 +87,7 @@
     };
     const std::string repeated = fill(script_.repeated);
     bool open = SendAll(socket, fill(script_.beginning));
-    if (open && !script_.on_later_request.empty()) {
+    if (open && (!script_.on_later_request.empty() || script_.resets_later)) {
       ServeLater(socket, RequestIdOf(head));
       open = false;
     }
@@ -106,9 +117,22 @@
                             {{"$ID", RequestIdOf(head)}, {"$FIRST", first_id}});
     if (!SendAll(socket, bytes))
       return;
+    if (script_.resets_later) {
+      Reset(socket);
+      return;
+    }
   }
 }
 
+void RawServerStandin::Reset(int socket) {
+  constexpr absl::Duration kWriteTime = absl::Milliseconds(100);
+  absl::SleepFor(kWriteTime);
+  if (!script_.accepts_after_reset)
+    shutdown(listener_, SHUT_RDWR);
+  const linger at_once{.l_onoff = 1, .l_linger = 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 bool RawServerStandin::ReadHead(int socket, std::string* head) {
   std::array<char, 4096> piece{};
   while (!absl::StrContains(*head, "\r\n\r\n")) {
--- a/testing/raw_server_standin.h
+++ b/testing/raw_server_standin.h
@@ -32,6 +32,12 @@
     // What each further request on the connection gets in place of `repeated`;
     // empty: further requests are not read.
     std::string on_later_request;
+    // Resets the connection after that, the body of the later request unread.
+    bool resets_later = false;
+    // Otherwise connections are refused after such a reset.
+    bool accepts_after_reset = true;
+    // Of its sockets, so that long bodies stay on their way; 0: the system's.
+    int receive_buffer_bytes = 0;
   };
 
   static absl::StatusOr<std::unique_ptr<RawServerStandin>> Start(Script script);
@@ -54,6 +60,8 @@
   void Serve(int socket);
   // Answers further requests until the connection ends.
   void ServeLater(int socket, const std::string& first_id);
+  // After a pause in which the client goes on writing.
+  void Reset(int socket);
   // Returns false if the connection has ended.
   static bool ReadHead(int socket, std::string* head);
   bool SendAll(int socket, const std::string& bytes) const;
