A part of prompts that crashes servers is found whenever in an answer they crash

Cause: only a connection that ended between the head and the first piece of an answer was taken for a crash, and a first piece proved its prompt sound. Evidence, logs of: without a head 28 of 28 tries ended broken began=0 and there was no prompt.crash; with the first event 30 of 30 ended began=1 events=1, and none either. Ruled out: lost reports.

Why it works: a connection that ends before the head or within 100 ms after the first piece is checked by a connection attempt: a server that crashed refuses, one that resets a connection accepts. Answers prove their parts sound only once they have gone on for 100 ms or are whole. Crashes of several servers within 50 ms count once, so a rack that dies accuses no part; sound parts are told in batches instead of being dropped above ten messages a second.

--- a/hawthornhollow/relay/prompt_quarantine.cc
+++ b/hawthornhollow/relay/prompt_quarantine.cc
@@ -1,24 +1,32 @@
 // Assumed load: requests with the harmful part are a few per cent of a route's
 // and come at any router; sound ones share their caller and their other parts.
 // When a server crashes, everything in progress there breaks off, so most of
-// what broke off is innocent. Three facts narrow it down:
+// what broke off is innocent. Four facts narrow it down:
 //
-//   - The cause had just begun: its answer has a head and no first piece. The
-//     others mostly wait for the head, or have pieces.
-//   - A part is sound if answers on it begin, here or at the router that
-//     reports the crash, and one on which an answer begins after a crash is
-//     cleared at all routers. This leaves out the parts that many requests
-//     share.
+//   - The cause had not begun or had just begun: a server may crash before a
+//     byte of the answer, its head or its first events are on their way.
+//     Answers that had gone on for a while are innocent.
+//   - A part is sound if answers on it go on, here or at the router that
+//   reports
+//     the crash, and one on which an answer goes on after a crash is cleared at
+//     all routers. This leaves out the parts that many requests share.
 //   - Of the parts that are left, the cause is the one that most crashes have
 //     in common. If several have all of them in common, they always came
 //     together, and the one furthest into the prompt is taken, since the
 //     earlier ones are shared more widely.
+//   - Servers that crash at the same moment have a cause in common that is no
+//     request: a request needs time to reach the next server. They count once.
 //
-// A crash that a quarantined part explains is no evidence against others.
+// A crash that a quarantined part explains is no evidence against others, nor
+// is what else broke off at that server at that time.
 //
 // Bounds: a part is quarantined at the third crash that the router knows of, so
-// with reports that arrive, by all routers. Requests sent before that may cause
-// further crashes. The time for a crash is linear in `max_crashes`.
+// with reports that arrive, by all routers; at most twice `together_time` later
+// if crashes come without a pause. Requests sent before that may cause further
+// crashes. A sound part is quarantined only if requests with it were in
+// progress at three crashes and no answer on it went on, at any router, from
+// the first of them to the last, nor at the routers that reported them for
+// `sound_time` before. The time for a crash is linear in `max_crashes`.
 
 #include "hawthornhollow/relay/prompt_quarantine.h"
 
@@ -38,7 +46,7 @@
 
 }  // namespace
 
-std::vector<std::string> PromptQuarantine::OnAnswerBegan(
+std::vector<std::string> PromptQuarantine::OnAnswerWentOn(
     const std::vector<PromptPart>& prompt,
     absl::Time now) {
   std::vector<std::string> cleared;
@@ -68,12 +76,25 @@
   return erased > 0;
 }
 
+std::vector<std::string> PromptQuarantine::Suspects(
+    const std::vector<PromptPart>& prompt,
+    absl::Time now) const {
+  std::vector<std::string> parts = SharedParts(prompt);
+  DropSound(&parts, now);
+  return parts;
+}
+
 std::optional<ServerCrash> PromptQuarantine::OnCrash(
     const std::string& server,
-    const std::vector<PromptPart>& prompt,
+    const std::vector<std::vector<PromptPart>>& prompts,
     absl::Time now) {
-  ServerCrash crash{.server = server, .parts = SharedParts(prompt)};
-  DropSound(&crash.parts, now);
+  ServerCrash crash{.server = server};
+  for (const std::vector<PromptPart>& prompt : prompts) {
+    for (std::string& part : Suspects(prompt, now)) {
+      if (std::ranges::find(crash.parts, part) == crash.parts.end())
+        crash.parts.push_back(std::move(part));
+    }
+  }
   if (crash.parts.empty())
     return std::nullopt;
   Record(crash, now);
@@ -98,13 +119,22 @@
                 [&](const std::string& part) { return IsSound(part, now); });
 }
 
-void PromptQuarantine::Record(ServerCrash crash, absl::Time now) {
-  const bool is_explained = std::any_of(
+bool PromptQuarantine::IsExplained(const ServerCrash& crash, absl::Time now) {
+  std::erase_if(explained_, [&](const auto& item) {
+    return now - item.second > options_.crash_time;
+  });
+  const bool has_quarantined = std::any_of(
       crash.parts.begin(), crash.parts.end(), [&](const std::string& part) {
         const auto found = quarantined_.find(part);
         return found != quarantined_.end() && found->second.until > now;
       });
-  if (is_explained)
+  if (has_quarantined)
+    explained_[crash.server] = now;
+  return explained_.contains(crash.server);
+}
+
+void PromptQuarantine::Record(ServerCrash crash, absl::Time now) {
+  if (IsExplained(crash, now))
     return;
   while (!evidence_.empty() &&
          (evidence_.size() >= options_.max_crashes ||
@@ -116,15 +146,20 @@
 }
 
 int64_t PromptQuarantine::CrashesWith(const std::string& part) const {
-  std::map<std::string, absl::Time> last_crash;  // by server
+  std::map<std::string, absl::Time> last_end;  // by server
+  absl::Time last_crash = absl::InfinitePast();
   int64_t crashes = 0;
   for (const auto& [crash, at] : evidence_) {
     if (std::ranges::find(crash.parts, part) == crash.parts.end())
       continue;
-    const auto [found, is_first] = last_crash.try_emplace(crash.server, at);
-    if (is_first || at - found->second > options_.crash_time)
-      ++crashes;
+    const auto [found, is_first] = last_end.try_emplace(crash.server, at);
+    const bool is_same_crash =
+        !is_first && at - found->second <= options_.crash_time;
     found->second = at;
+    if (is_same_crash || at - last_crash <= options_.together_time)
+      continue;
+    ++crashes;
+    last_crash = at;
   }
   return crashes;
 }
@@ -150,11 +185,28 @@
   unsaved_.insert(cause);
 }
 
-void PromptQuarantine::Insert(QuarantinedPart part) {
+// What else broke off in the crashes that the part explains goes with them.
+void PromptQuarantine::DropExplained(const std::string& part) {
+  std::vector<std::pair<std::string, absl::Time>> explained;
+  for (const Evidence& evidence : evidence_) {
+    if (std::ranges::find(evidence.crash.parts, part) !=
+        evidence.crash.parts.end())
+      explained.emplace_back(evidence.crash.server, evidence.at);
+  }
   std::erase_if(evidence_, [&](const Evidence& evidence) {
-    return std::ranges::find(evidence.crash.parts, part.part) !=
-           evidence.crash.parts.end();
+    return std::any_of(explained.begin(), explained.end(),
+                       [&](const auto& crash) {
+                         return crash.first == evidence.crash.server &&
+                                absl::AbsDuration(crash.second - evidence.at) <=
+                                    options_.crash_time;
+                       });
   });
+  for (const auto& [server, at] : explained)
+    explained_[server] = std::max(explained_[server], at);
+}
+
+void PromptQuarantine::Insert(QuarantinedPart part) {
+  DropExplained(part.part);
   if (quarantined_.size() >= options_.max_quarantined) {
     const auto first_to_end =
         std::min_element(quarantined_.begin(), quarantined_.end(),
--- a/hawthornhollow/relay/prompt_quarantine.h
+++ b/hawthornhollow/relay/prompt_quarantine.h
@@ -5,12 +5,12 @@
 // servers crash when they begin an answer on them. Has no I/O and no clock.
 //
 // Each request with such a part is new, so nothing is learned from the request
-// itself. What a crash tells is the parts of the prompts on which the server
-// had just begun. A part that several crashes have in common, and on which no
-// answer began since, is quarantined.
+// itself. What a crash tells is the parts of the prompts whose answers had not
+// begun, or had just begun. A part that several crashes have in common, and on
+// which no answer went on since, is quarantined.
 //
 //   PromptQuarantine quarantine(options);
-//   TellOtherRouters(quarantine.OnAnswerBegan(prompt, now));
+//   TellOtherRouters(quarantine.OnAnswerWentOn(prompt, now));
 //   if (auto crash = quarantine.OnCrash(server, prompt, now))
 //     TellOtherRouters(*crash);             // they call OnReported()
 //   if (quarantine.Find(prompt, now) != nullptr)
@@ -25,6 +25,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -37,12 +38,16 @@
   // Crashes that a part must have in common with no other explanation. Two may
   // coincide when several servers crash for another reason.
   int64_t crashes = 3;
-  // A part on which an answer began this recently is not the cause of a crash.
+  // A part on which an answer went on this recently is not the cause of a
+  // crash.
   absl::Duration sound_time = absl::Seconds(10);
   // Older crashes are forgotten.
   absl::Duration evidence_time = absl::Minutes(10);
   // Ends of connections to one server within this time are one crash.
   absl::Duration crash_time = absl::Seconds(2);
+  // Crashes of several servers within this time are one: what ends a rack ends
+  // them together, while a request needs longer to reach a second server.
+  absl::Duration together_time = absl::Milliseconds(50);
   // A quarantine ends this long after the last request with the part.
   absl::Duration duration = absl::Minutes(10);
   // Bounds memory.
@@ -51,10 +56,25 @@
   size_t max_quarantined = 256;
 };
 
-// A server's connection broke off when an answer had just begun.
+// How far an answer was when its connection ended.
+enum class BreakPoint { kBeforeHead, kBeforeFirstPiece, kSoonAfterFirstPiece };
+
+inline std::string_view NameOf(BreakPoint point) {
+  switch (point) {
+    case BreakPoint::kBeforeHead:
+      return "before_head";
+    case BreakPoint::kBeforeFirstPiece:
+      return "before_first_piece";
+    case BreakPoint::kSoonAfterFirstPiece:
+      return "soon_after_first_piece";
+  }
+  return "";
+}
+
+// A server crashed.
 struct ServerCrash {
   std::string server;
-  // The parts of the prompt that may be the cause, in order of the text.
+  // The parts of prompts that may be the cause, in order of the text.
   std::vector<std::string> parts;
   friend auto operator<=>(const ServerCrash&, const ServerCrash&) = default;
 };
@@ -72,18 +92,23 @@
   explicit PromptQuarantine(const PromptQuarantineOptions& options)
       : options_(options) {}
 
-  // The first piece of an answer on this prompt has arrived. Returns its parts
-  // that had been suspected: other routers should know.
-  std::vector<std::string> OnAnswerBegan(const std::vector<PromptPart>& prompt,
-                                         absl::Time now);
-  // A server broke off between the head and the first piece of its answer.
+  // An answer on this prompt has gone on for a while, or is whole: its parts
+  // crash no server. Returns those that had been suspected: other routers
+  // should know.
+  std::vector<std::string> OnAnswerWentOn(const std::vector<PromptPart>& prompt,
+                                          absl::Time now);
+  // The parts of this prompt that may be the cause if its server has crashed.
+  std::vector<std::string> Suspects(const std::vector<PromptPart>& prompt,
+                                    absl::Time now) const;
+  // A server crashed before answers on these prompts had gone on for a while.
   // Returns what other routers should know, if any part may be the cause.
-  std::optional<ServerCrash> OnCrash(const std::string& server,
-                                     const std::vector<PromptPart>& prompt,
-                                     absl::Time now);
+  std::optional<ServerCrash> OnCrash(
+      const std::string& server,
+      const std::vector<std::vector<PromptPart>>& prompts,
+      absl::Time now);
   // Another router has seen a crash.
   void OnReported(const ServerCrash& crash, absl::Time now);
-  // Another router has seen answers begin on these parts.
+  // Another router has seen answers on these parts go on.
   void OnSoundReported(const std::vector<std::string>& parts, absl::Time now);
   // Takes a quarantine that another router, or an earlier incarnation of this
   // one, has decided. Returns whether it is news.
@@ -118,13 +143,17 @@
   bool MarkSound(const std::string& part, absl::Time now);
   void DropSound(std::vector<std::string>* parts, absl::Time now) const;
   void Record(ServerCrash crash, absl::Time now);
+  bool IsExplained(const ServerCrash& crash, absl::Time now);
   int64_t CrashesWith(const std::string& part) const;
   void QuarantineCause(const std::vector<std::string>& parts, absl::Time now);
+  void DropExplained(const std::string& part);
   void Insert(QuarantinedPart part);
 
   const PromptQuarantineOptions options_;
   std::deque<Evidence> evidence_;  // oldest first
-  // Part -> when an answer on it last began.
+  // Server -> its last crash that a quarantined part explains.
+  std::map<std::string, absl::Time> explained_;
+  // Part -> when an answer on it last went on.
   std::map<std::string, absl::Time> sound_;
   std::map<std::string, QuarantinedPart> quarantined_;  // keyed by part
   std::vector<QuarantinedPart> decided_;
--- a/hawthornhollow/relay/prompt_quarantine_test.cc
+++ b/hawthornhollow/relay/prompt_quarantine_test.cc
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
 #include <random>
+#include <set>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -24,10 +27,10 @@
     return prompt;
   }
   void Crash(double at, const std::string& server, const std::string& parts) {
-    quarantine_.OnCrash(server, Prompt(parts), At(at));
+    quarantine_.OnCrash(server, {Prompt(parts)}, At(at));
   }
   void Answer(double at, const std::string& parts) {
-    quarantine_.OnAnswerBegan(Prompt(parts), At(at));
+    quarantine_.OnAnswerWentOn(Prompt(parts), At(at));
   }
   bool Refuses(double at, const std::string& parts) {
     return quarantine_.Find(Prompt(parts), At(at)) != nullptr;
@@ -77,11 +80,11 @@
 
 TEST_F(PromptQuarantineTest, AnswerOnASuspectedPart_IsToldToOthers) {
   Crash(0, "s1", "a,b");
-  EXPECT_EQ(quarantine_.OnAnswerBegan(Prompt("a,c"), At(1)),
+  EXPECT_EQ(quarantine_.OnAnswerWentOn(Prompt("a,c"), At(1)),
             std::vector<std::string>({"a"}));
-  EXPECT_TRUE(quarantine_.OnAnswerBegan(Prompt("a,c"), At(2)).empty());
+  EXPECT_TRUE(quarantine_.OnAnswerWentOn(Prompt("a,c"), At(2)).empty());
   quarantine_.OnSoundReported({"b"}, At(3));
-  EXPECT_FALSE(quarantine_.OnCrash("s2", Prompt("a,b"), At(4)).has_value());
+  EXPECT_FALSE(quarantine_.OnCrash("s2", {Prompt("a,b")}, At(4)).has_value());
 }
 
 TEST_F(PromptQuarantineTest, EndsOfOneServerAtOnce_AreOneCrash) {
@@ -94,9 +97,44 @@
   EXPECT_TRUE(Refuses(20, "a,b"));
 }
 
+// What ends a rack is no prompt, however many of its servers had this one.
+TEST_F(PromptQuarantineTest, ServersThatCrashTogether_AreOneCrash) {
+  for (int i = 0; i < 6; ++i)
+    Crash(0.008 * i, absl::StrCat("s", i), "a,b");
+  EXPECT_FALSE(Refuses(1, "a,b"));
+  Crash(5, "t1", "a,b");
+  EXPECT_FALSE(Refuses(5, "a,b"));
+  // Without a pause each 50 ms count once.
+  for (int i = 0; i < 20; ++i)
+    Crash(6 + 0.01 * i, absl::StrCat("u", i), "dead");
+  EXPECT_TRUE(Refuses(6.2, "dead"));
+}
+
+TEST_F(PromptQuarantineTest, OthersAtACrashThatIsExplained_AreNotSuspected) {
+  // "rare" waits at the servers, sent by another router.
+  Crash(0, "s0", "rare");
+  Crash(0, "s0", "dead");
+  Crash(1, "s1", "rare");
+  Crash(1, "s1", "dead");
+  Crash(2, "s2", "dead");
+  Crash(2.1, "s2", "rare");
+  EXPECT_TRUE(Refuses(3, "dead"));
+  Crash(10, "s10", "rare");
+  Crash(11, "s11", "rare");
+  EXPECT_FALSE(Refuses(11, "rare"));
+  Crash(12, "s12", "rare");
+  EXPECT_TRUE(Refuses(12, "rare"));
+}
+
+TEST_F(PromptQuarantineTest, SeveralRequestsOfOneCrash_AreToldInOne) {
+  Answer(0, "a");
+  EXPECT_EQ(quarantine_.OnCrash("s1", {Prompt("a,b"), Prompt("b,c")}, At(1)),
+            (ServerCrash{.server = "s1", .parts = {"b", "c"}}));
+}
+
 TEST_F(PromptQuarantineTest, LastPart_IsTheRequestsOwn) {
   for (int i = 0; i < 5; ++i) {
-    quarantine_.OnCrash(absl::StrCat("s", i), {{.id = "own", .tokens = 10}},
+    quarantine_.OnCrash(absl::StrCat("s", i), {{{.id = "own", .tokens = 10}}},
                         At(i));
   }
   EXPECT_EQ(quarantine_.Find({{.id = "own", .tokens = 10}}, At(5)), nullptr);
@@ -104,8 +142,8 @@
 
 TEST_F(PromptQuarantineTest, CrashWithoutSuspects_IsNotReported) {
   Answer(0, "a,b");
-  EXPECT_FALSE(quarantine_.OnCrash("s1", Prompt("a,b"), At(1)).has_value());
-  EXPECT_EQ(quarantine_.OnCrash("s1", Prompt("a,c"), At(1)),
+  EXPECT_FALSE(quarantine_.OnCrash("s1", {Prompt("a,b")}, At(1)).has_value());
+  EXPECT_EQ(quarantine_.OnCrash("s1", {Prompt("a,c")}, At(1)),
             (ServerCrash{.server = "s1", .parts = {"c"}}));
 }
 
@@ -180,13 +218,13 @@
         continue;
       }
       if (!is_harmful && !server_ends) {
-        const auto cleared = router.OnAnswerBegan(prompt, now);
+        const auto cleared = router.OnAnswerWentOn(prompt, now);
         for (PromptQuarantine& other : routers)
           other.OnSoundReported(cleared, now);
         continue;
       }
       crashes += is_harmful ? 1 : 0;
-      const auto crash = router.OnCrash(absl::StrCat("s", step), prompt, now);
+      const auto crash = router.OnCrash(absl::StrCat("s", step), {prompt}, now);
       for (PromptQuarantine& other : routers) {
         if (crash.has_value() && &other != &router)
           other.OnReported(*crash, now);
@@ -197,5 +235,189 @@
   EXPECT_LE(most_crashes, 5);
 }
 
+// Servers in racks, requests that take time at them, and routers that see what
+// breaks off. Racks die, and one part crashes servers as their answers begin or
+// a little earlier. A reference for what a router can know: it is told of each
+// crash and of sound parts by the others.
+class RackSimulation {
+ public:
+  struct Load {
+    int requests = 6000;
+    bool has_deadly = false;
+    double rack_death = 0.0005;  // of each step
+  };
+  struct Result {
+    int deadly_crashes = 0;
+    // Requests with the part that reached servers after the users' bound.
+    int late_requests = 0;
+    std::set<std::string> quarantined;
+  };
+
+  explicit RackSimulation(int seed)
+      : random_(seed),
+        routers_(kRouters, PromptQuarantine(PromptQuarantineOptions())) {}
+
+  Result Run(const Load& load) {
+    for (int step = 0; step < load.requests; ++step) {
+      now_ = absl::UnixEpoch() + step * kStep;
+      EndAnswers();
+      if (Chance(load.rack_death))
+        KillRack(Below(kRacks));
+      Send(load.has_deadly && step > load.requests / 4 && Chance(0.05));
+    }
+    return result_;
+  }
+
+ private:
+  static constexpr int kRouters = 4;
+  static constexpr int kRacks = 4;
+  static constexpr int kServersPerRack = 6;
+  static constexpr absl::Duration kStep = absl::Milliseconds(5);
+  static constexpr absl::Duration kDown = absl::Seconds(3);
+  static constexpr int kFreeCrashes = 5;
+  static constexpr absl::Duration kContactTime = absl::Seconds(3);
+
+  struct Request {
+    std::vector<PromptPart> prompt;
+    bool is_deadly = false;
+    int router = 0;
+    int tries = 0;
+    absl::Time begins;  // its answer; from `proves` on its parts are sound
+    absl::Time proves;
+    bool is_proved = false;
+    absl::Time ends;
+  };
+
+  int Below(int bound) {
+    return std::uniform_int_distribution<int>(0, bound - 1)(random_);
+  }
+  bool Chance(double share) {
+    return std::uniform_real_distribution<>(0, 1)(random_) < share;
+  }
+
+  // Most requests share "first"; some subjects are popular, some are rare.
+  std::vector<PromptPart> MakePrompt(bool is_deadly) {
+    const int subject = Chance(0.8) ? Below(6) : 6 + Below(60);
+    std::vector<PromptPart> prompt = {
+        {.id = "first", .tokens = 10},
+        {.id = is_deadly ? "dead" : absl::StrCat("subject-", subject),
+         .tokens = 10},
+        {.id = absl::StrCat("own-", ++prompts_), .tokens = 10}};
+    return prompt;
+  }
+
+  void Send(bool is_deadly) {
+    Place({.prompt = MakePrompt(is_deadly),
+           .is_deadly = is_deadly,
+           .router = Below(kRouters)});
+  }
+
+  void Place(Request request) {
+    if (const QuarantinedPart* part =
+            routers_[request.router].Find(request.prompt, now_)) {
+      result_.quarantined.insert(part->part);
+      return;
+    }
+    constexpr int kServers = kRacks * kServersPerRack;
+    for (int i = 0, server = Below(kServers); i < kServers;
+         ++i, server = (server + 1) % kServers) {
+      if (down_until_[server] > now_)
+        continue;
+      if (request.is_deadly && now_ > bound_)
+        ++result_.late_requests;
+      request.begins = now_ + absl::Milliseconds(20 + Below(300));
+      request.proves = request.begins + absl::Milliseconds(100);
+      request.ends = request.proves + absl::Milliseconds(Below(1500));
+      ++request.tries;
+      at_server_[server].push_back(request);
+      return;
+    }
+  }
+
+  void EndAnswers() {
+    for (int server = 0; server < kRacks * kServersPerRack; ++server) {
+      auto& requests = at_server_[server];
+      const bool crashes = std::any_of(
+          requests.begin(), requests.end(),
+          [&](const Request& r) { return r.is_deadly && r.begins <= now_; });
+      if (crashes) {
+        if (++result_.deadly_crashes == kFreeCrashes)
+          bound_ = now_ + kContactTime;
+        Crash(server);
+        continue;
+      }
+      for (Request& request : requests) {
+        if (request.proves <= now_ && !std::exchange(request.is_proved, true))
+          TellSound(request);
+      }
+      std::erase_if(requests, [&](const Request& r) { return r.ends <= now_; });
+    }
+  }
+
+  void TellSound(const Request& request) {
+    const auto cleared =
+        routers_[request.router].OnAnswerWentOn(request.prompt, now_);
+    for (PromptQuarantine& router : routers_)
+      router.OnSoundReported(cleared, now_);
+  }
+
+  void KillRack(int rack) {
+    for (int i = 0; i < kServersPerRack; ++i)
+      Crash(rack * kServersPerRack + i);
+  }
+
+  // Each router reports what broke off of its own, and tries it elsewhere.
+  void Crash(int server) {
+    down_until_[server] = now_ + kDown;
+    const std::vector<Request> broken = std::move(at_server_[server]);
+    at_server_[server].clear();
+    for (int router = 0; router < kRouters; ++router) {
+      std::vector<std::vector<PromptPart>> prompts;
+      for (const Request& request : broken) {
+        if (request.router == router && !request.is_proved)
+          prompts.push_back(request.prompt);
+      }
+      const auto crash =
+          routers_[router].OnCrash(absl::StrCat("s", server), prompts, now_);
+      for (int other = 0; crash.has_value() && other < kRouters; ++other) {
+        if (other != router)
+          routers_[other].OnReported(*crash, now_);
+      }
+    }
+    for (const Request& request : broken) {
+      if (request.tries < 2)
+        Place(request);
+    }
+  }
+
+  std::mt19937_64 random_;
+  std::vector<PromptQuarantine> routers_;
+  absl::Time now_ = absl::UnixEpoch();
+  std::map<int, std::vector<Request>> at_server_;
+  std::map<int, absl::Time> down_until_;
+  absl::Time bound_ = absl::InfiniteFuture();
+  int prompts_ = 0;
+  Result result_;
+};
+
+// Sound parts that most requests share, or few, are in progress at each death.
+TEST_F(PromptQuarantineTest, RacksThatDie_NoPartIsRefused) {
+  for (int seed = 0; seed < 100; ++seed) {
+    const auto result = RackSimulation(seed).Run({.rack_death = 0.002});
+    EXPECT_TRUE(result.quarantined.empty())
+        << "seed " << seed << ": " << *result.quarantined.begin();
+  }
+}
+
+TEST_F(PromptQuarantineTest, RacksThatDieAndADeadlyPart_OnlyThatIsRefused) {
+  constexpr int kMaxLaterRequests = 3;
+  for (int seed = 0; seed < 100; ++seed) {
+    const auto result = RackSimulation(seed).Run({.has_deadly = true});
+    EXPECT_EQ(result.quarantined, std::set<std::string>({"dead"}))
+        << "seed " << seed;
+    EXPECT_LE(result.late_requests, kMaxLaterRequests) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/quarantine_controller.h
+++ b/hawthornhollow/relay/quarantine_controller.h
@@ -4,11 +4,19 @@
 // Carries out the decisions of PromptQuarantine among all routers: each crash
 // is reported to the other routers at once, and quarantines are kept in the
 // store, where routers that start, or were not reached, find them.
+//
+// A connection that broke off is not yet a crash: a server may also reset one
+// connection, or the link may have been cut. An answer that ended between its
+// head and its first piece is taken for a crash as it is. In other cases the
+// server is connected to: only one that refuses has crashed.
 
 #include <atomic>
 #include <deque>
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -31,6 +39,34 @@
   absl::Duration unread_after = absl::Seconds(2);
   // Each report goes to all routers. More than this in a second are left out.
   size_t max_reports_per_second = 10;
+  // Sound parts are told to other routers this long after the first of them.
+  absl::Duration sound_delay = absl::Milliseconds(100);
+  // After a connection broke off, until its server is connected to: a process
+  // that ends closes its connections and its port one after the other.
+  absl::Duration probe_delay = absl::Milliseconds(30);
+  absl::Duration probe_timeout = absl::Milliseconds(300);
+  // Each costs a connection if the server lives. More than this in a second are
+  // left out.
+  size_t max_probes_per_second = 10;
+};
+
+// Allows so many events in any second.
+class SecondLimit {
+ public:
+  explicit SecondLimit(size_t most) : most_(most) {}
+
+  bool TryTake(absl::Time now) {
+    while (!taken_.empty() && now - taken_.front() > absl::Seconds(1))
+      taken_.pop_front();
+    if (taken_.size() >= most_)
+      return false;
+    taken_.push_back(now);
+    return true;
+  }
+
+ private:
+  const size_t most_;
+  std::deque<absl::Time> taken_;  // in the last second
 };
 
 // What QuarantineController needs of its router.
@@ -43,6 +79,11 @@
   std::function<absl::Status(const std::string& address,
                              const std::vector<std::string>& parts)>
       report_sound;
+  // Whether a server refuses connections. An error if this is not known: it
+  // does not answer.
+  std::function<absl::StatusOr<bool>(const Endpoint& server,
+                                     absl::Duration timeout)>
+      refuses;
 };
 
 template <SharedStore Store>
@@ -56,7 +97,9 @@
         calls_(std::move(calls)),
         store_(store),
         records_(store, StoreSubject::kQuarantine),
-        quarantine_(options.decisions) {}
+        quarantine_(options.decisions),
+        reports_(options.max_reports_per_second),
+        probes_(options.max_probes_per_second) {}
   QuarantineController(const QuarantineController&) = delete;
   QuarantineController& operator=(const QuarantineController&) = delete;
 
@@ -71,27 +114,40 @@
         .Add("crashes", found->crashes);
     return true;
   }
-  void OnAnswerBegan(const RelayCall& call) {
+  // An answer has gone on for a while, or is whole.
+  void OnAnswerWentOn(const RelayCall& call) {
     const std::vector<std::string> cleared =
-        quarantine_.OnAnswerBegan(call.prompt, SteadyNow());
+        quarantine_.OnAnswerWentOn(call.prompt, SteadyNow());
     if (cleared.empty())
       return;
     LogEvent("prompt.cleared")
         .Add("request", call.id)
         .Add("parts", Joined(cleared));
-    TellOthers([this, cleared](const std::string& address) {
-      return calls_.report_sound(address, cleared);
-    });
+    TellSound(cleared);
   }
-  // The server broke off between the head and the first piece of its answer.
-  void OnCrash(const RelayCall& call, const std::string& server) {
-    const auto crash = quarantine_.OnCrash(server, call.prompt, SteadyNow());
-    if (!crash.has_value())
+  // The connection to a server ended before the answer had gone on for a while.
+  void OnBrokeOff(const RelayCall& call,
+                  const RelayServer& server,
+                  BreakPoint point) {
+    if (quarantine_.Suspects(call.prompt, SteadyNow()).empty())
       return;
-    LogCrash(*crash, /*peer=*/"");
-    LogDecided();
-    TellOthers([this, crash](const std::string& address) {
-      return calls_.report_crash(address, *crash);
+    if (point == BreakPoint::kBeforeFirstPiece)
+      return OnCrash(server.id, {call.prompt});
+    const auto [found, is_first] = broken_.try_emplace(server.id);
+    found->second.push_back(call.prompt);
+    if (!is_first)
+      return;  // the probe in progress tells of this one, too
+    if (!probes_.TryTake(SteadyNow())) {
+      broken_.erase(found);
+      LogEvent("prompt.probe_skipped", LogSeverity::kWarning)
+          .Add("request", call.id)
+          .Add("server", server.id)
+          .Add("per_second", options_.max_probes_per_second);
+      return;
+    }
+    calls_.spawn([this, request = call.id, server, point] {
+      hawthornhollow::SleepFor(options_.probe_delay);
+      Probe(request, server, point);
     });
   }
   void OnReported(const ServerCrash& crash, const std::string& peer) {
@@ -179,25 +235,63 @@
     return false;
   }
 
-  bool MayReport() {
-    const absl::Time now = SteadyNow();
-    while (!reports_.empty() && now - reports_.front() > absl::Seconds(1))
-      reports_.pop_front();
-    if (reports_.size() >= options_.max_reports_per_second)
-      return false;
-    reports_.push_back(now);
-    return true;
+  // Finds out whether a server has crashed to which connections broke off.
+  void Probe(const std::string& request,
+             const RelayServer& server,
+             BreakPoint point) {
+    const absl::StatusOr<bool> refuses =
+        calls_.refuses(server.address, options_.probe_timeout);
+    const auto prompts = std::move(broken_.extract(server.id).mapped());
+    LogEvent("prompt.server_probed")
+        .Add("request", request)
+        .Add("server", server.id)
+        .Add("broke_off", NameOf(point))
+        .Add("requests", prompts.size())
+        .Add("outcome", !refuses.ok() ? "silent"
+                        : *refuses    ? "refuses"
+                                      : "up");
+    if (refuses.ok() && *refuses)
+      OnCrash(server.id, prompts);
   }
 
-  // Calls `tell` for each other router, each on a fiber of its own.
-  void TellOthers(
-      const std::function<absl::Status(const std::string& address)>& tell) {
-    if (!MayReport()) {
+  void OnCrash(const std::string& server,
+               const std::vector<std::vector<PromptPart>>& prompts) {
+    const auto crash = quarantine_.OnCrash(server, prompts, SteadyNow());
+    if (!crash.has_value())
+      return;
+    LogCrash(*crash, /*peer=*/"");
+    LogDecided();
+    if (!reports_.TryTake(SteadyNow())) {
       LogEvent("prompt.report_skipped", LogSeverity::kWarning)
-          .Add("per_second",
-               static_cast<int64_t>(options_.max_reports_per_second));
+          .Add("server", server)
+          .Add("per_second", options_.max_reports_per_second);
       return;
     }
+    TellOthers([this, crash](const std::string& address) {
+      return calls_.report_crash(address, *crash);
+    });
+  }
+
+  // Together with what else is found to be sound soon after.
+  void TellSound(const std::vector<std::string>& parts) {
+    const bool is_first = untold_sound_.empty();
+    untold_sound_.insert(parts.begin(), parts.end());
+    if (!is_first)
+      return;
+    calls_.spawn([this] {
+      hawthornhollow::SleepFor(options_.sound_delay);
+      const std::vector<std::string> sound(untold_sound_.begin(),
+                                           untold_sound_.end());
+      untold_sound_.clear();
+      TellOthers([this, sound](const std::string& address) {
+        return calls_.report_sound(address, sound);
+      });
+    });
+  }
+
+  // Calls `tell` for each other router, each on a fiber of its own.
+  void TellOthers(
+      const std::function<absl::Status(const std::string& address)>& tell) {
     for (const std::string& address : calls_.addresses()) {
       calls_.spawn([address, tell] {
         const absl::Status status = tell(address);
@@ -246,7 +340,11 @@
   int64_t era_ = 0;  // of the store, when its records were last read
   uint64_t adopted_changes_ = 0;
   absl::Time read_at_ = absl::InfinitePast();
-  std::deque<absl::Time> reports_;  // of the last second
+  SecondLimit reports_;
+  SecondLimit probes_;
+  // Prompts of requests that broke off at servers whose probe is in progress.
+  std::map<std::string, std::vector<std::vector<PromptPart>>> broken_;
+  std::set<std::string> untold_sound_;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -127,7 +127,8 @@
                  [this](const std::string& address,
                         const std::vector<std::string>& parts) {
                    return ReportSoundToPeer(client_, address, parts);
-                 }}),
+                 },
+             .refuses = &RefusesConnections}),
         server_limits_(
             settings.router,
             settings.server_limits,
@@ -153,28 +154,29 @@
             catalog_,
             quarantine_,
             server_limits_) {
-    shared_ = {.client = &client_,
-               .placement = &placement_,
-               .link = &link_,
-               .link_load = &link_load_,
-               .buffered_bytes = &buffered_bytes_,
-               .metrics = &metrics_,
-               .prompts = {.is_quarantined =
-                               [this](const RelayCall& call) {
-                                 return quarantine_.IsQuarantined(call);
-                               },
-                           .on_answer_began =
-                               [this](const RelayCall& call) {
-                                 quarantine_.OnAnswerBegan(call);
-                               },
-                           .on_crash =
-                               [this](const RelayCall& call,
-                                      const std::string& server) {
-                                 quarantine_.OnCrash(call, server);
-                               }},
-               .limits = LimitCalls(),
-               .retries = &retries_,
-               .retry_ratio = settings.retry_ratio / 2};
+    shared_ = {
+        .client = &client_,
+        .placement = &placement_,
+        .link = &link_,
+        .link_load = &link_load_,
+        .buffered_bytes = &buffered_bytes_,
+        .metrics = &metrics_,
+        .prompts = {.is_quarantined =
+                        [this](const RelayCall& call) {
+                          return quarantine_.IsQuarantined(call);
+                        },
+                    .on_answer_went_on =
+                        [this](const RelayCall& call) {
+                          quarantine_.OnAnswerWentOn(call);
+                        },
+                    .on_broke_off =
+                        [this](const RelayCall& call, const RelayServer& server,
+                               BreakPoint point) {
+                          quarantine_.OnBrokeOff(call, server, point);
+                        }},
+        .limits = LimitCalls(),
+        .retries = &retries_,
+        .retry_ratio = settings.retry_ratio / 2};
   }
   RelayInstance(const RelayInstance&) = delete;
   RelayInstance& operator=(const RelayInstance&) = delete;
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -102,8 +102,9 @@
     if (!choice.ok())
       return EndWithoutServer();
     summary_.server = choice->server.id;
-    got_first_piece_ = false;
+    first_piece_at_.reset();
     began_ = false;
+    went_on_ = false;
     broke_off_ = false;
     LogEvent("request.placed")
         .Add("request", request_.call.id)
@@ -114,8 +115,9 @@
         .Add("left_ms", absl::ToInt64Milliseconds(TimeLeft()));
     const AttemptResult result = AttemptAt(*choice);
     Report(*choice, result);
-    if (began_ && broke_off_ && !got_first_piece_ && !caller_->gone)
-      shared_.prompts.on_crash(request_.call, choice->server.id);
+    if (broke_off_ && !went_on_ && !caller_->gone)
+      shared_.prompts.on_broke_off(request_.call, choice->server,
+                                   PointOfBreak());
     if (result == AttemptResult::kAnswered)
       return true;
     excluded_servers_.insert(choice->server.id);
@@ -129,6 +131,14 @@
     return EndAfter(result);
   }
 
+  BreakPoint PointOfBreak() const {
+    if (!began_)
+      return BreakPoint::kBeforeHead;
+    return got_first_piece() ? BreakPoint::kSoonAfterFirstPiece
+                             : BreakPoint::kBeforeFirstPiece;
+  }
+  bool got_first_piece() const { return first_piece_at_.has_value(); }
+
   // Chooses a server that this request may be sent to, with a permit if the
   // server has a limit.
   absl::StatusOr<PromptPlacement::Choice> ChooseServer() {
@@ -170,7 +180,7 @@
       outcome = Outcome::kNoResponse;
     if (caller_->gone)
       outcome = Outcome::kAbandoned;
-    shared_.placement->OnFinished(choice, got_first_piece_, outcome,
+    shared_.placement->OnFinished(choice, got_first_piece(), outcome,
                                   SteadyNow());
     shared_.metrics->OnServerAttempt(choice.server.id, NameOf(result));
     if (result == AttemptResult::kAnswered)
@@ -460,6 +470,8 @@
       return AttemptResult::kErrorAnswer;
     }
     OnFirstPiece(choice);
+    if (success)
+      OnAnswerWentOn();
     EndSent(writer_.Send(answer), "answered", answer.status);
     summary_.may_have_run = true;
     return AttemptResult::kAnswered;
@@ -491,19 +503,24 @@
   }
 
   void OnFirstPiece(const PromptPlacement::Choice& choice) {
-    if (std::exchange(got_first_piece_, true))
+    if (got_first_piece())
       return;
+    first_piece_at_ = SteadyNow();
     shared_.placement->OnFirstToken(choice);
-    shared_.prompts.on_answer_began(request_.call);
     if (summary_.first_event == absl::InfiniteDuration())
       summary_.first_event = SteadyNow() - request_.arrived;
   }
 
+  void OnAnswerWentOn() {
+    if (!std::exchange(went_on_, true))
+      shared_.prompts.on_answer_went_on(request_.call);
+  }
+
   absl::Duration EventTimeout() const {
     if (!may_repeat() || IsLastAttempt())
       return TimeLeft();
-    return std::min(TimeLeft(), got_first_piece_ ? options_.event_stall_timeout
-                                                 : HeadTimeout());
+    return std::min(TimeLeft(), got_first_piece() ? options_.event_stall_timeout
+                                                  : HeadTimeout());
   }
 
   AttemptResult RelayStream(const PromptPlacement::Choice& choice,
@@ -527,6 +544,9 @@
         }
         if (!event.is_comment)
           OnFirstPiece(choice);
+        if (got_first_piece() &&
+            SteadyNow() - *first_piece_at_ >= options_.sound_after)
+          OnAnswerWentOn();
         if (!Deliver(reply, event.bytes))
           return AttemptResult::kAnswered;
         if (event.is_comment)
@@ -593,6 +613,9 @@
       detail_ = "the stream ends inside an event";
       return AttemptResult::kIncompleteAnswer;
     }
+    // An answer without length that has no event may be one that broke off.
+    if (got_first_piece())
+      OnAnswerWentOn();
     if (!Deliver(reply, rest))
       return AttemptResult::kAnswered;
     EndSent(writer_.Finish(), "answered", reply.status);
@@ -612,9 +635,11 @@
   int stream_status_ = 0;
   std::string stream_type_;
   // Of the attempt in progress: the head of a success answer has arrived, so
-  // has its first piece, and the connection ended before the answer.
+  // has its first piece, it went on for a while, and the connection ended
+  // before the answer.
   bool began_ = false;
-  bool got_first_piece_ = false;
+  std::optional<absl::Time> first_piece_at_;
+  bool went_on_ = false;
   bool broke_off_ = false;
   absl::Time sent_at_;  // or a little earlier
   std::optional<int64_t> last_event_;
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -16,6 +16,7 @@
 
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/link_load.h"
+#include "hawthornhollow/relay/prompt_quarantine.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
 #include "hawthornhollow/scheduling/scheduling.h"
@@ -35,6 +36,9 @@
   // Number of answers on a connection that belong to other requests and are
   // discarded before the attempt is abandoned.
   int max_stray_answers = 3;
+  // A stream that goes on for this long after its first piece shows that its
+  // prompt does not crash servers as they begin to answer.
+  absl::Duration sound_after = absl::Milliseconds(100);
   size_t max_answer_bytes = 4 * 1024 * 1024;
   // Limits what a server can make a router keep by sending bytes that are no
   // answer: one event of a stream, and what all requests together keep of
@@ -60,8 +64,11 @@
 // What a request reports, and asks, about prompts that crash servers.
 struct PromptWatch {
   std::function<bool(const RelayCall&)> is_quarantined;
-  std::function<void(const RelayCall&)> on_answer_began;
-  std::function<void(const RelayCall&, const std::string& server)> on_crash;
+  // An answer has gone on for `sound_after`, or is whole.
+  std::function<void(const RelayCall&)> on_answer_went_on;
+  // The connection ended before that.
+  std::function<void(const RelayCall&, const RelayServer&, BreakPoint)>
+      on_broke_off;
 };
 
 // What a request reports, and asks, about servers that state a limit of
--- a/hawthornhollow/runtime/runtime.h
+++ b/hawthornhollow/runtime/runtime.h
@@ -115,6 +115,12 @@
   std::unique_ptr<Impl> impl_;
 };
 
+// Whether no process listens at `peer`. DEADLINE_EXCEEDED if that is not known
+// after `timeout`; other errors are local ones. Costs a connection if a process
+// listens.
+absl::StatusOr<bool> RefusesConnections(const Endpoint& peer,
+                                        absl::Duration timeout);
+
 // Accepts connections on one runtime thread.
 class TcpListener {
  public:
--- a/hawthornhollow/runtime/runtime_test.cc
+++ b/hawthornhollow/runtime/runtime_test.cc
@@ -242,6 +242,16 @@
   RunOn(0, [&] {
     EXPECT_EQ(TcpStream::Connect(closed, kLong).status().code(),
               absl::StatusCode::kUnavailable);
+    const auto refuses = RefusesConnections(closed, kLong);
+    EXPECT_TRUE(refuses.ok() && *refuses);
+  });
+}
+
+TEST_F(RuntimeTest, ProbeOfAListener_IsNotRefused) {
+  auto listener = Listen(Echo);
+  RunOn(0, [&] {
+    const auto refuses = RefusesConnections(listener->local(), kLong);
+    EXPECT_TRUE(refuses.ok() && !*refuses);
   });
 }
 
--- a/hawthornhollow/runtime/tcp_stream.cc
+++ b/hawthornhollow/runtime/tcp_stream.cc
@@ -141,6 +141,26 @@
       std::make_unique<Impl>(std::move(thread), std::move(stream), peer));
 }
 
+absl::StatusOr<bool> RefusesConnections(const Endpoint& peer,
+                                        absl::Duration timeout) {
+  const std::shared_ptr<IoThread> thread = IoThread::Current();
+  if (thread == nullptr) {
+    return ErrorAt(absl::StatusCode::kFailedPrecondition, "tcp.probe",
+                   peer.ToString(), "not on a runtime thread");
+  }
+  TimedStream stream(thread->context());
+  SetTimeout(&stream, timeout);
+  error_code error;
+  Await(&error, [&](auto done) {
+    stream.async_connect(ToAsio(peer), std::move(done));
+  });
+  if (error == boost::asio::error::connection_refused)
+    return true;
+  if (error)
+    return ErrorOf(error, "tcp.probe", peer.ToString());
+  return false;
+}
+
 std::unique_ptr<TcpStream> MakeTcpStream(Socket socket) {
   error_code ignored;
   const Endpoint peer = FromAsio(socket.remote_endpoint(ignored));
--- a/testing/entry_fixture.h
+++ b/testing/entry_fixture.h
@@ -38,8 +38,12 @@
     ASSERT_TRUE(runtime.ok()) << runtime.status();
     runtime_ = *std::move(runtime);
     store_server_ = Listen(store_.Handler());
-    for (auto& replica : replicas_)
-      replica_servers_.push_back(Listen(replica->Handler()));
+    // No ports that the system gives to connections: one that was closed for a
+    // while has to be free when its server is back.
+    for (auto& replica : replicas_) {
+      replica_servers_.push_back(
+          Listen(replica->Handler(), {"127.0.0.1", FreePort()}));
+    }
     callers_ = {"127.0.0.1", FreePort()};
     readiness_ = {"127.0.0.1", FreePort()};
     peers_ = {"127.0.0.1", FreePort()};
@@ -54,9 +58,10 @@
     runtime_.reset();
   }
 
-  std::unique_ptr<HttpServer> Listen(HttpHandler handler) {
-    auto server = HttpServer::Start(*runtime_, {.local = {"127.0.0.1", 0}},
-                                    std::move(handler));
+  std::unique_ptr<HttpServer> Listen(HttpHandler handler,
+                                     const Endpoint& local = {"127.0.0.1", 0}) {
+    auto server =
+        HttpServer::Start(*runtime_, {.local = local}, std::move(handler));
     EXPECT_TRUE(server.ok()) << server.status();
     return *std::move(server);
   }
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -230,9 +230,16 @@
   return runs_;
 }
 
-void ReplicaStandin::CountCrash() {
+bool ReplicaStandin::CrashesAt(CrashPoint point,
+                               const HttpRequest& request,
+                               const Faults& faults) {
+  if (faults.deadly_part.empty() || faults.crash_point != point ||
+      std::string(request.Header("Prompt-Prefix"))
+              .find(faults.deadly_part + ":") == std::string::npos)
+    return false;
   const std::lock_guard lock(mutex_);
   ++crashes_;
+  return true;
 }
 
 std::vector<absl::Time> ReplicaStandin::arrivals() const {
@@ -319,14 +326,12 @@
   HttpHeaders headers =
       AnswerHeaders(id_, std::string(request.Header("Attempt-Id")), faults);
   headers.emplace_back("Content-Type", "text/event-stream");
+  if (CrashesAt(CrashPoint::kBeforeHead, request, faults))
+    return writer.Abort();
   if (!writer.StartStream(kOk, headers).ok())
     return;
-  if (!faults.deadly_part.empty() &&
-      std::string(request.Header("Prompt-Prefix"))
-              .find(faults.deadly_part + ":") != std::string::npos) {
-    CountCrash();
+  if (CrashesAt(CrashPoint::kAfterHead, request, faults))
     return writer.Abort();
-  }
   for (int sent = 0; next <= kEvents; ++next, ++sent) {
     if (sent == faults.break_after_events) {
       writer.Write("id: " + std::to_string(next) + "\nda").IgnoreError();
@@ -339,6 +344,8 @@
     }
     if (!writer.Write(Event(next)).ok())
       return;
+    if (CrashesAt(CrashPoint::kAfterFirstEvent, request, faults))
+      return writer.Abort();
   }
   writer.Finish().IgnoreError();
 }
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -82,6 +82,8 @@
 // events, others with a short body.
 class ReplicaStandin {
  public:
+  // What it sends of an answer before it crashes.
+  enum class CrashPoint { kBeforeHead, kAfterHead, kAfterFirstEvent };
   struct Faults {
     // Breaks each stream off after this many events; negative: never.
     int break_after_events = -1;
@@ -91,6 +93,7 @@
     bool fail = false;    // runs and answers 500
     // Crashes when it begins a stream whose prompt has this part.
     std::string deadly_part;
+    CrashPoint crash_point = CrashPoint::kAfterHead;
     // States this limit of requests a second in all answers; empty: none.
     std::string stated_limit;
     // Ends each stream that is not resumed inside this event, as if it were
@@ -117,7 +120,10 @@
  private:
   void Serve(const HttpRequest& request, ResponseWriter& writer);
   static std::string Event(int64_t number);
-  void CountCrash();
+  // Returns whether the request crashes it, at this point of its answer.
+  bool CrashesAt(CrashPoint point,
+                 const HttpRequest& request,
+                 const Faults& faults);
   static HttpHeaders AnswerHeaders(const std::string& seal,
                                    const std::string& request,
                                    const Faults& faults);
