Decode and log what a server's answer says of its leaving

Hypotheses for the orders that a leaving server gets until it exits: 1. The answers' word is not used: the list is the only source, and it is not read while the store is away. Mark: answers that say so, and server.listed leaving=0 throughout. 2. The list knew it, and the grace after an outage keeps the server. Mark: server.kept before. 3. Requests are placed before and arrive late. Mark: request.placed before the first such answer. The logs had nothing of the answers. Added: ServerStatement, decoded in platform/ in one place with the limit, and the event server.leaving_stated. No logic changed.

--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -347,6 +347,21 @@
   std::optional<int64_t> resume_after;
 };
 
+// What a server says of itself in an answer.
+struct ServerStatement {
+  // It will exit soon, and wants no more requests.
+  bool is_leaving = false;
+  // Requests per second that the server takes from all routers together, for as
+  // long as its answers say so; unset if this one states no limit.
+  std::optional<double> requests_per_second;
+  // Why what it states of either cannot be used; empty if it can, or nothing is
+  // stated.
+  std::string bad_leaving;
+  std::string bad_limit;
+  friend bool operator==(const ServerStatement&,
+                         const ServerStatement&) = default;
+};
+
 // The decoded head of a server's answer.
 struct ReplyHead {
   int status = 0;
@@ -354,11 +369,7 @@
   // The server did not execute the request and never will.
   bool not_run = false;
   bool sealed = false;  // carries the server's proof of origin
-  // Requests per second that the server takes from all routers together, for as
-  // long as its answers say so; unset if this one states no limit.
-  std::optional<double> requests_per_second;
-  // Why a stated limit cannot be used; empty if it can, or none is stated.
-  std::string bad_limit;
+  ServerStatement statement;
   HttpHeaders headers;  // to be passed to the caller
 };
 
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -387,7 +387,7 @@
         return FailedRead(head.status());
       const ReplyHead reply = D::DecodeReply(*head);
       if (IsOwn(reply, stray_count)) {
-        ReportLimit(choice.server.id, reply);
+        ReportStatement(choice.server, reply);
         return ReceiveBody(choice, reply);
       }
       LogEvent("answer.stray", LogSeverity::kWarning)
@@ -412,24 +412,50 @@
            (stray_count == 0 && !caller_->exchange->is_reused());
   }
 
+  // What the server says of itself, unless another one has answered.
+  void ReportStatement(const RelayServer& server,
+                       const ReplyHead& reply) const {
+    if (reply.status == kMisdirected)
+      return;
+    ReportLeaving(server, reply);
+    ReportLimit(server.id, reply);
+  }
+
+  // Counts from any answer that is passed on, with proof of origin or without.
+  void ReportLeaving(const RelayServer& server, const ReplyHead& reply) const {
+    if (!reply.statement.bad_leaving.empty()) {
+      LogEvent("server.leaving_rejected", LogSeverity::kWarning)
+          .Add("request", request_.call.id)
+          .Add("server", server.id)
+          .Add("reason", reply.statement.bad_leaving);
+    }
+    if (!reply.statement.is_leaving)
+      return;
+    LogEvent("server.leaving_stated")
+        .Add("request", request_.call.id)
+        .Add("server", server.id)
+        .Add("sent_ms", absl::ToInt64Milliseconds(SteadyNow() - sent_at_));
+  }
+
   void ReportLimit(const std::string& server, const ReplyHead& reply) const {
-    if (!reply.bad_limit.empty()) {
+    const ServerStatement& statement = reply.statement;
+    if (!statement.bad_limit.empty()) {
       LogEvent("server.limit_rejected", LogSeverity::kWarning)
           .Add("request", request_.call.id)
           .Add("server", server)
-          .Add("reason", reply.bad_limit);
+          .Add("reason", statement.bad_limit);
       return;
     }
-    // Another server may have answered, or something that is no server.
-    if (reply.status == kMisdirected || !(reply.sealed || reply.not_run))
+    // It may have been something that is no server.
+    if (!reply.sealed && !reply.not_run)
       return;
-    if (reply.requests_per_second.has_value()) {
+    if (statement.requests_per_second.has_value()) {
       LogEvent("server.limit_stated")
           .Add("request", request_.call.id)
           .Add("server", server)
-          .Add("per_second", *reply.requests_per_second);
+          .Add("per_second", *statement.requests_per_second);
     }
-    shared_.limits.on_answer(server, reply.requests_per_second, sent_at_);
+    shared_.limits.on_answer(server, statement.requests_per_second, sent_at_);
   }
 
   AttemptResult FailedRead(const absl::Status& status) {
