A server that says in an answer that it leaves gets no more requests

Cause: the word in answers was not used; a server's entry in the store was the only source. Ruled out: requests placed before the word.

Why it works: the first answer that says so takes the server out for its lifetime (id and born), before the list and whatever the list says later. Retries, resumed streams and waiting requests choose from the same placement.

Cost: a service of which all servers say so is refused at once; a server that says so and stays gets nothing.

--- a/hawthornhollow/relay/prompt_placement.cc
+++ b/hawthornhollow/relay/prompt_placement.cc
@@ -231,6 +231,13 @@
   }
 }
 
+void PromptPlacement::SetLeaving(const Choice& choice) {
+  State* const state = Find(choice);
+  if (state != nullptr &&
+      state->server.revision.born_ms <= choice.server.revision.born_ms)
+    state->server.leaving = true;
+}
+
 std::vector<std::string> PromptPlacement::ServersOf(
     std::string_view service) const {
   std::vector<std::string> ids;
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -244,6 +244,10 @@
                   Outcome outcome,
                   absl::Time now);
 
+  // The chosen server has said that it leaves: it is chosen no more, unless it
+  // has started anew since.
+  void SetLeaving(const Choice& choice);
+
   // Ids of the service's servers that are not leaving.
   std::vector<std::string> ServersOf(std::string_view service) const;
   int64_t in_flight(std::string_view server) const;
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -108,7 +108,7 @@
                       },
                   .on_servers =
                       [this](const std::vector<RelayServer>& servers) {
-                        placement_.SetServers(servers);
+                        placement_.SetServers(leaving_.Apply(servers));
                         server_limits_.KeepServers(servers);
                       }}),
         quarantine_(
@@ -175,6 +175,7 @@
                           quarantine_.OnBrokeOff(call, server, point);
                         }},
         .limits = LimitCalls(),
+        .leaving = &leaving_,
         .retries = &retries_,
         .retry_ratio = settings.retry_ratio / 2};
   }
@@ -577,6 +578,7 @@
   LinkLoad link_load_;
   RelayMetrics metrics_;
   InstrumentedStore<Store> store_;
+  LeavingServers leaving_;
   PromptPlacement placement_;
   TotalsController<InstrumentedStore<Store>> totals_;
   CatalogController<InstrumentedStore<Store>, D> catalog_;
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -387,7 +387,7 @@
         return FailedRead(head.status());
       const ReplyHead reply = D::DecodeReply(*head);
       if (IsOwn(reply, stray_count)) {
-        ReportStatement(choice.server, reply);
+        ReportStatement(choice, reply);
         return ReceiveBody(choice, reply);
       }
       LogEvent("answer.stray", LogSeverity::kWarning)
@@ -413,28 +413,33 @@
   }
 
   // What the server says of itself, unless another one has answered.
-  void ReportStatement(const RelayServer& server,
+  void ReportStatement(const PromptPlacement::Choice& choice,
                        const ReplyHead& reply) const {
     if (reply.status == kMisdirected)
       return;
-    ReportLeaving(server, reply);
-    ReportLimit(server.id, reply);
+    ReportLeaving(choice, reply);
+    ReportLimit(choice.server.id, reply);
   }
 
   // Counts from any answer that is passed on, with proof of origin or without.
-  void ReportLeaving(const RelayServer& server, const ReplyHead& reply) const {
+  void ReportLeaving(const PromptPlacement::Choice& choice,
+                     const ReplyHead& reply) const {
     if (!reply.statement.bad_leaving.empty()) {
       LogEvent("server.leaving_rejected", LogSeverity::kWarning)
           .Add("request", request_.call.id)
-          .Add("server", server.id)
+          .Add("server", choice.server.id)
           .Add("reason", reply.statement.bad_leaving);
     }
-    if (!reply.statement.is_leaving)
+    if (!reply.statement.is_leaving ||
+        !shared_.leaving->OnStated(choice.server))
       return;
+    shared_.placement->SetLeaving(choice);
     LogEvent("server.leaving_stated")
         .Add("request", request_.call.id)
-        .Add("server", server.id)
-        .Add("sent_ms", absl::ToInt64Milliseconds(SteadyNow() - sent_at_));
+        .Add("server", choice.server.id)
+        .Add("born", choice.server.revision.born_ms)
+        .Add("sent_ms", absl::ToInt64Milliseconds(SteadyNow() - sent_at_))
+        .Add("in_flight", shared_.placement->in_flight(choice.server.id));
   }
 
   void ReportLimit(const std::string& server, const ReplyHead& reply) const {
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "hawthornhollow/relay/congestion_detector.h"
+#include "hawthornhollow/relay/leaving_servers.h"
 #include "hawthornhollow/relay/link_load.h"
 #include "hawthornhollow/relay/prompt_quarantine.h"
 #include "hawthornhollow/relay/relay.h"
@@ -98,6 +99,7 @@
   RelayMetrics* metrics = nullptr;
   PromptWatch prompts;
   LimitWatch limits;
+  LeavingServers* leaving = nullptr;
   std::map<std::string, RetryBudget>* retries = nullptr;  // keyed by service
   double retry_ratio = 0.1;
   double retry_burst = 5;
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -255,6 +255,8 @@
     headers.emplace_back("Replica-Seal", seal);
   if (!faults.stated_limit.empty())
     headers.emplace_back("Server-Limit", faults.stated_limit);
+  if (faults.says_leaving)
+    headers.emplace_back("Server-Leaving", "1");
   return headers;
 }
 
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -96,6 +96,7 @@
     CrashPoint crash_point = CrashPoint::kAfterHead;
     // States this limit of requests a second in all answers; empty: none.
     std::string stated_limit;
+    bool says_leaving = false;  // in all answers
     // Ends each stream that is not resumed inside this event, as if it were
     // whole; 0: none.
     int64_t end_inside_event = 0;
--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -91,12 +91,13 @@
 void PutServer(StoreStandin& store,
                const std::string& id,
                const Endpoint& address,
-               int64_t sequence) {
+               int64_t sequence,
+               int64_t born_ms) {
   store.Put("keyed.servers", id,
             absl::Substitute(R"({"service":"engine","address":"$0","zone":"z",
       "version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
-      "sequence":$1})",
-                             address.ToString(), sequence));
+      "sequence":$1,"born":$2})",
+                             address.ToString(), sequence, born_ms));
 }
 
 void DropServer(StoreStandin& store, const std::string& id) {
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -63,7 +63,8 @@
 void PutServer(StoreStandin& store,
                const std::string& id,
                const Endpoint& address,
-               int64_t sequence);
+               int64_t sequence,
+               int64_t born_ms = 0);
 void DropServer(StoreStandin& store, const std::string& id);
 // Entries among those of the servers that no server wrote. Their servers would
 // be at `address`; no router may use one.
