What a connection keeps of bytes that are not parsed is bounded

Cause: a connection's read buffer had no bound; the parser waits for the end of the line. Ruled out: heads, bodies, interim answers and events, which held before. Why it works: the buffer ends at 64 KB (a server's has room for its longest head besides), and the parser reports an overflow: an answer is broken, a request gets 400. One buffer type serves clients, servers, routers and the store.

Tests, failed before: StreamTroubleTest ChunkExtensionWithoutEnd and TrailerWithoutEnd, EndlessRequestTest 2 of 2. Cost: extensions and trailers with lines over 64 KB are rejected.

--- a/hawthornhollow/http/beast_internal.h
+++ b/hawthornhollow/http/beast_internal.h
@@ -10,6 +10,11 @@
 
 namespace hawthornhollow {
 
+// What a connection keeps of bytes that are not parsed yet: of a chunk's
+// extension or a trailer, say, which have no bound of their own and may come
+// without end. Longer than any line that a sound party sends.
+constexpr size_t kMaxUnparsedBytes = 64 * 1024;
+
 // What can be learned of a socket without reading from it.
 enum class SocketState {
   kQuiet,   // open, nothing to read
--- a/hawthornhollow/http/connection_pool_internal.h
+++ b/hawthornhollow/http/connection_pool_internal.h
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <utility>
 
+#include "hawthornhollow/http/beast_internal.h"
 #include "hawthornhollow/http/http.h"
 #include "hawthornhollow/runtime/asio_internal.h"
 
@@ -21,7 +22,7 @@
 
   std::shared_ptr<IoThread> thread;
   TimedStream stream;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
   absl::Time idle_since;
   // How long the server keeps the connection idle, as it last said.
   absl::Duration idle_limit = absl::InfiniteDuration();
--- a/hawthornhollow/http/server_connection.cc
+++ b/hawthornhollow/http/server_connection.cc
@@ -59,6 +59,8 @@
                                    Socket socket)
     : shared_(std::move(shared)),
       stream_(std::move(socket)),
+      // Room for the longest head, and for what may follow it.
+      buffer_(shared_->options().max_header_bytes + kMaxUnparsedBytes),
       request_timer_(stream_.get_executor()) {
   error_code ignored;
   peer_ = FromAsio(stream_.socket().remote_endpoint(ignored)).ToString();
@@ -164,7 +166,7 @@
   const error_code error = ReadMessage(&parser);
   StopRequestTimer();
   if (error) {
-    AnswerReadError(error);
+    AnswerReadError(error, parser.is_header_done());
     return false;
   }
   traits->version = parser.get().version();
@@ -224,12 +226,12 @@
   request_timer_.cancel();
 }
 
-void ServerConnection::AnswerReadError(const error_code& error) {
+void ServerConnection::AnswerReadError(const error_code& error, bool has_head) {
   if (timed_out_) {
     AnswerAndClose(JsonError(408, "request_timeout",
                              "the request did not arrive in time"));
-  } else if (error == http::error::header_limit ||
-             error == http::error::buffer_overflow) {
+  } else if (!has_head && (error == http::error::header_limit ||
+                           error == http::error::buffer_overflow)) {
     AnswerAndClose(JsonError(431, "headers_too_large",
                              "the request's head is over the limit"));
   } else if (error == http::error::body_limit) {
--- a/hawthornhollow/http/server_internal.h
+++ b/hawthornhollow/http/server_internal.h
@@ -79,7 +79,7 @@
   boost::system::error_code SendContinue();
   void StartRequestTimer();
   void StopRequestTimer();
-  void AnswerReadError(const boost::system::error_code& error);
+  void AnswerReadError(const boost::system::error_code& error, bool has_head);
   void AnswerAndClose(const HttpResponse& response);
   void Linger();
   ResponseTraits DefaultTraits() const;
--- a/testing/server_trouble_test.cc
+++ b/testing/server_trouble_test.cc
@@ -1,9 +1,15 @@
 // Backend servers in trouble before the real program of the entry VMs: what
 // they send is no answer, has no end, or makes no progress.
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <chrono>
 #include <fstream>
 #include <future>
+#include <thread>
 
 #include "absl/strings/str_cat.h"
 #include "testing/entry_fixture.h"
@@ -32,9 +38,21 @@
   return absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n");
 }
 
-std::string JunkChunk() {
+std::string Junk() {
   constexpr size_t kBytes = 16 * 1024;
-  return Chunk(std::string(kBytes, 'x'));
+  return std::string(kBytes, 'x');
+}
+
+std::string JunkChunk() {
+  return Chunk(Junk());
+}
+
+// Lines of headers.
+std::string JunkLines() {
+  std::string lines;
+  for (int i = 0; i < 500; ++i)
+    lines += "X-Junk: xxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n";
+  return lines;
 }
 
 class ServerTroubleTest : public EntryFixture {
@@ -144,7 +162,13 @@
                      .pause = absl::Milliseconds(100)}},
         TroubleCase{"ChunkSizeWithoutEnd",
                     {.beginning = StreamHead() + "1;",
-                     .repeated = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"}}),
+                     .repeated = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"}},
+        // The router kept all of it, and ran out of memory.
+        TroubleCase{"ChunkExtensionWithoutEnd",
+                    {.beginning = StreamHead() + "5;a=", .repeated = Junk()}},
+        TroubleCase{
+            "TrailerWithoutEnd",
+            {.beginning = StreamHead() + "0\r\n", .repeated = JunkLines()}}),
     [](const auto& info) { return std::string(info.param.name); });
 
 // An order runs once at most, so its caller learns that the outcome is unknown,
@@ -181,6 +205,64 @@
   EXPECT_LT(PeakKilobytes(), kSmallestVmKilobytes);
 }
 
+struct EndlessRequestCase {
+  const char* name;
+  std::string repeated;
+  std::string beginning;  // after the head
+};
+
+class EndlessRequestTest
+    : public ServerTroubleTest,
+      public testing::WithParamInterface<EndlessRequestCase> {
+ protected:
+  static constexpr absl::Duration kSendTime = absl::Seconds(4);
+
+  // Sends a request without a key and without end, until the router closes the
+  // connection.
+  void SendEndless() {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(callers_.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ASSERT_EQ(connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                      sizeof(address)),
+              0);
+    std::string bytes =
+        "POST /order/a HTTP/1.1\r\nHost: h.example\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        GetParam().beginning;
+    const absl::Time end = absl::Now() + kSendTime;
+    ssize_t sent = 0;
+    while (sent >= 0 && absl::Now() < end) {
+      sent = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      bytes = GetParam().repeated;
+    }
+    close(fd);
+  }
+};
+
+// The router kept all of it, and ran out of memory.
+TEST_P(EndlessRequestTest, RequestWithoutEnd_TakesLittleMemoryAndCostsNoOther) {
+  StartReady();
+  std::vector<std::thread> clients;
+  for (int i = 0; i < 4; ++i)
+    clients.emplace_back([this] { SendEndless(); });
+  const absl::Time end = absl::Now() + kSendTime;
+  while (absl::Now() < end)
+    EXPECT_EQ(StatusOf("/order/a"), 200);
+  for (std::thread& client : clients)
+    client.join();
+  EXPECT_LT(PeakKilobytes(), kSmallestVmKilobytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests,
+    EndlessRequestTest,
+    testing::Values(EndlessRequestCase{"ChunkExtension", Junk(), "5;a="},
+                    EndlessRequestCase{"Trailer", JunkLines(), "0\r\n"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 // The late copy of an answer is no answer to the next request.
 TEST_F(ServerTroubleTest, SecondCopyOfAnAnswer_IsNotTakenForTheNextOne) {
   constexpr size_t kIdBytes = 4;  // of "id-1" to "id-9"
