Over the bound on answers in progress the largest fails, and calls have tighter bounds

What callers saw: 502 for small answers of sound servers while another server's large answers, begun and not ended, filled the 16 MB that a router keeps of answers. Cause: the answer that grew next failed, whoever was largest.

Why it works: BufferedAnswers ends the largest answer in progress until the rest fit. Cost: a sound answer fails when it is the largest of more than 16 MB.

--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -54,6 +54,11 @@
   absl::Duration idle_timeout = absl::Seconds(120);
   // Timeout of one write to a caller.
   absl::Duration write_timeout = absl::Seconds(5);
+  // Of all answers together that are read whole before they are passed on. The
+  // smallest VMs have 88 MB.
+  size_t max_buffered_bytes = 16 * 1024 * 1024;
+  // Of one answer of another router. Entries of thousands of servers are 1 MB.
+  size_t max_peer_answer_bytes = 8 * 1024 * 1024;
   RunOptions run;
   CongestionDetectorOptions link;
   LinkLoadOptions link_load;
@@ -71,7 +76,8 @@
       : settings_(settings),
         runtime_(runtime),
         client_({.connect_timeout = settings.link.timeout,
-                 .max_idle_per_endpoint = 64}),
+                 .max_idle_per_endpoint = 64,
+                 .max_body_bytes = settings.max_peer_answer_bytes}),
         link_(settings.link),
         link_load_(settings.link_load),
         store_(store, metrics_),
@@ -159,7 +165,7 @@
         .placement = &placement_,
         .link = &link_,
         .link_load = &link_load_,
-        .buffered_bytes = &buffered_bytes_,
+        .answers = &answers_,
         .metrics = &metrics_,
         .prompts = {.is_quarantined =
                         [this](const RelayCall& call) {
@@ -592,7 +598,7 @@
   absl::BitGen random_;
   std::atomic<bool> stop_{false};
   bool draining_ = false;
-  size_t buffered_bytes_ = 0;
+  BufferedAnswers answers_{settings_.max_buffered_bytes};
   bool link_busy_ = false;
   bool link_congested_ = false;
   int64_t in_progress_ = 0;
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -18,7 +18,6 @@
 #include <string>
 #include <utility>
 
-#include "absl/cleanup/cleanup.h"
 #include "absl/random/random.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/relay.h"
@@ -515,24 +514,29 @@
   }
 
   absl::Status ReadWhole(std::string* body) {
-    const absl::Cleanup release = [this, body] {
-      *shared_.buffered_bytes -= body->size();
-    };
+    HttpExchange* const exchange = caller_->exchange;
+    BufferedAnswers::Entry entry(*shared_.answers,
+                                 [exchange] { exchange->Cancel(); });
     while (true) {
-      auto piece = caller_->exchange->ReadSome(TimeLeft());
+      auto piece = exchange->ReadSome(TimeLeft());
+      if (entry.is_cancelled())
+        return OverLimit("the largest of too many answers");
       if (!piece.ok())
         return piece.status();
       if (piece->empty())
         return absl::OkStatus();
       body->append(*piece);
-      *shared_.buffered_bytes += piece->size();
       if (body->size() > options_.max_answer_bytes ||
-          *shared_.buffered_bytes > options_.max_buffered_bytes)
-        return ErrorAt(absl::StatusCode::kResourceExhausted, "relay.receive",
-                       summary_.server, "the answer is over the limit");
+          !entry.Grow(piece->size()))
+        return OverLimit("the answer is over the limit");
     }
   }
 
+  absl::Status OverLimit(std::string_view detail) const {
+    return ErrorAt(absl::StatusCode::kResourceExhausted, "relay.receive",
+                   summary_.server, detail);
+  }
+
   void OnFirstPiece(const PromptPlacement::Choice& choice) {
     if (got_first_piece())
       return;
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "hawthornhollow/relay/buffered_answers.h"
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/leaving_servers.h"
 #include "hawthornhollow/relay/link_load.h"
@@ -42,10 +43,8 @@
   absl::Duration sound_after = absl::Milliseconds(100);
   size_t max_answer_bytes = 4 * 1024 * 1024;
   // Limits what a server can make a router keep by sending bytes that are no
-  // answer: one event of a stream, and what all requests together keep of
-  // answers that are not complete. The smallest VMs have 88 MB.
+  // answer.
   size_t max_event_bytes = 256 * 1024;
-  size_t max_buffered_bytes = 16 * 1024 * 1024;
   // No attempt is made if less than this time is left.
   absl::Duration min_attempt_time = absl::Milliseconds(20);
   absl::Duration retry_after = absl::Milliseconds(400);
@@ -95,7 +94,7 @@
   PromptPlacement* placement = nullptr;
   CongestionDetector* link = nullptr;
   LinkLoad* link_load = nullptr;
-  size_t* buffered_bytes = nullptr;  // of answers that are not complete
+  BufferedAnswers* answers = nullptr;  // that are not complete
   RelayMetrics* metrics = nullptr;
   PromptWatch prompts;
   LimitWatch limits;
--- a/testing/server_trouble_test.cc
+++ b/testing/server_trouble_test.cc
@@ -205,6 +205,37 @@
   EXPECT_LT(PeakKilobytes(), kSmallestVmKilobytes);
 }
 
+// Answers that a faulty server begins and never ends fill what a router keeps
+// to the last byte: a small answer of a sound server failed with its first one.
+TEST_F(ServerTroubleTest, LargeAnswersWithoutEnd_CostNoSmallOne) {
+  constexpr size_t kLargest = 4 * 1024 * 1024;  // of an answer
+  constexpr int kToFill = 4;                    // 16 MB in all
+  StartBefore({.beginning = standins::AnswerHeadBytes(absl::StrCat(
+                                "Content-Length: ", kLargest + 1, "\r\n")) +
+                            std::string(kLargest, 'x')},
+              /*with_sound_server=*/false);
+  std::vector<std::future<int>> large;
+  for (int i = 0; i < kToFill; ++i) {
+    large.push_back(std::async(std::launch::async, [this, id = NextId()] {
+      const auto answer =
+          PlainHttp(callers_,
+                    standins::MakeCallerRequest(
+                        {.id = id, .path = "/order/a", .key = "k1"}),
+                    kWait);
+      return answer.ok() ? answer->status : 0;
+    }));
+  }
+  standins::PutServer(store_, "i-0", replica_servers_[0]->local(),
+                      /*sequence=*/1);
+  standins::DropServer(store_, "i-raw");
+  absl::SleepFor(absl::Seconds(1));  // read by then
+  EXPECT_EQ(raw_->requests(), kToFill);
+  for (int i = 0; i < 10; ++i)
+    EXPECT_EQ(StatusOf("/order/a"), 200);
+  for (auto& pending : large)
+    EXPECT_THAT(pending.get(), testing::AnyOf(502, 504));
+}
+
 struct EndlessRequestCase {
   const char* name;
   std::string repeated;
