In a planned stop what was read is answered or refused, not cut

Cause: a request got its whole time whatever was left of the stop. Evidence, PlannedStopTest on: an order whose last bytes came 6.3 s after SIGTERM ran and got no answer; a stream without its first event got none. Ruled out: requests dropped between accept and read.

Why it works: a request read more than 2.8 s after SIGTERM is taken only if its time ends before the stop (else 503 stopping, not run); 0.6 s before the end what has no part of its answer is ended, and its caller told 504 or 502. Streams that have begun go on.

Cost: late requests with long limits are refused, and answers of the last 0.6 s are 504.

--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -39,6 +39,9 @@
   // The part of `shutdown_timeout` in which new connections are still accepted,
   // until the load balancer has noticed that the router is not ready.
   absl::Duration drain_delay = absl::Milliseconds(2300);
+  // A request read later than this in a stop is taken only if it ends in time.
+  // Nearly all come before: after `drain_delay` no connection is accepted.
+  absl::Duration late_after = absl::Milliseconds(2800);
   // Retry budget of all routers together, per service: `retry_ratio` retries
   // for each request, plus a burst of `retry_burst`.
   double retry_ratio = 0.2;
@@ -182,6 +185,7 @@
                         }},
         .limits = LimitCalls(),
         .leaving = &leaving_,
+        .callers = &running_,
         .retries = &retries_,
         .retry_ratio = settings.retry_ratio / 2};
   }
@@ -231,14 +235,19 @@
   }
 
   // Drains requests in progress, for at most `RelaySettings::shutdown_timeout`.
-  // Call it on a fiber.
+  // What is not answered shortly before its end is answered 502 or 504; only a
+  // stream that has begun is cut. Call it on a fiber.
   void Shutdown() {
-    const absl::Time end = SteadyNow() + settings_.shutdown_timeout;
+    constexpr absl::Duration kAnswerTime = absl::Milliseconds(300);
+    const absl::Time begin = SteadyNow();
+    const absl::Time end = begin + settings_.shutdown_timeout;
+    takes_all_until_ = begin + settings_.late_after;
+    answers_due_ = end - kFinalRecordsTime - kAnswerTime;
+    runtime_.Spawn([this] { EndAtDueTime(); });
     LogEvent("router.stopping")
         .Add("bound_ms", absl::ToInt64Milliseconds(settings_.shutdown_timeout));
     draining_ = true;
     hawthornhollow::SleepFor(settings_.drain_delay);
-    constexpr absl::Duration kFinalRecordsTime = absl::Milliseconds(300);
     const absl::Status drained =
         caller_server_->Drain(end - SteadyNow() - kFinalRecordsTime);
     stop_ = true;
@@ -247,6 +256,26 @@
   }
 
  private:
+  // For the final records of totals, at the end of a stop.
+  static constexpr absl::Duration kFinalRecordsTime = absl::Milliseconds(300);
+
+  void EndAtDueTime() {
+    hawthornhollow::SleepFor(answers_due_ - SteadyNow());
+    if (running_.empty())
+      return;
+    LogEvent("router.requests_expired", LogSeverity::kWarning)
+        .Add("requests", running_.size());
+    // A request that ends takes itself out.
+    const auto running = running_;
+    for (const std::shared_ptr<CallerState>& caller : running)
+      caller->Expire();
+  }
+
+  // Whether a request comes late in a stop and may not end before it does.
+  bool IsTooLate(const RunContext& run) const {
+    return run.arrived > takes_all_until_ && run.deadline > answers_due_;
+  }
+
   absl::Status Listen(const Endpoint& local,
                       HttpHandler handler,
                       std::unique_ptr<HttpServer>* server) {
@@ -405,6 +434,10 @@
       RefuseRun(run, *error, writer);
       return;
     }
+    if (IsTooLate(run)) {
+      RefuseRun(run, RelayError::kStopping, writer);
+      return;
+    }
     ReserveAndRun(run, writer);
   }
 
@@ -597,7 +630,12 @@
   SharedRunState shared_;
   absl::BitGen random_;
   std::atomic<bool> stop_{false};
+  std::set<std::shared_ptr<CallerState>> running_;
   bool draining_ = false;
+  // Once the router stops: when a request that is read then must be able to end
+  // before `answers_due_`, and when what is in work is answered.
+  absl::Time takes_all_until_ = absl::InfiniteFuture();
+  absl::Time answers_due_ = absl::InfiniteFuture();
   BufferedAnswers answers_{settings_.max_buffered_bytes};
   bool link_busy_ = false;
   bool link_congested_ = false;
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/random/random.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/relay.h"
@@ -45,6 +46,8 @@
     // The run may end before the callback is called, so the callback keeps the
     // state alive.
     writer_.OnClientGone([caller = caller_] { caller->OnGone(); });
+    shared_.callers->insert(caller_);
+    const absl::Cleanup ended = [this] { shared_.callers->erase(caller_); };
     RetryBudgetOf().OnAttempt();
     last_event_ = request_.call.resume_after;
     while (!RunAttempt()) {
@@ -70,7 +73,10 @@
   // Then the request goes to a server without a limit, or is refused.
   static constexpr int kMaxPermitsDenied = 3;
 
-  absl::Duration TimeLeft() const { return request_.deadline - SteadyNow(); }
+  absl::Duration TimeLeft() const {
+    return caller_->expired ? absl::ZeroDuration()
+                            : request_.deadline - SteadyNow();
+  }
   bool is_stream() const { return request_.route->kind == RouteKind::kStream; }
   // Whether the request may be executed again after it may have been executed.
   bool may_repeat() const {
@@ -618,6 +624,7 @@
       if (!MayDeliverAnswer())
         return false;
       streaming_ = true;
+      caller_->streaming = true;
       stream_status_ = reply.status;
       stream_type_ = std::string(FindHeader(reply.headers, kContentType));
       if (!writer_.StartStream(reply.status, AnswerHeaders(reply.headers))
--- a/hawthornhollow/relay/routing_table.cc
+++ b/hawthornhollow/relay/routing_table.cc
@@ -105,6 +105,8 @@
     case RelayError::kPromptQuarantined:
       return {503, "prompt_quarantined",
               "backend servers crash on a part of the prompt"};
+    case RelayError::kStopping:
+      return {503, "stopping", "the router stops; another one can take it"};
     case RelayError::kOutcomeUnknown:
       return {502, "outcome_unknown",
               "the backend server broke off; the request may have run"};
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -88,6 +88,8 @@
       retry_after;
 };
 
+struct CallerState;
+
 // State shared by all requests of a router.
 struct SharedRunState {
   HttpClient* client = nullptr;
@@ -99,6 +101,8 @@
   PromptWatch prompts;
   LimitWatch limits;
   LeavingServers* leaving = nullptr;
+  // Of the requests in progress.
+  std::set<std::shared_ptr<CallerState>>* callers = nullptr;
   std::map<std::string, RetryBudget>* retries = nullptr;  // keyed by service
   double retry_ratio = 0.1;
   double retry_burst = 5;
@@ -145,14 +149,29 @@
   absl::Duration first_event = absl::InfiniteDuration();
 };
 
-// Whether the caller has disconnected, and the exchange to cancel when it does.
-// Shared with the callback, which may outlive the request.
+// What ends a request from outside: its caller has disconnected, or the router
+// stops. Shared with the callbacks, which may outlive the request.
 struct CallerState {
   bool gone = false;
+  // No time is left, whatever the request's deadline.
+  bool expired = false;
+  bool streaming = false;            // a part of the answer was delivered
   HttpExchange* exchange = nullptr;  // the attempt in progress
 
   void OnGone() {
     gone = true;
+    CancelAttempt();
+  }
+  // The router stops. An answer that is being delivered goes on until the end.
+  void Expire() {
+    if (streaming)
+      return;
+    expired = true;
+    CancelAttempt();
+  }
+
+ private:
+  void CancelAttempt() {
     if (exchange != nullptr)
       exchange->Cancel();
   }
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -288,6 +288,7 @@
     const std::lock_guard lock(mutex_);
     ++runs_[id];
   }
+  hawthornhollow::SleepFor(faults.work_time);
   if (request.Path().starts_with("/stream/"))
     return ServeStream(request, faults, writer);
   if (faults.lose_answers)
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -97,6 +97,7 @@
     // States this limit of requests a second in all answers; empty: none.
     std::string stated_limit;
     bool says_leaving = false;  // in all answers
+    absl::Duration work_time;   // of each request, before its answer begins
     // Ends each stream that is not resumed inside this event, as if it were
     // whole; 0: none.
     int64_t end_inside_event = 0;
