A taken port does not end a router at its start

Cause: Start() tried each port once, and the metrics page like the callers' port. Why it works: a port is tried again for up to 10 s; the metrics page is done without, with a warning (counters are served where routers call each other, too).

Cost: a router whose port stays taken tells so after 10 s instead of at once.

--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -55,6 +55,8 @@
   size_t max_body_bytes = 8 * 1024 * 1024;
   absl::Duration request_timeout = absl::Seconds(10);
   absl::Duration idle_timeout = absl::Seconds(120);
+  // How long a port that is taken is waited for at the start.
+  absl::Duration bind_timeout = absl::Seconds(10);
   // Timeout of one write to a caller.
   absl::Duration write_timeout = absl::Seconds(5);
   // Of all answers together that are read whole before they are passed on. The
@@ -192,6 +194,8 @@
   RelayInstance(const RelayInstance&) = delete;
   RelayInstance& operator=(const RelayInstance&) = delete;
 
+  // Blocks the calling thread while a port is taken, for at most
+  // `RelaySettings::bind_timeout`.
   absl::Status Start() {
     absl::Status status = Listen(
         settings_.peers,
@@ -199,13 +203,6 @@
           AnswerPeer(request, writer);
         },
         &peer_server_);
-    if (status.ok() && settings_.metrics.has_value())
-      status = Listen(
-          *settings_.metrics,
-          [this](const HttpRequest&, ResponseWriter& writer) {
-            AnswerMetrics(writer);
-          },
-          &metrics_server_);
     if (status.ok())
       status = Listen(
           settings_.readiness,
@@ -220,6 +217,8 @@
             ServeCaller(request, writer);
           },
           &caller_server_);
+    if (status.ok() && settings_.metrics.has_value())
+      ListenForMetrics();
     if (!status.ok())
       return status;
     runtime_.Spawn([this] { catalog_.FollowConfiguration(stop_); });
@@ -276,9 +275,46 @@
     return run.arrived > takes_all_until_ && run.deadline > answers_due_;
   }
 
+  // A port may be taken for a while: by the process before, as it ends, or by a
+  // connection that the system gave it to.
   absl::Status Listen(const Endpoint& local,
-                      HttpHandler handler,
+                      const HttpHandler& handler,
                       std::unique_ptr<HttpServer>* server) {
+    constexpr absl::Duration kRetryDelay = absl::Milliseconds(100);
+    const absl::Time end = SteadyNow() + settings_.bind_timeout;
+    bool is_logged = false;
+    while (true) {
+      const absl::Status status = TryListen(local, handler, server);
+      if (status.ok() || SteadyNow() + kRetryDelay > end)
+        return status;
+      if (!std::exchange(is_logged, true)) {
+        LogEvent("router.port_taken", LogSeverity::kWarning)
+            .Add("local", local.ToString())
+            .Add("reason", status);
+      }
+      absl::SleepFor(kRetryDelay);
+    }
+  }
+
+  // Counters are served where other routers call, too: requests are not refused
+  // for want of this port.
+  void ListenForMetrics() {
+    const absl::Status status = TryListen(
+        *settings_.metrics,
+        [this](const HttpRequest&, ResponseWriter& writer) {
+          AnswerMetrics(writer);
+        },
+        &metrics_server_);
+    if (status.ok())
+      return;
+    LogEvent("router.metrics_port_taken", LogSeverity::kWarning)
+        .Add("local", settings_.metrics->ToString())
+        .Add("reason", status);
+  }
+
+  absl::Status TryListen(const Endpoint& local,
+                         const HttpHandler& handler,
+                         std::unique_ptr<HttpServer>* server) {
     auto started =
         HttpServer::Start(runtime_,
                           {.local = local,
@@ -287,7 +323,7 @@
                            .request_timeout = settings_.request_timeout,
                            .idle_timeout = settings_.idle_timeout,
                            .write_timeout = settings_.write_timeout},
-                          std::move(handler));
+                          handler);
     if (!started.ok())
       return started.status();
     *server = *std::move(started);
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -194,6 +194,26 @@
     EXPECT_EQ(StatusOf("/stream/a"), 200);
 }
 
+// The process ended at its start.
+TEST_F(EntryTest, MetricsPortIsTaken_RouterServesAllTheSame) {
+  const auto other = Listen(store_.Handler(), {"127.0.0.1", FreePort()});
+  metrics_port_ = other->local().port;
+  StartReady();
+  EXPECT_EQ(StatusOf("/order/a"), 200);
+}
+
+// The process ended at its start.
+TEST_F(EntryTest, PortIsTakenAtTheStart_RouterServesOnceItIsFree) {
+  auto other = Listen(store_.Handler(), callers_);
+  PutConfiguration(/*prepaid=*/1'000'000);
+  PutServers();
+  StartEntry();
+  absl::SleepFor(absl::Seconds(1));
+  other.reset();
+  AwaitReady();
+  EXPECT_EQ(StatusOf("/order/a"), 200);
+}
+
 TEST_F(EntryTest, HangupAsSoonAsItListens_DoesNotEndTheProcess) {
   PutConfiguration(1'000'000);
   PutServers();
