Idle connections to servers that are gone are closed

Cause: the pool looked at the idle connections of an endpoint only when that endpoint was used again.

--- a/hawthornhollow/http/connection_pool_internal.h
+++ b/hawthornhollow/http/connection_pool_internal.h
@@ -40,16 +40,19 @@
                                          const Endpoint& endpoint);
   void Put(const Endpoint& endpoint,
            std::unique_ptr<ClientConnection> connection);
+  // Closes the thread's idle connections that are old, or that their servers
+  // have closed, whether or not their endpoints are still in use.
+  void CloseStale(IoThread* thread);
 
  private:
+  using Idle = std::deque<std::unique_ptr<ClientConnection>>;
+
   std::unique_ptr<ClientConnection> Pop(IoThread* thread,
                                         const Endpoint& endpoint);
 
   const size_t max_per_endpoint_;
   std::mutex mutex_;
-  std::map<std::pair<IoThread*, Endpoint>,
-           std::deque<std::unique_ptr<ClientConnection>>>
-      idle_;
+  std::map<std::pair<IoThread*, Endpoint>, Idle> idle_;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -242,6 +242,10 @@
                       const OnHead& on_head,
                       const OnData& on_data);
 
+  // Closes the calling thread's idle connections that have become useless, to
+  // servers that are gone among them. Call it now and then.
+  void CloseStaleConnections();
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/hawthornhollow/http/http_client.cc
+++ b/hawthornhollow/http/http_client.cc
@@ -36,6 +36,7 @@
                   absl::Duration timeout,
                   absl::Duration connect_timeout);
   const Options& options() const { return options_; }
+  void CloseStale() { pool_.CloseStale(IoThread::Current().get()); }
 
  private:
   using ConnectionOr = absl::StatusOr<std::unique_ptr<ClientConnection>>;
@@ -120,6 +121,10 @@
   return impl_->Open(endpoint, request, timeout, connect_timeout);
 }
 
+void HttpClient::CloseStaleConnections() {
+  impl_->CloseStale();
+}
+
 absl::StatusOr<HttpResponse> HttpClient::Call(const Endpoint& endpoint,
                                               const HttpRequest& request,
                                               absl::Duration timeout) {
--- a/hawthornhollow/http/http_test.cc
+++ b/hawthornhollow/http/http_test.cc
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <filesystem>
 #include <future>
 #include <thread>
 
@@ -195,6 +196,34 @@
   EXPECT_NE(first->Header("X-Peer"), second->Header("X-Peer"));
 }
 
+// review/3: idle connections to servers that were gone stayed open for good.
+TEST_F(HttpTest, ConnectionsToServersThatAreGone_AreClosed) {
+  constexpr int kAtOnce = 8;
+  StartEcho();
+  const auto open_files = [] {
+    const std::filesystem::directory_iterator files("/proc/self/fd");
+    return std::distance(begin(files), end(files));
+  };
+  const auto before = open_files();
+  RunOn(0, [&] {
+    std::vector<std::unique_ptr<HttpExchange>> exchanges;
+    for (int i = 0; i < kAtOnce; ++i) {
+      auto exchange = client_.Open(Target(), {}, kLong);
+      ASSERT_TRUE(exchange.ok() && (*exchange)->ReadHead(kLong).ok());
+      while (!(*exchange)->ReadSome(kLong)->empty()) {
+      }
+      exchanges.push_back(*std::move(exchange));
+    }
+    exchanges.clear();
+    client_.CloseStaleConnections();
+  });
+  // Both ends of each: the server lives.
+  EXPECT_GE(open_files(), before + 2 * kAtOnce);
+  server_.reset();
+  RunOn(0, [&] { client_.CloseStaleConnections(); });
+  EXPECT_LT(open_files(), before);
+}
+
 TEST_F(HttpTest, BadRequestsAreAnsweredWithJsonError) {
   StartEcho();
   const struct {
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -226,6 +226,7 @@
     runtime_.Spawn([this] { quarantine_.Run(stop_); });
     runtime_.Spawn([this] { server_limits_.Run(stop_); });
     fallback_.Start(runtime_, stop_);
+    runtime_.Spawn([this] { CloseStaleConnections(); });
     runtime_.Spawn([this] { totals_.RunAuthorityLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunLevelLoop(stop_); });
     runtime_.Spawn([this] { totals_.RunReturnLoop(stop_); });
@@ -258,6 +259,14 @@
   // For the final records of totals, at the end of a stop.
   static constexpr absl::Duration kFinalRecordsTime = absl::Milliseconds(300);
 
+  void CloseStaleConnections() {
+    constexpr absl::Duration kInterval = absl::Seconds(1);
+    while (!stop_) {
+      client_.CloseStaleConnections();
+      hawthornhollow::SleepFor(kInterval);
+    }
+  }
+
   void EndAtDueTime() {
     hawthornhollow::SleepFor(answers_due_ - SteadyNow());
     if (running_.empty())
