An unasked status 101 is no answer

Cause: the exchange took 101 for a final answer. Why it works: nobody asks for another protocol, so it is broken: 502 for orders, another try otherwise. Test: ServerTroubleTest.SwitchedProtocolsUnasked_IsNoAnswer (failed before).

--- a/hawthornhollow/http/exchange.cc
+++ b/hawthornhollow/http/exchange.cc
@@ -23,6 +23,7 @@
 using boost::system::error_code;
 
 constexpr int kFirstFinalStatus = 200;
+// Final, but an answer only to who asked for another protocol: nobody here.
 constexpr int kSwitchingProtocols = 101;
 // A server in trouble may send them without end.
 constexpr int kMaxInterimResponses = 16;
@@ -156,8 +157,12 @@
     });
     if (error || cancelled_)
       return ReadError(error);
-  } while (parser_->get().result_int() < kFirstFinalStatus &&
-           parser_->get().result_int() != kSwitchingProtocols);
+    if (parser_->get().result_int() == kSwitchingProtocols) {
+      broken_ = true;
+      return ErrorAt(absl::StatusCode::kDataLoss, "http.receive",
+                     endpoint_.ToString(), "switched protocols unasked");
+    }
+  } while (parser_->get().result_int() < kFirstFinalStatus);
   return HttpHead{.status = static_cast<int>(parser_->get().result_int()),
                   .headers = CopyHeaders(parser_->get())};
 }
--- a/testing/server_trouble_test.cc
+++ b/testing/server_trouble_test.cc
@@ -294,6 +294,15 @@
                     EndlessRequestCase{"Trailer", JunkLines(), "0\r\n"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// review/4: it was passed on, and no answer followed.
+TEST_F(ServerTroubleTest, SwitchedProtocolsUnasked_IsNoAnswer) {
+  StartBefore({.beginning = standins::SealedAnswerBytes(
+                   "101 Switching Protocols", "", "done")},
+              /*with_sound_server=*/false);
+  EXPECT_EQ(StatusOf("/order/a"), 502);
+  ExpectConnectionsClosed();
+}
+
 // The late copy of an answer is no answer to the next request.
 TEST_F(ServerTroubleTest, SecondCopyOfAnAnswer_IsNotTakenForTheNextOne) {
   constexpr size_t kIdBytes = 4;  // of "id-1" to "id-9"
