--- a/hawthornhollow/relay/catalog_controller_test.cc
+++ b/hawthornhollow/relay/catalog_controller_test.cc
@@ -81,6 +81,9 @@
   static constexpr std::string_view kConfigurationKey = "configuration";
   static inline int decoded = 0;
 
+  static std::optional<std::string> DecodeEvacuation(const StoredValue&) {
+    return std::nullopt;
+  }
   static absl::StatusOr<RelayServer> DecodeServer(const StoredValue& value) {
     ++decoded;
     return RelayServer{.id = value.value};
--- a/hawthornhollow/relay/server_entries_test.cc
+++ b/hawthornhollow/relay/server_entries_test.cc
@@ -17,6 +17,9 @@
 struct FakeMessageCodec {
   static constexpr std::string_view kConfigurationKey = "configuration";
 
+  static std::optional<std::string> DecodeEvacuation(const StoredValue&) {
+    return std::nullopt;
+  }
   static absl::StatusOr<RelayServer> DecodeServer(const StoredValue& value) {
     const std::vector<std::string> words = absl::StrSplit(value.value, ' ');
     RelayServer server{.id = value.key, .leaving = words.size() > 1};
