Totals: 402 only when used tokens leave too little

Cause: IsExhausted compared a request with what records show as committed.

Change: each router records what its ended requests used (LevelShare.used), and holders say what they know of it (TokensGiven.used). IsSpent compares with this lower bound and with the router's own requests in progress. Other shortages are 503 with Retry-After. Holders are not asked while all is known to be committed. Options, questions and transfers have their own files.

--- a/hawthornhollow/relay/peer_calls.cc
+++ b/hawthornhollow/relay/peer_calls.cc
@@ -60,7 +60,8 @@
   const auto given = DecodeMessage<fb::TokensGiven>(*body, address);
   if (!given.ok())
     return given.status();
-  return TransferAnswer{.tokens = given->tokens, .left = given->left};
+  return TransferAnswer{
+      .tokens = given->tokens, .left = given->left, .used = given->used};
 }
 
 absl::Status HandTokensToPeer(HttpClient& client,
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -51,11 +51,13 @@
       .Add("needed", wanted->needed)
       .Add("wanted", wanted->tokens)
       .Add("given", answer.tokens)
-      .Add("left", answer.left);
+      .Add("left", answer.left)
+      .Add("used", answer.used);
   fb::TokensGivenT given;
   given.workspace = wanted->workspace;
   given.tokens = answer.tokens;
   given.left = answer.left;
+  given.used = answer.used;
   writer.Send({.body = EncodeMessage<fb::TokensGiven>(given)}).IgnoreError();
 }
 
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -44,6 +44,9 @@
   // Minimum time between two rounds of asking for one workspace in which no
   // tokens were transferred.
   absl::Duration ask_interval = absl::Milliseconds(50);
+  // How long holders that had too little are not asked for as much again. Their
+  // records show after this time what has become free.
+  absl::Duration left_known_for = absl::Milliseconds(400);
   // A holder that is asked for tokens waits this long for a record that allows
   // transferring them.
   absl::Duration lend_timeout = absl::Milliseconds(60);
@@ -121,9 +124,9 @@
   }
 
   // Reserves tokens, waiting if necessary. Returns RESOURCE_EXHAUSTED if the
-  // total is used up, UNAVAILABLE if tokens may be left but could not be
-  // obtained, and CANCELLED if `has_disconnected` reports that the caller has
-  // disconnected.
+  // total can never cover them (TotalsBook::IsSpent), UNAVAILABLE if it may
+  // later, but the tokens could not be obtained, and CANCELLED if
+  // `has_disconnected` reports that the caller has disconnected.
   absl::StatusOr<std::shared_ptr<TokenHold>> Acquire(
       const TokenRequest& wanted,
       const WaitLimits& limits,
@@ -148,7 +151,7 @@
         return absl::CancelledError("the caller has disconnected");
       if (auto hold = TryHold(wanted, queue, position))
         return hold;
-      if (book_.started() && book_.IsExhausted(wanted.workspace, wanted.tokens))
+      if (book_.started() && book_.IsSpent(wanted.workspace, wanted.tokens))
         return Refuse(absl::StatusCode::kResourceExhausted, wanted);
       const absl::Duration waited = SteadyNow() - start_time;
       if (waited >= limits.timeout)
@@ -163,10 +166,12 @@
       AskState& asking = asking_[wanted.workspace];
       if (!round.has_value())
         round = asking.begun + 1;
-      if (asking.ended >= *round && waited >= limits.patience &&
-          !asking.holder_silent)
-        return RefuseAfterAsking(wanted, asking);
-      StartAsking(wanted.workspace);
+      const bool may_be_given = MayBeGiven(wanted, asking);
+      if ((asking.ended >= *round || !may_be_given) &&
+          waited >= limits.patience && !asking.holder_silent)
+        return Refuse(absl::StatusCode::kUnavailable, wanted);
+      if (may_be_given)
+        StartAsking(wanted.workspace);
       records_.changed().WaitForMoreThan(
           seen, std::min(limits.timeout - waited, options_.check_interval));
     }
@@ -243,7 +248,9 @@
     // The room for commitments may need to grow for the next question.
     records_.RequestLevelSync();
     const TotalState state = book_.state(question.workspace, BootTime());
-    return {.tokens = given, .left = state.total - state.committed};
+    return {.tokens = given,
+            .left = state.total - state.committed,
+            .used = state.used};
   }
   // Takes tokens that another router hands over.
   void TakeTokens(const std::string& workspace, int64_t tokens) {
@@ -341,6 +348,8 @@
         .Add("committed", state.committed)
         .Add("unassigned", state.unassigned)
         .Add("available", state.available)
+        .Add("used", state.used)
+        .Add("in_progress", state.in_progress)
         .Add("record_age_ms", RecordAgeMs());
     return ErrorAt(code, "totals.acquire", wanted.workspace,
                    "not enough tokens");
@@ -373,9 +382,21 @@
     uint64_t ended = 0;
     absl::Time next;             // not before
     bool holder_silent = false;  // in the last round
-    int64_t left = 0;            // of the total, as holders said
+    // Not committed, as holders said in the last round; until then they are not
+    // asked for more.
+    int64_t left = 0;
+    absl::Time left_until = absl::InfinitePast();
   };
 
+  // Whether a holder may have the tokens. If all are committed, asking again
+  // would only load the links: what requests do not use shows in the records,
+  // and each router has its own to wait for.
+  bool MayBeGiven(const TokenRequest& wanted, const AskState& asking) const {
+    if (book_.Uncommitted(wanted.workspace) < wanted.tokens)
+      return false;
+    return SteadyNow() >= asking.left_until || asking.left >= wanted.tokens;
+  }
+
   // Starts a round of asking the holders, unless one is in progress.
   void StartAsking(const std::string& workspace) {
     AskState& asking = asking_[workspace];
@@ -396,6 +417,7 @@
   bool AskHolders(const std::string& workspace, AskState* asking) {
     asking->holder_silent = false;
     asking->left = 0;
+    bool any_said_left = false;
     bool got_any = false;
     for (const std::string& address : book_.OtherHolders(workspace)) {
       if (book_.WaitingShortfall(workspace, BootTime()) <= 0)
@@ -417,25 +439,20 @@
             .Add("reason", answer.status());
         continue;
       }
+      book_.ObserveUsed(workspace, answer->used);
       asking->left = std::max(asking->left, answer->left);
+      any_said_left = true;
       if (answer->tokens > 0) {
         got_any = true;
         book_.ReceiveTransfer(workspace, answer->tokens);
         records_.changed().Notify();
       }
     }
+    if (any_said_left && !got_any)
+      asking->left_until = SteadyNow() + options_.left_known_for;
     return got_any;
   }
 
-  absl::Status RefuseAfterAsking(const TokenRequest& wanted,
-                                 const AskState& asking) {
-    const bool is_spent = !book_.IsHolder(wanted.workspace) &&
-                          asking.left < wanted.tokens && asking.left > 0;
-    return Refuse(is_spent ? absl::StatusCode::kResourceExhausted
-                           : absl::StatusCode::kUnavailable,
-                  wanted);
-  }
-
   // Whether a new record of this router may allow giving `needed` tokens.
   bool MayGrow(const std::string& workspace, int64_t needed) const {
     const TotalState state = book_.state(workspace, BootTime());
--- a/hawthornhollow/totals/shares_internal.h
+++ b/hawthornhollow/totals/shares_internal.h
@@ -27,6 +27,14 @@
                             : decltype(FindShare(*record, workspace))();
 }
 
+// Whether a share of a level record only tells what requests used: a router
+// without a quota makes such shares. Nothing can have been committed by it.
+inline bool TellsOnlyUsed(const fb::LevelShareT& share) {
+  return share.committed == 0 && share.held == 0 && share.burst == 0 &&
+         share.per_second == 0 && share.late_after_ms == 0 &&
+         share.late_per_second == 0 && share.late_burst == 0;
+}
+
 inline absl::Duration AgeOf(const fb::LevelRecordT& record,
                             absl::Duration now) {
   return now - absl::Microseconds(record.written_us);
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -59,6 +59,8 @@
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/totals/restored_totals.h"
 #include "hawthornhollow/totals/totals_generated.h"
+#include "hawthornhollow/totals/totals_options.h"
+#include "hawthornhollow/totals/transfer_question.h"
 
 namespace hawthornhollow {
 
@@ -131,84 +133,17 @@
   friend auto operator<=>(const Reservation&, const Reservation&) = default;
 };
 
-struct TotalsOptions {
-  std::string router;   // the VM's name; each VM runs one router
-  std::string boot;     // see IncarnationStart::boot
-  std::string address;  // where other routers can reach this one
-  std::string failure_domain;
-  // How many routers hold the total of one workspace; see ChooseHolders.
-  size_t max_holders = 3;
-  // Multiplier of the recent rate of demand, because a holder may also get the
-  // demand of other holders that cannot be reached.
-  double demand_factor = 1.2;
-  // The quota of a holder is its part of what is left of a total without
-  // `reserve_share` of it, but not more than its demand in `quota_horizon` and
-  // than `idle_quota_share` of that part. If the VM loses power and no clock
-  // can be trusted afterwards, the whole quota is charged. Requests that wait
-  // can claim the reserve.
-  double reserve_share = 0.2;
-  absl::Duration quota_horizon = absl::Seconds(15);
-  double idle_quota_share = 0.5;
-  // The schedule of a level record follows the recent demand, but it never lets
-  // the rest of the quota be committed in less than `min_outage_horizon`, which
-  // also bounds what a killed router is charged. Even without demand it lets
-  // the rest be committed in `idle_horizon`; once the record is late and the
-  // store thus unreachable, in `max_outage_horizon`, because demand that comes
-  // up meanwhile can no longer be recorded.
-  absl::Duration min_outage_horizon = absl::Seconds(7);
-  absl::Duration max_outage_horizon = absl::Seconds(14);
-  absl::Duration idle_horizon = absl::Seconds(100);
-  // A level record makes room for the demand of this time at once, so that
-  // commitments between two records seldom wait for the next one.
-  absl::Duration burst_horizon = absl::Milliseconds(400);
-  // A router that holds no quota keeps transferred tokens for the demand of
-  // this time and hands over the rest.
-  absl::Duration transfer_horizon = absl::Milliseconds(600);
-  // Time constant of the decaying average of demand.
-  absl::Duration demand_decay = absl::Seconds(5);
-  // A level record older than this shows that the store is unreachable. Its
-  // schedule then grows at the rate of demand, and additionally allows
-  // committing what was held when the record was written and `late_requests`
-  // requests of average size. A VM that loses power for one second is back
-  // before this age.
-  absl::Duration late_after = absl::Milliseconds(2500);
-  int64_t late_requests = 2;
-  // While the last level record is younger than this, the next one is expected
-  // in time and only the quota limits what may be held. Beyond this age the
-  // schedule limits it too.
-  absl::Duration fresh_record_age = absl::Milliseconds(300);
-  friend auto operator<=>(const TotalsOptions&, const TotalsOptions&) = default;
-};
-
 // How much of a workspace's total is used, as far as this router knows.
 struct TotalState {
   int64_t total = 0;
-  int64_t committed = 0;   // committed or held by all routers, as recorded
-  int64_t available = 0;   // tokens that this router can reserve now
-  int64_t unassigned = 0;  // part of the total that quotas may be raised by
+  int64_t committed = 0;    // committed or held by all routers, as recorded
+  int64_t available = 0;    // tokens that this router can reserve now
+  int64_t unassigned = 0;   // part of the total that quotas may be raised by
+  int64_t used = 0;         // by ended requests of all routers, at least
+  int64_t in_progress = 0;  // worst case of this router's requests
   friend auto operator<=>(const TotalState&, const TotalState&) = default;
 };
 
-// A transfer of tokens that a router asks another one for.
-struct TransferQuestion {
-  std::string router;  // that asks
-  std::string workspace;
-  int64_t needed = 0;   // nothing is transferred if fewer are available
-  int64_t waiting = 0;  // needed by all requests that wait
-  int64_t wanted = 0;   // at most this is transferred
-  int64_t demand = 0;   // tokens per second that its requests need of late
-  friend auto operator<=>(const TransferQuestion&,
-                          const TransferQuestion&) = default;
-};
-
-// A router's answer to another one that asked for tokens.
-struct TransferAnswer {
-  int64_t tokens = 0;  // transferred
-  int64_t left = 0;    // of the total, as far as the asked router knows
-  friend auto operator<=>(const TransferAnswer&,
-                          const TransferAnswer&) = default;
-};
-
 // A router that can hold tokens of totals.
 struct HolderCandidate {
   std::string router;
@@ -258,6 +193,7 @@
   int64_t authority = 0;
   int64_t committed = 0;  // including held tokens
   int64_t demand = 0;
+  int64_t used = 0;  // by ended requests
   friend bool operator==(const OtherRoutersSums&,
                          const OtherRoutersSums&) = default;
 };
@@ -338,9 +274,19 @@
   void AddCommitting(const Reservation& reservation);
   void RemoveCommitting(const Reservation& reservation);
 
-  // Whether `tokens` are not available from any router, because the commitments
-  // of all routers leave less than that of the total.
-  bool IsExhausted(const std::string& workspace, int64_t tokens) const;
+  // Whether the total can never cover `tokens`: what ended requests used for
+  // certain, and this router's requests in progress at their worst case, leave
+  // less. Tokens that are only committed, lent or charged ahead of use do not
+  // count.
+  bool IsSpent(const std::string& workspace, int64_t tokens) const;
+  // What no router has committed or holds, as recorded, with the tokens that
+  // were transferred to this router. Less than a request needs means that no
+  // holder can give it now, though it may later.
+  int64_t Uncommitted(const std::string& workspace) const;
+  // What ended requests of all routers used, at least.
+  int64_t UsedByAll(const std::string& workspace) const;
+  // Reports that another router knows that at least `tokens` were used.
+  void ObserveUsed(const std::string& workspace, int64_t tokens);
   TotalState state(const std::string& workspace, absl::Duration now) const;
   TotalsSum sum(absl::Duration now) const;
   // Records that a clock, of this VM or of another router, showed `time_of_day`
@@ -412,11 +358,14 @@
     explicit LocalUsage(absl::Duration demand_decay) : demand(demand_decay) {}
     int64_t committed = 0;
     int64_t held = 0;
-    int64_t transfers = 0;   // received from other routers, not yet reserved
-    int64_t waiting = 0;     // needed by waiting requests
-    int64_t committing = 0;  // held, waiting to be committed by a new record
-    int64_t lending = 0;     // asked for by other routers, not transferred yet
-    int64_t lent = 0;        // committed for transfers to other routers
+    int64_t transfers = 0;    // received from other routers, not yet reserved
+    int64_t waiting = 0;      // needed by waiting requests
+    int64_t committing = 0;   // held, waiting to be committed by a new record
+    int64_t lending = 0;      // asked for by other routers, not transferred yet
+    int64_t lent = 0;         // committed for transfers to other routers
+    int64_t in_progress = 0;  // reserved and neither released nor settled
+    int64_t used = 0;         // settled on this VM, by all its incarnations
+    int64_t reported_used = 0;  // by all routers, as other routers said
     struct Borrower {
       int64_t demand = 0;  // tokens per second
       absl::Duration asked_at;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -43,6 +43,25 @@
 // themselves are unspent. A successor of the holder is charged by a record from
 // before, that is, for more.
 //
+// When a request can never be covered (IsSpent):
+//
+// Clients do not repeat a request after this answer, so it must be right
+// whatever a router has not heard of. Commitments do not show it: they fall
+// when a request uses less than its worst case, when lent tokens come back and
+// when a quota is given back. What ended requests used never falls. Each router
+// adds it up for its VM, whether the tokens came from its quota or from
+// transfers, and its level record carries the sum (`used`). A successor
+// continues from the last durable record, so a sum may be too low, never too
+// high. A sum of lower bounds is a lower bound at any later time; so is what
+// another router says in its answer, even if the answer is late. This router's
+// requests in progress are not settled anywhere yet and are known exactly, so
+// they are added at their worst case; those of other routers may have ended
+// since and are not. If the result leaves less than a request needs, so does
+// what is really used with all requests in progress. Tokens that a killed
+// router was charged for and never used are never counted as used: near the end
+// of such a total requests are refused until a top-up, but not for good. A
+// top-up that this router has not read is outside the argument.
+//
 // All this relies on a store that keeps what it has acknowledged;
 // totals_restored.cc argues for one that comes back from an older copy.
 //
@@ -121,9 +140,11 @@
 }
 
 void TotalsBook::AddToSums(const fb::LevelRecordT& record, int64_t sign) {
-  for (const auto& share : record.shares)
-    other_routers_sums_[share->workspace].committed +=
-        sign * (share->committed + share->held);
+  for (const auto& share : record.shares) {
+    OtherRoutersSums& sums = other_routers_sums_[share->workspace];
+    sums.committed += sign * (share->committed + share->held);
+    sums.used += sign * share->used;
+  }
 }
 
 std::vector<HolderCandidate> TotalsBook::Candidates() const {
@@ -189,6 +210,10 @@
                             previous.level ? previous.level->epoch : 0));
   incomplete_ = previous.authority.has_value() ? !IsQuotaCertain(previous)
                                                : previous.level.has_value();
+  if (previous.level.has_value()) {
+    for (const auto& share : previous.level->shares)
+      UsageOf(share->workspace).used = share->used;
+  }
   // Living routers may not have written their records again.
   BeginRestored(start.read_at);
   if (!incomplete_ && AreOtherQuotasCertain())
@@ -209,7 +234,7 @@
   std::vector<InheritedCharge> inherited;
   for (auto& authority : durable_authority_->shares) {
     const fb::LevelShareT* share = FindShare(level, authority->workspace);
-    if (share == nullptr && !incomplete_) {
+    if ((share == nullptr || TellsOnlyUsed(*share)) && !incomplete_) {
       restored_quotas_[authority->workspace] = authority->restored;
       authority->tokens = 0;
       continue;
@@ -360,6 +385,7 @@
   reservation.from_authority = tokens - reservation.from_transfers;
   usage.transfers -= reservation.from_transfers;
   usage.held += reservation.from_authority;
+  usage.in_progress += tokens;
   return reservation;
 }
 
@@ -387,6 +413,7 @@
   LocalUsage& usage = UsageOf(reservation.workspace);
   usage.held -= reservation.from_authority;
   usage.transfers += reservation.from_transfers;
+  usage.in_progress -= reservation.tokens();
 }
 
 void TotalsBook::Settle(const Reservation& reservation, int64_t used) {
@@ -395,6 +422,8 @@
   const int64_t from_transfers = std::min(charged, reservation.from_transfers);
   usage.transfers += reservation.from_transfers - from_transfers;
   usage.committed -= reservation.from_authority - (charged - from_transfers);
+  usage.in_progress -= reservation.tokens();
+  usage.used += charged;
 }
 
 void TotalsBook::AddWaiting(const std::string& workspace, int64_t tokens) {
@@ -413,14 +442,32 @@
   UsageOf(reservation.workspace).committing -= reservation.from_authority;
 }
 
-bool TotalsBook::IsExhausted(const std::string& workspace,
-                             int64_t tokens) const {
+int64_t TotalsBook::Uncommitted(const std::string& workspace) const {
+  const int64_t by_others =
+      TotalOf(workspace) - other_routers_sums(workspace).committed;
+  const LocalUsage* usage = FindUsage(workspace);
+  return usage == nullptr
+             ? by_others
+             : by_others - usage->committed - usage->held + usage->transfers;
+}
+
+int64_t TotalsBook::UsedByAll(const std::string& workspace) const {
   const LocalUsage* usage = FindUsage(workspace);
-  const int64_t own = usage == nullptr ? 0 : usage->committed + usage->held;
-  const int64_t transfers = usage == nullptr ? 0 : usage->transfers;
-  return TotalOf(workspace) - other_routers_sums(workspace).committed - own +
-             transfers <
-         tokens;
+  const int64_t others = other_routers_sums(workspace).used;
+  return usage == nullptr
+             ? others
+             : std::max(usage->reported_used, others + usage->used);
+}
+
+void TotalsBook::ObserveUsed(const std::string& workspace, int64_t tokens) {
+  LocalUsage& usage = UsageOf(workspace);
+  usage.reported_used = std::max(usage.reported_used, tokens);
+}
+
+bool TotalsBook::IsSpent(const std::string& workspace, int64_t tokens) const {
+  const LocalUsage* usage = FindUsage(workspace);
+  const int64_t in_progress = usage == nullptr ? 0 : usage->in_progress;
+  return TotalOf(workspace) - UsedByAll(workspace) - in_progress < tokens;
 }
 
 TotalState TotalsBook::state(const std::string& workspace,
@@ -429,8 +476,10 @@
   TotalState state{.total = TotalOf(workspace),
                    .committed = other_routers_sums(workspace).committed};
   state.unassigned = Assignable(workspace, now);
+  state.used = UsedByAll(workspace);
   if (usage != nullptr) {
     state.committed += usage->committed + usage->held;
+    state.in_progress = usage->in_progress;
     state.available =
         AvailableFromAuthority(workspace, *usage, now) + usage->transfers;
   }
@@ -454,96 +503,6 @@
   return std::max<int64_t>(0, usage->waiting - state(workspace, now).available);
 }
 
-int64_t TotalsBook::TransferOut(const TransferQuestion& question,
-                                absl::Duration now) {
-  if (FindUsage(question.workspace) == nullptr || question.wanted <= 0)
-    return 0;
-  LocalUsage& usage = UsageOf(question.workspace);
-  usage.borrowers[question.router] = {.demand = question.demand,
-                                      .asked_at = now};
-  const int64_t in_quota = std::max<int64_t>(
-      0, AvailableFromAuthority(question.workspace, usage, now) +
-             usage.transfers - usage.waiting);
-  // Transferred tokens are committed immediately, so the commit limit applies
-  // too.
-  const int64_t commit_room =
-      std::max<int64_t>(
-          0, CommitLimit(question.workspace, now) - usage.committed) +
-      usage.transfers;
-  const int64_t spare = std::min(in_quota, commit_room);
-  if (spare < question.needed)
-    return 0;
-  // Tokens that nobody waits for are kept together as the total runs out.
-  constexpr int64_t kQuotaDivisor = 16;
-  const int64_t quota_left =
-      EffectiveAuthority(question.workspace) - usage.committed - usage.held;
-  const int64_t given = std::min({question.wanted, spare,
-                                  std::max({question.needed, question.waiting,
-                                            quota_left / kQuotaDivisor})});
-  const int64_t from_transfers = std::min(given, usage.transfers);
-  usage.transfers -= from_transfers;
-  usage.committed += given - from_transfers;
-  usage.lent += given - from_transfers;
-  return given;
-}
-
-// Tokens that come back to a holder reduce its commitments, so that its records
-// cover them again. The router that handed them over no longer has them.
-void TotalsBook::ReceiveTransfer(const std::string& workspace, int64_t tokens) {
-  LocalUsage& usage = UsageOf(workspace);
-  const int64_t returned =
-      IsHolder(workspace) ? std::min(tokens, usage.lent) : 0;
-  usage.lent -= returned;
-  usage.committed -= returned;
-  usage.transfers += tokens - returned;
-}
-
-void TotalsBook::AddLending(const std::string& workspace, int64_t tokens) {
-  UsageOf(workspace).lending += tokens;
-}
-
-void TotalsBook::RemoveLending(const std::string& workspace, int64_t tokens) {
-  UsageOf(workspace).lending -= tokens;
-}
-
-int64_t TotalsBook::ExpectedDemand(const LocalUsage& usage,
-                                   absl::Duration now) const {
-  return static_cast<int64_t>(OwnDemand(usage, now) *
-                              absl::ToDoubleSeconds(options_.transfer_horizon));
-}
-
-TransferQuestion TotalsBook::MakeQuestion(const std::string& workspace,
-                                          int64_t needed,
-                                          absl::Duration now) const {
-  TransferQuestion question{.router = options_.router,
-                            .workspace = workspace,
-                            .needed = needed,
-                            .waiting = WaitingShortfall(workspace, now)};
-  question.wanted = std::max(question.needed, question.waiting);
-  if (const LocalUsage* usage = FindUsage(workspace)) {
-    question.wanted += ExpectedDemand(*usage, now);
-    question.demand = static_cast<int64_t>(OwnDemand(*usage, now));
-  }
-  return question;
-}
-
-int64_t TotalsBook::TakeExcessTransfers(const std::string& workspace,
-                                        absl::Duration now) {
-  LocalUsage& usage = UsageOf(workspace);
-  if (IsHolder(workspace))
-    return 0;
-  const int64_t excess =
-      usage.transfers - usage.waiting - ExpectedDemand(usage, now);
-  if (excess <= 0)
-    return 0;
-  usage.transfers -= excess;
-  return excess;
-}
-
-int64_t TotalsBook::TakeAllTransfers(const std::string& workspace) {
-  return std::exchange(UsageOf(workspace).transfers, 0);
-}
-
 std::vector<std::string> TotalsBook::workspaces() const {
   std::vector<std::string> names;
   for (const auto& [workspace, usage] : usages_)
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -339,6 +339,7 @@
   int64_t late_per_second = 0;
   int64_t late_burst = 0;
   int64_t burst = 0;
+  int64_t used = 0;
 };
 
 struct LevelShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -353,7 +354,8 @@
     VT_LATE_AFTER_MS = 12,
     VT_LATE_PER_SECOND = 14,
     VT_LATE_BURST = 16,
-    VT_BURST = 18
+    VT_BURST = 18,
+    VT_USED = 20
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -379,6 +381,9 @@
   int64_t burst() const {
     return GetField<int64_t>(VT_BURST, 0);
   }
+  int64_t used() const {
+    return GetField<int64_t>(VT_USED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
@@ -390,6 +395,7 @@
            VerifyField<int64_t>(verifier, VT_LATE_PER_SECOND, 8) &&
            VerifyField<int64_t>(verifier, VT_LATE_BURST, 8) &&
            VerifyField<int64_t>(verifier, VT_BURST, 8) &&
+           VerifyField<int64_t>(verifier, VT_USED, 8) &&
            verifier.EndTable();
   }
   LevelShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -425,6 +431,9 @@
   void add_burst(int64_t burst) {
     fbb_.AddElement<int64_t>(LevelShare::VT_BURST, burst, 0);
   }
+  void add_used(int64_t used) {
+    fbb_.AddElement<int64_t>(LevelShare::VT_USED, used, 0);
+  }
   explicit LevelShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -445,8 +454,10 @@
     int64_t late_after_ms = 0,
     int64_t late_per_second = 0,
     int64_t late_burst = 0,
-    int64_t burst = 0) {
+    int64_t burst = 0,
+    int64_t used = 0) {
   LevelShareBuilder builder_(_fbb);
+  builder_.add_used(used);
   builder_.add_burst(burst);
   builder_.add_late_burst(late_burst);
   builder_.add_late_per_second(late_per_second);
@@ -472,7 +483,8 @@
     int64_t late_after_ms = 0,
     int64_t late_per_second = 0,
     int64_t late_burst = 0,
-    int64_t burst = 0) {
+    int64_t burst = 0,
+    int64_t used = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return hawthornhollow::fb::CreateLevelShare(
       _fbb,
@@ -483,7 +495,8 @@
       late_after_ms,
       late_per_second,
       late_burst,
-      burst);
+      burst,
+      used);
 }
 
 flatbuffers::Offset<LevelShare> CreateLevelShare(flatbuffers::FlatBufferBuilder &_fbb, const LevelShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -796,6 +809,7 @@
   std::string workspace{};
   int64_t tokens = 0;
   int64_t left = 0;
+  int64_t used = 0;
 };
 
 struct TokensGiven FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -805,7 +819,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WORKSPACE = 4,
     VT_TOKENS = 6,
-    VT_LEFT = 8
+    VT_LEFT = 8,
+    VT_USED = 10
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -816,12 +831,16 @@
   int64_t left() const {
     return GetField<int64_t>(VT_LEFT, 0);
   }
+  int64_t used() const {
+    return GetField<int64_t>(VT_USED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
            verifier.VerifyString(workspace()) &&
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_LEFT, 8) &&
+           VerifyField<int64_t>(verifier, VT_USED, 8) &&
            verifier.EndTable();
   }
   TokensGivenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -842,6 +861,9 @@
   void add_left(int64_t left) {
     fbb_.AddElement<int64_t>(TokensGiven::VT_LEFT, left, 0);
   }
+  void add_used(int64_t used) {
+    fbb_.AddElement<int64_t>(TokensGiven::VT_USED, used, 0);
+  }
   explicit TokensGivenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -857,8 +879,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
     int64_t tokens = 0,
-    int64_t left = 0) {
+    int64_t left = 0,
+    int64_t used = 0) {
   TokensGivenBuilder builder_(_fbb);
+  builder_.add_used(used);
   builder_.add_left(left);
   builder_.add_tokens(tokens);
   builder_.add_workspace(workspace);
@@ -874,13 +898,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *workspace = nullptr,
     int64_t tokens = 0,
-    int64_t left = 0) {
+    int64_t left = 0,
+    int64_t used = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return hawthornhollow::fb::CreateTokensGiven(
       _fbb,
       workspace__,
       tokens,
-      left);
+      left,
+      used);
 }
 
 flatbuffers::Offset<TokensGiven> CreateTokensGiven(flatbuffers::FlatBufferBuilder &_fbb, const TokensGivenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1166,7 +1192,8 @@
       (lhs.late_after_ms == rhs.late_after_ms) &&
       (lhs.late_per_second == rhs.late_per_second) &&
       (lhs.late_burst == rhs.late_burst) &&
-      (lhs.burst == rhs.burst);
+      (lhs.burst == rhs.burst) &&
+      (lhs.used == rhs.used);
 }
 
 inline bool operator!=(const LevelShareT &lhs, const LevelShareT &rhs) {
@@ -1191,6 +1218,7 @@
   { auto _e = late_per_second(); _o->late_per_second = _e; }
   { auto _e = late_burst(); _o->late_burst = _e; }
   { auto _e = burst(); _o->burst = _e; }
+  { auto _e = used(); _o->used = _e; }
 }
 
 inline flatbuffers::Offset<LevelShare> LevelShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LevelShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1209,6 +1237,7 @@
   auto _late_per_second = _o->late_per_second;
   auto _late_burst = _o->late_burst;
   auto _burst = _o->burst;
+  auto _used = _o->used;
   return hawthornhollow::fb::CreateLevelShare(
       _fbb,
       _workspace,
@@ -1218,7 +1247,8 @@
       _late_after_ms,
       _late_per_second,
       _late_burst,
-      _burst);
+      _burst,
+      _used);
 }
 
 
@@ -1372,7 +1402,8 @@
   return
       (lhs.workspace == rhs.workspace) &&
       (lhs.tokens == rhs.tokens) &&
-      (lhs.left == rhs.left);
+      (lhs.left == rhs.left) &&
+      (lhs.used == rhs.used);
 }
 
 inline bool operator!=(const TokensGivenT &lhs, const TokensGivenT &rhs) {
@@ -1392,6 +1423,7 @@
   { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
   { auto _e = tokens(); _o->tokens = _e; }
   { auto _e = left(); _o->left = _e; }
+  { auto _e = used(); _o->used = _e; }
 }
 
 inline flatbuffers::Offset<TokensGiven> TokensGiven::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokensGivenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1405,11 +1437,13 @@
   auto _workspace = _o->workspace.empty() ? 0 : _fbb.CreateString(_o->workspace);
   auto _tokens = _o->tokens;
   auto _left = _o->left;
+  auto _used = _o->used;
   return hawthornhollow::fb::CreateTokensGiven(
       _fbb,
       _workspace,
       _tokens,
-      _left);
+      _left,
+      _used);
 }
 
 
--- a/hawthornhollow/totals/totals_records.cc
+++ b/hawthornhollow/totals/totals_records.cc
@@ -157,6 +157,7 @@
   // committed once this record is durable.
   share.committed = usage.committed + usage.committing;
   share.held = usage.held - usage.committing;
+  share.used = usage.used;
   if (closing_)
     return share;
   const int64_t headroom =
@@ -185,10 +186,15 @@
     record.time_of_day_us = absl::ToUnixMicros(earliest_boot_ + now);
   record.final = closing_;
   for (const auto& [workspace, usage] : usages_) {
-    if (EffectiveAuthority(workspace) == 0)
-      continue;
-    record.shares.push_back(std::make_unique<fb::LevelShareT>(
-        MakeLevelShare(workspace, usage, now)));
+    if (EffectiveAuthority(workspace) != 0) {
+      record.shares.push_back(std::make_unique<fb::LevelShareT>(
+          MakeLevelShare(workspace, usage, now)));
+    } else if (usage.used > 0) {
+      auto share = std::make_unique<fb::LevelShareT>();
+      share->workspace = workspace;
+      share->used = usage.used;
+      record.shares.push_back(std::move(share));
+    }
   }
   pending_level_ = record;
   return record;
