A router whose link is flooded soon after it became ready waits longer

Cause: callers are assigned to routers by a hash. Ruled out: less busy_share (the flood comes back as fast).

--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -15,6 +15,7 @@
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/instrumented_store.h"
 #include "hawthornhollow/relay/link_load.h"
+#include "hawthornhollow/relay/link_readiness.h"
 #include "hawthornhollow/relay/peer_fallback.h"
 #include "hawthornhollow/relay/peer_service.h"
 #include "hawthornhollow/relay/quarantine_controller.h"
@@ -151,6 +152,7 @@
   absl::Time answers_due_ = absl::InfiniteFuture();
   BufferedAnswers answers_{settings_.max_buffered_bytes};
   bool link_busy_ = false;
+  LinkReadiness link_readiness_{settings_.link_readiness};
   bool link_congested_ = false;
   int64_t in_progress_ = 0;
   std::unique_ptr<HttpServer> peer_server_;
--- a/hawthornhollow/relay/relay_instance_impl.h
+++ b/hawthornhollow/relay/relay_instance_impl.h
@@ -358,7 +358,8 @@
 template <SharedStore Store, MessageCodec D>
 void RelayInstance<Store, D>::AnswerReadiness(ResponseWriter& writer) {
   UpdateLinkState();
-  const bool ready = catalog_.ready() && !draining_ && !link_busy_;
+  const bool ready =
+      catalog_.ready() && !draining_ && link_readiness_.IsReady(SteadyNow());
   writer.Send({.status = ready ? 200 : 503}).IgnoreError();
 }
 
@@ -366,11 +367,13 @@
 void RelayInstance<Store, D>::UpdateLinkState() {
   const absl::Time now = SteadyNow();
   const bool is_busy = link_load_.IsBusy(now);
+  link_readiness_.Update(is_busy, now);
   if (std::exchange(link_busy_, is_busy) != is_busy) {
     constexpr double kPercent = 100;
     LogEvent(is_busy ? "link.busy" : "link.free")
         .Add("used_percent",
-             static_cast<int64_t>(kPercent * link_load_.Share(now)));
+             static_cast<int64_t>(kPercent * link_load_.Share(now)))
+        .Add("wait_ms", absl::ToInt64Milliseconds(link_readiness_.wait()));
   }
   const bool is_congested = link_.IsCongested(now);
   if (std::exchange(link_congested_, is_congested) == is_congested)
--- a/hawthornhollow/relay/relay_settings.h
+++ b/hawthornhollow/relay/relay_settings.h
@@ -12,6 +12,7 @@
 #include "hawthornhollow/relay/catalog_controller.h"
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/link_load.h"
+#include "hawthornhollow/relay/link_readiness.h"
 #include "hawthornhollow/relay/peer_fallback.h"
 #include "hawthornhollow/relay/prompt_placement.h"
 #include "hawthornhollow/relay/quarantine_controller.h"
@@ -62,6 +63,7 @@
   RunOptions run;
   CongestionDetectorOptions link;
   LinkLoadOptions link_load;
+  LinkReadinessOptions link_readiness;
   CatalogOptions catalog;
   PeerReaderOptions peer_reader;
   QuarantineControllerOptions quarantine;
