--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -220,11 +220,14 @@
                                                      const HttpRequest& request,
                                                      absl::Duration timeout);
   // As above, with this bound on making a connection in place of the option.
+  // CANCELLED if a connection had to be made, and `may_send` returned false
+  // once it was there: nothing was sent.
   absl::StatusOr<std::unique_ptr<HttpExchange>> Open(
       const Endpoint& endpoint,
       const HttpRequest& request,
       absl::Duration timeout,
-      absl::Duration connect_timeout);
+      absl::Duration connect_timeout,
+      const std::function<bool()>& may_send = [] { return true; });
 
   // A whole exchange within `timeout`. UNAVAILABLE if no connection could be
   // made, and no byte of the request has left; ABORTED if the connection broke
--- a/hawthornhollow/http/http_client.cc
+++ b/hawthornhollow/http/http_client.cc
@@ -34,7 +34,8 @@
   ExchangeOr Open(const Endpoint& endpoint,
                   const HttpRequest& request,
                   absl::Duration timeout,
-                  absl::Duration connect_timeout);
+                  absl::Duration connect_timeout,
+                  const std::function<bool()>& may_send);
   const Options& options() const { return options_; }
   void CloseStale() { pool_.CloseStale(IoThread::Current().get()); }
 
@@ -65,7 +66,8 @@
     const Endpoint& endpoint,
     const HttpRequest& request,
     absl::Duration timeout,
-    absl::Duration connect_timeout) {
+    absl::Duration connect_timeout,
+    const std::function<bool()>& may_send) {
   const absl::Time deadline = SteadyNow() + timeout;
   std::shared_ptr<IoThread> thread = IoThread::Current();
   if (thread == nullptr) {
@@ -89,6 +91,11 @@
       Connect(thread, endpoint, std::min(connect_timeout, deadline - begun));
   if (!connection.ok())
     return connection.status();
+  if (!may_send()) {
+    pool_.Put(endpoint, *std::move(connection));
+    return ErrorAt(absl::StatusCode::kCancelled, "http.send",
+                   endpoint.ToString(), "not to be sent any more");
+  }
   auto exchange =
       std::make_unique<HttpExchange::Impl>(&pool_, endpoint, request);
   exchange->SetConnectTime(SteadyNow() - begun);
@@ -117,8 +124,9 @@
     const Endpoint& endpoint,
     const HttpRequest& request,
     absl::Duration timeout,
-    absl::Duration connect_timeout) {
-  return impl_->Open(endpoint, request, timeout, connect_timeout);
+    absl::Duration connect_timeout,
+    const std::function<bool()>& may_send) {
+  return impl_->Open(endpoint, request, timeout, connect_timeout, may_send);
 }
 
 void HttpClient::CloseStaleConnections() {
--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -1,12 +1,14 @@
 #ifndef HAWTHORNHOLLOW_RELAY_CATALOG_CONTROLLER_H_
 #define HAWTHORNHOLLOW_RELAY_CATALOG_CONTROLLER_H_
 
-// Polls the operator's configuration and the registered backend servers.
+// Polls the operator's configuration, the failure domains that the operator has
+// evacuated, and the registered backend servers.
 //
 // The version of the configuration in force never decreases, also when the
 // store comes back from a copy that holds an older one. Which servers are in
-// use is decided by ServerList. Both are also taken from other routers while
-// this one cannot read the store.
+// use is decided by ServerList, and which domains are evacuated by
+// EvacuatedDomains. All are also taken from other routers while this one cannot
+// read the store.
 
 #include <algorithm>
 #include <atomic>
@@ -14,12 +16,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/call_timeout.h"
+#include "hawthornhollow/relay/evacuated_domains.h"
 #include "hawthornhollow/relay/keyed_follower.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/server_entries.h"
@@ -44,6 +48,10 @@
   // routers may know a newer configuration than the store for this time: the
   // operator has to write it again.
   absl::Duration older_configuration_time = absl::Seconds(10);
+  // How long after its first read of the store a router waits, before it
+  // serves, for what other routers know of evacuated domains: the store may
+  // have lost it. Enough for a few questions of PeerFallback.
+  absl::Duration start_ask_time = absl::Milliseconds(500);
   ServerEntriesOptions entries;
   ServerListOptions servers;
 };
@@ -51,6 +59,13 @@
 struct CatalogCallbacks {
   std::function<void(std::shared_ptr<const RoutingTable>)> on_table;
   std::function<void(const std::vector<RelayServer>&)> on_servers;
+  // All evacuated domains, whenever they change.
+  std::function<void(const std::set<std::string>&)> on_evacuated =
+      [](const std::set<std::string>&) {};
+  // An evacuation has ended, as this router learned at `at`; called after
+  // `on_evacuated`. The servers of the domain may be cold.
+  std::function<void(const std::string& failure_domain, absl::Time at)>
+      on_domain_restored = [](const std::string&, absl::Time) {};
 };
 
 template <SharedStore Store, MessageCodec D>
@@ -61,7 +76,10 @@
                     CatalogCallbacks callbacks)
       : options_(options),
         callbacks_(std::move(callbacks)),
-        configuration_(store, StoreSubject::kConfiguration),
+        configuration_(store,
+                       StoreSubject::kConfiguration,
+                       /*keeps_deletions=*/true),
+        evacuations_({.operator_time = options.older_configuration_time}),
         entries_(store, StoreSubject::kServers),
         decoded_servers_(
             options.entries,
@@ -78,7 +96,14 @@
   // The configuration in force; null before the first one.
   std::shared_ptr<const RoutingTable> table() const { return table_; }
   // Whether a configuration and at least one server are known.
-  bool ready() const { return table_ != nullptr && !list_.servers().empty(); }
+  bool ready() const { return may_serve() && !list_.servers().empty(); }
+  // Whether a configuration is known, and what is to be known of evacuated
+  // domains.
+  bool may_serve() const {
+    return table_ != nullptr &&
+           (knows_evacuations_ ||
+            SteadyNow() - first_read_ > options_.start_ask_time);
+  }
 
   // Time since the configuration and the server entries were last read, the
   // latter by this router or another one; infinite before the first read.
@@ -113,6 +138,22 @@
     ApplyConfiguration(record);
   }
 
+  const std::set<std::string>& evacuated_domains() const {
+    return evacuations_.evacuated();
+  }
+  // What this router knows of evacuated domains; nullopt before the first read.
+  std::optional<EvacuationReport> ReportEvacuations() const {
+    return evacuations_.Report();
+  }
+  // Takes what another router knows of them, unless it is older.
+  void OfferEvacuations(const EvacuationReport& report) {
+    const absl::Time now = SteadyNow();
+    ForwardEvacuations(evacuations_.OnReport(report, now), "peer",
+                       now - report.read_at);
+  }
+  // Other routers have been asked, as far as they answer.
+  void EndStartAsk() { knows_evacuations_ = true; }
+
   // The server entries as this router knows them, with the records from `known`
   // on.
   ServersReport ReportServers(const StorePosition& known) const {
@@ -143,6 +184,8 @@
   void FollowConfiguration(const std::atomic<bool>& stop) {
     while (!stop) {
       const bool reached = PollConfiguration();
+      ForwardEvacuations(evacuations_.OnTime(SteadyNow()), "store",
+                         table_age());
       UpdateTimeout(reached, &configuration_timeout_);
       LogStoreReachability(reached);
       hawthornhollow::SleepFor(reached ? options_.poll_interval
@@ -198,6 +241,9 @@
     if (!configuration_.Poll(configuration_timeout_.next()).ok())
       return false;
     table_read_ = SteadyNow();
+    first_read_ = std::min(first_read_, table_read_);
+    // Before the configuration: once it is known, requests are sent.
+    ReadEvacuations();
     if (std::exchange(era_, configuration_.position().era) != era_)
       era_began_ = SteadyNow();
     const auto found =
@@ -213,6 +259,41 @@
     return true;
   }
 
+  void ReadEvacuations() {
+    EvacuationRead read{.position = configuration_.position()};
+    for (const auto& [key, record] : configuration_.newest()) {
+      if (const auto domain = D::DecodeEvacuation(record))
+        read.present[*domain] = record.offset;
+    }
+    for (const auto& [key, offset] : configuration_.deleted()) {
+      if (const auto domain = D::DecodeEvacuation({.key = key}))
+        read.deleted[*domain] = offset;
+    }
+    ForwardEvacuations(evacuations_.OnRead(read, table_read_), "store",
+                       SteadyNow() - table_read_);
+  }
+
+  // `age`: of the read that the changes are from.
+  void ForwardEvacuations(const std::vector<DomainChange>& changes,
+                          std::string_view source,
+                          absl::Duration age) {
+    if (changes.empty())
+      return;
+    for (const DomainChange& change : changes) {
+      LogEvent(change.is_evacuated ? "domain.evacuated" : "domain.restored")
+          .Add("domain", change.domain)
+          .Add("era", change.position.era)
+          .Add("offset", change.position.offset)
+          .Add("source", source)
+          .Add("age_ms", absl::ToInt64Milliseconds(age));
+    }
+    callbacks_.on_evacuated(evacuations_.evacuated());
+    for (const DomainChange& change : changes) {
+      if (!change.is_evacuated)
+        callbacks_.on_domain_restored(change.domain, SteadyNow());
+    }
+  }
+
   // Polls earlier if servers have to be dropped before.
   void SleepUntilNextPoll(absl::Duration interval) const {
     hawthornhollow::SleepFor(std::clamp(list_.next_change() - SteadyNow(),
@@ -289,6 +370,7 @@
   const CatalogOptions options_;
   const CatalogCallbacks callbacks_;
   KeyedFollower<Store> configuration_;
+  EvacuatedDomains evacuations_;
   KeyedFollower<Store> entries_;
   ServerEntries<D> decoded_servers_;
   // Change count of `entries_` when they were last decoded.
@@ -307,6 +389,8 @@
   int64_t era_ = -1;  // of the store, when the configuration was last read
   absl::Time era_began_ = absl::InfinitePast();  // here
   absl::Time table_read_ = absl::InfinitePast();
+  absl::Time first_read_ = absl::InfiniteFuture();
+  bool knows_evacuations_ = false;
   std::map<std::string, int64_t> rejected_;  // key -> offset + 1
   bool store_reachable_ = false;
   bool read_failure_logged_ = false;
--- a/hawthornhollow/relay/catalog_controller_test.cc
+++ b/hawthornhollow/relay/catalog_controller_test.cc
@@ -2,9 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <future>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,11 +23,19 @@
     log_.push_back({.key = key, .value = value, .offset = end()});
   }
   void PutConfiguration(const StoredValue& record) { configuration_ = record; }
+  // An empty value deletes it.
+  void PutEvacuation(const std::string& domain,
+                     int64_t offset,
+                     const std::string& value = "{}") {
+    const std::string key = "evacuate/" + domain;
+    evacuations_[key] = {.key = key, .value = value, .offset = offset};
+  }
   void SetUnreachable(bool unreachable) { unreachable_ = unreachable; }
   int reads() const { return reads_; }
   // Comes back from an older copy that has these entries.
   void Restore(const std::vector<std::string>& keys) {
     log_.clear();
+    evacuations_.clear();
     ++era_;
     for (const std::string& key : keys)
       PutServer(key, key);
@@ -42,10 +52,14 @@
     if (unreachable_)
       return absl::UnavailableError("away");
     if (subject == StoreSubject::kConfiguration) {
-      return configuration_.has_value()
-                 ? StoredPage{.values = {*configuration_},
-                              .end = configuration_->offset + 1}
-                 : StoredPage();
+      StoredPage page;
+      if (configuration_.has_value())
+        page.values.push_back(*configuration_);
+      for (const auto& [key, record] : evacuations_)
+        page.values.push_back(record);
+      for (const StoredValue& record : page.values)
+        page.end = std::max(page.end, record.offset + 1);
+      return page;
     }
     ++reads_;
     return StoredPage{.values = {log_.begin() + offset, log_.end()},
@@ -71,6 +85,7 @@
 
   std::vector<StoredValue> log_;
   std::optional<StoredValue> configuration_;
+  std::map<std::string, StoredValue> evacuations_;
   bool unreachable_ = false;
   int64_t era_ = 0;
   int reads_ = 0;
@@ -81,8 +96,11 @@
   static constexpr std::string_view kConfigurationKey = "configuration";
   static inline int decoded = 0;
 
-  static std::optional<std::string> DecodeEvacuation(const StoredValue&) {
-    return std::nullopt;
+  static std::optional<std::string> DecodeEvacuation(const StoredValue& value) {
+    const std::string prefix = "evacuate/";
+    if (!value.key.starts_with(prefix))
+      return std::nullopt;
+    return value.key.substr(prefix.size());
   }
   static absl::StatusOr<RelayServer> DecodeServer(const StoredValue& value) {
     ++decoded;
@@ -147,6 +165,17 @@
     });
     ended.get_future().wait();
   }
+  static StoredValue Configuration(const std::string& value, int64_t offset) {
+    return {.key = std::string(FakeMessageCodec::kConfigurationKey),
+            .value = value,
+            .offset = offset};
+  }
+  void AwaitEvacuated(const std::set<std::string>& domains) const {
+    const absl::Time end = SteadyNow() + absl::Seconds(10);
+    while (evacuated_ != domains && SteadyNow() < end)
+      hawthornhollow::SleepFor(absl::Milliseconds(1));
+    EXPECT_EQ(evacuated_, domains);
+  }
   // Waits until the entries have been read `more` more times.
   void AwaitReads(int more) const {
     const int until = store_.reads() + more;
@@ -156,14 +185,28 @@
 
   FakeStore store_;
   std::vector<RelayServer> listed_;
+  std::set<std::string> evacuated_;
+  // When the configuration was first in force.
+  std::set<std::string> evacuated_at_table_;
+  std::vector<std::string> restored_;
   CatalogController<FakeStore, FakeMessageCodec> catalog_{
       store_,
       {.poll_interval = absl::Milliseconds(2),
        .retry_delay = absl::Milliseconds(2),
+       .start_ask_time = absl::Milliseconds(30),
        .servers = {.outage_after = absl::Milliseconds(50),
                    .missing_entry_grace = absl::Milliseconds(100)}},
-      {.on_table = [](const std::shared_ptr<const RoutingTable>&) {},
-       .on_servers = [this](const auto& servers) { listed_ = servers; }}};
+      {.on_table =
+           [this](const std::shared_ptr<const RoutingTable>&) {
+             evacuated_at_table_ = catalog_.evacuated_domains();
+           },
+       .on_servers = [this](const auto& servers) { listed_ = servers; },
+       .on_evacuated = [this](const auto& domains) { evacuated_ = domains; },
+       .on_domain_restored =
+           [this](const std::string& domain, absl::Time /*at*/) {
+             EXPECT_FALSE(evacuated_.contains(domain));
+             restored_.push_back(domain);
+           }}};
   std::unique_ptr<Runtime> runtime_;
 };
 
@@ -279,5 +322,75 @@
   });
 }
 
+// Requests are sent once a configuration is known, so evacuations must be by
+// then.
+TEST_F(CatalogControllerTest, Evacuation_IsKnownWithTheFirstConfiguration) {
+  store_.PutConfiguration(Configuration("3", 5));
+  store_.PutEvacuation("a", 6);
+  FollowConfiguration([&] { AwaitEvacuated({"a"}); });
+  EXPECT_EQ(evacuated_at_table_, std::set<std::string>{"a"});
+}
+
+TEST_F(CatalogControllerTest, EvacuationThatEnds_IsForwardedAsRestored) {
+  store_.PutConfiguration(Configuration("3", 5));
+  FollowConfiguration([&] {
+    hawthornhollow::SleepFor(absl::Milliseconds(20));
+    store_.PutEvacuation("a", 6);
+    store_.PutEvacuation("b", 7);
+    AwaitEvacuated({"a", "b"});
+    EXPECT_TRUE(restored_.empty());
+    store_.PutEvacuation("a", 8, /*value=*/"");
+    AwaitEvacuated({"b"});
+  });
+  EXPECT_EQ(restored_, std::vector<std::string>{"a"});
+  EXPECT_EQ(catalog_.version_in_force(), 3);
+}
+
+TEST_F(CatalogControllerTest, StoreLostOrRestored_EvacuationStaysUntilDeleted) {
+  store_.PutConfiguration(Configuration("3", 5));
+  store_.PutEvacuation("a", 6);
+  FollowConfiguration([&] {
+    AwaitEvacuated({"a"});
+    store_.SetUnreachable(true);
+    hawthornhollow::SleepFor(absl::Milliseconds(50));
+    EXPECT_TRUE(evacuated_.contains("a"));
+    store_.Restore({});
+    store_.SetUnreachable(false);
+    hawthornhollow::SleepFor(absl::Milliseconds(50));
+    EXPECT_TRUE(evacuated_.contains("a"));
+    store_.PutEvacuation("a", 6, /*value=*/"");
+    AwaitEvacuated({});
+  });
+  EXPECT_TRUE(evacuated_.empty());
+}
+
+TEST_F(CatalogControllerTest, EvacuationOfAnotherRouter_IsTakenAndReported) {
+  const DomainEvacuation told{
+      .domain = "a",
+      .current = EvacuationRecord{.offset = 6, .is_evacuated = true}};
+  catalog_.OfferEvacuations({.position = {.offset = 7},
+                             .first_end = 5,
+                             .era_began = SteadyNow(),
+                             .read_at = SteadyNow(),
+                             .domains = {told}});
+  EXPECT_EQ(evacuated_, std::set<std::string>{"a"});
+  ASSERT_TRUE(catalog_.ReportEvacuations().has_value());
+  EXPECT_EQ(catalog_.ReportEvacuations()->domains.size(), 1);
+}
+
+// The store may have lost an evacuation that other routers know.
+TEST_F(CatalogControllerTest, RouterThatStarts_ServesOnceOthersHadTimeToTell) {
+  store_.PutConfiguration(Configuration("3", 5));
+  FollowConfiguration([&] {
+    while (catalog_.table() == nullptr)
+      hawthornhollow::SleepFor(absl::Milliseconds(1));
+    EXPECT_FALSE(catalog_.may_serve());
+    const absl::Time read = SteadyNow();
+    while (!catalog_.may_serve())
+      hawthornhollow::SleepFor(absl::Milliseconds(1));
+    EXPECT_GE(SteadyNow() - read, absl::Milliseconds(20));
+  });
+}
+
 }  // namespace
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/evacuated_domains.cc
+++ b/hawthornhollow/relay/evacuated_domains.cc
@@ -209,8 +209,9 @@
         SetMissing(&state, report.position);
     }
     position_ = report.position;
-    read_at_ = std::max(read_at_, report.read_at);
   }
+  if (*position_ == report.position)
+    read_at_ = std::max(read_at_, report.read_at);
   // A lower `first_end_` shows more records to be of this era.
   for (auto& [domain, state] : domains_) {
     if (state.current.has_value() && state.current->offset >= first_end_)
--- a/hawthornhollow/relay/keyed_follower.h
+++ b/hawthornhollow/relay/keyed_follower.h
@@ -18,15 +18,22 @@
 template <SharedStore Store>
 class KeyedFollower {
  public:
-  // `store` must outlive the follower.
-  KeyedFollower(Store& store, StoreSubject subject)
-      : reader_(store, subject, kMaxCatchUp) {}
+  // `store` must outlive the follower. `keeps_deletions` is for subjects with
+  // few keys.
+  KeyedFollower(Store& store,
+                StoreSubject subject,
+                bool keeps_deletions = false)
+      : reader_(store, subject, kMaxCatchUp),
+        keeps_deletions_(keeps_deletions) {}
 
   // Reads new records once. After an error the copy is unchanged.
   absl::Status Poll(absl::Duration timeout) {
+    const int64_t era = reader_.position().era;
     auto result = reader_.Read(timeout);
     if (!result.ok())
       return result.status();
+    if (reader_.position().era != era)
+      deleted_.clear();
     if (result->is_snapshot)
       newest_.clear();
     if (result->is_snapshot || !result->page.values.empty())
@@ -60,6 +67,9 @@
   }
 
   const std::map<std::string, StoredValue>& newest() const { return newest_; }
+  // Offsets of the deletions of keys that have no record, as far as they were
+  // read in this era.
+  const std::map<std::string, int64_t>& deleted() const { return deleted_; }
   // Up to where records were read.
   const StorePosition& position() const { return reader_.position(); }
   // Number of polls that may have changed the records.
@@ -71,14 +81,19 @@
   void Apply(StoredValue value) {
     if (value.value.empty()) {
       newest_.erase(value.key);
+      if (keeps_deletions_)
+        deleted_[value.key] = value.offset;
       return;
     }
+    deleted_.erase(value.key);
     std::string key = value.key;
     newest_.insert_or_assign(std::move(key), std::move(value));
   }
 
   RecordReader<Store> reader_;
+  const bool keeps_deletions_;
   std::map<std::string, StoredValue> newest_;
+  std::map<std::string, int64_t> deleted_;
   uint64_t changes_ = 0;
 };
 
--- a/hawthornhollow/relay/peer_calls.cc
+++ b/hawthornhollow/relay/peer_calls.cc
@@ -130,6 +130,16 @@
   return report;
 }
 
+absl::StatusOr<EvacuationReport> AskPeerForEvacuations(
+    HttpClient& client,
+    const std::string& address) {
+  const absl::Time asked = SteadyNow();
+  const auto body = Ask(client, address, {.target = kEvacuationsTarget});
+  if (!body.ok())
+    return body.status();
+  return DecodeEvacuations(*body, asked, address);
+}
+
 absl::Status ReportCrashToPeer(HttpClient& client,
                                const std::string& address,
                                const ServerCrash& crash) {
--- a/hawthornhollow/relay/peer_codec.cc
+++ b/hawthornhollow/relay/peer_codec.cc
@@ -9,6 +9,99 @@
 #include "hawthornhollow/totals/message_bytes.h"
 
 namespace hawthornhollow {
+namespace {
+
+std::unique_ptr<fb::EvacuationRecordT> EncodeEvacuationRecord(
+    const std::optional<EvacuationRecord>& record) {
+  if (!record.has_value())
+    return nullptr;
+  auto encoded = std::make_unique<fb::EvacuationRecordT>();
+  encoded->era = record->era;
+  encoded->offset = record->offset;
+  encoded->evacuated = record->is_evacuated;
+  encoded->is_new = record->is_new;
+  encoded->previous = record->previous_offset;
+  encoded->read_before = record->read_before;
+  return encoded;
+}
+
+std::optional<EvacuationRecord> DecodeEvacuationRecord(
+    const std::unique_ptr<fb::EvacuationRecordT>& record) {
+  if (record == nullptr)
+    return std::nullopt;
+  return EvacuationRecord{.era = record->era,
+                          .offset = record->offset,
+                          .is_evacuated = record->evacuated,
+                          .is_new = record->is_new,
+                          .previous_offset = record->previous,
+                          .read_before = record->read_before};
+}
+
+// Returns the name of the field that no router can have sent; empty if there is
+// none.
+std::string_view BadFieldOf(const fb::EvacuationReportT& report) {
+  if (report.era < 0 || report.end < 0)
+    return "era, end";
+  if (report.age_us < 0 || report.era_age_us < 0)
+    return "age_us, era_age_us";
+  for (const auto& domain : report.domains) {
+    if (domain == nullptr || domain->domain.empty())
+      return "domain";
+    if (domain->before != nullptr &&
+        (domain->before->era >= report.era || domain->before->offset < 0))
+      return "before";
+    if (domain->current != nullptr &&
+        (domain->current->era != report.era || domain->current->offset < 0))
+      return "current";
+  }
+  return "";
+}
+
+}  // namespace
+
+fb::EvacuationReportT EncodeEvacuations(const EvacuationReport& report) {
+  const absl::Time now = SteadyNow();
+  fb::EvacuationReportT encoded;
+  encoded.era = report.position.era;
+  encoded.end = report.position.offset;
+  encoded.first_end = report.first_end;
+  encoded.era_age_us = absl::ToInt64Microseconds(now - report.era_began);
+  encoded.age_us = absl::ToInt64Microseconds(now - report.read_at);
+  for (const DomainEvacuation& known : report.domains) {
+    auto domain = std::make_unique<fb::DomainEvacuationT>();
+    domain->domain = known.domain;
+    domain->before = EncodeEvacuationRecord(known.before);
+    domain->current = EncodeEvacuationRecord(known.current);
+    encoded.domains.push_back(std::move(domain));
+  }
+  return encoded;
+}
+
+absl::StatusOr<EvacuationReport> DecodeEvacuations(std::string_view bytes,
+                                                   absl::Time asked,
+                                                   std::string_view peer) {
+  const auto told = DecodeMessage<fb::EvacuationReport>(bytes, peer);
+  if (!told.ok())
+    return told.status();
+  if (const std::string_view field = BadFieldOf(*told); !field.empty()) {
+    return ErrorAt(absl::StatusCode::kDataLoss, "peer.evacuations", peer,
+                   std::string(field) + ": cannot be so");
+  }
+  // The answer was made between the question and now. The read is not taken to
+  // be newer than it may be, nor the era to be older.
+  EvacuationReport report{
+      .position = {.era = told->era, .offset = told->end},
+      .first_end = told->first_end,
+      .era_began = SteadyNow() - absl::Microseconds(told->era_age_us),
+      .read_at = asked - absl::Microseconds(told->age_us)};
+  for (const auto& domain : told->domains) {
+    report.domains.push_back(
+        {.domain = domain->domain,
+         .before = DecodeEvacuationRecord(domain->before),
+         .current = DecodeEvacuationRecord(domain->current)});
+  }
+  return report;
+}
 
 fb::StoredRecordT EncodeRecord(const StoredValue& stored) {
   fb::StoredRecordT record;
--- a/hawthornhollow/relay/peer_codec_internal.h
+++ b/hawthornhollow/relay/peer_codec_internal.h
@@ -23,6 +23,7 @@
 inline constexpr char kQuarantineTarget[] = "/quarantine";
 inline constexpr char kPermitTarget[] = "/server-permit";
 inline constexpr char kLimitsTarget[] = "/server-limits";
+inline constexpr char kEvacuationsTarget[] = "/evacuations";
 inline constexpr char kVersionParameter[] = "version";
 inline constexpr char kEraParameter[] = "era";
 inline constexpr char kOffsetParameter[] = "after";
@@ -36,6 +37,13 @@
 fb::QuarantineRecordT EncodePart(const QuarantinedPart& part);
 QuarantinedPart DecodePart(const fb::QuarantineRecordT& record);
 
+// Steady times are not comparable between VMs. `asked` is when the question was
+// sent, `peer` stands in errors.
+fb::EvacuationReportT EncodeEvacuations(const EvacuationReport& report);
+absl::StatusOr<EvacuationReport> DecodeEvacuations(std::string_view bytes,
+                                                   absl::Time asked,
+                                                   std::string_view peer);
+
 // Steady times are not comparable between VMs. `peer` stands in errors.
 fb::ServerLimitT EncodeLimit(const ServerLimitStatement& statement);
 absl::StatusOr<ServerLimitStatement> DecodeLimit(const fb::ServerLimitT& limit,
--- a/hawthornhollow/relay/peer_fallback.h
+++ b/hawthornhollow/relay/peer_fallback.h
@@ -1,9 +1,13 @@
 #ifndef HAWTHORNHOLLOW_RELAY_PEER_FALLBACK_H_
 #define HAWTHORNHOLLOW_RELAY_PEER_FALLBACK_H_
 
-// Keeps the configuration, the backend servers and the quarantined parts of
-// prompts current through other routers while this one cannot read the store,
-// and asks them after its start for limits that servers stated.
+// Keeps the configuration, evacuated failure domains, the backend servers and
+// the quarantined parts of prompts current through other routers while this one
+// cannot read the store, and asks them after its start for limits that servers
+// stated.
+//
+// Evacuated domains are asked for at the start, too, before the router serves:
+// the store may have come back from a copy without them.
 
 #include <atomic>
 #include <functional>
@@ -38,6 +42,7 @@
         catalog_(catalog),
         quarantine_(quarantine),
         limits_(limits),
+        addresses_(addresses),
         configuration_(options.interval,
                        {.is_needed =
                             [this] {
@@ -49,6 +54,17 @@
                             [this](const std::string& address) {
                               return ReadConfiguration(address);
                             }}),
+        evacuations_(options.interval,
+                     {.is_needed =
+                          [this] {
+                            return IsUnread(catalog_.table_age()) ||
+                                   catalog_.may_have_older_configuration();
+                          },
+                      .addresses = addresses,
+                      .ask =
+                          [this](const std::string& address) {
+                            return ReadEvacuations(address);
+                          }}),
         servers_(options.interval,
                  {.is_needed =
                       [this] {
@@ -83,12 +99,30 @@
 
   // Starts fibers that run until `stop` is set.
   void Start(Runtime& runtime, const std::atomic<bool>& stop) {
-    for (PeerReader* reader :
-         {&configuration_, &servers_, &prompts_, &server_limits_})
+    for (PeerReader* reader : {&configuration_, &evacuations_, &servers_,
+                               &prompts_, &server_limits_})
       runtime.Spawn([reader, &stop] { reader->Run(stop); });
+    runtime.Spawn([this, &stop] { AskAtStart(stop); });
   }
 
  private:
+  // Routers that are asked at the start. The first one may be gone, or have
+  // started at the same time.
+  static constexpr size_t kStartAsks = 3;
+  static constexpr absl::Duration kStartInterval = absl::Milliseconds(20);
+
+  void AskAtStart(const std::atomic<bool>& stop) {
+    for (size_t asked = 0; !stop && !catalog_.may_serve();) {
+      hawthornhollow::SleepFor(kStartInterval);
+      const std::vector<std::string> addresses = addresses_();
+      if (addresses.empty())
+        continue;
+      const size_t next = (first_asked_ + asked++) % addresses.size();
+      if (ReadEvacuations(addresses[next]).ok() || asked >= kStartAsks)
+        catalog_.EndStartAsk();
+    }
+  }
+
   bool IsUnread(absl::Duration age) const {
     return age > options_.unread_after;
   }
@@ -106,6 +140,18 @@
     return absl::OkStatus();
   }
 
+  absl::Status ReadEvacuations(const std::string& address) {
+    const auto report = AskPeerForEvacuations(client_, address);
+    if (report.ok()) {
+      catalog_.OfferEvacuations(*report);
+    } else if (report.status().code() == absl::StatusCode::kDataLoss) {
+      LogEvent("evacuations.rejected", LogSeverity::kWarning)
+          .Add("peer", address)
+          .Add("reason", report.status());
+    }
+    return report.status();
+  }
+
   absl::Status ReadServers(const std::string& address) {
     const auto report =
         AskPeerForServers(client_, address, catalog_.servers_position());
@@ -148,7 +194,11 @@
   Catalog& catalog_;
   Quarantine& quarantine_;
   ServerLimitsController& limits_;
+  const std::function<std::vector<std::string>()> addresses_;
+  // Routers that start together ask different ones.
+  const size_t first_asked_ = PeerReader::RandomStart();
   PeerReader configuration_;
+  PeerReader evacuations_;
   PeerReader servers_;
   PeerReader prompts_;
   PeerReader server_limits_;
--- a/hawthornhollow/relay/peer_messages_generated.h
+++ b/hawthornhollow/relay/peer_messages_generated.h
@@ -24,6 +24,18 @@
 struct ServerEntriesBuilder;
 struct ServerEntriesT;
 
+struct EvacuationRecord;
+struct EvacuationRecordBuilder;
+struct EvacuationRecordT;
+
+struct DomainEvacuation;
+struct DomainEvacuationBuilder;
+struct DomainEvacuationT;
+
+struct EvacuationReport;
+struct EvacuationReportBuilder;
+struct EvacuationReportT;
+
 struct CrashReport;
 struct CrashReportBuilder;
 struct CrashReportT;
@@ -60,6 +72,12 @@
 bool operator!=(const StoredRecordT &lhs, const StoredRecordT &rhs);
 bool operator==(const ServerEntriesT &lhs, const ServerEntriesT &rhs);
 bool operator!=(const ServerEntriesT &lhs, const ServerEntriesT &rhs);
+bool operator==(const EvacuationRecordT &lhs, const EvacuationRecordT &rhs);
+bool operator!=(const EvacuationRecordT &lhs, const EvacuationRecordT &rhs);
+bool operator==(const DomainEvacuationT &lhs, const DomainEvacuationT &rhs);
+bool operator!=(const DomainEvacuationT &lhs, const DomainEvacuationT &rhs);
+bool operator==(const EvacuationReportT &lhs, const EvacuationReportT &rhs);
+bool operator!=(const EvacuationReportT &lhs, const EvacuationReportT &rhs);
 bool operator==(const CrashReportT &lhs, const CrashReportT &rhs);
 bool operator!=(const CrashReportT &lhs, const CrashReportT &rhs);
 bool operator==(const SoundReportT &lhs, const SoundReportT &rhs);
@@ -314,6 +332,357 @@
 
 flatbuffers::Offset<ServerEntries> CreateServerEntries(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EvacuationRecordT : public flatbuffers::NativeTable {
+  typedef EvacuationRecord TableType;
+  int64_t era = 0;
+  int64_t offset = 0;
+  bool evacuated = false;
+  bool is_new = false;
+  int64_t previous = -1LL;
+  int64_t read_before = 0;
+};
+
+struct EvacuationRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationRecordT NativeTableType;
+  typedef EvacuationRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ERA = 4,
+    VT_OFFSET = 6,
+    VT_EVACUATED = 8,
+    VT_IS_NEW = 10,
+    VT_PREVIOUS = 12,
+    VT_READ_BEFORE = 14
+  };
+  int64_t era() const {
+    return GetField<int64_t>(VT_ERA, 0);
+  }
+  int64_t offset() const {
+    return GetField<int64_t>(VT_OFFSET, 0);
+  }
+  bool evacuated() const {
+    return GetField<uint8_t>(VT_EVACUATED, 0) != 0;
+  }
+  bool is_new() const {
+    return GetField<uint8_t>(VT_IS_NEW, 0) != 0;
+  }
+  int64_t previous() const {
+    return GetField<int64_t>(VT_PREVIOUS, -1LL);
+  }
+  int64_t read_before() const {
+    return GetField<int64_t>(VT_READ_BEFORE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint8_t>(verifier, VT_EVACUATED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_NEW, 1) &&
+           VerifyField<int64_t>(verifier, VT_PREVIOUS, 8) &&
+           VerifyField<int64_t>(verifier, VT_READ_BEFORE, 8) &&
+           verifier.EndTable();
+  }
+  EvacuationRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EvacuationRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationRecordBuilder {
+  typedef EvacuationRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_era(int64_t era) {
+    fbb_.AddElement<int64_t>(EvacuationRecord::VT_ERA, era, 0);
+  }
+  void add_offset(int64_t offset) {
+    fbb_.AddElement<int64_t>(EvacuationRecord::VT_OFFSET, offset, 0);
+  }
+  void add_evacuated(bool evacuated) {
+    fbb_.AddElement<uint8_t>(EvacuationRecord::VT_EVACUATED, static_cast<uint8_t>(evacuated), 0);
+  }
+  void add_is_new(bool is_new) {
+    fbb_.AddElement<uint8_t>(EvacuationRecord::VT_IS_NEW, static_cast<uint8_t>(is_new), 0);
+  }
+  void add_previous(int64_t previous) {
+    fbb_.AddElement<int64_t>(EvacuationRecord::VT_PREVIOUS, previous, -1LL);
+  }
+  void add_read_before(int64_t read_before) {
+    fbb_.AddElement<int64_t>(EvacuationRecord::VT_READ_BEFORE, read_before, 0);
+  }
+  explicit EvacuationRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EvacuationRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EvacuationRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EvacuationRecord> CreateEvacuationRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t era = 0,
+    int64_t offset = 0,
+    bool evacuated = false,
+    bool is_new = false,
+    int64_t previous = -1LL,
+    int64_t read_before = 0) {
+  EvacuationRecordBuilder builder_(_fbb);
+  builder_.add_read_before(read_before);
+  builder_.add_previous(previous);
+  builder_.add_offset(offset);
+  builder_.add_era(era);
+  builder_.add_is_new(is_new);
+  builder_.add_evacuated(evacuated);
+  return builder_.Finish();
+}
+
+struct EvacuationRecord::Traits {
+  using type = EvacuationRecord;
+  static auto constexpr Create = CreateEvacuationRecord;
+};
+
+flatbuffers::Offset<EvacuationRecord> CreateEvacuationRecord(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DomainEvacuationT : public flatbuffers::NativeTable {
+  typedef DomainEvacuation TableType;
+  std::string domain{};
+  std::unique_ptr<hawthornhollow::fb::EvacuationRecordT> before{};
+  std::unique_ptr<hawthornhollow::fb::EvacuationRecordT> current{};
+  DomainEvacuationT() = default;
+  DomainEvacuationT(const DomainEvacuationT &o);
+  DomainEvacuationT(DomainEvacuationT&&) FLATBUFFERS_NOEXCEPT = default;
+  DomainEvacuationT &operator=(DomainEvacuationT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct DomainEvacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DomainEvacuationT NativeTableType;
+  typedef DomainEvacuationBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DOMAIN = 4,
+    VT_BEFORE = 6,
+    VT_CURRENT = 8
+  };
+  const flatbuffers::String *domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
+  }
+  const hawthornhollow::fb::EvacuationRecord *before() const {
+    return GetPointer<const hawthornhollow::fb::EvacuationRecord *>(VT_BEFORE);
+  }
+  const hawthornhollow::fb::EvacuationRecord *current() const {
+    return GetPointer<const hawthornhollow::fb::EvacuationRecord *>(VT_CURRENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DOMAIN) &&
+           verifier.VerifyString(domain()) &&
+           VerifyOffset(verifier, VT_BEFORE) &&
+           verifier.VerifyTable(before()) &&
+           VerifyOffset(verifier, VT_CURRENT) &&
+           verifier.VerifyTable(current()) &&
+           verifier.EndTable();
+  }
+  DomainEvacuationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DomainEvacuationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DomainEvacuation> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DomainEvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DomainEvacuationBuilder {
+  typedef DomainEvacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
+    fbb_.AddOffset(DomainEvacuation::VT_DOMAIN, domain);
+  }
+  void add_before(flatbuffers::Offset<hawthornhollow::fb::EvacuationRecord> before) {
+    fbb_.AddOffset(DomainEvacuation::VT_BEFORE, before);
+  }
+  void add_current(flatbuffers::Offset<hawthornhollow::fb::EvacuationRecord> current) {
+    fbb_.AddOffset(DomainEvacuation::VT_CURRENT, current);
+  }
+  explicit DomainEvacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DomainEvacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DomainEvacuation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DomainEvacuation> CreateDomainEvacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> domain = 0,
+    flatbuffers::Offset<hawthornhollow::fb::EvacuationRecord> before = 0,
+    flatbuffers::Offset<hawthornhollow::fb::EvacuationRecord> current = 0) {
+  DomainEvacuationBuilder builder_(_fbb);
+  builder_.add_current(current);
+  builder_.add_before(before);
+  builder_.add_domain(domain);
+  return builder_.Finish();
+}
+
+struct DomainEvacuation::Traits {
+  using type = DomainEvacuation;
+  static auto constexpr Create = CreateDomainEvacuation;
+};
+
+inline flatbuffers::Offset<DomainEvacuation> CreateDomainEvacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *domain = nullptr,
+    flatbuffers::Offset<hawthornhollow::fb::EvacuationRecord> before = 0,
+    flatbuffers::Offset<hawthornhollow::fb::EvacuationRecord> current = 0) {
+  auto domain__ = domain ? _fbb.CreateString(domain) : 0;
+  return hawthornhollow::fb::CreateDomainEvacuation(
+      _fbb,
+      domain__,
+      before,
+      current);
+}
+
+flatbuffers::Offset<DomainEvacuation> CreateDomainEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const DomainEvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EvacuationReportT : public flatbuffers::NativeTable {
+  typedef EvacuationReport TableType;
+  int64_t era = 0;
+  int64_t end = 0;
+  int64_t first_end = 0;
+  int64_t era_age_us = 0;
+  int64_t age_us = 0;
+  std::vector<std::unique_ptr<hawthornhollow::fb::DomainEvacuationT>> domains{};
+  EvacuationReportT() = default;
+  EvacuationReportT(const EvacuationReportT &o);
+  EvacuationReportT(EvacuationReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  EvacuationReportT &operator=(EvacuationReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct EvacuationReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationReportT NativeTableType;
+  typedef EvacuationReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ERA = 4,
+    VT_END = 6,
+    VT_FIRST_END = 8,
+    VT_ERA_AGE_US = 10,
+    VT_AGE_US = 12,
+    VT_DOMAINS = 14
+  };
+  int64_t era() const {
+    return GetField<int64_t>(VT_ERA, 0);
+  }
+  int64_t end() const {
+    return GetField<int64_t>(VT_END, 0);
+  }
+  int64_t first_end() const {
+    return GetField<int64_t>(VT_FIRST_END, 0);
+  }
+  int64_t era_age_us() const {
+    return GetField<int64_t>(VT_ERA_AGE_US, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::DomainEvacuation>> *domains() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::DomainEvacuation>> *>(VT_DOMAINS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_END, 8) &&
+           VerifyField<int64_t>(verifier, VT_FIRST_END, 8) &&
+           VerifyField<int64_t>(verifier, VT_ERA_AGE_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyOffset(verifier, VT_DOMAINS) &&
+           verifier.VerifyVector(domains()) &&
+           verifier.VerifyVectorOfTables(domains()) &&
+           verifier.EndTable();
+  }
+  EvacuationReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EvacuationReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationReportBuilder {
+  typedef EvacuationReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_era(int64_t era) {
+    fbb_.AddElement<int64_t>(EvacuationReport::VT_ERA, era, 0);
+  }
+  void add_end(int64_t end) {
+    fbb_.AddElement<int64_t>(EvacuationReport::VT_END, end, 0);
+  }
+  void add_first_end(int64_t first_end) {
+    fbb_.AddElement<int64_t>(EvacuationReport::VT_FIRST_END, first_end, 0);
+  }
+  void add_era_age_us(int64_t era_age_us) {
+    fbb_.AddElement<int64_t>(EvacuationReport::VT_ERA_AGE_US, era_age_us, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(EvacuationReport::VT_AGE_US, age_us, 0);
+  }
+  void add_domains(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::DomainEvacuation>>> domains) {
+    fbb_.AddOffset(EvacuationReport::VT_DOMAINS, domains);
+  }
+  explicit EvacuationReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EvacuationReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EvacuationReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EvacuationReport> CreateEvacuationReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t era = 0,
+    int64_t end = 0,
+    int64_t first_end = 0,
+    int64_t era_age_us = 0,
+    int64_t age_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::DomainEvacuation>>> domains = 0) {
+  EvacuationReportBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_era_age_us(era_age_us);
+  builder_.add_first_end(first_end);
+  builder_.add_end(end);
+  builder_.add_era(era);
+  builder_.add_domains(domains);
+  return builder_.Finish();
+}
+
+struct EvacuationReport::Traits {
+  using type = EvacuationReport;
+  static auto constexpr Create = CreateEvacuationReport;
+};
+
+inline flatbuffers::Offset<EvacuationReport> CreateEvacuationReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t era = 0,
+    int64_t end = 0,
+    int64_t first_end = 0,
+    int64_t era_age_us = 0,
+    int64_t age_us = 0,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::DomainEvacuation>> *domains = nullptr) {
+  auto domains__ = domains ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::DomainEvacuation>>(*domains) : 0;
+  return hawthornhollow::fb::CreateEvacuationReport(
+      _fbb,
+      era,
+      end,
+      first_end,
+      era_age_us,
+      age_us,
+      domains__);
+}
+
+flatbuffers::Offset<EvacuationReport> CreateEvacuationReport(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CrashReportT : public flatbuffers::NativeTable {
   typedef CrashReport TableType;
   std::string server{};
@@ -1108,6 +1477,198 @@
 }
 
 
+inline bool operator==(const EvacuationRecordT &lhs, const EvacuationRecordT &rhs) {
+  return
+      (lhs.era == rhs.era) &&
+      (lhs.offset == rhs.offset) &&
+      (lhs.evacuated == rhs.evacuated) &&
+      (lhs.is_new == rhs.is_new) &&
+      (lhs.previous == rhs.previous) &&
+      (lhs.read_before == rhs.read_before);
+}
+
+inline bool operator!=(const EvacuationRecordT &lhs, const EvacuationRecordT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline EvacuationRecordT *EvacuationRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EvacuationRecord::UnPackTo(EvacuationRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = era(); _o->era = _e; }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = evacuated(); _o->evacuated = _e; }
+  { auto _e = is_new(); _o->is_new = _e; }
+  { auto _e = previous(); _o->previous = _e; }
+  { auto _e = read_before(); _o->read_before = _e; }
+}
+
+inline flatbuffers::Offset<EvacuationRecord> EvacuationRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuationRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EvacuationRecord> CreateEvacuationRecord(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _era = _o->era;
+  auto _offset = _o->offset;
+  auto _evacuated = _o->evacuated;
+  auto _is_new = _o->is_new;
+  auto _previous = _o->previous;
+  auto _read_before = _o->read_before;
+  return hawthornhollow::fb::CreateEvacuationRecord(
+      _fbb,
+      _era,
+      _offset,
+      _evacuated,
+      _is_new,
+      _previous,
+      _read_before);
+}
+
+
+inline bool operator==(const DomainEvacuationT &lhs, const DomainEvacuationT &rhs) {
+  return
+      (lhs.domain == rhs.domain) &&
+      ((lhs.before == rhs.before) || (lhs.before && rhs.before && *lhs.before == *rhs.before)) &&
+      ((lhs.current == rhs.current) || (lhs.current && rhs.current && *lhs.current == *rhs.current));
+}
+
+inline bool operator!=(const DomainEvacuationT &lhs, const DomainEvacuationT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline DomainEvacuationT::DomainEvacuationT(const DomainEvacuationT &o)
+      : domain(o.domain),
+        before((o.before) ? new hawthornhollow::fb::EvacuationRecordT(*o.before) : nullptr),
+        current((o.current) ? new hawthornhollow::fb::EvacuationRecordT(*o.current) : nullptr) {
+}
+
+inline DomainEvacuationT &DomainEvacuationT::operator=(DomainEvacuationT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(domain, o.domain);
+  std::swap(before, o.before);
+  std::swap(current, o.current);
+  return *this;
+}
+
+inline DomainEvacuationT *DomainEvacuation::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DomainEvacuationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DomainEvacuation::UnPackTo(DomainEvacuationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = domain(); if (_e) _o->domain = _e->str(); }
+  { auto _e = before(); if (_e) _o->before = std::unique_ptr<hawthornhollow::fb::EvacuationRecordT>(_e->UnPack(_resolver)); }
+  { auto _e = current(); if (_e) _o->current = std::unique_ptr<hawthornhollow::fb::EvacuationRecordT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<DomainEvacuation> DomainEvacuation::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DomainEvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDomainEvacuation(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DomainEvacuation> CreateDomainEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const DomainEvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DomainEvacuationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
+  auto _before = _o->before ? CreateEvacuationRecord(_fbb, _o->before.get(), _rehasher) : 0;
+  auto _current = _o->current ? CreateEvacuationRecord(_fbb, _o->current.get(), _rehasher) : 0;
+  return hawthornhollow::fb::CreateDomainEvacuation(
+      _fbb,
+      _domain,
+      _before,
+      _current);
+}
+
+
+inline bool operator==(const EvacuationReportT &lhs, const EvacuationReportT &rhs) {
+  return
+      (lhs.era == rhs.era) &&
+      (lhs.end == rhs.end) &&
+      (lhs.first_end == rhs.first_end) &&
+      (lhs.era_age_us == rhs.era_age_us) &&
+      (lhs.age_us == rhs.age_us) &&
+      (lhs.domains.size() == rhs.domains.size() && std::equal(lhs.domains.cbegin(), lhs.domains.cend(), rhs.domains.cbegin(), [](std::unique_ptr<hawthornhollow::fb::DomainEvacuationT> const &a, std::unique_ptr<hawthornhollow::fb::DomainEvacuationT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const EvacuationReportT &lhs, const EvacuationReportT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline EvacuationReportT::EvacuationReportT(const EvacuationReportT &o)
+      : era(o.era),
+        end(o.end),
+        first_end(o.first_end),
+        era_age_us(o.era_age_us),
+        age_us(o.age_us) {
+  domains.reserve(o.domains.size());
+  for (const auto &domains_ : o.domains) { domains.emplace_back((domains_) ? new hawthornhollow::fb::DomainEvacuationT(*domains_) : nullptr); }
+}
+
+inline EvacuationReportT &EvacuationReportT::operator=(EvacuationReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(era, o.era);
+  std::swap(end, o.end);
+  std::swap(first_end, o.first_end);
+  std::swap(era_age_us, o.era_age_us);
+  std::swap(age_us, o.age_us);
+  std::swap(domains, o.domains);
+  return *this;
+}
+
+inline EvacuationReportT *EvacuationReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EvacuationReport::UnPackTo(EvacuationReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = era(); _o->era = _e; }
+  { auto _e = end(); _o->end = _e; }
+  { auto _e = first_end(); _o->first_end = _e; }
+  { auto _e = era_age_us(); _o->era_age_us = _e; }
+  { auto _e = age_us(); _o->age_us = _e; }
+  { auto _e = domains(); if (_e) { _o->domains.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->domains[_i] = std::unique_ptr<hawthornhollow::fb::DomainEvacuationT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<EvacuationReport> EvacuationReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuationReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EvacuationReport> CreateEvacuationReport(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _era = _o->era;
+  auto _end = _o->end;
+  auto _first_end = _o->first_end;
+  auto _era_age_us = _o->era_age_us;
+  auto _age_us = _o->age_us;
+  auto _domains = _o->domains.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::DomainEvacuation>> (_o->domains.size(), [](size_t i, _VectorArgs *__va) { return CreateDomainEvacuation(*__va->__fbb, __va->__o->domains[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hawthornhollow::fb::CreateEvacuationReport(
+      _fbb,
+      _era,
+      _end,
+      _first_end,
+      _era_age_us,
+      _age_us,
+      _domains);
+}
+
+
 inline bool operator==(const CrashReportT &lhs, const CrashReportT &rhs) {
   return
       (lhs.server == rhs.server) &&
--- a/hawthornhollow/relay/peer_reader.h
+++ b/hawthornhollow/relay/peer_reader.h
@@ -6,14 +6,17 @@
 // Assumed faults: the store turns some VMs away, or the link between one VM and
 // the store is cut or congested, while the operator publishes a change, perhaps
 // one that withdraws a key, or while backend servers leave. Routers that still
-// read the store know of it.
+// read the store know of it. If few do, what they know spreads from one router
+// to the next, as each asks in an order of its own.
 
 #include <atomic>
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "absl/random/random.h"
 #include "absl/status/status.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/runtime/runtime.h"
@@ -43,6 +46,13 @@
   PeerReader(const PeerReader&) = delete;
   PeerReader& operator=(const PeerReader&) = delete;
 
+  // Which router is asked first.
+  static size_t RandomStart() {
+    constexpr size_t kManyRouters = 1'000'000;
+    absl::BitGen random;
+    return absl::Uniform<size_t>(random, 0, kManyRouters);
+  }
+
   // Runs until `stop` is set. Call it on its own fiber.
   void Run(const std::atomic<bool>& stop) {
     while (!stop) {
@@ -63,7 +73,7 @@
 
   const absl::Duration interval_;
   const PeerReaderCalls calls_;
-  size_t asked_ = 0;
+  size_t asked_ = RandomStart();
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -140,6 +140,18 @@
       .IgnoreError();
 }
 
+void ServeEvacuations(const PeerHandlers& handlers, ResponseWriter& writer) {
+  const std::optional<EvacuationReport> report = handlers.evacuations();
+  if (!report.has_value()) {
+    writer.Send({.status = kNoContent}).IgnoreError();
+    return;
+  }
+  writer
+      .Send({.body = EncodeMessage<fb::EvacuationReport>(
+                 EncodeEvacuations(*report))})
+      .IgnoreError();
+}
+
 void ServeCrash(const HttpRequest& request,
                 const PeerHandlers& handlers,
                 ResponseWriter& writer) {
@@ -225,6 +237,8 @@
     return ServeConfiguration(request, handlers, writer);
   if (request.method == "GET" && request.Path() == kServersTarget)
     return ServeServers(request, handlers, writer);
+  if (request.method == "GET" && request.Path() == kEvacuationsTarget)
+    return ServeEvacuations(handlers, writer);
   if (request.method == "GET" && request.Path() == kQuarantineTarget)
     return ServeQuarantine(handlers, writer);
   if (request.method == "GET" && request.Path() == kLimitsTarget)
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -3,9 +3,9 @@
 
 // Calls between routers, as FlatBuffers over HTTP on the address for other
 // routers: transfers of tokens of a workspace's prepaid total, in both
-// directions, the configuration, the entries of backend servers, crashes of
-// servers and what they are put down to, limits that servers state and permits
-// to send to them, and the time of day.
+// directions, the configuration, evacuated failure domains, the entries of
+// backend servers, crashes of servers and what they are put down to, limits
+// that servers state and permits to send to them, and the time of day.
 
 #include <functional>
 #include <optional>
@@ -14,6 +14,7 @@
 
 #include "absl/status/statusor.h"
 #include "hawthornhollow/http/http.h"
+#include "hawthornhollow/relay/evacuated_domains.h"
 #include "hawthornhollow/relay/prompt_quarantine.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/server_limits.h"
@@ -52,6 +53,12 @@
                                                 const std::string& address,
                                                 const StorePosition& known);
 
+// Returns what the router at `address` knows of evacuated failure domains.
+// NOT_FOUND if it has read nothing.
+absl::StatusOr<EvacuationReport> AskPeerForEvacuations(
+    HttpClient& client,
+    const std::string& address);
+
 // Tells the router at `address` of a crash.
 absl::Status ReportCrashToPeer(HttpClient& client,
                                const std::string& address,
@@ -96,6 +103,7 @@
   // The record of the configuration in force if it is newer than `version`.
   std::function<std::optional<StoredValue>(int64_t version)> configuration;
   std::function<ServersReport(const StorePosition& known)> servers;
+  std::function<std::optional<EvacuationReport>()> evacuations;
   std::function<void(const ServerCrash& crash, const std::string& peer)> crash;
   std::function<void(const std::vector<std::string>& parts)> sound;
   std::function<std::vector<QuarantinedPart>()> quarantine;
--- a/hawthornhollow/relay/prompt_placement.cc
+++ b/hawthornhollow/relay/prompt_placement.cc
@@ -66,7 +66,7 @@
   std::vector<State*> suspect;
   for (auto& [id, state] : servers_) {
     if (state.server.service != query.service || state.server.leaving ||
-        query.excluded_servers.contains(id))
+        query.excluded_servers.contains(id) || IsEvacuated(state.server))
       continue;
     (state.suspect_until > now ? suspect : usable).push_back(&state);
   }
@@ -242,12 +242,28 @@
     std::string_view service) const {
   std::vector<std::string> ids;
   for (const auto& [id, state] : servers_) {
-    if (state.server.service == service && !state.server.leaving)
+    if (state.server.service == service && !state.server.leaving &&
+        !IsEvacuated(state.server))
       ids.push_back(id);
   }
   return ids;
 }
 
+bool PromptPlacement::IsServiceEvacuated(std::string_view service) const {
+  // Fast path: evacuations are rare.
+  if (evacuated_domains_.empty())
+    return false;
+  bool has_evacuated = false;
+  for (const auto& [id, state] : servers_) {
+    if (state.server.service != service || state.server.leaving)
+      continue;
+    if (!IsEvacuated(state.server))
+      return false;
+    has_evacuated = true;
+  }
+  return has_evacuated;
+}
+
 int64_t PromptPlacement::in_flight(std::string_view server) const {
   const auto found = servers_.find(server);
   return found == servers_.end() ? 0 : found->second.in_flight;
--- a/hawthornhollow/relay/prompt_placement.h
+++ b/hawthornhollow/relay/prompt_placement.h
@@ -58,6 +58,10 @@
   explicit PromptPlacement(const PlacementOptions& options);
 
   void SetServers(const std::vector<RelayServer>& servers);
+  // Servers of these failure domains are not chosen.
+  void SetEvacuatedDomains(const std::set<std::string>& domains) {
+    evacuated_domains_ = domains;
+  }
 
   struct Choice {
     RelayServer server;
@@ -96,8 +100,15 @@
   // has started anew since.
   void SetLeaving(const Choice& choice);
 
-  // Ids of the service's servers that are not leaving.
+  // Ids of the service's servers that are not leaving, nor in an evacuated
+  // domain.
   std::vector<std::string> ServersOf(std::string_view service) const;
+  bool IsEvacuated(const RelayServer& server) const {
+    return evacuated_domains_.contains(server.failure_domain);
+  }
+  // Whether the service has servers that are not leaving, and all of them are
+  // in evacuated domains.
+  bool IsServiceEvacuated(std::string_view service) const;
   int64_t in_flight(std::string_view server) const;
   bool IsSuspect(std::string_view server, absl::Time now) const;
 
@@ -136,6 +147,7 @@
 
   const PlacementOptions options_;
   std::map<std::string, State, std::less<>> servers_;
+  std::set<std::string> evacuated_domains_;
   uint64_t last_registration_ = 0;
 };
 
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -101,6 +101,7 @@
   kTokensUnavailable,  // tokens may be left, but not at this router in time
   kOutcomeUnknown,     // it may have been executed; there is no answer
   kServersLimited,     // servers take no more requests now; not executed
+  kDomainsEvacuated,   // all servers are in evacuated domains; not executed
   kStopping,           // the router stops before it could end; not executed
   kPromptQuarantined,  // a part of its prompt crashes servers; not executed
   kTimedOut,           // it may have been executed; the deadline passed
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -74,6 +74,10 @@
 
   LimitWatch LimitCalls();
 
+  // The servers of the domain may be cold for the `cold_time` of their services
+  // from `at` on, unless their own entries say otherwise later.
+  void OnDomainRestored(const std::string& failure_domain, absl::Time at);
+
   void AnswerMetrics(ResponseWriter& writer);
 
   // The other servers may be queried before the callers' server has started.
--- a/hawthornhollow/relay/relay_instance_impl.h
+++ b/hawthornhollow/relay/relay_instance_impl.h
@@ -55,6 +55,14 @@
                     [this](const std::vector<RelayServer>& servers) {
                       placement_.SetServers(leaving_.Apply(servers));
                       server_limits_.KeepServers(servers);
+                    },
+                .on_evacuated =
+                    [this](const std::set<std::string>& domains) {
+                      placement_.SetEvacuatedDomains(domains);
+                    },
+                .on_domain_restored =
+                    [this](const std::string& failure_domain, absl::Time at) {
+                      OnDomainRestored(failure_domain, at);
                     }}),
       quarantine_(
           store_,
@@ -284,6 +292,7 @@
                  [this](const StorePosition& known) {
                    return catalog_.ReportServers(known);
                  },
+             .evacuations = [this] { return catalog_.ReportEvacuations(); },
              .crash =
                  [this](const ServerCrash& crash, const std::string& peer) {
                    quarantine_.OnReported(crash, peer);
@@ -305,6 +314,13 @@
             writer);
 }
 
+template <SharedStore Store, MessageCodec D>
+void RelayInstance<Store, D>::OnDomainRestored(
+    const std::string& /*failure_domain*/,
+    absl::Time /*at*/) {
+  // Servers have no cold limits yet.
+}
+
 template <SharedStore Store, MessageCodec D>
 LimitWatch RelayInstance<Store, D>::LimitCalls() {
   return {
@@ -345,6 +361,8 @@
       .servers = static_cast<int64_t>(catalog_.server_count()),
       .kept_servers = static_cast<int64_t>(catalog_.kept_server_count()),
       .routers = static_cast<int64_t>(totals_.router_count()),
+      .evacuated_domains =
+          static_cast<int64_t>(catalog_.evacuated_domains().size()),
       .quarantined_parts =
           static_cast<int64_t>(quarantine_.quarantined().size()),
       .limited_servers = static_cast<int64_t>(server_limits_.limited_count()),
--- a/hawthornhollow/relay/relay_instance_requests_impl.h
+++ b/hawthornhollow/relay/relay_instance_requests_impl.h
@@ -38,7 +38,7 @@
 template <SharedStore Store, MessageCodec D>
 std::optional<RelayError> RelayInstance<Store, D>::Resolve(RunContext* run) {
   run->table = catalog_.table();
-  if (run->table == nullptr)
+  if (!catalog_.may_serve())
     return RelayError::kNotReady;
   run->route = run->table->Match(run->call.host, run->call.path);
   if (run->route == nullptr)
@@ -86,6 +86,10 @@
     RefuseRun(run, RelayError::kPromptQuarantined, writer);
     return;
   }
+  if (placement_.IsServiceEvacuated(run.service)) {
+    RefuseRun(run, RelayError::kDomainsEvacuated, writer);
+    return;
+  }
   shared_.retry_burst = OwnRetryBurst();
   const int64_t tokens = run.call.prompt_tokens + run.call.max_output_tokens;
   std::shared_ptr<TokenHold> hold;
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -69,6 +69,7 @@
       {"servers", gauges.servers},
       {"servers_kept", gauges.kept_servers},
       {"routers", gauges.routers},
+      {"domains_evacuated", gauges.evacuated_domains},
       {"prompt_parts_quarantined", gauges.quarantined_parts},
       {"servers_limited", gauges.limited_servers},
       {"requests_in_progress", gauges.requests_in_progress},
--- a/hawthornhollow/relay/relay_metrics.h
+++ b/hawthornhollow/relay/relay_metrics.h
@@ -40,6 +40,7 @@
   int64_t servers = 0;
   int64_t kept_servers = 0;  // in use although their entry is missing
   int64_t routers = 0;
+  int64_t evacuated_domains = 0;  // as far as this router knows
   int64_t quarantined_parts = 0;  // of prompts
   int64_t limited_servers = 0;    // state a limit of requests per second
   int64_t requests_in_progress = 0;
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -48,6 +48,7 @@
   enum class AttemptResult {
     kAnswered,          // the request has ended
     kNotConnected,      // no connection was established
+    kEvacuated,         // not sent: the server's domain is evacuated meanwhile
     kNotRun,            // the server reported that it did not execute it
     kErrorAnswer,       // the server answered with an error
     kIncompleteAnswer,  // the answer is incomplete or invalid
--- a/hawthornhollow/relay/request_run_impl.h
+++ b/hawthornhollow/relay/request_run_impl.h
@@ -64,10 +64,11 @@
   if (result == AttemptResult::kAnswered)
     return true;
   excluded_servers_.insert(choice->server.id);
-  if (result != AttemptResult::kNotConnected)
+  const bool is_unsent = result == AttemptResult::kNotConnected ||
+                         result == AttemptResult::kEvacuated;
+  if (!is_unsent)
     ++summary_.attempts;
-  if (result != AttemptResult::kNotConnected &&
-      result != AttemptResult::kNotRun)
+  if (!is_unsent && result != AttemptResult::kNotRun)
     summary_.may_have_run = true;
   if (MayRetry(result))
     return false;
@@ -96,7 +97,9 @@
     auto choice = shared_.placement->Propose(query, SteadyNow());
     if (!choice.ok())
       return choice;
-    if (shared_.limits.acquire(choice->server.id, urgency)) {
+    // A permit may be waited for, and the domain be evacuated meanwhile.
+    if (shared_.limits.acquire(choice->server.id, urgency) &&
+        !shared_.placement->IsEvacuated(choice->server)) {
       shared_.placement->Begin(*choice, query, SteadyNow());
       return choice;
     }
@@ -123,7 +126,7 @@
   if (result == AttemptResult::kNotConnected ||
       result == AttemptResult::kNoResponse)
     outcome = Outcome::kNoResponse;
-  if (caller_->gone)
+  if (caller_->gone || result == AttemptResult::kEvacuated)
     outcome = Outcome::kAbandoned;
   shared_.placement->OnFinished(choice, got_first_piece(), outcome,
                                 SteadyNow());
@@ -159,6 +162,8 @@
       return "answered";
     case AttemptResult::kNotConnected:
       return "not_sent";
+    case AttemptResult::kEvacuated:
+      return "evacuated";
     case AttemptResult::kNotRun:
       return "not_run";
     case AttemptResult::kErrorAnswer:
@@ -182,7 +187,8 @@
   // A stream that has begun can only be resumed after an event with an id.
   if (streaming_ && summary_.events > 0 && !last_event_.has_value())
     return false;
-  return result == AttemptResult::kNotConnected || RetryBudgetOf().TryRetry();
+  return result == AttemptResult::kNotConnected ||
+         result == AttemptResult::kEvacuated || RetryBudgetOf().TryRetry();
 }
 
 template <MessageCodec D>
@@ -214,6 +220,8 @@
     return ForwardFailedAnswer();
   if (summary_.may_have_run)
     return Refuse(RelayError::kOutcomeUnknown);
+  if (shared_.placement->IsServiceEvacuated(request_.service))
+    return Refuse(RelayError::kDomainsEvacuated);
   const std::vector<std::string> limited = LimitedServersLeft();
   if (limited.empty())
     return Refuse(RelayError::kNoServer);
@@ -265,6 +273,8 @@
   auto opened = Open(choice.server, sent);
   if (!opened.ok()) {
     detail_ = std::string(opened.status().message());
+    if (opened.status().code() == absl::StatusCode::kCancelled)
+      return AttemptResult::kEvacuated;
     return opened.status().code() == absl::StatusCode::kUnavailable
                ? AttemptResult::kNotConnected
                : AttemptResult::kIncompleteAnswer;
@@ -287,8 +297,9 @@
   const absl::Duration connect_timeout =
       shared_.link->ConnectTimeout(start_time);
   const absl::Duration time_left = TimeLeft();
-  auto opened =
-      shared_.client->Open(server.address, sent, time_left, connect_timeout);
+  auto opened = shared_.client->Open(
+      server.address, sent, time_left, connect_timeout,
+      [&] { return !shared_.placement->IsEvacuated(server); });
   const absl::Time now = SteadyNow();
   if (opened.ok() && (*opened)->connect_time().has_value())
     ObserveConnection(server, /*made=*/true, *(*opened)->connect_time());
--- a/hawthornhollow/relay/routing_table.cc
+++ b/hawthornhollow/relay/routing_table.cc
@@ -102,6 +102,9 @@
     case RelayError::kServersLimited:
       return {503, "servers_limited",
               "the backend servers take no more requests a second"};
+    case RelayError::kDomainsEvacuated:
+      return {503, "domains_evacuated",
+              "all backend servers are in evacuated failure domains"};
     case RelayError::kPromptQuarantined:
       return {503, "prompt_quarantined",
               "backend servers crash on a part of the prompt"};
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -51,7 +51,13 @@
   // A quarantine of a part lasts for minutes.
   absl::Duration quarantine_retry_after = absl::Seconds(60);
 
+  // An evacuation lasts for longer than a server is full, but its end is in
+  // force within a second.
+  absl::Duration evacuated_retry_after = absl::Seconds(1);
+
   absl::Duration RetryAfter(RelayError error) const {
+    if (error == RelayError::kDomainsEvacuated)
+      return evacuated_retry_after;
     return error == RelayError::kPromptQuarantined ? quarantine_retry_after
                                                    : retry_after;
   }
--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -92,12 +92,21 @@
                const std::string& id,
                const Endpoint& address,
                int64_t sequence,
-               int64_t born_ms) {
+               int64_t born_ms,
+               const std::string& zone) {
   store.Put("keyed.servers", id,
-            absl::Substitute(R"({"service":"engine","address":"$0","zone":"z",
+            absl::Substitute(R"({"service":"engine","address":"$0","zone":"$3",
       "version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
       "sequence":$1,"born":$2})",
-                             address.ToString(), sequence, born_ms));
+                             address.ToString(), sequence, born_ms, zone));
+}
+
+void PutEvacuation(StoreStandin& store, const std::string& zone) {
+  store.Put("keyed.op", "evacuate/" + zone, "{}");
+}
+
+void DropEvacuation(StoreStandin& store, const std::string& zone) {
+  store.Put("keyed.op", "evacuate/" + zone, "");
 }
 
 void DropServer(StoreStandin& store, const std::string& id) {
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -64,12 +64,17 @@
                const std::string& id,
                const Endpoint& address,
                int64_t sequence,
-               int64_t born_ms = 0);
+               int64_t born_ms = 0,
+               const std::string& zone = "z");
 void DropServer(StoreStandin& store, const std::string& id);
 // Entries among those of the servers that no server wrote. Their servers would
 // be at `address`; no router may use one.
 void PutOddServers(StoreStandin& store, const Endpoint& address);
 
+// Asks for nothing more to be sent to the servers of the zone, and ends that.
+void PutEvacuation(StoreStandin& store, const std::string& zone);
+void DropEvacuation(StoreStandin& store, const std::string& zone);
+
 // A configuration with the routes "/stream/" (resumable, two tries), "/order/"
 // (once at most) and "/lookup/" of one service, for the host "h.example".
 struct StandinWorkspace {
