--- a/hawthornhollow/relay/catalog_controller.h
+++ b/hawthornhollow/relay/catalog_controller.h
@@ -280,7 +280,8 @@
     if (changes.empty())
       return;
     for (const DomainChange& change : changes) {
-      LogEvent(change.is_evacuated ? "domain.evacuated" : "domain.restored")
+      const bool begins = change.is_evacuated;
+      LogEvent(begins ? "domain.evacuated" : "domain.restored")
           .Add("domain", change.domain)
           .Add("era", change.position.era)
           .Add("offset", change.position.offset)
--- a/hawthornhollow/relay/prompt_placement_test.cc
+++ b/hawthornhollow/relay/prompt_placement_test.cc
@@ -114,5 +114,42 @@
   EXPECT_EQ(placement_.in_flight(b.server.id), 0);
 }
 
+TEST_F(PromptPlacementTest, ServersOfEvacuatedDomains_AreNotChosen) {
+  placement_.SetEvacuatedDomains({"d0", "d1", "nowhere"});
+  for (int i = 0; i < 20; ++i)
+    EXPECT_EQ(Choose(Query(i, i)).server.failure_domain, "d2");
+  EXPECT_EQ(placement_.ServersOf("engine").size(), 3);
+  EXPECT_TRUE(placement_.IsEvacuated(servers_[0]));
+  EXPECT_FALSE(placement_.IsEvacuated(servers_[2]));
+  EXPECT_FALSE(placement_.IsServiceEvacuated("engine"));
+  placement_.SetEvacuatedDomains({"d1"});
+  EXPECT_EQ(placement_.ServersOf("engine").size(), 6);
+}
+
+// Servers that are suspected must not be preferred to none at all if their
+// domain is evacuated.
+TEST_F(PromptPlacementTest, SuspectServersOfAnEvacuatedDomain_AreNotChosen) {
+  for (int i = 0; i < 200; ++i) {
+    const auto choice = placement_.Choose(Query(i, i), now_);
+    Finish(*choice, Outcome::kNoResponse);
+  }
+  placement_.SetEvacuatedDomains({"d0", "d1", "d2"});
+  EXPECT_FALSE(placement_.Choose(Query(1, 1), now_).ok());
+}
+
+TEST_F(PromptPlacementTest, AllDomainsEvacuated_ServiceIsEvacuated) {
+  EXPECT_FALSE(placement_.IsServiceEvacuated("engine"));
+  placement_.SetEvacuatedDomains({"d0", "d1", "d2"});
+  EXPECT_TRUE(placement_.IsServiceEvacuated("engine"));
+  EXPECT_FALSE(placement_.IsServiceEvacuated("another"));
+  EXPECT_FALSE(placement_.Choose(Query(1, 1), now_).ok());
+  // A server that leaves could not be used anyway.
+  placement_.SetEvacuatedDomains({"d0", "d1"});
+  for (RelayServer& server : servers_)
+    server.leaving = server.failure_domain == "d2";
+  placement_.SetServers(servers_);
+  EXPECT_TRUE(placement_.IsServiceEvacuated("engine"));
+}
+
 }  // namespace
 }  // namespace hawthornhollow
