EntryTest.LinkNearlyFull: a load that does not depend on the machine's speed

Cause: the test sent 200 small requests one after the other, each 1,008 counted bytes, 0.0081 of a second's capacity of 1 Mbit/s. The link's load is an average that decays with 1 s, so 200 of them reach 0.7 only if the test sends more than about 105 a second, that is 200 in less than 1.9 s. Beside other load it sends fewer, and the router is right not to turn callers away.

Change: one request of 2 MB, 32 times a second's capacity: the link stays busy for longer than the route's time-out and the readiness check's together, so an answer with 200 has to say 'Connection: close', however slow the machine. A second test keeps the check that heads are counted: one small request on a link of 300 bit/s. How much makes the link busy, and that requests add up, stays with LinkLoadTest, which is stricter there (0.48 is not busy, 0.96 is).

--- a/testing/entry_fixture.h
+++ b/testing/entry_fixture.h
@@ -178,6 +178,14 @@
     return PlainHttp(callers_, request, timeout);
   }
 
+  // Sends a request whose body has `bytes` bytes.
+  absl::StatusOr<HttpResponse> SendBody(const std::string& path, size_t bytes) {
+    HttpRequest request = standins::MakeCallerRequest(
+        {.id = NextId(), .path = path, .key = "k1"});
+    request.body.assign(bytes, 'x');
+    return PlainHttp(callers_, request, kWait);
+  }
+
   int StatusOf(const std::string& path, const std::string& key = "k1") {
     const auto response = Send(path, key);
     return response.ok() ? response->status : 0;
@@ -220,7 +228,7 @@
   Endpoint readiness_;
   Endpoint peers_;
   uint16_t metrics_port_ = 0;  // 0: none
-  int64_t link_mbps_ = 1'000;
+  double link_mbps_ = 1'000;
   std::string folder_;
   std::unique_ptr<ChildProcess> entry_;
   const Endpoint second_callers_ = {"127.0.0.1", FreePort()};
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -261,23 +261,40 @@
 
 // Load: a workspace's large requests come to one VM whose link is narrow. Its
 // callers are sent to other routers before the link is full, and are welcome
-// again afterwards.
+// again afterwards. One request is enough for that, so that the load does not
+// depend on how fast this test sends: 2 MB, received and sent on, leave the
+// link busy for 4.4 s, which is more than the route's time-out (3 s) and
+// Readiness()'s (1 s) together.
 TEST_F(EntryTest, LinkNearlyFull_CallersAreSentElsewhereUntilItIsFree) {
+  constexpr size_t kOrdinaryBytes = 20'000;  // 0.32 of a second's capacity
+  constexpr size_t kLargeBytes = 2'000'000;  // 32 times a second's capacity
   link_mbps_ = 1;
   StartReady();
-  EXPECT_EQ(Send("/lookup/a")->Header("Connection"), "");
-  constexpr int kRequests = 200;  // over half a kilobyte each, both ways
-  std::string connection;
-  for (int i = 0; i < kRequests && connection.empty(); ++i) {
-    const auto response = Send("/lookup/a");
-    ASSERT_TRUE(response.ok()) << response.status();
-    EXPECT_EQ(response->status, 200);
-    connection = response->Header("Connection");
-  }
-  EXPECT_EQ(connection, "close");
+  const auto ordinary = SendBody("/lookup/a", kOrdinaryBytes);
+  ASSERT_TRUE(ordinary.ok()) << ordinary.status();
+  EXPECT_EQ(ordinary->status, 200);
+  EXPECT_EQ(ordinary->Header("Connection"), "");
+  const auto large = SendBody("/lookup/a", kLargeBytes);
+  ASSERT_TRUE(large.ok()) << large.status();
+  EXPECT_EQ(large->status, 200);
+  EXPECT_EQ(large->Header("Connection"), "close");
   EXPECT_EQ(Readiness(), 503);
   AwaitReady();
-  EXPECT_EQ(Send("/lookup/a")->Header("Connection"), "");
+  const auto afterwards = Send("/lookup/a");
+  ASSERT_TRUE(afterwards.ok()) << afterwards.status();
+  EXPECT_EQ(afterwards->Header("Connection"), "");
+}
+
+// Load: requests of a few bytes, whose heads are nearly all that the link
+// carries. One of them is 27 times what this link carries in a second.
+TEST_F(EntryTest, LinkFullOfSmallRequests_CallersAreSentElsewhere) {
+  link_mbps_ = 0.0003;
+  StartReady();
+  const auto response = Send("/lookup/a");
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_EQ(response->status, 200);
+  EXPECT_EQ(response->Header("Connection"), "close");
+  EXPECT_EQ(Readiness(), 503);
 }
 
 }  // namespace
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -54,7 +54,7 @@
   Endpoint readiness;
   Endpoint peers;
   Endpoint store;
-  int64_t link_mbps = 1'000;
+  double link_mbps = 1'000;
 };
 std::string EntrySettings(const std::string& router,
                           const EntryAddresses& addresses);
