--- a/hawthornhollow/relay/peer_fallback.h
+++ b/hawthornhollow/relay/peer_fallback.h
@@ -106,8 +106,8 @@
   }
 
  private:
-  // Routers that are asked at the start. The first one may be gone, or have
-  // started at the same time.
+  // Questions at the start, to one router after the other. Some may be gone, or
+  // have started at the same time and know no more.
   static constexpr size_t kStartAsks = 3;
   static constexpr absl::Duration kStartInterval = absl::Milliseconds(20);
 
@@ -118,7 +118,8 @@
       if (addresses.empty())
         continue;
       const size_t next = (first_asked_ + asked++) % addresses.size();
-      if (ReadEvacuations(addresses[next]).ok() || asked >= kStartAsks)
+      ReadEvacuations(addresses[next]).IgnoreError();
+      if (asked >= kStartAsks)
         catalog_.EndStartAsk();
     }
   }
