Totals: borrow tokens ahead of demand

Cause: routers without a quota borrowed for 600 ms of demand and asked when a request waited.

Change: a holder tells each borrower how much it may keep, 2% of the total over all borrowers and less as the total runs out. The borrower asks for more below 0.4 of it, with no request waiting, and hands over what is beyond. Waiting requests come first. While a good part of the total is left and a holder answers, a request waits up to its route's target instead of a quarter of it. TokenBorrower has the calls that were in TotalsController.

--- a/hawthornhollow/relay/peer_calls.cc
+++ b/hawthornhollow/relay/peer_calls.cc
@@ -60,8 +60,10 @@
   const auto given = DecodeMessage<fb::TokensGiven>(*body, address);
   if (!given.ok())
     return given.status();
-  return TransferAnswer{
-      .tokens = given->tokens, .left = given->left, .used = given->used};
+  return TransferAnswer{.tokens = given->tokens,
+                        .left = given->left,
+                        .used = given->used,
+                        .loan = given->loan};
 }
 
 absl::Status HandTokensToPeer(HttpClient& client,
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -52,12 +52,14 @@
       .Add("wanted", wanted->tokens)
       .Add("given", answer.tokens)
       .Add("left", answer.left)
-      .Add("used", answer.used);
+      .Add("used", answer.used)
+      .Add("loan", answer.loan);
   fb::TokensGivenT given;
   given.workspace = wanted->workspace;
   given.tokens = answer.tokens;
   given.left = answer.left;
   given.used = answer.used;
+  given.loan = answer.loan;
   writer.Send({.body = EncodeMessage<fb::TokensGiven>(given)}).IgnoreError();
 }
 
--- a/hawthornhollow/relay/relay_instance_requests_impl.h
+++ b/hawthornhollow/relay/relay_instance_requests_impl.h
@@ -124,12 +124,17 @@
   // Tokens of requests that end come back all the time, so a short wait is
   // worth while even if no holder has any now.
   constexpr double kPatienceShareOfTarget = 0.125;
+  // Time for a second try remains to a request that waited in vain.
+  constexpr double kMaxShareOfTimeLeft = 0.5;
   const absl::Duration timeout =
       std::min(run.route->latency_target * kMaxShareOfTarget,
                run.deadline - SteadyNow());
   return {.patience = std::min(
               run.route->latency_target * kPatienceShareOfTarget, timeout),
-          .timeout = timeout};
+          .timeout = timeout,
+          .ample_timeout =
+              std::min(run.route->latency_target,
+                       (run.deadline - SteadyNow()) * kMaxShareOfTimeLeft)};
 }
 
 template <SharedStore Store, MessageCodec D>
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -42,6 +42,11 @@
                     absl::ToDoubleSeconds(took));
 }
 
+void RelayMetrics::OnTokensAsked(bool ahead) {
+  registry_.Count("token_questions_total",
+                  {{"for", ahead ? "loan" : "waiting"}});
+}
+
 void RelayMetrics::OnTokensRefused(bool spent) {
   registry_.Count("tokens_refused_total",
                   {{"cause", spent ? "spent" : "not_at_hand"}});
--- a/hawthornhollow/relay/relay_metrics.h
+++ b/hawthornhollow/relay/relay_metrics.h
@@ -66,6 +66,8 @@
   // Counts a request whose tokens could not be reserved; `spent` tells whether
   // the total is used up.
   void OnTokensRefused(bool spent);
+  // Counts a question to a holder; `ahead` tells whether no request waited.
+  void OnTokensAsked(bool ahead);
   // Counts tokens charged for an earlier incarnation beyond what its last level
   // record reported as committed.
   void OnTokensCharged(int64_t tokens);
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -26,6 +26,7 @@
 #include "hawthornhollow/relay/record_synchronizer.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
+#include "hawthornhollow/relay/token_borrower.h"
 #include "hawthornhollow/relay/token_hold.h"
 #include "hawthornhollow/relay/wait_queue.h"
 #include "hawthornhollow/totals/totals.h"
@@ -35,44 +36,29 @@
 struct TotalsControllerOptions {
   TotalsOptions book;
   RecordSynchronizerOptions records;
+  TokenBorrowerOptions borrowing;
   // How long before an answer is expected a level record with room for it is
   // written. A longer time means that more is charged if the router is killed
   // meanwhile; an answer that arrives earlier has to wait for the record.
   absl::Duration commit_lead_time = absl::Milliseconds(250);
   // A waiting request checks the records at least this often.
   absl::Duration check_interval = absl::Milliseconds(25);
-  // Minimum time between two rounds of asking for one workspace in which no
-  // tokens were transferred.
-  absl::Duration ask_interval = absl::Milliseconds(50);
-  // How long holders that had too little are not asked for as much again. Their
-  // records show after this time what has become free.
-  absl::Duration left_known_for = absl::Milliseconds(400);
   // A holder that is asked for tokens waits this long for a record that allows
   // transferring them.
   absl::Duration lend_timeout = absl::Milliseconds(60);
   // How often tokens that are not needed are handed over to a holder.
   absl::Duration return_interval = absl::Milliseconds(250);
-  // A router that did not answer is not asked again for this time.
-  absl::Duration ask_pause = absl::Milliseconds(400);
-};
-
-// Asks the router at an address for tokens, and hands tokens over to it.
-struct TransferCalls {
-  std::function<absl::StatusOr<TransferAnswer>(const std::string& address,
-                                               const TransferQuestion&)>
-      ask;
-  std::function<absl::Status(const std::string& address,
-                             const std::string& workspace,
-                             int64_t tokens)>
-      hand_over;
 };
 
 // How long a request waits for tokens.
 struct WaitLimits {
   // Until it is refused after all holders said that they have none for it.
   absl::Duration patience;
-  // Until it is refused in any case.
+  // Until it is refused otherwise.
   absl::Duration timeout;
+  // The same while a good part of the total is left and holders answer; no less
+  // than `timeout`.
+  absl::Duration ample_timeout;
 };
 
 // The tokens that a request needs in the worst case.
@@ -96,13 +82,21 @@
       : metrics_(metrics),
         options_(options),
         spawn_(std::move(spawn)),
-        calls_(std::move(calls)),
         book_(options.book),
         records_(store,
                  metrics,
                  options.records,
                  std::move(ask_time_of_day),
-                 book_) {}
+                 book_),
+        borrower_(book_,
+                  records_.changed(),
+                  metrics,
+                  options.borrowing,
+                  spawn_,
+                  std::move(calls),
+                  [this](const std::string& workspace) {
+                    return queues_[workspace].FirstTokens();
+                  }) {}
   TotalsController(const TotalsController&) = delete;
   TotalsController& operator=(const TotalsController&) = delete;
 
@@ -134,8 +128,10 @@
     WaitQueue& queue = queues_[wanted.workspace];
     book_.ObserveDemand(wanted.workspace, wanted.tokens, BootTime());
     if (auto hold =
-            TryHold(wanted, queue, WaitQueue::NewArrival(wanted.urgency)))
+            TryHold(wanted, queue, WaitQueue::NewArrival(wanted.urgency))) {
+      borrower_.AskAhead(wanted.workspace);
       return hold;
+    }
     const WaitQueue::Position position =
         queue.Enqueue(wanted.urgency, wanted.tokens);
     book_.AddWaiting(wanted.workspace, wanted.tokens);
@@ -154,26 +150,31 @@
       if (book_.started() && book_.IsSpent(wanted.workspace, wanted.tokens))
         return Refuse(absl::StatusCode::kResourceExhausted, wanted);
       const absl::Duration waited = SteadyNow() - start_time;
-      if (waited >= limits.timeout)
+      const bool is_ample = IsAmple(wanted.workspace);
+      const absl::Duration timeout =
+          is_ample ? std::max(limits.timeout, limits.ample_timeout)
+                   : limits.timeout;
+      if (waited >= timeout)
         return Refuse(absl::StatusCode::kUnavailable, wanted);
       if (!queue.IsFirst(position)) {
-        queue.WaitUntilFirst(
-            position, std::min(limits.timeout - waited, kQueueCheckInterval));
+        queue.WaitUntilFirst(position,
+                             std::min(timeout - waited, kQueueCheckInterval));
         continue;
       }
       records_.RequestAuthoritySync();
       records_.RequestLevelSync();
-      AskState& asking = asking_[wanted.workspace];
       if (!round.has_value())
-        round = asking.begun + 1;
-      const bool may_be_given = MayBeGiven(wanted, asking);
-      if ((asking.ended >= *round || !may_be_given) &&
-          waited >= limits.patience && !asking.holder_silent)
+        round = borrower_.NextRound(wanted.workspace);
+      const bool may_be_given =
+          borrower_.MayBeGiven(wanted.workspace, wanted.tokens);
+      if ((borrower_.HasEnded(wanted.workspace, *round) || !may_be_given) &&
+          waited >= limits.patience &&
+          !borrower_.IsHolderSilent(wanted.workspace) && !is_ample)
         return Refuse(absl::StatusCode::kUnavailable, wanted);
       if (may_be_given)
-        StartAsking(wanted.workspace);
+        borrower_.StartRound(wanted.workspace);
       records_.changed().WaitForMoreThan(
-          seen, std::min(limits.timeout - waited, options_.check_interval));
+          seen, std::min(timeout - waited, options_.check_interval));
     }
   }
 
@@ -250,7 +251,8 @@
     const TotalState state = book_.state(question.workspace, BootTime());
     return {.tokens = given,
             .left = state.total - state.committed,
-            .used = state.used};
+            .used = state.used,
+            .loan = book_.LoanFor(question, BootTime())};
   }
   // Takes tokens that another router hands over.
   void TakeTokens(const std::string& workspace, int64_t tokens) {
@@ -280,13 +282,15 @@
     records_.RunLevelLoop(stop);
   }
 
-  // Hands over transferred tokens that are not needed, until `stop` is set.
-  // Call it on its own fiber.
+  // Hands over transferred tokens that are not needed, and asks for those that
+  // will be, until `stop` is set. Call it on its own fiber.
   void RunReturnLoop(const std::atomic<bool>& stop) {
     while (!stop) {
       hawthornhollow::SleepFor(options_.return_interval);
-      for (const std::string& workspace : book_.workspaces())
-        HandOverExcess(workspace);
+      for (const std::string& workspace : book_.workspaces()) {
+        borrower_.HandOverExcess(workspace);
+        borrower_.AskAhead(workspace);
+      }
     }
   }
 
@@ -294,7 +298,7 @@
   // request is in progress and both loops were told to stop.
   void Close() {
     for (const std::string& workspace : book_.workspaces())
-      HandOverAll(workspace);
+      borrower_.HandOverAll(workspace);
     records_.Close();
   }
 
@@ -376,81 +380,13 @@
                                            : absl::ToInt64Milliseconds(age);
   }
 
-  // The rounds of asking holders for tokens of one workspace.
-  struct AskState {
-    uint64_t begun = 0;
-    uint64_t ended = 0;
-    absl::Time next;             // not before
-    bool holder_silent = false;  // in the last round
-    // Not committed, as holders said in the last round; until then they are not
-    // asked for more.
-    int64_t left = 0;
-    absl::Time left_until = absl::InfinitePast();
-  };
-
-  // Whether a holder may have the tokens. If all are committed, asking again
-  // would only load the links: what requests do not use shows in the records,
-  // and each router has its own to wait for.
-  bool MayBeGiven(const TokenRequest& wanted, const AskState& asking) const {
-    if (book_.Uncommitted(wanted.workspace) < wanted.tokens)
-      return false;
-    return SteadyNow() >= asking.left_until || asking.left >= wanted.tokens;
-  }
-
-  // Starts a round of asking the holders, unless one is in progress.
-  void StartAsking(const std::string& workspace) {
-    AskState& asking = asking_[workspace];
-    if (SteadyNow() < asking.next || asking.begun != asking.ended)
-      return;
-    ++asking.begun;
-    spawn_([this, workspace, &asking] {
-      const bool got_any = AskHolders(workspace, &asking);
-      if (!got_any)
-        asking.next = SteadyNow() + options_.ask_interval;
-      ++asking.ended;
-      records_.changed().Notify();
-    });
-  }
-
-  // Asks one holder after another until there is enough for all that wait.
-  // Returns whether tokens were transferred.
-  bool AskHolders(const std::string& workspace, AskState* asking) {
-    asking->holder_silent = false;
-    asking->left = 0;
-    bool any_said_left = false;
-    bool got_any = false;
-    for (const std::string& address : book_.OtherHolders(workspace)) {
-      if (book_.WaitingShortfall(workspace, BootTime()) <= 0)
-        break;
-      if (ask_paused_until_[address] > SteadyNow()) {
-        asking->holder_silent = true;
-        continue;
-      }
-      const int64_t needed = queues_[workspace].FirstTokens() -
-                             book_.state(workspace, BootTime()).available;
-      const auto answer = calls_.ask(
-          address, book_.MakeQuestion(workspace, std::max<int64_t>(0, needed),
-                                      BootTime()));
-      if (!answer.ok()) {
-        asking->holder_silent = true;
-        ask_paused_until_[address] = SteadyNow() + options_.ask_pause;
-        LogEvent("total.ask_failed", LogSeverity::kWarning)
-            .Add("peer", address)
-            .Add("reason", answer.status());
-        continue;
-      }
-      book_.ObserveUsed(workspace, answer->used);
-      asking->left = std::max(asking->left, answer->left);
-      any_said_left = true;
-      if (answer->tokens > 0) {
-        got_any = true;
-        book_.ReceiveTransfer(workspace, answer->tokens);
-        records_.changed().Notify();
-      }
-    }
-    if (any_said_left && !got_any)
-      asking->left_until = SteadyNow() + options_.left_known_for;
-    return got_any;
+  // Whether a request should wait on: enough is left, and holders answer. A
+  // holder that has lost the store cannot raise its quota.
+  bool IsAmple(const std::string& workspace) {
+    const bool can_obtain = book_.IsHolder(workspace)
+                                ? records_.age() <= options_.book.late_after
+                                : borrower_.DoesAHolderAnswer(workspace);
+    return can_obtain && book_.IsAmple(workspace);
   }
 
   // Whether a new record of this router may allow giving `needed` tokens.
@@ -463,53 +399,13 @@
     return book_.TransferOut(question, BootTime());
   }
 
-  // A holder that answered of late; empty if there is none.
-  std::string HolderInReach(const std::string& workspace) {
-    for (const std::string& address : book_.OtherHolders(workspace)) {
-      if (ask_paused_until_[address] <= SteadyNow())
-        return address;
-    }
-    return "";
-  }
-
-  void HandOverExcess(const std::string& workspace) {
-    const std::string holder = HolderInReach(workspace);
-    if (!holder.empty())
-      HandOver(holder, workspace,
-               book_.TakeExcessTransfers(workspace, BootTime()));
-  }
-
-  void HandOverAll(const std::string& workspace) {
-    const std::string holder = HolderInReach(workspace);
-    if (!holder.empty())
-      HandOver(holder, workspace, book_.TakeAllTransfers(workspace));
-  }
-
-  void HandOver(const std::string& holder,
-                const std::string& workspace,
-                int64_t tokens) {
-    if (tokens == 0)
-      return;
-    const absl::Status handed = calls_.hand_over(holder, workspace, tokens);
-    LogEvent("total.handed_over",
-             handed.ok() ? LogSeverity::kInfo : LogSeverity::kWarning)
-        .Add("peer", holder)
-        .Add("workspace", workspace)
-        .Add("tokens", tokens)
-        .Add("result", handed);
-    if (!handed.ok())
-      ask_paused_until_[holder] = SteadyNow() + options_.ask_pause;
-  }
-
   RelayMetrics& metrics_;
   const TotalsControllerOptions options_;
   const std::function<void(std::function<void()>)> spawn_;
-  const TransferCalls calls_;
   TotalsBook book_;
   RecordSynchronizer<Store> records_;
   std::map<std::string, WaitQueue> queues_;  // keyed by workspace
-  std::map<std::string, AskState> asking_;   // keyed by workspace
-  std::map<std::string, absl::Time> ask_paused_until_;
+  TokenBorrower borrower_;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -60,6 +60,7 @@
 #include "hawthornhollow/totals/restored_totals.h"
 #include "hawthornhollow/totals/totals_generated.h"
 #include "hawthornhollow/totals/totals_options.h"
+#include "hawthornhollow/totals/totals_state.h"
 #include "hawthornhollow/totals/transfer_question.h"
 
 namespace hawthornhollow {
@@ -133,17 +134,6 @@
   friend auto operator<=>(const Reservation&, const Reservation&) = default;
 };
 
-// How much of a workspace's total is used, as far as this router knows.
-struct TotalState {
-  int64_t total = 0;
-  int64_t committed = 0;    // committed or held by all routers, as recorded
-  int64_t available = 0;    // tokens that this router can reserve now
-  int64_t unassigned = 0;   // part of the total that quotas may be raised by
-  int64_t used = 0;         // by ended requests of all routers, at least
-  int64_t in_progress = 0;  // worst case of this router's requests
-  friend auto operator<=>(const TotalState&, const TotalState&) = default;
-};
-
 // A router that can hold tokens of totals.
 struct HolderCandidate {
   std::string router;
@@ -169,35 +159,6 @@
     const std::vector<HolderCandidate>& candidates,
     size_t count);
 
-// Sums over all workspaces at this router, in tokens.
-struct TotalsSum {
-  int64_t available = 0;  // can be reserved now
-  int64_t waiting = 0;    // needed by waiting requests
-  friend auto operator<=>(const TotalsSum&, const TotalsSum&) = default;
-};
-
-// What a new incarnation is charged for the commitments of the previous one on
-// its VM.
-struct InheritedCharge {
-  std::string workspace;
-  int64_t recorded = 0;   // committed according to the last level record
-  int64_t charged = 0;    // upper bound on what was committed when it ended
-  int64_t authority = 0;  // quota in the last authority record
-  friend auto operator<=>(const InheritedCharge&,
-                          const InheritedCharge&) = default;
-};
-
-// Sums of other routers' records for one workspace. Tokens, and for `demand`
-// tokens per second.
-struct OtherRoutersSums {
-  int64_t authority = 0;
-  int64_t committed = 0;  // including held tokens
-  int64_t demand = 0;
-  int64_t used = 0;  // by ended requests
-  friend bool operator==(const OtherRoutersSums&,
-                         const OtherRoutersSums&) = default;
-};
-
 class TotalsBook {
  public:
   explicit TotalsBook(const TotalsOptions& options);
@@ -283,6 +244,9 @@
   // were transferred to this router. Less than a request needs means that no
   // holder can give it now, though it may later.
   int64_t Uncommitted(const std::string& workspace) const;
+  // Whether so much is uncommitted that a request should wait for its tokens
+  // rather than be refused.
+  bool IsAmple(const std::string& workspace) const;
   // What ended requests of all routers used, at least.
   int64_t UsedByAll(const std::string& workspace) const;
   // Reports that another router knows that at least `tokens` were used.
@@ -345,6 +309,14 @@
   TransferQuestion MakeQuestion(const std::string& workspace,
                                 int64_t needed,
                                 absl::Duration now) const;
+  // A holder that is asked: the most that `borrower` may keep ahead of demand.
+  int64_t LoanFor(const TransferQuestion& question, absl::Duration now) const;
+  // A borrower: reports what a holder allows it to keep.
+  void ObserveLoan(const std::string& workspace, int64_t tokens);
+  // A question for a loan ahead of demand, if this router should ask now, while
+  // no request waits.
+  std::optional<TransferQuestion> MakeLoanQuestion(const std::string& workspace,
+                                                   absl::Duration now) const;
   // Removes transferred tokens that this router does not need, and returns how
   // many. They must be handed over to another router, once at most.
   int64_t TakeExcessTransfers(const std::string& workspace, absl::Duration now);
@@ -366,6 +338,7 @@
     int64_t in_progress = 0;  // reserved and neither released nor settled
     int64_t used = 0;         // settled on this VM, by all its incarnations
     int64_t reported_used = 0;  // by all routers, as other routers said
+    int64_t loan = 0;           // the most to keep, as a holder said
     struct Borrower {
       int64_t demand = 0;  // tokens per second
       absl::Duration asked_at;
@@ -431,6 +404,21 @@
                           absl::Duration now) const;
   // Tokens that this router's requests are likely to need soon.
   int64_t ExpectedDemand(const LocalUsage& usage, absl::Duration now) const;
+  // What a holder gives at once beyond what requests wait for.
+  int64_t AheadLimit(const TransferQuestion& question,
+                     absl::Duration now) const;
+  // Transferred tokens that a borrower keeps for requests to come.
+  struct LoanBounds {
+    int64_t ask_below = 0;  // asks ahead of demand below this
+    int64_t fill_to = 0;
+    int64_t limit = 0;  // hands over what is above, down to `fill_to`
+  };
+  LoanBounds LoanBoundsOf(const std::string& workspace,
+                          const LocalUsage& usage,
+                          absl::Duration now) const;
+  // What nobody has committed, outside this router's transfers.
+  int64_t UncommittedElsewhere(const std::string& workspace,
+                               const LocalUsage& usage) const;
   double HolderShare(const std::string& workspace,
                      const LocalUsage& usage,
                      absl::Duration now) const;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -36,6 +36,17 @@
 // receiver's records do not include transfers, so a receiver that dies loses
 // the transferred tokens that it has not used.
 //
+// A loan ahead of demand is such a transfer. Its size is no part of the
+// argument that a total is never overdrawn, only of what is lost: a borrower
+// that is killed loses its loan. A holder therefore tells each borrower the
+// most that it may keep (LoanFor): the borrower's part, by demand, of the
+// holder's part of 2% of the total, or of a tenth of what nobody has committed
+// if that is less. A borrower hands over what it has beyond. So all loans
+// together are within 2% of a total, even if every router is killed at once,
+// except where the demand of transfer_horizon alone is more, and they vanish
+// with the total. A holder grants a loan from what neither its own requests nor
+// those of other routers wait for.
+//
 // Tokens that are handed over leave the sender's transfers first and are sent
 // at most once, so they exist in one place at most. A holder may take them off
 // its own commitments, up to what it has transferred: whoever committed them,
@@ -355,7 +366,8 @@
                               absl::Duration now) const {
   double rate = OwnDemand(usage, now);
   for (const auto& [router, borrower] : usage.borrowers) {
-    if (now - borrower.asked_at < options_.demand_decay)
+    if (now - borrower.asked_at <
+        std::max(options_.demand_decay, options_.loan_horizon))
       rate += static_cast<double>(borrower.demand);
   }
   return rate;
@@ -451,6 +463,13 @@
              : by_others - usage->committed - usage->held + usage->transfers;
 }
 
+bool TotalsBook::IsAmple(const std::string& workspace) const {
+  // No request is to be refused while a tenth is left. Loans, and what was
+  // charged after kills, are committed and within 2% each.
+  constexpr int64_t kAmpleDivisor = 20;
+  return Uncommitted(workspace) >= TotalOf(workspace) / kAmpleDivisor;
+}
+
 int64_t TotalsBook::UsedByAll(const std::string& workspace) const {
   const LocalUsage* usage = FindUsage(workspace);
   const int64_t others = other_routers_sums(workspace).used;
@@ -480,6 +499,7 @@
   if (usage != nullptr) {
     state.committed += usage->committed + usage->held;
     state.in_progress = usage->in_progress;
+    state.loan = usage->loan;
     state.available =
         AvailableFromAuthority(workspace, *usage, now) + usage->transfers;
   }
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -810,6 +810,7 @@
   int64_t tokens = 0;
   int64_t left = 0;
   int64_t used = 0;
+  int64_t loan = 0;
 };
 
 struct TokensGiven FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -820,7 +821,8 @@
     VT_WORKSPACE = 4,
     VT_TOKENS = 6,
     VT_LEFT = 8,
-    VT_USED = 10
+    VT_USED = 10,
+    VT_LOAN = 12
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -834,6 +836,9 @@
   int64_t used() const {
     return GetField<int64_t>(VT_USED, 0);
   }
+  int64_t loan() const {
+    return GetField<int64_t>(VT_LOAN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
@@ -841,6 +846,7 @@
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_LEFT, 8) &&
            VerifyField<int64_t>(verifier, VT_USED, 8) &&
+           VerifyField<int64_t>(verifier, VT_LOAN, 8) &&
            verifier.EndTable();
   }
   TokensGivenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -864,6 +870,9 @@
   void add_used(int64_t used) {
     fbb_.AddElement<int64_t>(TokensGiven::VT_USED, used, 0);
   }
+  void add_loan(int64_t loan) {
+    fbb_.AddElement<int64_t>(TokensGiven::VT_LOAN, loan, 0);
+  }
   explicit TokensGivenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -880,8 +889,10 @@
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
     int64_t tokens = 0,
     int64_t left = 0,
-    int64_t used = 0) {
+    int64_t used = 0,
+    int64_t loan = 0) {
   TokensGivenBuilder builder_(_fbb);
+  builder_.add_loan(loan);
   builder_.add_used(used);
   builder_.add_left(left);
   builder_.add_tokens(tokens);
@@ -899,14 +910,16 @@
     const char *workspace = nullptr,
     int64_t tokens = 0,
     int64_t left = 0,
-    int64_t used = 0) {
+    int64_t used = 0,
+    int64_t loan = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return hawthornhollow::fb::CreateTokensGiven(
       _fbb,
       workspace__,
       tokens,
       left,
-      used);
+      used,
+      loan);
 }
 
 flatbuffers::Offset<TokensGiven> CreateTokensGiven(flatbuffers::FlatBufferBuilder &_fbb, const TokensGivenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1403,7 +1416,8 @@
       (lhs.workspace == rhs.workspace) &&
       (lhs.tokens == rhs.tokens) &&
       (lhs.left == rhs.left) &&
-      (lhs.used == rhs.used);
+      (lhs.used == rhs.used) &&
+      (lhs.loan == rhs.loan);
 }
 
 inline bool operator!=(const TokensGivenT &lhs, const TokensGivenT &rhs) {
@@ -1424,6 +1438,7 @@
   { auto _e = tokens(); _o->tokens = _e; }
   { auto _e = left(); _o->left = _e; }
   { auto _e = used(); _o->used = _e; }
+  { auto _e = loan(); _o->loan = _e; }
 }
 
 inline flatbuffers::Offset<TokensGiven> TokensGiven::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokensGivenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1438,12 +1453,14 @@
   auto _tokens = _o->tokens;
   auto _left = _o->left;
   auto _used = _o->used;
+  auto _loan = _o->loan;
   return hawthornhollow::fb::CreateTokensGiven(
       _fbb,
       _workspace,
       _tokens,
       _left,
-      _used);
+      _used,
+      _loan);
 }
 
 
--- a/hawthornhollow/totals/totals_options.h
+++ b/hawthornhollow/totals/totals_options.h
@@ -50,6 +50,20 @@
   // total runs out, tokens that nobody waits for are thus collected at the
   // holders: a request may need more than any one router has left over.
   double loan_share = 0.06;
+  // A loan is for the demand of this time, so that holders are asked ahead of
+  // requests and rarely. Zero: routers ask when requests wait.
+  absl::Duration loan_horizon = absl::Seconds(5);
+  // A router with little demand borrows for this many requests of average size
+  // while its recent demand makes up one in `loan_idle_after`: with requests
+  // ten seconds apart the loan of one is mostly there for the next. Holders
+  // divide loans among those that asked within this time.
+  double loan_requests = 4;
+  absl::Duration loan_idle_after = absl::Seconds(100);
+  // A killed borrower loses its loan. All loans of a workspace together are at
+  // most these shares of its total and of what no router has committed. If
+  // transfer_horizon alone needs more, that much is lent.
+  double loan_share_of_total = 0.02;
+  double loan_share_of_left = 0.1;
   // Time constant of the decaying average of demand.
   absl::Duration demand_decay = absl::Seconds(5);
   // A level record older than this shows that the store is unreachable. Its
--- a/hawthornhollow/totals/totals_replay.h
+++ b/hawthornhollow/totals/totals_replay.h
@@ -46,6 +46,9 @@
   // A router is killed, or its VM loses power, at this mean interval.
   absl::Duration mean_time_between_kills = absl::InfiniteDuration();
   absl::Duration downtime = absl::Seconds(1.5);
+  // The store is unreachable for all for a time.
+  absl::Duration store_away_after = absl::InfiniteDuration();
+  absl::Duration store_away;
   TotalsOptions options;
 };
 
@@ -62,7 +65,10 @@
   // While a tenth or more of the total was left.
   int64_t ample_placed = 0;
   int64_t ample_questions = 0;
+  int64_t loan_questions = 0;  // of the questions: while no request waited
   int64_t hand_overs = 0;
+  int64_t idle_loans = 0;  // of all borrowers together, when highest
+  int64_t lost_loans = 0;  // of killed borrowers
   int64_t kills = 0;
   // Used, and in progress at the worst case, when it was highest.
   int64_t peak = 0;
@@ -118,7 +124,10 @@
     bool is_answered = false;  // in the last round
     bool is_given = false;
     absl::Duration left_until;  // not asked for more until then
-    int64_t read = 0;           // offset of the authority log
+    bool is_asking_ahead = false;
+    absl::Duration ahead_next;
+    size_t ahead_fruitless = 0;
+    int64_t read = 0;  // offset of the authority log
     bool is_putting_authority = false;
     bool is_putting_level = false;
     absl::Duration level_written;
@@ -137,6 +146,7 @@
   void AtRouter(size_t index, absl::Duration time, std::function<void()> task);
   double Uniform(double low, double high);
   int64_t Left() const;  // of the total, by the exact counter
+  bool IsStoreAway() const;
   bool IsAmple() const { return Left() >= settings_.total / 10; }
 
   void Start(size_t index);
@@ -151,11 +161,14 @@
   bool IsFinallyRefused(const Router& router,
                         int64_t tokens,
                         bool has_asked) const;
+  bool IsAmpleFor(const Router& router) const;
   void RefuseFinally(int64_t tokens);
   void Refuse();
   void Begin(size_t index, uint64_t id);
   void End(size_t index, uint64_t id);
   void StartAsking(size_t index);
+  void AskAhead(size_t index);
+  int64_t IdleLoans() const;  // at routers that are not holders
   void AskNext(Question question);
   void Give(size_t holder,
             const TransferQuestion& wanted,
--- a/hawthornhollow/totals/totals_replay_impl.h
+++ b/hawthornhollow/totals/totals_replay_impl.h
@@ -7,25 +7,10 @@
 #include <limits>
 #include <sstream>
 
-#include "hawthornhollow/totals/totals_replay.h"
+#include "hawthornhollow/totals/totals_replay_routers_impl.h"
 
 namespace hawthornhollow {
 
-// The names follow TotalsController and RecordSynchronizer and their options.
-inline constexpr char kReplayWorkspace[] = "ward-7";
-// When routers start, and when requests begin to arrive.
-inline constexpr absl::Duration kReplayStart = absl::Seconds(100);
-inline constexpr absl::Duration kReplayBegin = absl::Seconds(103);
-inline constexpr absl::Duration kReplayTick = absl::Milliseconds(10);
-inline constexpr absl::Duration kReplayPatience = absl::Milliseconds(125);
-inline constexpr absl::Duration kReplayTimeout = absl::Milliseconds(250);
-inline constexpr absl::Duration kReplayAskInterval = absl::Milliseconds(50);
-inline constexpr absl::Duration kReplayLeftKnownFor = absl::Milliseconds(400);
-inline constexpr absl::Duration kReplayLendTimeout = absl::Milliseconds(60);
-inline constexpr absl::Duration kReplayCallTimeout = absl::Milliseconds(400);
-inline constexpr absl::Duration kReplayRecordInterval = absl::Milliseconds(300);
-inline constexpr absl::Duration kReplayReturnInterval = absl::Milliseconds(250);
-
 inline std::string DescribeReplay(const std::string& name,
                                   const ReplayResult& result) {
   std::ostringstream line;
@@ -36,11 +21,13 @@
        << "), questions " << result.questions
        << " (a placed request with a tenth left "
        << result.QuestionsPerRequest() << ")"
-       << ", hand-overs " << result.hand_overs << ", used " << result.used
-       << ", peak " << result.peak << ", charged " << result.charged
-       << " after " << result.kills << " kills, lost with "
+       << ", for loans " << result.loan_questions << ", hand-overs "
+       << result.hand_overs << ", used " << result.used << ", peak "
+       << result.peak << ", charged " << result.charged << " after "
+       << result.kills << " kills, idle loans " << result.idle_loans
+       << ", lost " << result.lost_loans << ", lost with "
        << "requests " << result.spent_by_killed << ", left " << result.left
-       << ", of it stranded " << result.stranded;
+       << ", of it not at hand " << result.stranded;
   return line.str();
 }
 
@@ -79,6 +66,11 @@
          in_progress_;
 }
 
+inline bool Replay::IsStoreAway() const {
+  const absl::Duration begin = kReplayBegin + settings_.store_away_after;
+  return now_ >= begin && now_ < begin + settings_.store_away;
+}
+
 inline void Replay::Run() {
   // A router starts when those before it have written their records.
   for (size_t i = 0; i < routers_.size(); ++i)
@@ -145,8 +137,10 @@
 inline void Replay::Start(size_t index) {
   Router& router = routers_[index];
   TotalsOptions options = settings_.options;
-  if (settings_.policy == ReplayPolicy::kEarlier)
+  if (settings_.policy == ReplayPolicy::kEarlier) {
     options.loan_share = std::numeric_limits<int32_t>::max();
+    options.loan_horizon = absl::ZeroDuration();
+  }
   options.router = router.name;
   options.boot = "boot";
   options.address = router.name;
@@ -185,6 +179,8 @@
     if (running.committed)
       result_.spent_by_killed += running.request.tokens;
   }
+  if (!router.book->IsHolder(kReplayWorkspace))
+    result_.lost_loans += router.book->state(kReplayWorkspace, now_).available;
   ++router.incarnation;
   router.book.reset();
   router.running.clear();
@@ -212,7 +208,7 @@
   Router& router = routers_[index];
   router.book->ObserveDemand(kReplayWorkspace, request.tokens, now_);
   if (router.waiting.empty() && TryPlace(index, request))
-    return;
+    return AskAhead(index);
   router.book->AddWaiting(kReplayWorkspace, request.tokens);
   router.waiting.push_back(request);
   ServeWaiting(index);
@@ -223,6 +219,8 @@
   ServeWaiting(index);
   SyncLevel(index, now_ - router.level_put >= kReplayRecordInterval);
   SyncAuthority(index);
+  if (index == 0)
+    result_.idle_loans = std::max(result_.idle_loans, IdleLoans());
   AtRouter(index, now_ + kReplayTick, [this, index] { Tick(index); });
 }
 
@@ -268,6 +266,13 @@
     ++result_.refusals_with_a_tenth_left;
 }
 
+inline bool Replay::IsAmpleFor(const Router& router) const {
+  return settings_.policy == ReplayPolicy::kBooks &&
+         router.book->IsAmple(kReplayWorkspace) &&
+         (router.is_answered || !router.holder_silent ||
+          router.book->IsHolder(kReplayWorkspace));
+}
+
 // Only the first request asks; each is refused in its own time.
 inline void Replay::ServeWaiting(size_t index) {
   Router& router = routers_[index];
@@ -284,14 +289,17 @@
         settings_.policy == ReplayPolicy::kEarlier ||
         (router.book->Uncommitted(kReplayWorkspace) >= first.tokens &&
          (now_ >= router.left_until || router.left >= first.tokens));
+    const bool is_ample = IsAmpleFor(router);
     const bool is_refused = (has_asked || !may_be_given) &&
-                            waited >= kReplayPatience && !router.holder_silent;
+                            waited >= kReplayPatience &&
+                            !router.holder_silent && !is_ample;
     if (TryPlace(index, first)) {
       remove(0);
     } else if (IsFinallyRefused(router, first.tokens, is_refused)) {
       RefuseFinally(first.tokens);
       remove(0);
-    } else if (waited >= kReplayTimeout || is_refused) {
+    } else if (waited >= (is_ample ? kReplayAmpleTimeout : kReplayTimeout) ||
+               is_refused) {
       Refuse();
       remove(0);
     } else {
@@ -303,7 +311,8 @@
     }
   }
   for (size_t i = router.waiting.size(); i > 1; --i) {
-    if (now_ - router.waiting[i - 1].arrived >= kReplayTimeout) {
+    if (now_ - router.waiting[i - 1].arrived >=
+        (IsAmpleFor(router) ? kReplayAmpleTimeout : kReplayTimeout)) {
       Refuse();
       remove(i - 1);
     }
@@ -335,198 +344,6 @@
   ServeWaiting(index);
 }
 
-inline void Replay::StartAsking(size_t index) {
-  Router& router = routers_[index];
-  if (now_ < router.next_round || router.rounds_begun != router.rounds_ended)
-    return;
-  ++router.rounds_begun;
-  router.holder_silent = false;
-  router.left = 0;
-  router.is_answered = false;
-  router.is_given = false;
-  router.next_round = now_ + kReplayAskInterval;
-  AskNext({.asker = index,
-           .incarnation = router.incarnation,
-           .holders = router.book->OtherHolders(kReplayWorkspace)});
-}
-
-inline void Replay::AskNext(Question question) {
-  const size_t asker = question.asker;
-  Router& router = routers_[asker];
-  if (router.book == nullptr || router.incarnation != question.incarnation)
-    return;
-  const int64_t shortfall =
-      router.book->WaitingShortfall(kReplayWorkspace, now_);
-  if (question.holders.empty() || shortfall <= 0)
-    return EndRound(asker);
-  const std::string name = question.holders.front();
-  question.holders.erase(question.holders.begin());
-  const size_t holder = std::stoul(name.substr(name.find('-') + 1));
-  const int64_t first =
-      router.waiting.empty() ? 0 : router.waiting.front().tokens;
-  const int64_t needed = std::max<int64_t>(
-      0, first - router.book->state(kReplayWorkspace, now_).available);
-  const TransferQuestion wanted =
-      router.book->MakeQuestion(kReplayWorkspace, needed, now_);
-  ++result_.questions;
-  if (IsAmple())
-    ++result_.ample_questions;
-  if (routers_[holder].book == nullptr) {
-    router.holder_silent = true;
-    return AtRouter(asker, now_ + kReplayCallTimeout,
-                    [this, question] { AskNext(question); });
-  }
-  AtRouter(holder, now_ + settings_.one_way, [=, this] {
-    Give(holder, wanted, now_ + kReplayLendTimeout,
-         [=, this](TransferAnswer answer) {
-           At(now_ + settings_.one_way, [=, this] {
-             Router& receiver = routers_[asker];
-             if (receiver.book == nullptr ||
-                 receiver.incarnation != question.incarnation)
-               return;
-             receiver.left = std::max(receiver.left, answer.left);
-             receiver.book->ObserveUsed(kReplayWorkspace, answer.used);
-             receiver.is_answered = true;
-             if (answer.tokens > 0) {
-               receiver.is_given = true;
-               receiver.next_round = now_;
-               receiver.book->ReceiveTransfer(kReplayWorkspace, answer.tokens);
-               ServeWaiting(asker);
-             }
-             AskNext(question);
-           });
-         });
-  });
-}
-
-inline void Replay::EndRound(size_t asker) {
-  Router& router = routers_[asker];
-  router.rounds_ended = router.rounds_begun;
-  if (router.is_answered && !router.is_given)
-    router.left_until = now_ + kReplayLeftKnownFor;
-  ServeWaiting(asker);
-}
-
-inline void Replay::Give(size_t holder,
-                         const TransferQuestion& wanted,
-                         absl::Duration end,
-                         std::function<void(TransferAnswer)> answer) {
-  TotalsBook& book = *routers_[holder].book;
-  const int64_t given = book.TransferOut(wanted, now_);
-  const TotalState state = book.state(kReplayWorkspace, now_);
-  const bool may_grow = book.IsHolder(kReplayWorkspace) && wanted.needed > 0 &&
-                        state.available + state.unassigned >= wanted.needed;
-  if (given == 0 && may_grow && now_ < end) {
-    book.AddLending(kReplayWorkspace, wanted.wanted);
-    SyncLevel(holder, false);
-    SyncAuthority(holder);
-    AtRouter(holder, now_ + kReplayTick, [=, this] {
-      routers_[holder].book->RemoveLending(kReplayWorkspace, wanted.wanted);
-      Give(holder, wanted, end, answer);
-    });
-    return;
-  }
-  answer({.tokens = given,
-          .left = state.total - state.committed,
-          .used = state.used});
-}
-
-inline void Replay::ReadRecords(size_t index) {
-  Router& router = routers_[index];
-  for (; router.read < static_cast<int64_t>(authorities_.size());
-       ++router.read) {
-    if (authorities_[router.read].router != router.name)
-      router.book->ApplyAuthority(authorities_[router.read]);
-  }
-  const absl::Duration interval =
-      std::max(kReplayRecordInterval,
-               absl::Milliseconds(40) * static_cast<int64_t>(routers_.size()));
-  if (now_ - router.levels_read < interval)
-    return;
-  router.levels_read = now_;
-  for (const auto& [name, record] : levels_) {
-    if (name != router.name)
-      router.book->ApplyLevel(record);
-  }
-}
-
-inline void Replay::SyncAuthority(size_t index) {
-  Router& router = routers_[index];
-  const absl::Duration gap =
-      absl::Milliseconds(static_cast<int64_t>(routers_.size()));
-  if (router.is_putting_authority || now_ - router.authority_put < gap)
-    return;
-  ReadRecords(index);
-  if (!router.book->NeedsAuthorityRecord(now_))
-    return;
-  router.is_putting_authority = true;
-  router.authority_put = now_;
-  const fb::AuthorityRecordT record = router.book->MakeAuthority(now_);
-  const int64_t read = router.read;
-  At(now_ + settings_.store_call / 2, [=, this] {
-    const bool is_put = read == static_cast<int64_t>(authorities_.size());
-    if (is_put)
-      authorities_.push_back(record);
-    AtRouter(index, now_ + settings_.store_call / 2, [=, this] {
-      Router& writer = routers_[index];
-      writer.is_putting_authority = false;
-      if (is_put)
-        writer.book->OnAuthorityDurable();
-      else
-        writer.book->OnAuthorityRefused();
-      if (!is_put)
-        writer.authority_put = -absl::InfiniteDuration();
-      ServeWaiting(index);
-    });
-  });
-}
-
-inline void Replay::SyncLevel(size_t index, bool is_due) {
-  Router& router = routers_[index];
-  const absl::Duration gap =
-      absl::Microseconds(400) * static_cast<int64_t>(routers_.size());
-  const bool is_written = router.level_written > absl::ZeroDuration();
-  if (router.is_putting_level || now_ - router.level_put < gap)
-    return;
-  if (!router.book->NeedsLevelRecord(now_) && !(is_due && is_written))
-    return;
-  router.is_putting_level = true;
-  router.level_put = now_;
-  const fb::LevelRecordT record = router.book->MakeLevel(now_);
-  At(now_ + settings_.store_call / 2, [=, this] {
-    levels_[record.router] = record;
-    AtRouter(index, now_ + settings_.store_call / 2, [=, this] {
-      Router& writer = routers_[index];
-      writer.is_putting_level = false;
-      writer.level_written = now_;
-      writer.book->OnLevelDurable();
-      ServeWaiting(index);
-    });
-  });
-}
-
-inline void Replay::HandOver(size_t index) {
-  Router& router = routers_[index];
-  AtRouter(index, now_ + kReplayReturnInterval,
-           [this, index] { HandOver(index); });
-  const auto holders = router.book->OtherHolders(kReplayWorkspace);
-  if (holders.empty())
-    return;
-  const std::string& name = holders.front();
-  const size_t holder = std::stoul(name.substr(name.find('-') + 1));
-  if (routers_[holder].book == nullptr)
-    return;
-  const int64_t excess =
-      router.book->TakeExcessTransfers(kReplayWorkspace, now_);
-  if (excess == 0)
-    return;
-  ++result_.hand_overs;
-  AtRouter(holder, now_ + settings_.one_way, [this, holder, excess] {
-    routers_[holder].book->ReceiveTransfer(kReplayWorkspace, excess);
-    ServeWaiting(holder);
-  });
-}
-
 }  // namespace hawthornhollow
 
 #endif  // HAWTHORNHOLLOW_TOTALS_TOTALS_REPLAY_IMPL_H_
--- a/hawthornhollow/totals/transfer_question.h
+++ b/hawthornhollow/totals/transfer_question.h
@@ -27,6 +27,7 @@
   int64_t tokens = 0;  // transferred
   int64_t left = 0;    // of the total, as far as the asked router knows
   int64_t used = 0;    // by ended requests of all routers, at least
+  int64_t loan = 0;    // the most that the asker may keep ahead of demand
   friend auto operator<=>(const TransferAnswer&,
                           const TransferAnswer&) = default;
 };
