--- a/hawthornhollow/relay/routing_table.h
+++ b/hawthornhollow/relay/routing_table.h
@@ -105,6 +105,7 @@
 
   int64_t version() const { return parts_.version; }
   const std::vector<RelayRoute>& routes() const { return parts_.routes; }
+  const std::vector<RelayService>& services() const { return parts_.services; }
   const std::vector<RelayWorkspace>& workspaces() const {
     return parts_.workspaces;
   }
--- a/hawthornhollow/relay/server_limits.cc
+++ b/hawthornhollow/relay/server_limits.cc
@@ -167,13 +167,13 @@
 
 std::vector<RouterAddress> ChooseGranters(
     std::string_view server,
-    const std::vector<RouterAddress>& routers) {
-  constexpr size_t kGranters = 2;
+    const std::vector<RouterAddress>& routers,
+    size_t count) {
   const uint64_t server_hash = StableHash(server);
   const auto rank = [&](const RouterAddress& router) {
     return std::pair(StableHash(router.router, server_hash), router.router);
   };
-  std::vector<RouterAddress> granters(std::min(kGranters, routers.size()));
+  std::vector<RouterAddress> granters(std::min(count, routers.size()));
   std::partial_sort_copy(routers.begin(), routers.end(), granters.begin(),
                          granters.end(),
                          [&](const RouterAddress& a, const RouterAddress& b) {
--- a/hawthornhollow/relay/server_limits.h
+++ b/hawthornhollow/relay/server_limits.h
@@ -26,6 +26,7 @@
 //   Permit permit = limits.Grant(server, urgency, share, now);
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -162,11 +163,12 @@
 // limit.
 double GrantedShare(bool is_first, absl::Duration since_change);
 
-// The routers that give permits for a server, the first one first: at most two.
-// All that know the same routers choose the same.
+// The routers that give permits for a server, the first one first: at most
+// `count`. All that know the same routers choose the same.
 std::vector<RouterAddress> ChooseGranters(
     std::string_view server,
-    const std::vector<RouterAddress>& routers);
+    const std::vector<RouterAddress>& routers,
+    size_t count = 2);
 
 }  // namespace hawthornhollow
 
