--- a/hawthornhollow/relay/cold_servers.cc
+++ b/hawthornhollow/relay/cold_servers.cc
@@ -3,12 +3,15 @@
 //
 // Three routers are a server's granters (ChooseGranters), and each gives one
 // third of r, whatever the others do and whoever is reachable: in a second at
-// most 1 + r / 3. A router gives permits only if it takes itself for one of the
-// three. Routers that know the same records choose the same, whether or not the
-// store can be reached now. So with c routers that have come or gone and of
+// most 1.25 + r / 3. A router gives permits only if it takes itself for one of
+// the three. Routers that know the same records choose the same, whether or not
+// the store can be reached now. So with c routers that have come or gone and of
 // which not all granters know yet, at most 3 + c routers give permits, together
 //
-//   (3 + c) * (1 + r / 3)        3 + r for c = 0, 4 + 1.34 r for c = 1
+//   (3 + c) * (1.25 + r / 3)      3.75 + r for c = 0, 5 + 1.34 r for c = 1
+//
+// What is left to 5 + 1.5 r is for the delay between a permit and its use: a
+// tenth of a second of r (ServerLimitsControllerOptions::max_permit_age).
 //
 // A granter that is killed gives nothing for a while after its start, so both
 // incarnations together stay within the bound. One that is suspended gathers no
@@ -34,6 +37,13 @@
 #include "hawthornhollow/base/base.h"
 
 namespace hawthornhollow {
+namespace {
+
+// How long a denied router asks no more: this part of the time in which the
+// server takes one request.
+constexpr double kBlockShare = 0.25;
+
+}  // namespace
 
 void ColdServers::SetServices(const std::vector<RelayService>& services,
                               absl::Time now) {
@@ -237,13 +247,13 @@
   return cold;
 }
 
-double ColdShare(const ColdPermitQuestion& question,
-                 const ColdServerOptions& options) {
+size_t AssumedGranters(const ColdPermitQuestion& question,
+                       const ColdServerOptions& options) {
   const bool is_settled =
       question.since_routers_changed >= options.settled_after;
-  const size_t granters = is_settled ? question.granters : 0;
-  return 1.0 /
-         static_cast<double>(granters == 0 ? ColdServers::kGranters : granters);
+  return is_settled && question.granters > 0
+             ? std::min(question.granters, ColdServers::kGranters)
+             : ColdServers::kGranters;
 }
 
 // Permits are given by the same buckets as those for stated limits.
@@ -271,8 +281,12 @@
         std::min(requests_per_second, known->requests_per_second);
   }
   SetPermitRate(question.server, requests_per_second, now);
-  return permits_.Grant(question.server, question.urgency,
-                        ColdShare(question, options_), now);
+  const double granters =
+      static_cast<double>(AssumedGranters(question, options_));
+  // The bursts of one granter more than there are add up to the same.
+  constexpr double kBursts = kGranters + 1;
+  return permits_.Grant(question.server, question.urgency, 1 / granters, now,
+                        kBursts / (granters + 1));
 }
 
 absl::Time ColdServers::BlockedUntil(std::string_view server,
@@ -285,13 +299,27 @@
                   permits_.BlockedUntil(server, urgency, now));
 }
 
+absl::Time ColdServers::RetryAt(std::string_view server, absl::Time now) const {
+  const auto statement = Find(server, now);
+  if (!statement.has_value())
+    return now;
+  return std::clamp(servers_.find(server)->second.retry_at, now,
+                    statement->until);
+}
+
 void ColdServers::OnDenied(std::string_view server,
                            int64_t urgency,
                            double requests_per_second,
-                           absl::Time until,
+                           absl::Time retry_at,
                            absl::Time now) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end())
+    return;
+  found->second.retry_at = retry_at;
+  const absl::Duration block = std::min(
+      options_.max_block, absl::Seconds(kBlockShare / requests_per_second));
   SetPermitRate(server, requests_per_second, now);
-  permits_.OnDenied(server, urgency, until);
+  permits_.OnDenied(server, urgency, std::min(retry_at, now + block));
 }
 
 void ColdServers::ForgetUnused(absl::Time now) {
--- a/hawthornhollow/relay/cold_servers.h
+++ b/hawthornhollow/relay/cold_servers.h
@@ -54,10 +54,18 @@
   absl::Duration settled_after = absl::Seconds(5);
   // A change of the end of less than this is no news.
   absl::Duration min_news = absl::Milliseconds(300);
-  // As for ServerLimits. One permit at a time: each granter may add this burst
-  // to what a server gets within a second.
-  ServerLimitOptions permits = {.max_burst = 1,
+  // As for ServerLimits. Each granter may add the burst to what a server gets
+  // within a second: those of four are the five requests that a server bears.
+  // Urgency counts for as long as a caller waits that is told to come back.
+  ServerLimitOptions permits = {.max_burst = 1.25,
+                                .burst_time = absl::Seconds(10),
+                                .urgent_memory = absl::Milliseconds(250),
+                                .gives_surplus = true,
                                 .max_retry_after = absl::Seconds(2)};
+  // A router that was denied asks again after a quarter of the time in which
+  // the server takes one request, and at most this. That callers are told to
+  // come back later is no reason to leave a permit unused.
+  absl::Duration max_block = absl::Milliseconds(250);
   friend auto operator<=>(const ColdServerOptions&,
                           const ColdServerOptions&) = default;
 };
@@ -128,14 +136,16 @@
   // late.
   Permit Grant(const ColdPermitQuestion& question, absl::Time now);
 
-  // As in ServerLimits, for denials by all granters.
+  // After a denial by all granters: when a request may ask again, and when its
+  // caller should come back. In the past if it may ask now.
   absl::Time BlockedUntil(std::string_view server,
                           int64_t urgency,
                           absl::Time now) const;
+  absl::Time RetryAt(std::string_view server, absl::Time now) const;
   void OnDenied(std::string_view server,
                 int64_t urgency,
                 double requests_per_second,
-                absl::Time until,
+                absl::Time retry_at,
                 absl::Time now);
 
  private:
@@ -149,6 +159,7 @@
     // The newest of what answers and other routers said.
     ColdStatement heard;
     bool is_guess = false;  // the failure domain was restored
+    absl::Time retry_at = absl::InfinitePast();
     absl::Time used_at = absl::InfinitePast();
   };
   struct Service {
@@ -186,9 +197,9 @@
   uint64_t answers_ = 0;
 };
 
-// The part of a server's cold rate that one granter gives.
-double ColdShare(const ColdPermitQuestion& question,
-                 const ColdServerOptions& options);
+// Among how many granters a router divides a server's cold rate.
+size_t AssumedGranters(const ColdPermitQuestion& question,
+                       const ColdServerOptions& options);
 
 }  // namespace hawthornhollow
 
--- a/hawthornhollow/relay/server_limits.cc
+++ b/hawthornhollow/relay/server_limits.cc
@@ -85,15 +85,15 @@
   found->second.blocked_until = until;
 }
 
-double ServerLimits::Capacity(double per_second) const {
+double ServerLimits::Capacity(double per_second, double burst_factor) const {
   return std::clamp(per_second * absl::ToDoubleSeconds(options_.burst_time),
-                    1.0, options_.max_burst);
+                    1.0, options_.max_burst * burst_factor);
 }
 
 void ServerLimits::Refill(State* state,
                           double per_second,
+                          double capacity,
                           absl::Time now) const {
-  const double capacity = Capacity(per_second);
   if (state->filled == absl::InfinitePast()) {
     state->tokens = 1;
   } else {
@@ -131,15 +131,19 @@
 Permit ServerLimits::Grant(std::string_view server,
                            int64_t urgency,
                            double share,
-                           absl::Time now) {
+                           absl::Time now,
+                           double burst_factor) {
   const auto found = servers_.find(server);
   if (found == servers_.end() ||
       !found->second.statement.requests_per_second.has_value())
     return {.granted = true};
   State& state = found->second;
   const double per_second = *state.statement.requests_per_second * share;
-  Refill(&state, per_second, now);
-  if (state.tokens < 1 || IsOutranked(state, urgency, now))
+  const double capacity = Capacity(per_second, burst_factor);
+  Refill(&state, per_second, capacity, now);
+  const bool is_outranked =
+      IsOutranked(state, urgency, now) && !HasSurplus(state, capacity);
+  if (state.tokens < 1 || is_outranked)
     return Deny(&state, urgency, per_second, now);
   state.tokens -= 1;
   state.denied_since = 0;
--- a/hawthornhollow/relay/server_limits.h
+++ b/hawthornhollow/relay/server_limits.h
@@ -46,6 +46,9 @@
   absl::Duration burst_time = absl::Milliseconds(250);
   // While a more urgent request was denied this recently, less urgent ones are.
   absl::Duration urgent_memory = absl::Seconds(1);
+  // Less urgent requests nevertheless get a permit that would be lost, as no
+  // more can be kept.
+  bool gives_surplus = false;
   // Upper bound on when a denied request is told to come back.
   absl::Duration max_retry_after = absl::Seconds(5);
   // What is known of a server that is not in use any more is forgotten after
@@ -112,10 +115,12 @@
   void OnDenied(std::string_view server, int64_t urgency, absl::Time until);
 
   // Gives a permit if less than `share` of the limit was granted of late.
+  // `burst_factor` is of options.max_burst.
   Permit Grant(std::string_view server,
                int64_t urgency,
                double share,
-               absl::Time now);
+               absl::Time now,
+               double burst_factor = 1);
 
   // Forgets servers that have not been in `used` for long.
   void KeepServers(const std::vector<std::string>& used, absl::Time now);
@@ -143,9 +148,15 @@
   // Denied requests come back after this time at least.
   static constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(20);
 
-  double Capacity(double per_second) const;
-  void Refill(State* state, double per_second, absl::Time now) const;
+  double Capacity(double per_second, double burst_factor) const;
+  void Refill(State* state,
+              double per_second,
+              double capacity,
+              absl::Time now) const;
   bool IsOutranked(const State& state, int64_t urgency, absl::Time now) const;
+  bool HasSurplus(const State& state, double capacity) const {
+    return options_.gives_surplus && state.tokens >= capacity;
+  }
   Permit Deny(State* state,
               int64_t urgency,
               double per_second,
