Limit cold servers over all routers

A server whose entry or answer says that it is cold gets no more than its service's rate from all routers together, by permits of three granters. Routers tell one another what answers say; a granter of an earlier version, which grants what it does not understand, is not believed. A permit that was asked for more than 100 ms ago is not used. Without a cold rate nothing changes.

--- a/hawthornhollow/relay/cold_fleet_test.cc
+++ b/hawthornhollow/relay/cold_fleet_test.cc
@@ -187,7 +187,7 @@
     const ColdStatement statement = *router->cold->Find(server, At(now_));
     double retry_at = kNever;
     for (const RouterAddress& address :
-         ChooseGranters(server, router->known, ColdServers::kGranters)) {
+         ColdGranters(server, router->address.router, router->known)) {
       double& paused_until = router->paused_until[address.router];
       if (paused_until > now_)
         continue;
--- a/hawthornhollow/relay/cold_servers.cc
+++ b/hawthornhollow/relay/cold_servers.cc
@@ -1,7 +1,7 @@
 // Why a cold server gets no more than one and a half times its rate r, and five
 // requests, in any second:
 //
-// Three routers are a server's granters (ChooseGranters), and each gives one
+// Three routers are a server's granters (ColdGranters), and each gives one
 // third of r, whatever the others do and whoever is reachable: in a second at
 // most 1.25 + r / 3. A router gives permits only if it takes itself for one of
 // the three. Routers that know the same records choose the same, whether or not
@@ -247,6 +247,21 @@
   return cold;
 }
 
+std::vector<RouterAddress> ColdGranters(
+    std::string_view server,
+    std::string_view router,
+    const std::vector<RouterAddress>& routers) {
+  std::vector<RouterAddress> granters =
+      ChooseGranters(server, routers, ColdServers::kGranters);
+  if (!granters.empty()) {
+    const size_t first = StableHash(router) % granters.size();
+    std::rotate(granters.begin(),
+                granters.begin() + static_cast<ptrdiff_t>(first),
+                granters.end());
+  }
+  return granters;
+}
+
 size_t AssumedGranters(const ColdPermitQuestion& question,
                        const ColdServerOptions& options) {
   const bool is_settled =
--- a/hawthornhollow/relay/cold_servers.h
+++ b/hawthornhollow/relay/cold_servers.h
@@ -70,17 +70,6 @@
                           const ColdServerOptions&) = default;
 };
 
-// That a server is cold, as one router knows it.
-struct ColdStatement {
-  // The same for all routers that know it from the same source, so that a
-  // statement that comes back by way of another router is no news.
-  uint64_t id = 0;
-  double requests_per_second = 0;
-  absl::Time until = absl::InfinitePast();
-  absl::Time as_of = absl::InfinitePast();  // the server said so no earlier
-  friend auto operator<=>(const ColdStatement&, const ColdStatement&) = default;
-};
-
 // A change of what is known of a server.
 struct ColdChange {
   std::string server;
@@ -197,6 +186,13 @@
   uint64_t answers_ = 0;
 };
 
+// The routers that give permits for a cold server, in the order in which
+// `router` asks them: the routers begin with different ones.
+std::vector<RouterAddress> ColdGranters(
+    std::string_view server,
+    std::string_view router,
+    const std::vector<RouterAddress>& routers);
+
 // Among how many granters a router divides a server's cold rate.
 size_t AssumedGranters(const ColdPermitQuestion& question,
                        const ColdServerOptions& options);
--- a/hawthornhollow/relay/peer_codec.cc
+++ b/hawthornhollow/relay/peer_codec.cc
@@ -40,11 +40,42 @@
                    (absl::FromUnixMicros(record.until_us) - TimeOfDayNow())};
 }
 
+namespace {
+
+fb::ColdServerT EncodeCold(const ColdStatement& statement) {
+  const absl::Time now = SteadyNow();
+  fb::ColdServerT cold;
+  cold.id = statement.id;
+  cold.requests_per_second = statement.requests_per_second;
+  cold.remaining_us = absl::ToInt64Microseconds(statement.until - now);
+  cold.age_us = absl::ToInt64Microseconds(now - statement.as_of);
+  return cold;
+}
+
+// The time on the way is added to both, so that no limit ends too early.
+absl::StatusOr<ColdStatement> DecodeCold(const fb::ColdServerT& cold,
+                                         std::string_view peer) {
+  if (!std::isfinite(cold.requests_per_second) ||
+      cold.requests_per_second <= 0) {
+    return ErrorAt(absl::StatusCode::kInvalidArgument, "peer.cold", peer,
+                   "requests_per_second: is no number above zero");
+  }
+  const absl::Time now = SteadyNow();
+  return ColdStatement{.id = cold.id,
+                       .requests_per_second = cold.requests_per_second,
+                       .until = now + absl::Microseconds(cold.remaining_us),
+                       .as_of = now - absl::Microseconds(cold.age_us)};
+}
+
+}  // namespace
+
 fb::ServerLimitT EncodeLimit(const ServerLimitStatement& statement) {
   fb::ServerLimitT limit;
   limit.server = statement.server;
   limit.requests_per_second = statement.requests_per_second.value_or(0);
   limit.age_us = absl::ToInt64Microseconds(SteadyNow() - statement.as_of);
+  if (statement.cold.has_value())
+    limit.cold = std::make_unique<fb::ColdServerT>(EncodeCold(*statement.cold));
   return limit;
 }
 
@@ -64,6 +95,12 @@
     statement.requests_per_second = limit.requests_per_second;
   else
     statement.as_of -= kPeerCallTimeout;
+  if (limit.cold != nullptr) {
+    auto cold = DecodeCold(*limit.cold, peer);
+    if (!cold.ok())
+      return cold.status();
+    statement.cold = *cold;
+  }
   return statement;
 }
 
--- a/hawthornhollow/relay/peer_messages_generated.h
+++ b/hawthornhollow/relay/peer_messages_generated.h
@@ -44,6 +44,10 @@
 struct ServerLimitBuilder;
 struct ServerLimitT;
 
+struct ColdServer;
+struct ColdServerBuilder;
+struct ColdServerT;
+
 struct ServerLimitList;
 struct ServerLimitListBuilder;
 struct ServerLimitListT;
@@ -70,6 +74,8 @@
 bool operator!=(const QuarantineListT &lhs, const QuarantineListT &rhs);
 bool operator==(const ServerLimitT &lhs, const ServerLimitT &rhs);
 bool operator!=(const ServerLimitT &lhs, const ServerLimitT &rhs);
+bool operator==(const ColdServerT &lhs, const ColdServerT &rhs);
+bool operator!=(const ColdServerT &lhs, const ColdServerT &rhs);
 bool operator==(const ServerLimitListT &lhs, const ServerLimitListT &rhs);
 bool operator!=(const ServerLimitListT &lhs, const ServerLimitListT &rhs);
 bool operator==(const PermitWantedT &lhs, const PermitWantedT &rhs);
@@ -639,6 +645,11 @@
   std::string server{};
   double requests_per_second = 0.0;
   int64_t age_us = 0;
+  std::unique_ptr<hawthornhollow::fb::ColdServerT> cold{};
+  ServerLimitT() = default;
+  ServerLimitT(const ServerLimitT &o);
+  ServerLimitT(ServerLimitT&&) FLATBUFFERS_NOEXCEPT = default;
+  ServerLimitT &operator=(ServerLimitT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct ServerLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -648,7 +659,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVER = 4,
     VT_REQUESTS_PER_SECOND = 6,
-    VT_AGE_US = 8
+    VT_AGE_US = 8,
+    VT_COLD = 10
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -659,12 +671,17 @@
   int64_t age_us() const {
     return GetField<int64_t>(VT_AGE_US, 0);
   }
+  const hawthornhollow::fb::ColdServer *cold() const {
+    return GetPointer<const hawthornhollow::fb::ColdServer *>(VT_COLD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVER) &&
            verifier.VerifyString(server()) &&
            VerifyField<double>(verifier, VT_REQUESTS_PER_SECOND, 8) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyOffset(verifier, VT_COLD) &&
+           verifier.VerifyTable(cold()) &&
            verifier.EndTable();
   }
   ServerLimitT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -685,6 +702,9 @@
   void add_age_us(int64_t age_us) {
     fbb_.AddElement<int64_t>(ServerLimit::VT_AGE_US, age_us, 0);
   }
+  void add_cold(flatbuffers::Offset<hawthornhollow::fb::ColdServer> cold) {
+    fbb_.AddOffset(ServerLimit::VT_COLD, cold);
+  }
   explicit ServerLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -700,10 +720,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> server = 0,
     double requests_per_second = 0.0,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    flatbuffers::Offset<hawthornhollow::fb::ColdServer> cold = 0) {
   ServerLimitBuilder builder_(_fbb);
   builder_.add_age_us(age_us);
   builder_.add_requests_per_second(requests_per_second);
+  builder_.add_cold(cold);
   builder_.add_server(server);
   return builder_.Finish();
 }
@@ -717,17 +739,110 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *server = nullptr,
     double requests_per_second = 0.0,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    flatbuffers::Offset<hawthornhollow::fb::ColdServer> cold = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return hawthornhollow::fb::CreateServerLimit(
       _fbb,
       server__,
       requests_per_second,
-      age_us);
+      age_us,
+      cold);
 }
 
 flatbuffers::Offset<ServerLimit> CreateServerLimit(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ColdServerT : public flatbuffers::NativeTable {
+  typedef ColdServer TableType;
+  uint64_t id = 0;
+  double requests_per_second = 0.0;
+  int64_t remaining_us = 0;
+  int64_t age_us = 0;
+};
+
+struct ColdServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ColdServerT NativeTableType;
+  typedef ColdServerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_REQUESTS_PER_SECOND = 6,
+    VT_REMAINING_US = 8,
+    VT_AGE_US = 10
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  double requests_per_second() const {
+    return GetField<double>(VT_REQUESTS_PER_SECOND, 0.0);
+  }
+  int64_t remaining_us() const {
+    return GetField<int64_t>(VT_REMAINING_US, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<double>(verifier, VT_REQUESTS_PER_SECOND, 8) &&
+           VerifyField<int64_t>(verifier, VT_REMAINING_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           verifier.EndTable();
+  }
+  ColdServerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ColdServerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ColdServer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ColdServerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ColdServerBuilder {
+  typedef ColdServer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(ColdServer::VT_ID, id, 0);
+  }
+  void add_requests_per_second(double requests_per_second) {
+    fbb_.AddElement<double>(ColdServer::VT_REQUESTS_PER_SECOND, requests_per_second, 0.0);
+  }
+  void add_remaining_us(int64_t remaining_us) {
+    fbb_.AddElement<int64_t>(ColdServer::VT_REMAINING_US, remaining_us, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(ColdServer::VT_AGE_US, age_us, 0);
+  }
+  explicit ColdServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ColdServer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ColdServer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ColdServer> CreateColdServer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    double requests_per_second = 0.0,
+    int64_t remaining_us = 0,
+    int64_t age_us = 0) {
+  ColdServerBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_remaining_us(remaining_us);
+  builder_.add_requests_per_second(requests_per_second);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct ColdServer::Traits {
+  using type = ColdServer;
+  static auto constexpr Create = CreateColdServer;
+};
+
+flatbuffers::Offset<ColdServer> CreateColdServer(flatbuffers::FlatBufferBuilder &_fbb, const ColdServerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ServerLimitListT : public flatbuffers::NativeTable {
   typedef ServerLimitList TableType;
   std::vector<std::unique_ptr<hawthornhollow::fb::ServerLimitT>> limits{};
@@ -1282,7 +1397,8 @@
   return
       (lhs.server == rhs.server) &&
       (lhs.requests_per_second == rhs.requests_per_second) &&
-      (lhs.age_us == rhs.age_us);
+      (lhs.age_us == rhs.age_us) &&
+      ((lhs.cold == rhs.cold) || (lhs.cold && rhs.cold && *lhs.cold == *rhs.cold));
 }
 
 inline bool operator!=(const ServerLimitT &lhs, const ServerLimitT &rhs) {
@@ -1290,6 +1406,21 @@
 }
 
 
+inline ServerLimitT::ServerLimitT(const ServerLimitT &o)
+      : server(o.server),
+        requests_per_second(o.requests_per_second),
+        age_us(o.age_us),
+        cold((o.cold) ? new hawthornhollow::fb::ColdServerT(*o.cold) : nullptr) {
+}
+
+inline ServerLimitT &ServerLimitT::operator=(ServerLimitT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(server, o.server);
+  std::swap(requests_per_second, o.requests_per_second);
+  std::swap(age_us, o.age_us);
+  std::swap(cold, o.cold);
+  return *this;
+}
+
 inline ServerLimitT *ServerLimit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<ServerLimitT>();
   UnPackTo(_o.get(), _resolver);
@@ -1302,6 +1433,7 @@
   { auto _e = server(); if (_e) _o->server = _e->str(); }
   { auto _e = requests_per_second(); _o->requests_per_second = _e; }
   { auto _e = age_us(); _o->age_us = _e; }
+  { auto _e = cold(); if (_e) _o->cold = std::unique_ptr<hawthornhollow::fb::ColdServerT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<ServerLimit> ServerLimit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1315,10 +1447,61 @@
   auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
   auto _requests_per_second = _o->requests_per_second;
   auto _age_us = _o->age_us;
+  auto _cold = _o->cold ? CreateColdServer(_fbb, _o->cold.get(), _rehasher) : 0;
   return hawthornhollow::fb::CreateServerLimit(
       _fbb,
       _server,
       _requests_per_second,
+      _age_us,
+      _cold);
+}
+
+
+inline bool operator==(const ColdServerT &lhs, const ColdServerT &rhs) {
+  return
+      (lhs.id == rhs.id) &&
+      (lhs.requests_per_second == rhs.requests_per_second) &&
+      (lhs.remaining_us == rhs.remaining_us) &&
+      (lhs.age_us == rhs.age_us);
+}
+
+inline bool operator!=(const ColdServerT &lhs, const ColdServerT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ColdServerT *ColdServer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ColdServerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ColdServer::UnPackTo(ColdServerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = requests_per_second(); _o->requests_per_second = _e; }
+  { auto _e = remaining_us(); _o->remaining_us = _e; }
+  { auto _e = age_us(); _o->age_us = _e; }
+}
+
+inline flatbuffers::Offset<ColdServer> ColdServer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ColdServerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateColdServer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ColdServer> CreateColdServer(flatbuffers::FlatBufferBuilder &_fbb, const ColdServerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ColdServerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _requests_per_second = _o->requests_per_second;
+  auto _remaining_us = _o->remaining_us;
+  auto _age_us = _o->age_us;
+  return hawthornhollow::fb::CreateColdServer(
+      _fbb,
+      _id,
+      _requests_per_second,
+      _remaining_us,
       _age_us);
 }
 
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -70,10 +70,14 @@
   // Requests per second that the server takes from all routers together, for as
   // long as its answers say so; unset if this one states no limit.
   std::optional<double> requests_per_second;
-  // Why what it states of either cannot be used; empty if it can, or nothing is
+  // How much longer the server is cold; zero: it is not. Unset if this answer
+  // says nothing of it.
+  std::optional<absl::Duration> cold_for;
+  // Why what it states of each cannot be used; empty if it can, or nothing is
   // stated.
   std::string bad_leaving;
   std::string bad_limit;
+  std::string bad_cold;
   friend bool operator==(const ServerStatement&,
                          const ServerStatement&) = default;
 };
--- a/hawthornhollow/relay/relay_instance_impl.h
+++ b/hawthornhollow/relay/relay_instance_impl.h
@@ -50,6 +50,7 @@
                {.on_table =
                     [this](const std::shared_ptr<const RoutingTable>& table) {
                       totals_.SetTotals(*table);
+                      server_limits_.SetServices(table->services());
                     },
                 .on_servers =
                     [this](const std::vector<RelayServer>& servers) {
@@ -82,6 +83,7 @@
                  runtime.Spawn(std::move(task));
                },
            .routers = [this] { return totals_.LivingRouters(); },
+           .knows_routers = [this] { return totals_.started(); },
            .ask =
                [this](const std::string& address,
                       const PermitQuestion& question) {
@@ -313,6 +315,11 @@
                  absl::Time sent_at) {
             server_limits_.OnAnswer(server, limit, sent_at);
           },
+      .on_cold =
+          [this](const std::string& server, absl::Duration cold_for,
+                 absl::Time sent_at) {
+            server_limits_.OnColdStated(server, cold_for, sent_at);
+          },
       .limited_servers = [this] { return server_limits_.LimitedServers(); },
       .blocked =
           [this](int64_t urgency) { return server_limits_.Blocked(urgency); },
@@ -348,6 +355,7 @@
       .quarantined_parts =
           static_cast<int64_t>(quarantine_.quarantined().size()),
       .limited_servers = static_cast<int64_t>(server_limits_.limited_count()),
+      .cold_servers = static_cast<int64_t>(server_limits_.cold_count()),
       .requests_in_progress = in_progress_,
       .caller_connections = static_cast<int64_t>(CallerConnections()),
       .available_tokens = tokens.available,
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -71,6 +71,7 @@
       {"routers", gauges.routers},
       {"prompt_parts_quarantined", gauges.quarantined_parts},
       {"servers_limited", gauges.limited_servers},
+      {"servers_cold", gauges.cold_servers},
       {"requests_in_progress", gauges.requests_in_progress},
       {"caller_connections", gauges.caller_connections},
       {"tokens_available", gauges.available_tokens},
--- a/hawthornhollow/relay/relay_metrics.h
+++ b/hawthornhollow/relay/relay_metrics.h
@@ -42,6 +42,7 @@
   int64_t routers = 0;
   int64_t quarantined_parts = 0;  // of prompts
   int64_t limited_servers = 0;    // state a limit of requests per second
+  int64_t cold_servers = 0;
   int64_t requests_in_progress = 0;
   int64_t caller_connections = 0;  // open connections
   // Sums over all workspaces: tokens that this router can reserve now, and
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -154,6 +154,8 @@
 
   void ReportLimit(const std::string& server, const ReplyHead& reply) const;
 
+  void ReportCold(const std::string& server, const ReplyHead& reply) const;
+
   AttemptResult FailedRead(const absl::Status& status);
 
   AttemptResult ReceiveBody(const PromptPlacement::Choice& choice,
--- a/hawthornhollow/relay/request_run_answer_impl.h
+++ b/hawthornhollow/relay/request_run_answer_impl.h
@@ -49,6 +49,7 @@
     return;
   ReportLeaving(choice, reply);
   ReportLimit(choice.server.id, reply);
+  ReportCold(choice.server.id, reply);
 }
 
 template <MessageCodec D>
@@ -94,6 +95,20 @@
   shared_.limits.on_answer(server, statement.requests_per_second, sent_at_);
 }
 
+template <MessageCodec D>
+void RequestRun<D>::ReportCold(const std::string& server,
+                               const ReplyHead& reply) const {
+  const ServerStatement& statement = reply.statement;
+  if (!statement.bad_cold.empty()) {
+    LogEvent("server.cold_rejected", LogSeverity::kWarning)
+        .Add("request", request_.call.id)
+        .Add("server", server)
+        .Add("reason", statement.bad_cold);
+  }
+  if (statement.cold_for.has_value() && (reply.sealed || reply.not_run))
+    shared_.limits.on_cold(server, *statement.cold_for, sent_at_);
+}
+
 template <MessageCodec D>
 typename RequestRun<D>::AttemptResult RequestRun<D>::FailedRead(
     const absl::Status& status) {
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -79,6 +79,11 @@
                      std::optional<double> limit,
                      absl::Time sent_at)>
       on_answer;
+  // An answer says how much longer the server is cold.
+  std::function<void(const std::string& server,
+                     absl::Duration cold_for,
+                     absl::Time sent_at)>
+      on_cold;
   std::function<std::vector<std::string>()> limited_servers;
   std::function<std::set<std::string>(int64_t urgency)> blocked;
   // Whether a request may be sent to the server now; may wait for a router.
--- a/hawthornhollow/relay/server_limits.cc
+++ b/hawthornhollow/relay/server_limits.cc
@@ -31,6 +31,7 @@
       return false;
     State& state = servers_[statement.server];
     state.statement = statement;
+    state.statement.cold.reset();
     state.used_at = statement.as_of;
     return true;
   }
@@ -40,6 +41,7 @@
   const bool is_news =
       known.requests_per_second != statement.requests_per_second;
   known = statement;
+  known.cold.reset();
   return is_news;
 }
 
--- a/hawthornhollow/relay/server_limits.h
+++ b/hawthornhollow/relay/server_limits.h
@@ -58,6 +58,17 @@
                           const ServerLimitOptions&) = default;
 };
 
+// That a server is cold, as one router knows it.
+struct ColdStatement {
+  // The same for all routers that know it from the same source, so that a
+  // statement that comes back by way of another router is no news.
+  uint64_t id = 0;
+  double requests_per_second = 0;
+  absl::Time until = absl::InfinitePast();
+  absl::Time as_of = absl::InfinitePast();  // the server said so no earlier
+  friend auto operator<=>(const ColdStatement&, const ColdStatement&) = default;
+};
+
 // What a server says of itself.
 struct ServerLimitStatement {
   std::string server;
@@ -66,6 +77,8 @@
   // The server said so no earlier than this. For a limit, when its answer
   // arrived; for none, when the request was sent that was answered without one.
   absl::Time as_of;
+  // Set only in messages between routers; ServerLimits takes no notice of it.
+  std::optional<ColdStatement> cold;
   friend auto operator<=>(const ServerLimitStatement&,
                           const ServerLimitStatement&) = default;
 };
--- a/hawthornhollow/relay/server_limits_controller.h
+++ b/hawthornhollow/relay/server_limits_controller.h
@@ -3,8 +3,14 @@
 
 // Carries out the decisions of ServerLimits among all routers: what a server
 // says of its limit is told to the other routers, and a request to a limited
-// server asks the server's granter for a permit.
+// server asks the server's granter for a permit. The same for cold servers and
+// the decisions of ColdServers; a server that is cold and states a limit gets
+// requests at the lower rate of the two, as a cold one.
 //
+//   controller.SetServices(table->services());         // each configuration
+//   controller.KeepServers(servers);                   // each list
+//   controller.OnColdStated(server, cold_for, sent_at);
+//   controller.OnDomainRestored(failure_domain, at);   // its evacuation ended
 //   controller.OnAnswer(server, limit, sent_at);       // for each answer
 //   if (controller.IsLimited(server) && !controller.Acquire(server, urgency))
 //     ChooseAnotherServer();
@@ -20,6 +26,7 @@
 #include <vector>
 
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/cold_servers.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/server_limits.h"
 #include "hawthornhollow/runtime/runtime.h"
@@ -32,6 +39,10 @@
   absl::Duration tell_interval = absl::Milliseconds(50);
   // A granter that did not answer is not asked again for this time.
   absl::Duration ask_pause = absl::Milliseconds(400);
+  ColdServerOptions cold;
+  // A permit for a cold server that was asked for longer ago is not used: a
+  // router that was suspended would use several at once.
+  absl::Duration max_permit_age = absl::Milliseconds(100);
   // Callers whose requests were denied come back after this time at least.
   absl::Duration min_retry_after = absl::Milliseconds(50);
 };
@@ -41,6 +52,8 @@
   std::function<void(std::function<void()>)> spawn;  // runs on another fiber
   // All routers that are up, this one included.
   std::function<std::vector<RouterAddress>()> routers;
+  // Whether `routers` is more than this one, which has not read of others yet.
+  std::function<bool()> knows_routers;
   std::function<absl::StatusOr<PermitAnswer>(const std::string& address,
                                              const PermitQuestion& question)>
       ask;
@@ -59,7 +72,8 @@
       : router_(std::move(router)),
         options_(options),
         calls_(std::move(calls)),
-        limits_(options.decisions) {}
+        limits_(options.decisions),
+        cold_(options.cold, SteadyNow()) {}
   ServerLimitsController(const ServerLimitsController&) = delete;
   ServerLimitsController& operator=(const ServerLimitsController&) = delete;
 
@@ -78,23 +92,51 @@
       news_.insert(server);
   }
 
+  // The same of how much longer it is cold; zero: it is not.
+  void OnColdStated(const std::string& server,
+                    absl::Duration cold_for,
+                    absl::Time sent_at) {
+    const auto change = cold_.OnAnswer(server, cold_for, sent_at, SteadyNow());
+    if (!change.has_value())
+      return;
+    LogColdChange(*change, "answer");
+    if (change->cold_for > absl::ZeroDuration())
+      news_.insert(server);
+  }
+  // The evacuation of a failure domain ended: its servers may be cold.
+  void OnDomainRestored(std::string_view failure_domain, absl::Time at) {
+    for (const ColdChange& change : cold_.OnDomainRestored(failure_domain, at))
+      LogColdChange(change, "domain");
+  }
+  void SetServices(const std::vector<RelayService>& services) {
+    cold_.SetServices(services, SteadyNow());
+  }
+
+  // Whether requests to the server need permits.
   bool IsLimited(const std::string& server) const {
-    return limits_.Find(server).has_value();
+    return limits_.Find(server).has_value() || IsCold(server);
+  }
+  bool IsCold(const std::string& server) const {
+    return cold_.Find(server, SteadyNow()).has_value();
   }
   // Limited servers that a request of this urgency need not ask for now.
   std::set<std::string> Blocked(int64_t urgency) const {
     std::set<std::string> blocked;
     const absl::Time now = SteadyNow();
     for (const std::string& server : LimitedServers()) {
-      if (limits_.BlockedUntil(server, urgency, now) > now)
+      const absl::Time until = IsCold(server)
+                                   ? cold_.BlockedUntil(server, urgency, now)
+                                   : limits_.BlockedUntil(server, urgency, now);
+      if (until > now)
         blocked.insert(server);
     }
     return blocked;
   }
   std::vector<std::string> LimitedServers() const {
-    std::vector<std::string> servers;
+    std::vector<std::string> servers = cold_.servers(SteadyNow());
     for (const ServerLimitStatement& statement : limits_.statements()) {
-      if (statement.requests_per_second.has_value())
+      if (statement.requests_per_second.has_value() &&
+          !IsCold(statement.server))
         servers.push_back(statement.server);
     }
     return servers;
@@ -106,8 +148,10 @@
     absl::Duration earliest = options_.decisions.max_retry_after;
     for (const std::string& server : servers) {
       if (IsLimited(server)) {
-        earliest = std::min(earliest,
-                            limits_.BlockedUntil(server, urgency, now) - now);
+        const absl::Time at = IsCold(server)
+                                  ? cold_.RetryAt(server, now)
+                                  : limits_.BlockedUntil(server, urgency, now);
+        earliest = std::min(earliest, at - now);
       }
     }
     return std::max(earliest, options_.min_retry_after);
@@ -116,6 +160,8 @@
   // Obtains a permit for one request to a limited server, asking its granter if
   // that is another router. False: the request must go elsewhere.
   bool Acquire(const std::string& server, int64_t urgency) {
+    if (const auto cold = cold_.Find(server, SteadyNow()))
+      return AcquireCold(server, urgency, *cold);
     const auto statement = limits_.Find(server);
     if (!statement.has_value())
       return true;
@@ -133,9 +179,7 @@
       }
       is_first = false;
     }
-    LogEvent("server.no_granter", LogSeverity::kWarning)
-        .Add("server", server)
-        .Add("retry_ms", absl::ToInt64Milliseconds(options_.ask_pause));
+    LogNoGranter(server);
     limits_.OnDenied(server, kMostUrgent, SteadyNow() + options_.ask_pause);
     return false;
   }
@@ -144,12 +188,20 @@
   PermitAnswer OnPermitWanted(const PermitQuestion& question) {
     Learn(question.statement, question.router);
     const std::string& server = question.statement.server;
-    const Permit permit = Grant(question.router, server, question.urgency);
+    const auto& cold = question.statement.cold;
+    const Permit permit =
+        cold.has_value()
+            ? GrantCold(question.router, server, question.urgency, *cold)
+            : Grant(question.router, server, question.urgency);
     ServerLimitStatement known = question.statement;
     for (const ServerLimitStatement& statement : limits_.statements()) {
       if (statement.server == server)
         known = statement;
     }
+    // With it the other router knows that its question was understood.
+    known.cold = cold_.Find(server, SteadyNow());
+    if (!known.cold.has_value())
+      known.cold = cold;
     return {.permit = permit, .statement = known};
   }
   void OnTold(const std::vector<ServerLimitStatement>& statements,
@@ -163,14 +215,20 @@
   void set_has_asked() { has_asked_ = true; }
 
   std::vector<ServerLimitStatement> statements() const {
-    return limits_.statements();
+    std::vector<ServerLimitStatement> statements = limits_.statements();
+    for (const std::string& server : cold_.servers(SteadyNow()))
+      statements.push_back(WithCold(NoLimit(server)));
+    return statements;
   }
   size_t limited_count() const { return limits_.limited_count(); }
+  size_t cold_count() const { return cold_.servers(SteadyNow()).size(); }
   void KeepServers(const std::vector<RelayServer>& servers) {
     std::vector<std::string> used;
     for (const RelayServer& server : servers)
       used.push_back(server.id);
     limits_.KeepServers(used, SteadyNow());
+    for (const ColdChange& change : cold_.SetServers(servers, SteadyNow()))
+      LogColdChange(change, "entry");
   }
 
   // Tells the other routers what is new until `stop` is set. Call it on its own
@@ -187,6 +245,12 @@
   static constexpr int64_t kMostUrgent = 0;
 
   bool Learn(const ServerLimitStatement& statement, std::string_view source) {
+    if (statement.cold.has_value()) {
+      const auto change =
+          cold_.OnTold(statement.server, *statement.cold, SteadyNow());
+      if (change.has_value())
+        LogColdChange(*change, source);
+    }
     if (!limits_.Learn(statement))
       return false;
     LogEvent("server.limit_changed")
@@ -197,6 +261,121 @@
     return true;
   }
 
+  static void LogColdChange(const ColdChange& change, std::string_view source) {
+    LogEvent("server.cold_changed")
+        .Add("server", change.server)
+        .Add("per_second", change.requests_per_second)
+        .Add("for_ms", absl::ToInt64Milliseconds(change.cold_for))
+        .Add("source", source);
+  }
+
+  // It replaces nothing that another router knows.
+  static ServerLimitStatement NoLimit(const std::string& server) {
+    return {.server = server, .as_of = absl::InfinitePast()};
+  }
+
+  // The statement, with what is known of how cold its server is.
+  ServerLimitStatement WithCold(ServerLimitStatement statement) const {
+    statement.cold = cold_.Find(statement.server, SteadyNow());
+    return statement;
+  }
+
+  bool AcquireCold(const std::string& server,
+                   int64_t urgency,
+                   ColdStatement cold) {
+    ServerLimitStatement statement =
+        limits_.Find(server).value_or(NoLimit(server));
+    cold.requests_per_second = std::min(
+        cold.requests_per_second,
+        statement.requests_per_second.value_or(cold.requests_per_second));
+    statement.cold = cold;
+    const PermitQuestion question{
+        .router = router_, .urgency = urgency, .statement = statement};
+    absl::Time retry_at = absl::InfiniteFuture();
+    if (calls_.knows_routers()) {
+      for (const RouterAddress& granter :
+           ColdGranters(server, router_, calls_.routers())) {
+        const auto permit = AskColdGranter(granter, question);
+        if (!permit.has_value())
+          continue;
+        if (permit->granted)
+          return true;
+        retry_at = std::min(retry_at, SteadyNow() + permit->retry_after);
+      }
+    }
+    if (retry_at == absl::InfiniteFuture()) {
+      LogNoGranter(server);
+      retry_at = SteadyNow() + options_.ask_pause;
+    }
+    cold_.OnDenied(server, urgency, cold.requests_per_second, retry_at,
+                   SteadyNow());
+    return false;
+  }
+
+  // Returns nullopt if the granter does not answer, or too late.
+  std::optional<Permit> AskColdGranter(const RouterAddress& granter,
+                                       const PermitQuestion& question) {
+    const std::string& server = question.statement.server;
+    if (granter.router == router_)
+      return GrantCold(router_, server, question.urgency,
+                       *question.statement.cold);
+    const absl::Time asked_at = SteadyNow();
+    const auto answer = Ask(granter, question);
+    if (!answer.has_value())
+      return std::nullopt;
+    // A router of an earlier version grants what it does not understand.
+    if (!answer->statement.cold.has_value())
+      return std::nullopt;
+    const absl::Duration age = SteadyNow() - asked_at;
+    if (answer->permit.granted && age > options_.max_permit_age) {
+      LogEvent("server.permit_expired", LogSeverity::kWarning)
+          .Add("peer", granter.router)
+          .Add("server", server)
+          .Add("age_ms", absl::ToInt64Milliseconds(age));
+      return std::nullopt;
+    }
+    return answer->permit;
+  }
+
+  Permit GrantCold(const std::string& router,
+                   const std::string& server,
+                   int64_t urgency,
+                   const ColdStatement& cold) {
+    const absl::Time now = SteadyNow();
+    const auto granters =
+        ChooseGranters(server, calls_.routers(), ColdServers::kGranters);
+    const bool is_granter = calls_.knows_routers() &&
+                            std::any_of(granters.begin(), granters.end(),
+                                        [this](const RouterAddress& granter) {
+                                          return granter.router == router_;
+                                        });
+    const Permit permit =
+        is_granter
+            ? cold_.Grant({.server = server,
+                           .urgency = urgency,
+                           .requests_per_second = cold.requests_per_second,
+                           .granters = granters.size(),
+                           .since_routers_changed = now - routers_changed_},
+                          now)
+            : Permit{.retry_after = options_.ask_pause};
+    LogEvent(permit.granted ? "server.cold_permit_granted"
+                            : "server.cold_permit_denied")
+        .Add("server", server)
+        .Add("peer", router)
+        .Add("urgency", urgency)
+        .Add("per_second", cold.requests_per_second)
+        .Add("for_ms", absl::ToInt64Milliseconds(cold.until - now))
+        .Add("is_granter", is_granter ? 1 : 0)
+        .Add("retry_ms", absl::ToInt64Milliseconds(permit.retry_after));
+    return permit;
+  }
+
+  void LogNoGranter(const std::string& server) const {
+    LogEvent("server.no_granter", LogSeverity::kWarning)
+        .Add("server", server)
+        .Add("retry_ms", absl::ToInt64Milliseconds(options_.ask_pause));
+  }
+
   void ObserveRouters() {
     std::vector<RouterAddress> routers = calls_.routers();
     if (routers == routers_)
@@ -213,8 +392,15 @@
       return Grant(router_, question.statement.server, question.urgency,
                    is_first);
     }
-    absl::Time& paused_until = paused_until_[granter.router];
-    if (paused_until > SteadyNow())
+    const auto answer = Ask(granter, question);
+    if (!answer.has_value())
+      return std::nullopt;
+    return answer->permit;
+  }
+
+  std::optional<PermitAnswer> Ask(const RouterAddress& granter,
+                                  const PermitQuestion& question) {
+    if (paused_until_[granter.router] > SteadyNow())
       return std::nullopt;
     const auto answer = calls_.ask(granter.address, question);
     if (!answer.ok()) {
@@ -226,7 +412,7 @@
       return std::nullopt;
     }
     Learn(answer->statement, granter.router);
-    return answer->permit;
+    return *answer;
   }
 
   Permit Grant(const std::string& router,
@@ -261,7 +447,7 @@
     if (news_.empty())
       return;
     std::vector<ServerLimitStatement> statements;
-    for (const ServerLimitStatement& statement : limits_.statements()) {
+    for (const ServerLimitStatement& statement : this->statements()) {
       if (news_.contains(statement.server))
         statements.push_back(statement);
     }
@@ -288,6 +474,7 @@
   const ServerLimitsControllerOptions options_;
   const ServerLimitCalls calls_;
   ServerLimits limits_;
+  ColdServers cold_;
   std::set<std::string> news_;  // servers whose answers changed a limit
   bool has_asked_ = false;
   std::vector<RouterAddress> routers_;
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -262,6 +262,8 @@
   std::vector<RouterAddress> LivingRouters() const {
     return book_.LivingRouters();
   }
+  // Whether the records of the routers have been read.
+  bool started() const { return book_.started(); }
   // Number of known routers, including this one.
   size_t router_count() const { return book_.router_count(); }
   // Each loop keeps one of this router's records up to date until `stop` is
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -257,6 +257,13 @@
     headers.emplace_back("Server-Limit", faults.stated_limit);
   if (faults.says_leaving)
     headers.emplace_back("Server-Leaving", "1");
+  const absl::Duration cold_for = faults.cold_until - absl::Now();
+  if (!faults.stated_cold.empty()) {
+    headers.emplace_back("Cold-Ms", faults.stated_cold);
+  } else if (cold_for > absl::ZeroDuration()) {
+    headers.emplace_back("Cold-Ms",
+                         std::to_string(absl::ToInt64Milliseconds(cold_for)));
+  }
   return headers;
 }
 
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -97,7 +97,11 @@
     // States this limit of requests a second in all answers; empty: none.
     std::string stated_limit;
     bool says_leaving = false;  // in all answers
-    absl::Duration work_time;   // of each request, before its answer begins
+    // States in all answers how long it is still cold; empty: by `cold_until`,
+    // until then.
+    std::string stated_cold;
+    absl::Time cold_until = absl::InfinitePast();
+    absl::Duration work_time;  // of each request, before its answer begins
     // Ends each stream that is not resumed inside this event, as if it were
     // whole; 0: none.
     int64_t end_inside_event = 0;
--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -92,12 +92,14 @@
                const std::string& id,
                const Endpoint& address,
                int64_t sequence,
-               int64_t born_ms) {
+               int64_t born_ms,
+               absl::Duration cold_for) {
   store.Put("keyed.servers", id,
             absl::Substitute(R"({"service":"engine","address":"$0","zone":"z",
-      "version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
+      "version":"v1","slots":8,"state":"ready","cold_remaining_ms":$3,
       "sequence":$1,"born":$2})",
-                             address.ToString(), sequence, born_ms));
+                             address.ToString(), sequence, born_ms,
+                             absl::ToInt64Milliseconds(cold_for)));
 }
 
 void DropServer(StoreStandin& store, const std::string& id) {
@@ -170,10 +172,13 @@
        {"name":"l","host":"h.example","path_prefix":"/lookup/",
         "kind":"idempotent","timeout_ms":3000,"service":"engine",
         "max_attempts":2}],
-      "services":[{"name":"engine","engine":{"stride":$2}}],
+      "services":[{"name":"engine","engine":{"stride":$2},
+        "cold_per_s":$4,"cold_s":$5}],
       "tenants":[$3]})",
                        configuration.version, configuration.order_attempts,
-                       configuration.tokens_per_event, workspaces));
+                       configuration.tokens_per_event, workspaces,
+                       configuration.cold_per_second,
+                       absl::ToDoubleSeconds(configuration.cold_time)));
 }
 
 }  // namespace hawthornhollow::standins
