A server that refuses connections is taken for cold; notes on cold servers

A server that starts anew under its address is listed with the entry of its last incarnation for up to 1.6 s. It is now tried after a lost connection, and if it refuses, all routers take it for cold until a later entry says otherwise.

--- a/hawthornhollow/relay/cold_fleet_test.cc
+++ b/hawthornhollow/relay/cold_fleet_test.cc
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -37,9 +36,6 @@
 absl::Time At(double seconds) {
   return absl::UnixEpoch() + absl::Hours(1) + absl::Seconds(seconds);
 }
-double SecondsOf(absl::Duration duration) {
-  return absl::ToDoubleSeconds(duration);
-}
 
 struct FleetCase {
   int routers;
@@ -49,10 +45,8 @@
 };
 
 struct Request {
-  double sent = 0;
-  double received = 0;
+  double sent, received;
 };
-
 // Restarts with its domain, and becomes cold now and then.
 struct Server {
   std::string id;
@@ -61,6 +55,8 @@
   int64_t born_ms = 1;
   int64_t sequence = 0;
   double next_write = 0;
+  double refused_at = kNever;  // first, since it is down
+  bool says_in_answers = true;
   std::optional<RelayServer> entry;
   // From when each router has read an entry that says that it is cold, or has
   // been told so.
@@ -77,7 +73,6 @@
   double up_from = 0;
   double suspended_until = 0;
   double next_poll = 0;
-  bool has_read = false;
   std::vector<RelayServer> listed;
   std::vector<RouterAddress> known;
   double known_changed = -10;
@@ -93,8 +88,7 @@
     for (int i = 0; i < GetParam().routers; ++i)
       known.push_back({absl::StrCat("r-", i), absl::StrCat(i)});
     for (const RouterAddress& address : known) {
-      Router router{.address = address, .known = known};
-      routers_.push_back(std::move(router));
+      routers_.push_back({.address = address, .known = known});
       Start(&routers_.back(), -10);
     }
   }
@@ -118,7 +112,6 @@
                                 .cold_time = absl::Seconds(kColdTime)}},
                               At(at));
     router->up_from = at;
-    router->has_read = false;
     router->listed.clear();
     router->next_poll = at + Draw(0, kPollInterval);
     router->paused_until.clear();
@@ -128,9 +121,10 @@
     server->up_from = now_;
     server->cold_until = now_ + kColdTime;
     ++server->born_ms;
+    // With faults, a router that reads no entries would not know.
+    server->says_in_answers = GetParam().faults || random_() % 2 == 0;
     server->next_write = now_;
     server->known_from = now_;
-    After(kColdTime, [] {});
   }
   void BecomeCold(Server* server) {
     if (now_ < server->up_from || now_ < server->cold_until)
@@ -142,10 +136,7 @@
 
   void WriteEntries() {
     for (Server& server : servers_) {
-      if (now_ < server.up_from) {
-        continue;
-      }
-      if (now_ < server.next_write)
+      if (now_ < server.up_from || now_ < server.next_write)
         continue;
       server.next_write = now_ + kWriteInterval;
       server.entry = RelayServer{
@@ -168,7 +159,6 @@
       if (!Runs(router) || !router.reads_store || now_ < router.next_poll)
         continue;
       router.next_poll = now_ + kPollInterval;
-      router.has_read = true;
       router.listed = entries;
       router.cold->SetServers(entries, At(now_));
     }
@@ -178,9 +168,6 @@
     return &from == &to ||
            (from.reaches_routers && to.reaches_routers && Runs(to));
   }
-  Router* Find(const RouterAddress& address) {
-    return &routers_[std::stoul(address.address)];
-  }
 
   // Whether a granter that `router` reaches gives a permit.
   bool Acquire(Router* router, const std::string& server, int64_t urgency) {
@@ -191,7 +178,7 @@
       double& paused_until = router->paused_until[address.router];
       if (paused_until > now_)
         continue;
-      Router* granter = Find(address);
+      Router* granter = &routers_[std::stoul(address.address)];
       if (!Reaches(*router, *granter)) {
         paused_until = now_ + kAskPause;
         continue;
@@ -199,7 +186,8 @@
       const Permit permit = AnswerOf(granter, statement, server, urgency);
       if (permit.granted)
         return true;
-      retry_at = std::min(retry_at, now_ + SecondsOf(permit.retry_after));
+      retry_at =
+          std::min(retry_at, now_ + absl::ToDoubleSeconds(permit.retry_after));
     }
     if (retry_at == kNever)
       retry_at = now_ + kAskPause;
@@ -228,7 +216,7 @@
 
   // A caller's request arrives at a router.
   void Serve(Router* router) {
-    if (!Runs(*router) || !router->has_read || router->listed.empty())
+    if (!Runs(*router) || router->listed.empty())
       return;
     const std::string server =
         router->listed[random_() % router->listed.size()].id;
@@ -265,11 +253,17 @@
       Server& server =
           *std::find_if(servers_.begin(), servers_.end(),
                         [&](const Server& server) { return server.id == id; });
-      if (now_ < server.up_from)
+      if (now_ < server.up_from) {
+        server.refused_at = std::min(server.refused_at, now_);
+        AfterAnswer(router, 0.002,
+                    [this, router, id] { HearRefusal(router, id); });
         return;
+      }
       const bool is_cold = now_ < server.cold_until;
       if (is_cold && now_ >= server.known_from)
         server.while_cold.push_back({sent, now_});
+      if (!server.says_in_answers)
+        return;
       const double cold_for = std::max(0.0, server.cold_until - now_);
       AfterAnswer(router, Draw(0, 0.05), [this, router, id, sent, cold_for] {
         Hear(router, id, cold_for, sent);
@@ -286,6 +280,9 @@
                                                At(sent), At(now_));
     if (!change.has_value() || change->cold_for == absl::ZeroDuration())
       return;
+    Tell(router, server);
+  }
+  void Tell(Router* router, const std::string& server) {
     const ColdStatement statement = *router->cold->Find(server, At(now_));
     After(kTellDelay, [this, router, server, statement] {
       for (Router& other : routers_) {
@@ -295,6 +292,31 @@
     });
   }
 
+  void HearRefusal(Router* router, const std::string& server) {
+    if (!Runs(*router) ||
+        !router->cold->OnRefused(server, At(now_)).has_value())
+      return;
+    Tell(router, server);
+  }
+
+  // A server starts anew under its address. Its last entry is still listed.
+  void RestartInPlace(Server* server) {
+    if (now_ < server->up_from)
+      return;
+    server->up_from = kNever;
+    server->refused_at = kNever;
+    After(Draw(0.1, 1), [this, server] {
+      // The entries of all may have been lost meanwhile.
+      if (server->entry.has_value()) {
+        const bool is_told =
+            !GetParam().faults && server->refused_at + 2 * kTellDelay < now_;
+        RestartServer(server);
+        if (!is_told)
+          server->known_from = now_ + kPollInterval + 2 * kStep;
+      }
+    });
+  }
+
   // All servers of the domain return at once.
   void LoseDomain() {
     for (Server& server : servers_) {
@@ -329,9 +351,8 @@
         for (Router& each : routers_)
           Start(&each, now_ + Draw(0.05, 0.5));
         return;
-      default:
-        return AddRouter();
     }
+    AddRouter();
   }
   // The others read its record one after the other.
   void AddRouter() {
@@ -345,7 +366,6 @@
          .known = routers_.front().known,
          .known_changed = now_});
     Router* added = &routers_.back();
-    added->known = routers_.front().known;
     Start(added, now_);
     added->known.push_back(added->address);
     for (size_t i = 0; i < number; ++i) {
@@ -372,9 +392,7 @@
     // Four times what all servers take while they are cold.
     const double demand = 4 * GetParam().rate * kServers * kStep;
     routers_.reserve(routers_.size() + 8);
-    double next_domain = kDomainEvery / 4;
-    double next_fault = kFaultEvery;
-    double next_cold = kColdEvery;
+    double next_domain = 3, next_fault = kFaultEvery, next_cold = kColdEvery;
     std::poisson_distribution<int> arrivals(demand);
     for (; now_ < kSeconds; now_ += kStep) {
       RunLater();
@@ -384,6 +402,7 @@
       }
       if (now_ >= next_cold) {
         BecomeCold(&servers_[random_() % servers_.size()]);
+        RestartInPlace(&servers_[random_() % servers_.size()]);
         next_cold += kColdEvery;
       }
       if (GetParam().faults && now_ >= next_fault) {
@@ -406,12 +425,10 @@
   static int MostWithinASecond(const std::vector<Request>& requests) {
     int most = 0;
     for (const Request& first : requests) {
-      most = std::max(most, static_cast<int>(std::count_if(
-                                requests.begin(), requests.end(),
-                                [&](const Request& other) {
-                                  return other.sent >= first.sent &&
-                                         other.received <= first.sent + 1;
-                                })));
+      int count = 0;
+      for (const Request& other : requests)
+        count += other.sent >= first.sent && other.received <= first.sent + 1;
+      most = std::max(most, count);
     }
     return most;
   }
--- a/hawthornhollow/relay/cold_servers.cc
+++ b/hawthornhollow/relay/cold_servers.cc
@@ -27,7 +27,8 @@
 // only if it was first read that much later; before, the later of both ends
 // counts. An entry's time counts from its read, which is never too early. An
 // answer that says that the server is not cold counts from when its request was
-// sent, as in server_limits.cc.
+// sent, as in server_limits.cc. A server that refuses connections will start
+// anew, and its entry is still that of its last incarnation.
 
 #include "hawthornhollow/relay/cold_servers.h"
 
@@ -149,9 +150,10 @@
 std::vector<ColdChange> ColdServers::OnDomainRestored(std::string_view domain,
                                                       absl::Time at) {
   std::vector<ColdChange> changes;
-  for (const auto& [server, known] : servers_) {
-    const Service* const service = ServiceOf(known);
-    if (known.failure_domain != domain || service == nullptr)
+  for (const auto& item : servers_) {
+    const std::string& server = item.first;
+    const Service* const service = ServiceOf(item.second);
+    if (item.second.failure_domain != domain || service == nullptr)
       continue;
     const ColdStatement guess = {
         .id = StableHash(domain, ++answers_),
@@ -200,6 +202,32 @@
   });
 }
 
+bool ColdServers::MayBecomeCold(std::string_view server) const {
+  const auto found = servers_.find(server);
+  return found != servers_.end() && ServiceOf(found->second) != nullptr;
+}
+
+std::optional<ColdChange> ColdServers::OnRefused(std::string_view server,
+                                                 absl::Time now) {
+  if (!MayBecomeCold(server))
+    return std::nullopt;
+  return Apply(server, now, [&](State& state) {
+    // It may start at any moment from now on, and its entry is read within the
+    // delay.
+    const Service& service = *ServiceOf(state);
+    const absl::Time until = now + options_.max_entry_delay + service.cold_time;
+    if (Effective(server, state).until >= until)
+      return;
+    state.heard = {
+        .id = StableHash(absl::StrCat(absl::ToUnixMicros(now), ".", ++answers_),
+                         StableHash(server)),
+        .requests_per_second = service.requests_per_second,
+        .until = until,
+        .as_of = now};
+    state.is_guess = false;
+  });
+}
+
 std::optional<ColdChange> ColdServers::OnTold(std::string_view server,
                                               const ColdStatement& statement,
                                               absl::Time now) {
--- a/hawthornhollow/relay/cold_servers.h
+++ b/hawthornhollow/relay/cold_servers.h
@@ -14,6 +14,7 @@
 //   cold.SetServers(servers, now);              // entries of the store
 //   cold.OnAnswer(server, cold_for, sent_at, now);
 //   cold.OnDomainRestored(domain, now);         // its servers may be cold
+//   cold.OnRefused(server, now);                // it starts anew
 //   cold.OnTold(server, statement, now);        // by another router
 //
 // On the router that wants to send:
@@ -111,6 +112,11 @@
                                      absl::Duration cold_for,
                                      absl::Time sent_at,
                                      absl::Time now);
+  // The server refuses connections: it starts anew, and is taken for cold from
+  // then on, until an entry that was written later says otherwise.
+  std::optional<ColdChange> OnRefused(std::string_view server, absl::Time now);
+  // Whether its service has a cold rate.
+  bool MayBecomeCold(std::string_view server) const;
   std::optional<ColdChange> OnTold(std::string_view server,
                                    const ColdStatement& statement,
                                    absl::Time now);
--- a/hawthornhollow/relay/cold_servers_test.cc
+++ b/hawthornhollow/relay/cold_servers_test.cc
@@ -169,6 +169,28 @@
   EXPECT_TRUE(IsCold(10.9));
 }
 
+// The entry is that of the last incarnation, whether it was read before or is
+// read soon after.
+TEST_F(ColdServersTest, ServerThatRefusesConnections_IsTakenForCold) {
+  EXPECT_FALSE(cold_.OnRefused("s", At(0)).has_value());
+  Read(0, 0, 1);
+  EXPECT_EQ(cold_.OnRefused("s", At(1))->cold_for,
+            absl::Seconds(kDelay + kColdTime));
+  EXPECT_TRUE(Read(2, 0, 2).empty());
+  EXPECT_TRUE(IsCold(2.1));
+  EXPECT_FALSE(IsCold(1 + kDelay + kColdTime + 0.1));
+  EXPECT_EQ(Read(1 + kDelay + 0.1, 0, 3).size(), 1);
+  EXPECT_FALSE(IsCold(2.8));
+}
+
+TEST_F(ColdServersTest, ServerOfAServiceWithoutAColdRate_MayNotBecomeCold) {
+  Read(0, 0, 1);
+  EXPECT_TRUE(cold_.MayBecomeCold("s"));
+  SetRate(0);
+  EXPECT_FALSE(cold_.MayBecomeCold("s"));
+  EXPECT_FALSE(cold_.OnRefused("s", At(1)).has_value());
+}
+
 TEST_F(ColdServersTest, StatementThatComesBack_DoesNotProlongIt) {
   Read(0, 0, 1);
   Answer(1, 3);
--- a/hawthornhollow/relay/relay_instance_impl.h
+++ b/hawthornhollow/relay/relay_instance_impl.h
@@ -93,7 +93,8 @@
                [this](const std::string& address,
                       const std::vector<ServerLimitStatement>& statements) {
                  return TellPeerOfLimits(client_, address, statements);
-               }}),
+               },
+           .refuses = &RefusesConnections}),
       fallback_(
           settings.peer_reader,
           [this] { return totals_.OtherRouterAddresses(); },
@@ -320,6 +321,10 @@
                  absl::Time sent_at) {
             server_limits_.OnColdStated(server, cold_for, sent_at);
           },
+      .on_connection_lost =
+          [this](const RelayServer& server) {
+            server_limits_.OnConnectionLost(server);
+          },
       .limited_servers = [this] { return server_limits_.LimitedServers(); },
       .blocked =
           [this](int64_t urgency) { return server_limits_.Blocked(urgency); },
--- a/hawthornhollow/relay/request_run_impl.h
+++ b/hawthornhollow/relay/request_run_impl.h
@@ -59,6 +59,8 @@
       .Add("left_ms", absl::ToInt64Milliseconds(TimeLeft()));
   const AttemptResult result = AttemptAt(*choice);
   Report(*choice, result);
+  if (result == AttemptResult::kNotConnected || broke_off_)
+    shared_.limits.on_connection_lost(choice->server);
   if (broke_off_ && !went_on_ && !caller_->gone)
     shared_.prompts.on_broke_off(request_.call, choice->server, PointOfBreak());
   if (result == AttemptResult::kAnswered)
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -84,6 +84,8 @@
                      absl::Duration cold_for,
                      absl::Time sent_at)>
       on_cold;
+  // A connection to the server could not be made, or broke off.
+  std::function<void(const RelayServer& server)> on_connection_lost;
   std::function<std::vector<std::string>()> limited_servers;
   std::function<std::set<std::string>(int64_t urgency)> blocked;
   // Whether a request may be sent to the server now; may wait for a router.
--- a/hawthornhollow/relay/server_limits_controller.h
+++ b/hawthornhollow/relay/server_limits_controller.h
@@ -10,6 +10,7 @@
 //   controller.SetServices(table->services());         // each configuration
 //   controller.KeepServers(servers);                   // each list
 //   controller.OnColdStated(server, cold_for, sent_at);
+//   controller.OnConnectionLost(server);
 //   controller.OnDomainRestored(failure_domain, at);   // its evacuation ended
 //   controller.OnAnswer(server, limit, sent_at);       // for each answer
 //   if (controller.IsLimited(server) && !controller.Acquire(server, urgency))
@@ -29,40 +30,11 @@
 #include "hawthornhollow/relay/cold_servers.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/server_limits.h"
+#include "hawthornhollow/relay/server_limits_calls.h"
 #include "hawthornhollow/runtime/runtime.h"
 
 namespace hawthornhollow {
 
-struct ServerLimitsControllerOptions {
-  ServerLimitOptions decisions;
-  // Between two messages with news to the other routers.
-  absl::Duration tell_interval = absl::Milliseconds(50);
-  // A granter that did not answer is not asked again for this time.
-  absl::Duration ask_pause = absl::Milliseconds(400);
-  ColdServerOptions cold;
-  // A permit for a cold server that was asked for longer ago is not used: a
-  // router that was suspended would use several at once.
-  absl::Duration max_permit_age = absl::Milliseconds(100);
-  // Callers whose requests were denied come back after this time at least.
-  absl::Duration min_retry_after = absl::Milliseconds(50);
-};
-
-// What ServerLimitsController needs of its router.
-struct ServerLimitCalls {
-  std::function<void(std::function<void()>)> spawn;  // runs on another fiber
-  // All routers that are up, this one included.
-  std::function<std::vector<RouterAddress>()> routers;
-  // Whether `routers` is more than this one, which has not read of others yet.
-  std::function<bool()> knows_routers;
-  std::function<absl::StatusOr<PermitAnswer>(const std::string& address,
-                                             const PermitQuestion& question)>
-      ask;
-  std::function<absl::Status(
-      const std::string& address,
-      const std::vector<ServerLimitStatement>& statements)>
-      tell;
-};
-
 class ServerLimitsController {
  public:
   // `router` is the name of this router.
@@ -108,6 +80,24 @@
     for (const ColdChange& change : cold_.OnDomainRestored(failure_domain, at))
       LogColdChange(change, "domain");
   }
+  // A connection to the server failed or broke off. If it refuses connections,
+  // it starts anew, and may be cold before its entry says so.
+  void OnConnectionLost(const RelayServer& server) {
+    if (!cold_.MayBecomeCold(server.id) || !probed_.insert(server.id).second)
+      return;
+    calls_.spawn([this, server] {
+      const absl::StatusOr<bool> refuses =
+          calls_.refuses(server.address, options_.probe_timeout);
+      probed_.erase(server.id);
+      if (!refuses.ok() || !*refuses)
+        return;
+      const auto change = cold_.OnRefused(server.id, SteadyNow());
+      if (!change.has_value())
+        return;
+      LogColdChange(*change, "refused");
+      news_.insert(server.id);
+    });
+  }
   void SetServices(const std::vector<RelayService>& services) {
     cold_.SetServices(services, SteadyNow());
   }
@@ -358,8 +348,8 @@
                            .since_routers_changed = now - routers_changed_},
                           now)
             : Permit{.retry_after = options_.ask_pause};
-    LogEvent(permit.granted ? "server.cold_permit_granted"
-                            : "server.cold_permit_denied")
+    const bool granted = permit.granted;
+    LogEvent(granted ? "server.cold_granted" : "server.cold_denied")
         .Add("server", server)
         .Add("peer", router)
         .Add("urgency", urgency)
@@ -475,7 +465,8 @@
   const ServerLimitCalls calls_;
   ServerLimits limits_;
   ColdServers cold_;
-  std::set<std::string> news_;  // servers whose answers changed a limit
+  std::set<std::string> news_;    // servers whose answers changed a limit
+  std::set<std::string> probed_;  // servers whose connections are tried
   bool has_asked_ = false;
   std::vector<RouterAddress> routers_;
   absl::Time routers_changed_ = SteadyNow();
--- a/testing/cold_server_test.cc
+++ b/testing/cold_server_test.cc
@@ -155,6 +155,30 @@
   EXPECT_GT(replicas_[0]->arrivals().size() - warm, answers.size() / 4);
 }
 
+// They start anew under their addresses, and their last entries, which say that
+// they are warm, are still in the store.
+TEST_F(ColdServerTest, ServersThatStartAnew_AreColdBeforeTheirEntriesSaySo) {
+  std::vector<Endpoint> addresses;
+  for (auto& server : replica_servers_) {
+    addresses.push_back(server->local());
+    server.reset();
+  }
+  SendFor(absl::Seconds(1));
+  const absl::Time begin = absl::Now();
+  const int runs = RunsOfAll();
+  for (size_t i = 0; i < addresses.size(); ++i)
+    replica_servers_[i] = Listen(replicas_[i]->Handler(), addresses[i]);
+  SendFor(kColdTime - absl::Seconds(1));
+  for (const auto& replica : replicas_)
+    EXPECT_LE(MostInASecond(replica->arrivals(), begin), kMostInASecond);
+  EXPECT_GT(RunsOfAll(), runs);
+  for (size_t i = 0; i < addresses.size(); ++i)
+    PutWarm(i, /*sequence=*/3);
+  SendFor(absl::Seconds(1));
+  const auto answers = SendFor(absl::Seconds(1));
+  EXPECT_EQ(CountOf(answers, 200), static_cast<int>(answers.size()));
+}
+
 TEST_F(ColdServerTest, WordThatCannotBeRead_ChangesNothing) {
   replicas_[0]->SetFaults({.stated_cold = "long"});
   SendFor(absl::Seconds(1));
