--- a/hawthornhollow/relay/relay_instance_impl.h
+++ b/hawthornhollow/relay/relay_instance_impl.h
@@ -50,6 +50,7 @@
                {.on_table =
                     [this](const std::shared_ptr<const RoutingTable>& table) {
                       totals_.SetTotals(*table);
+                      server_limits_.SetServices(table->services());
                     },
                 .on_servers =
                     [this](const std::vector<RelayServer>& servers) {
@@ -62,7 +63,7 @@
                     },
                 .on_domain_restored =
                     [this](const std::string& failure_domain, absl::Time at) {
-                      OnDomainRestored(failure_domain, at);
+                      server_limits_.OnDomainRestored(failure_domain, at);
                     }}),
       quarantine_(
           store_,
@@ -90,6 +91,7 @@
                  runtime.Spawn(std::move(task));
                },
            .routers = [this] { return totals_.LivingRouters(); },
+           .knows_routers = [this] { return totals_.started(); },
            .ask =
                [this](const std::string& address,
                       const PermitQuestion& question) {
@@ -99,7 +101,8 @@
                [this](const std::string& address,
                       const std::vector<ServerLimitStatement>& statements) {
                  return TellPeerOfLimits(client_, address, statements);
-               }}),
+               },
+           .refuses = &RefusesConnections}),
       fallback_(
           settings.peer_reader,
           [this] { return totals_.OtherRouterAddresses(); },
@@ -314,13 +317,6 @@
             writer);
 }
 
-template <SharedStore Store, MessageCodec D>
-void RelayInstance<Store, D>::OnDomainRestored(
-    const std::string& /*failure_domain*/,
-    absl::Time /*at*/) {
-  // Servers have no cold limits yet.
-}
-
 template <SharedStore Store, MessageCodec D>
 LimitWatch RelayInstance<Store, D>::LimitCalls() {
   return {
@@ -329,6 +325,15 @@
                  absl::Time sent_at) {
             server_limits_.OnAnswer(server, limit, sent_at);
           },
+      .on_cold =
+          [this](const std::string& server, absl::Duration cold_for,
+                 absl::Time sent_at) {
+            server_limits_.OnColdStated(server, cold_for, sent_at);
+          },
+      .on_connection_lost =
+          [this](const RelayServer& server) {
+            server_limits_.OnConnectionLost(server);
+          },
       .limited_servers = [this] { return server_limits_.LimitedServers(); },
       .blocked =
           [this](int64_t urgency) { return server_limits_.Blocked(urgency); },
@@ -366,6 +371,7 @@
       .quarantined_parts =
           static_cast<int64_t>(quarantine_.quarantined().size()),
       .limited_servers = static_cast<int64_t>(server_limits_.limited_count()),
+      .cold_servers = static_cast<int64_t>(server_limits_.cold_count()),
       .requests_in_progress = in_progress_,
       .caller_connections = static_cast<int64_t>(CallerConnections()),
       .available_tokens = tokens.available,
--- a/hawthornhollow/relay/server_limits.cc
+++ b/hawthornhollow/relay/server_limits.cc
@@ -31,6 +31,7 @@
       return false;
     State& state = servers_[statement.server];
     state.statement = statement;
+    state.statement.cold.reset();
     state.used_at = statement.as_of;
     return true;
   }
@@ -40,6 +41,7 @@
   const bool is_news =
       known.requests_per_second != statement.requests_per_second;
   known = statement;
+  known.cold.reset();
   return is_news;
 }
 
@@ -85,15 +87,15 @@
   found->second.blocked_until = until;
 }
 
-double ServerLimits::Capacity(double per_second) const {
+double ServerLimits::Capacity(double per_second, double burst_factor) const {
   return std::clamp(per_second * absl::ToDoubleSeconds(options_.burst_time),
-                    1.0, options_.max_burst);
+                    1.0, options_.max_burst * burst_factor);
 }
 
 void ServerLimits::Refill(State* state,
                           double per_second,
+                          double capacity,
                           absl::Time now) const {
-  const double capacity = Capacity(per_second);
   if (state->filled == absl::InfinitePast()) {
     state->tokens = 1;
   } else {
@@ -131,15 +133,19 @@
 Permit ServerLimits::Grant(std::string_view server,
                            int64_t urgency,
                            double share,
-                           absl::Time now) {
+                           absl::Time now,
+                           double burst_factor) {
   const auto found = servers_.find(server);
   if (found == servers_.end() ||
       !found->second.statement.requests_per_second.has_value())
     return {.granted = true};
   State& state = found->second;
   const double per_second = *state.statement.requests_per_second * share;
-  Refill(&state, per_second, now);
-  if (state.tokens < 1 || IsOutranked(state, urgency, now))
+  const double capacity = Capacity(per_second, burst_factor);
+  Refill(&state, per_second, capacity, now);
+  const bool is_outranked =
+      IsOutranked(state, urgency, now) && !HasSurplus(state, capacity);
+  if (state.tokens < 1 || is_outranked)
     return Deny(&state, urgency, per_second, now);
   state.tokens -= 1;
   state.denied_since = 0;
@@ -167,13 +173,13 @@
 
 std::vector<RouterAddress> ChooseGranters(
     std::string_view server,
-    const std::vector<RouterAddress>& routers) {
-  constexpr size_t kGranters = 2;
+    const std::vector<RouterAddress>& routers,
+    size_t count) {
   const uint64_t server_hash = StableHash(server);
   const auto rank = [&](const RouterAddress& router) {
     return std::pair(StableHash(router.router, server_hash), router.router);
   };
-  std::vector<RouterAddress> granters(std::min(kGranters, routers.size()));
+  std::vector<RouterAddress> granters(std::min(count, routers.size()));
   std::partial_sort_copy(routers.begin(), routers.end(), granters.begin(),
                          granters.end(),
                          [&](const RouterAddress& a, const RouterAddress& b) {
--- a/hawthornhollow/relay/server_limits.h
+++ b/hawthornhollow/relay/server_limits.h
@@ -26,6 +26,7 @@
 //   Permit permit = limits.Grant(server, urgency, share, now);
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -45,6 +46,9 @@
   absl::Duration burst_time = absl::Milliseconds(250);
   // While a more urgent request was denied this recently, less urgent ones are.
   absl::Duration urgent_memory = absl::Seconds(1);
+  // Less urgent requests nevertheless get a permit that would be lost, as no
+  // more can be kept.
+  bool gives_surplus = false;
   // Upper bound on when a denied request is told to come back.
   absl::Duration max_retry_after = absl::Seconds(5);
   // What is known of a server that is not in use any more is forgotten after
@@ -54,6 +58,17 @@
                           const ServerLimitOptions&) = default;
 };
 
+// That a server is cold, as one router knows it.
+struct ColdStatement {
+  // The same for all routers that know it from the same source, so that a
+  // statement that comes back by way of another router is no news.
+  uint64_t id = 0;
+  double requests_per_second = 0;
+  absl::Time until = absl::InfinitePast();
+  absl::Time as_of = absl::InfinitePast();  // the server said so no earlier
+  friend auto operator<=>(const ColdStatement&, const ColdStatement&) = default;
+};
+
 // What a server says of itself.
 struct ServerLimitStatement {
   std::string server;
@@ -62,6 +77,8 @@
   // The server said so no earlier than this. For a limit, when its answer
   // arrived; for none, when the request was sent that was answered without one.
   absl::Time as_of;
+  // Set only in messages between routers; ServerLimits takes no notice of it.
+  std::optional<ColdStatement> cold;
   friend auto operator<=>(const ServerLimitStatement&,
                           const ServerLimitStatement&) = default;
 };
@@ -111,10 +128,12 @@
   void OnDenied(std::string_view server, int64_t urgency, absl::Time until);
 
   // Gives a permit if less than `share` of the limit was granted of late.
+  // `burst_factor` is of options.max_burst.
   Permit Grant(std::string_view server,
                int64_t urgency,
                double share,
-               absl::Time now);
+               absl::Time now,
+               double burst_factor = 1);
 
   // Forgets servers that have not been in `used` for long.
   void KeepServers(const std::vector<std::string>& used, absl::Time now);
@@ -142,9 +161,15 @@
   // Denied requests come back after this time at least.
   static constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(20);
 
-  double Capacity(double per_second) const;
-  void Refill(State* state, double per_second, absl::Time now) const;
+  double Capacity(double per_second, double burst_factor) const;
+  void Refill(State* state,
+              double per_second,
+              double capacity,
+              absl::Time now) const;
   bool IsOutranked(const State& state, int64_t urgency, absl::Time now) const;
+  bool HasSurplus(const State& state, double capacity) const {
+    return options_.gives_surplus && state.tokens >= capacity;
+  }
   Permit Deny(State* state,
               int64_t urgency,
               double per_second,
@@ -162,11 +187,12 @@
 // limit.
 double GrantedShare(bool is_first, absl::Duration since_change);
 
-// The routers that give permits for a server, the first one first: at most two.
-// All that know the same routers choose the same.
+// The routers that give permits for a server, the first one first: at most
+// `count`. All that know the same routers choose the same.
 std::vector<RouterAddress> ChooseGranters(
     std::string_view server,
-    const std::vector<RouterAddress>& routers);
+    const std::vector<RouterAddress>& routers,
+    size_t count = 2);
 
 }  // namespace hawthornhollow
 
--- a/testing/evacuation_test.cc
+++ b/testing/evacuation_test.cc
@@ -41,9 +41,9 @@
 
   void PutZones() {
     standins::PutServer(store_, "i-0", replica_servers_[0]->local(),
-                        /*sequence=*/1, /*born_ms=*/0, /*zone=*/"a");
+                        /*sequence=*/1, /*born_ms=*/0, {.zone = "a"});
     standins::PutServer(store_, "i-1", replica_servers_[1]->local(),
-                        /*sequence=*/1, /*born_ms=*/0, /*zone=*/"b");
+                        /*sequence=*/1, /*born_ms=*/0, {.zone = "b"});
   }
 
   size_t Arrivals(size_t server) const {
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -59,13 +59,20 @@
 std::string EntrySettings(const std::string& router,
                           const EntryAddresses& addresses);
 
+// Fields of a server's entry that most tests leave as they are.
+struct ServerEntryFields {
+  std::string zone = "z";
+  int64_t slots = 8;
+  absl::Duration cold_for;
+};
+
 // A server's entry, and its end.
 void PutServer(StoreStandin& store,
                const std::string& id,
                const Endpoint& address,
                int64_t sequence,
                int64_t born_ms = 0,
-               const std::string& zone = "z");
+               const ServerEntryFields& fields = {});
 void DropServer(StoreStandin& store, const std::string& id);
 // Entries among those of the servers that no server wrote. Their servers would
 // be at `address`; no router may use one.
@@ -86,6 +93,8 @@
   int64_t version = 1;
   int64_t tokens_per_event = 1;
   int64_t order_attempts = 1;
+  double cold_per_second = 0;
+  absl::Duration cold_time;
   std::vector<StandinWorkspace> workspaces;
 };
 void PutConfiguration(StoreStandin& store,
