--- a/testing/entry_fixture.h
+++ b/testing/entry_fixture.h
@@ -88,7 +88,9 @@
                     .readiness = readiness_,
                     .peers = peers_,
                     .store = store_server_->local(),
-                    .link_mbps = link_mbps_});
+                    .link_mbps = link_mbps_,
+                    .memory_mb = memory_mb_,
+                    .max_fds = max_fds_});
     std::vector<std::string> command = {ENTRY, "--settings", file};
     if (metrics_port_ != 0) {
       command.insert(command.end(),
@@ -221,6 +223,8 @@
   Endpoint peers_;
   uint16_t metrics_port_ = 0;  // 0: none
   int64_t link_mbps_ = 1'000;
+  int64_t memory_mb_ = 0;  // 0: not stated
+  int64_t max_fds_ = 0;    // 0: not stated
   std::string folder_;
   std::unique_ptr<ChildProcess> entry_;
   const Endpoint second_callers_ = {"127.0.0.1", FreePort()};
--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -78,14 +78,18 @@
 
 std::string EntrySettings(const std::string& router,
                           const EntryAddresses& addresses) {
+  std::string machine = absl::StrCat("\"link_mbps\":", addresses.link_mbps);
+  if (addresses.memory_mb > 0)
+    absl::StrAppend(&machine, ",\"memory_mb\":", addresses.memory_mb);
+  if (addresses.max_fds > 0)
+    absl::StrAppend(&machine, ",\"max_fds\":", addresses.max_fds);
   return absl::Substitute(
       R"({"node":"$0","zone":"z",
       "listen":{"front":"$1","ready":"$2","control":"$3"},
-      "bounds":{"grace_s":8},"limits":{"link_mbps":$5},
+      "bounds":{"grace_s":8},"limits":{$5},
       "platform":{"address":"$4"}})",
       router, addresses.callers.ToString(), addresses.readiness.ToString(),
-      addresses.peers.ToString(), addresses.store.ToString(),
-      addresses.link_mbps);
+      addresses.peers.ToString(), addresses.store.ToString(), machine);
 }
 
 void PutServer(StoreStandin& store,
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -55,6 +55,9 @@
   Endpoint peers;
   Endpoint store;
   int64_t link_mbps = 1'000;
+  // Of the VM; 0: not stated.
+  int64_t memory_mb = 0;
+  int64_t max_fds = 0;
 };
 std::string EntrySettings(const std::string& router,
                           const EntryAddresses& addresses);
