HTTP server: one account of requests' memory, decisions at the head, bounded connections

Bodies were read whole before route and key were checked, nothing limited their sum, connections that never send a request kept their descriptors, and the allocator kept what was freed.

Bodies are read by the server's own loop, which charges buffer and body before they grow. check_head answers 404, 401, 503 and 413 before the body is read. An attempt's request is shared with its exchange: one copy of the body less.

--- a/hawthornhollow/http/exchange.cc
+++ b/hawthornhollow/http/exchange.cc
@@ -63,11 +63,11 @@
 
 HttpExchange::Impl::Impl(ConnectionPool* pool,
                          const Endpoint& endpoint,
-                         HttpRequest request)
+                         std::shared_ptr<const HttpRequest> request)
     : pool_(pool),
       endpoint_(endpoint),
       request_(std::move(request)),
-      message_(MakeMessage(endpoint_, request_)) {}
+      message_(MakeMessage(endpoint_, *request_)) {}
 
 HttpExchange::Impl::~Impl() {
   if (connection_ == nullptr)
@@ -93,7 +93,7 @@
     absl::Duration timeout) {
   connection_ = std::move(connection);
   StartWrite(timeout);
-  if (request_.body.size() <= kShortBodyBytes) {
+  if (request_->body.size() <= kShortBodyBytes) {
     write_->written.Wait();
     return WriteFailure();
   }
@@ -149,7 +149,7 @@
     }
     parser_.emplace();
     parser_->body_limit(std::numeric_limits<uint64_t>::max());
-    parser_->skip(request_.method == "HEAD");
+    parser_->skip(request_->method == "HEAD");
     SetTimeout(&connection_->stream, deadline - SteadyNow());
     Await(&error, [&](auto done) {
       http::async_read_header(connection_->stream, connection_->buffer,
--- a/hawthornhollow/http/exchange_internal.h
+++ b/hawthornhollow/http/exchange_internal.h
@@ -19,7 +19,9 @@
 class HttpExchange::Impl {
  public:
   // `pool` must outlive the exchange.
-  Impl(ConnectionPool* pool, const Endpoint& endpoint, HttpRequest request);
+  Impl(ConnectionPool* pool,
+       const Endpoint& endpoint,
+       std::shared_ptr<const HttpRequest> request);
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
   ~Impl();
@@ -63,7 +65,7 @@
 
   ConnectionPool* const pool_;
   const Endpoint endpoint_;
-  const HttpRequest request_;
+  const std::shared_ptr<const HttpRequest> request_;
   Message message_;
   std::unique_ptr<ClientConnection> connection_;
   std::shared_ptr<PendingWrite> write_;
--- a/hawthornhollow/http/http.h
+++ b/hawthornhollow/http/http.h
@@ -91,11 +91,36 @@
 
 using HttpHandler = std::function<void(const HttpRequest&, ResponseWriter&)>;
 
+// What a request's head alone decides.
+struct HttpHeadDecision {
+  // The final response; the body is not read then, and the connection closes.
+  std::optional<HttpResponse> refusal;
+  // In place of HttpServerOptions::max_body_bytes, if that is larger.
+  std::optional<size_t> max_body_bytes;
+};
+// Is called with the head of a request whose body has not arrived yet.
+// `body_bytes` is unset if the body is sent in chunks.
+using HttpHeadCheck =
+    std::function<HttpHeadDecision(const HttpRequest& head,
+                                   std::optional<uint64_t> body_bytes)>;
+
+// The memory for requests (request_account.h).
+class RequestAccount;
+
 struct HttpServerOptions {
   Endpoint local;
   size_t max_header_bytes = 16 * 1024;
   size_t max_body_bytes = 4 * 1024 * 1024;
+  // If there are more, those that are idle or stalled are closed; further ones
+  // wait for a second, and are then answered 503.
   size_t max_connections = 4096;
+  // May be shared by several servers; null: that of the process.
+  std::shared_ptr<RequestAccount> account;
+  // Of each body, that the handler makes at a time.
+  size_t body_copies = 1;
+  // That a request needs in the handler besides.
+  size_t handler_bytes = 0;
+  HttpHeadCheck check_head;  // may be empty
   // For the whole of a request's head and body to arrive.
   absl::Duration request_timeout = absl::Seconds(10);
   // Between requests on a kept connection.
@@ -108,7 +133,8 @@
  public:
   // Listens with one acceptor per runtime thread (SO_REUSEPORT) and runs
   // `handler` on a fiber per connection. Oversized, slow and malformed requests
-  // are answered 431, 413, 408 and 400 with a JSON error.
+  // are answered 431, 413, 408 and 400 with a JSON error, and 503 with
+  // Retry-After those for which there is no memory.
   static absl::StatusOr<std::unique_ptr<HttpServer>> Start(
       Runtime& runtime,
       const HttpServerOptions& options,
@@ -225,6 +251,12 @@
       const HttpRequest& request,
       absl::Duration timeout,
       absl::Duration connect_timeout);
+  // As above. The exchange shares the request, where the others copy it.
+  absl::StatusOr<std::unique_ptr<HttpExchange>> Open(
+      const Endpoint& endpoint,
+      std::shared_ptr<const HttpRequest> request,
+      absl::Duration timeout,
+      absl::Duration connect_timeout);
 
   // A whole exchange within `timeout`. UNAVAILABLE if no connection could be
   // made, and no byte of the request has left; ABORTED if the connection broke
--- a/hawthornhollow/http/http_client.cc
+++ b/hawthornhollow/http/http_client.cc
@@ -32,7 +32,7 @@
   using ExchangeOr = absl::StatusOr<std::unique_ptr<HttpExchange>>;
 
   ExchangeOr Open(const Endpoint& endpoint,
-                  const HttpRequest& request,
+                  const std::shared_ptr<const HttpRequest>& request,
                   absl::Duration timeout,
                   absl::Duration connect_timeout);
   const Options& options() const { return options_; }
@@ -63,7 +63,7 @@
 
 HttpClient::Impl::ExchangeOr HttpClient::Impl::Open(
     const Endpoint& endpoint,
-    const HttpRequest& request,
+    const std::shared_ptr<const HttpRequest>& request,
     absl::Duration timeout,
     absl::Duration connect_timeout) {
   const absl::Time deadline = SteadyNow() + timeout;
@@ -118,7 +118,16 @@
     const HttpRequest& request,
     absl::Duration timeout,
     absl::Duration connect_timeout) {
-  return impl_->Open(endpoint, request, timeout, connect_timeout);
+  return Open(endpoint, std::make_shared<const HttpRequest>(request), timeout,
+              connect_timeout);
+}
+
+absl::StatusOr<std::unique_ptr<HttpExchange>> HttpClient::Open(
+    const Endpoint& endpoint,
+    std::shared_ptr<const HttpRequest> request,
+    absl::Duration timeout,
+    absl::Duration connect_timeout) {
+  return impl_->Open(endpoint, std::move(request), timeout, connect_timeout);
 }
 
 void HttpClient::CloseStaleConnections() {
--- a/hawthornhollow/http/http_server.cc
+++ b/hawthornhollow/http/http_server.cc
@@ -17,9 +17,26 @@
 constexpr absl::Duration kCloseGrace = absl::Seconds(2);
 // Connections over the limit that are answered at once; more are just closed.
 constexpr size_t kMaxRejecting = 64;
+// Their part of the connections, if that is less: they take descriptors, too.
+constexpr size_t kConnectionsPerRejecting = 8;
+// A connection may be closed for another one if it has been idle, or has
+// brought too little of a request, for this long: the time that makes a request
+// stalled (RequestMemoryOptions::stall_time).
+constexpr absl::Duration kStallTime = absl::Milliseconds(500);
+// How long new connections wait in the system's queue for one to become stalled
+// or to end: longer than `kStallTime`.
+constexpr absl::Duration kMaxFullTime = absl::Seconds(1);
 
 }  // namespace
 
+ServerShared::ServerShared(HttpServerOptions options, HttpHandler handler)
+    : options_([&options] {
+        if (options.account == nullptr)
+          options.account = RequestAccount::OfProcess();
+        return std::move(options);
+      }()),
+      handler_(std::move(handler)) {}
+
 bool ServerShared::AddConnection() {
   if (++connections_ <= options_.max_connections)
     return true;
@@ -71,9 +88,13 @@
   IoThread& thread() { return *thread_; }
 
   void Start() {
-    acceptor_->Start([self = shared_from_this()](Socket socket) {
-      self->Accept(std::move(socket));
-    });
+    acceptor_->Start(
+        [self = shared_from_this()](Socket socket) {
+          self->Accept(std::move(socket));
+        },
+        {.has_room = [self = shared_from_this()] { return self->HasRoom(); },
+         .make_room = [self =
+                           shared_from_this()] { return self->MakeRoom(); }});
   }
   // The rest run on the thread, or after it has halted.
   void StopListening() { acceptor_->CloseAfterBacklog(); }
@@ -90,6 +111,10 @@
 
  private:
   void Accept(Socket socket);
+  bool HasRoom();
+  // Closes the connection that has been stalled the longest, if there is one.
+  // True as well if there was no room for so long that clients are to be told.
+  bool MakeRoom();
   void Serve(const std::shared_ptr<ServerConnection>& connection);
   void Reject(const std::shared_ptr<ServerConnection>& connection);
 
@@ -98,9 +123,41 @@
   std::shared_ptr<ServerShared> shared_;
   std::unordered_set<ServerConnection*> connections_;
   size_t rejecting_ = 0;
+  // Since when clients have waited for room.
+  absl::Time full_since_ = absl::InfiniteFuture();
   bool closed_ = false;
 };
 
+bool ThreadServer::HasRoom() {
+  if (closed_ || !shared_->is_full()) {
+    full_since_ = absl::InfiniteFuture();
+    return true;
+  }
+  return false;
+}
+
+bool ThreadServer::MakeRoom() {
+  if (HasRoom())
+    return true;
+  const absl::Time now = SteadyNow();
+  ServerConnection* victim = nullptr;
+  absl::Duration longest = kStallTime;
+  for (ServerConnection* connection : connections_) {
+    const absl::Duration stalled = connection->StalledFor(now);
+    if (stalled >= longest) {
+      longest = stalled;
+      victim = connection;
+    }
+  }
+  if (victim != nullptr && victim->Evict()) {
+    shared_->account()->OnConnectionEvicted();
+    full_since_ = absl::InfiniteFuture();
+    return false;  // until its fiber has ended
+  }
+  full_since_ = std::min(full_since_, now);
+  return now - full_since_ >= kMaxFullTime;
+}
+
 void ThreadServer::Accept(Socket socket) {
   if (closed_)
     return;
@@ -108,7 +165,7 @@
       std::make_shared<ServerConnection>(shared_, std::move(socket));
   if (shared_->AddConnection())
     Serve(connection);
-  else if (rejecting_ < kMaxRejecting)
+  else
     Reject(connection);
 }
 
@@ -122,6 +179,11 @@
 }
 
 void ThreadServer::Reject(const std::shared_ptr<ServerConnection>& connection) {
+  shared_->account()->OnConnectionRefused();
+  const size_t part =
+      shared_->options().max_connections / kConnectionsPerRejecting;
+  if (rejecting_ >= std::clamp<size_t>(part, 1, kMaxRejecting))
+    return;
   ++rejecting_;
   thread_->Spawn([self = shared_from_this(), connection] {
     connection->Reject();
--- a/hawthornhollow/http/server_internal.h
+++ b/hawthornhollow/http/server_internal.h
@@ -6,10 +6,14 @@
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <unordered_set>
 
+#include "hawthornhollow/base/base.h"
+#include "hawthornhollow/http/request_account.h"
 #include "hawthornhollow/http/response_writer_internal.h"
 
 namespace hawthornhollow {
@@ -19,10 +23,12 @@
 // What the connections of one server share. Used from all of its threads.
 class ServerShared {
  public:
-  ServerShared(HttpServerOptions options, HttpHandler handler)
-      : options_(std::move(options)), handler_(std::move(handler)) {}
+  ServerShared(HttpServerOptions options, HttpHandler handler);
 
   const HttpServerOptions& options() const { return options_; }
+  const std::shared_ptr<RequestAccount>& account() const {
+    return options_.account;
+  }
   const HttpHandler& handler() const { return handler_; }
 
   const std::atomic<bool>& draining() const { return draining_; }
@@ -30,6 +36,7 @@
 
   // Counts a connection; false if there are too many.
   bool AddConnection();
+  bool is_full() const { return connections_ >= options_.max_connections; }
   void RemoveConnection();
   size_t connection_count() const { return connections_; }
   void BeginRequest() { ++requests_; }
@@ -64,22 +71,51 @@
   // Closes the connection unless a request is in progress or about to be read.
   void CloseIfIdle();
   void Close() { stream_.close(); }
+  // How long the connection has been idle, or has brought too little of a
+  // request; zero while a request is handled.
+  absl::Duration StalledFor(absl::Time now) const;
+  // Closes a stalled connection, once; false if a request has just come.
+  bool Evict();
 
  private:
   class RequestScope;
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Hold = RequestAccount::Hold;
+  // What is wrong with a request; no response if the client has gone.
+  struct ReadFailure {
+    std::optional<HttpResponse> response;
+  };
 
   bool ServeOne();
   bool AwaitRequest();
   void BeginRequest();
   void EndRequest();
-  bool ReadRequest(HttpRequest* request, ResponseTraits* traits);
+  std::optional<ReadFailure> ReadRequest(Hold* hold,
+                                         HttpRequest* request,
+                                         ResponseTraits* traits);
+  std::optional<ReadFailure> ReadMessage(Hold* hold,
+                                         Parser* parser,
+                                         HttpRequest* request);
+  std::optional<ReadFailure> ReadBody(Hold* hold, Parser* parser);
+  std::optional<ReadFailure> CheckHead(Parser* parser, HttpRequest* request);
+  // Parses what the buffer holds. need_more if that was all.
+  boost::system::error_code Parse(Parser* parser);
+  // Reads once into the buffer, and charges the buffer's growth.
+  std::optional<ReadFailure> ReadMore(Hold* hold, Parser* parser);
+  // Makes room in a body of unknown length for what the buffer holds.
+  std::optional<ReadFailure> GrowBody(Hold* hold, std::string* body);
+  std::optional<ReadFailure> Charge(Hold* hold, size_t body_bytes);
   void Handle(const HttpRequest& request, BeastResponseWriter* writer);
-  template <typename Parser>
-  boost::system::error_code ReadMessage(Parser* parser);
   boost::system::error_code SendContinue();
   void StartRequestTimer();
   void StopRequestTimer();
-  void AnswerReadError(const boost::system::error_code& error, bool has_head);
+  ReadFailure FailureOf(const boost::system::error_code& error,
+                        const Hold& hold,
+                        bool has_head) const;
+  static HttpResponse NoMemory();
+  // Of a body that is handled, with the handler's copies.
+  size_t BodyCost(uint64_t bytes) const;
   void AnswerAndClose(const HttpResponse& response);
   void Linger();
   ResponseTraits DefaultTraits() const;
@@ -87,7 +123,14 @@
   std::shared_ptr<ServerShared> shared_;
   TimedStream stream_;
   std::string peer_;
+  std::string address_;  // of the peer, without its port
   boost::beast::flat_buffer buffer_;
+  // Begin of the phase, or the last time that enough of a body had arrived.
+  absl::Time progress_at_ = SteadyNow();
+  size_t arrived_ = 0;  // of a body since then
+  size_t charged_ = 0;  // for the body
+  bool is_handling_ = false;
+  bool is_evicted_ = false;
   boost::asio::basic_waitable_timer<
       std::chrono::steady_clock,
       boost::asio::wait_traits<std::chrono::steady_clock>,
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -94,6 +94,7 @@
   kBadRequest,
   kUnknownRoute,
   kUnknownKey,
+  kBodyTooLarge,  // over the configuration's limit; not executed
   kTotalSpent,
   kNotReady,           // no configuration loaded yet
   kNoServer,           // no usable server; the request was not executed
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -11,6 +11,7 @@
 
 #include "absl/cleanup/cleanup.h"
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/http/request_account.h"
 #include "hawthornhollow/relay/catalog_controller.h"
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/instrumented_store.h"
@@ -47,6 +48,28 @@
   // For the final records of totals, at the end of a stop.
   static constexpr absl::Duration kFinalRecordsTime = absl::Milliseconds(300);
 
+  // Of a request in work: the buffers of its connection to a backend server,
+  // and the deeper stack.
+  static constexpr size_t kHandlerBytes = 32 * 1024;
+
+  // Parts of the descriptors, and of the memory for connections, that one of
+  // the servers may use. A quarter of the descriptors is left for connections
+  // to the store, to other routers and to backend servers.
+  struct ServerTraits {
+    double descriptors;
+    double memory;
+    HttpHeadCheck check_head;
+  };
+  static ServerTraits PeerTraits() { return {0.125, 0.125, nullptr}; }
+  // Of the readiness probes and of the metrics.
+  static ServerTraits ProbeTraits() { return {0.0625, 0.0625, nullptr}; }
+  ServerTraits CallerTraits() {
+    return {0.5, 0.75,
+            [this](const HttpRequest& head, std::optional<uint64_t> bytes) {
+              return CheckHead(head, bytes);
+            }};
+  }
+
   void CloseStaleConnections();
 
   void EndAtDueTime();
@@ -59,6 +82,7 @@
   // A port may be taken for a while: by the process before, as it ends, or by a
   // connection that the system gave it to.
   absl::Status Listen(const Endpoint& local,
+                      const ServerTraits& traits,
                       const HttpHandler& handler,
                       std::unique_ptr<HttpServer>* server);
 
@@ -67,9 +91,12 @@
   void ListenForMetrics();
 
   absl::Status TryListen(const Endpoint& local,
+                         const ServerTraits& traits,
                          const HttpHandler& handler,
                          std::unique_ptr<HttpServer>* server);
 
+  size_t MaxConnections(const ServerTraits& traits) const;
+
   void AnswerPeer(const HttpRequest& request, ResponseWriter& writer);
 
   LimitWatch LimitCalls();
@@ -93,8 +120,12 @@
 
   void ServeCaller(const HttpRequest& request, ResponseWriter& writer);
 
+  // Before the body of a caller's request is read.
+  HttpHeadDecision CheckHead(const HttpRequest& head,
+                             std::optional<uint64_t> body_bytes);
+
   // Determines the route, workspace, service and deadline of a request.
-  std::optional<RelayError> Resolve(RunContext* run);
+  std::optional<RelayError> Resolve(uint64_t body_bytes, RunContext* run);
 
   std::string PickService(const RelayRoute& route);
 
@@ -111,12 +142,14 @@
                         const absl::Status& reason,
                         ResponseWriter& writer);
 
+  HttpResponse EncodeRefusal(const RelayCall& call, RelayError error);
   void Refuse(const RelayCall& call, RelayError error, ResponseWriter& writer);
 
   // Refuses a request for which no attempt was made.
   void RefuseRun(const RunContext& run,
                  RelayError error,
                  ResponseWriter& writer);
+  void ReportRefusal(const RunContext& run, RelayError error);
 
   void ReportEnd(const RunContext& run,
                  const RunSummary& summary,
@@ -153,6 +186,9 @@
   bool link_busy_ = false;
   bool link_congested_ = false;
   int64_t in_progress_ = 0;
+  const std::shared_ptr<RequestAccount> account_ = RequestAccount::ForMemory(
+      settings_.memory_bytes > 0 ? settings_.memory_bytes
+                                 : RequestAccount::MachineMemory());
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> metrics_server_;
   std::unique_ptr<HttpServer> readiness_server_;
--- a/hawthornhollow/relay/relay_instance_impl.h
+++ b/hawthornhollow/relay/relay_instance_impl.h
@@ -129,21 +129,21 @@
 template <SharedStore Store, MessageCodec D>
 absl::Status RelayInstance<Store, D>::Start() {
   absl::Status status = Listen(
-      settings_.peers,
+      settings_.peers, PeerTraits(),
       [this](const HttpRequest& request, ResponseWriter& writer) {
         AnswerPeer(request, writer);
       },
       &peer_server_);
   if (status.ok())
     status = Listen(
-        settings_.readiness,
+        settings_.readiness, ProbeTraits(),
         [this](const HttpRequest&, ResponseWriter& writer) {
           AnswerReadiness(writer);
         },
         &readiness_server_);
   if (status.ok())
     status = Listen(
-        settings_.callers,
+        settings_.callers, CallerTraits(),
         [this](const HttpRequest& request, ResponseWriter& writer) {
           ServeCaller(request, writer);
         },
@@ -209,13 +209,14 @@
 template <SharedStore Store, MessageCodec D>
 absl::Status RelayInstance<Store, D>::Listen(
     const Endpoint& local,
+    const ServerTraits& traits,
     const HttpHandler& handler,
     std::unique_ptr<HttpServer>* server) {
   constexpr absl::Duration kRetryDelay = absl::Milliseconds(100);
   const absl::Time end = SteadyNow() + settings_.bind_timeout;
   bool is_logged = false;
   while (true) {
-    const absl::Status status = TryListen(local, handler, server);
+    const absl::Status status = TryListen(local, traits, handler, server);
     if (status.ok() || SteadyNow() + kRetryDelay > end)
       return status;
     if (!std::exchange(is_logged, true)) {
@@ -230,7 +231,7 @@
 template <SharedStore Store, MessageCodec D>
 void RelayInstance<Store, D>::ListenForMetrics() {
   const absl::Status status = TryListen(
-      *settings_.metrics,
+      *settings_.metrics, ProbeTraits(),
       [this](const HttpRequest&, ResponseWriter& writer) {
         AnswerMetrics(writer);
       },
@@ -245,6 +246,7 @@
 template <SharedStore Store, MessageCodec D>
 absl::Status RelayInstance<Store, D>::TryListen(
     const Endpoint& local,
+    const ServerTraits& traits,
     const HttpHandler& handler,
     std::unique_ptr<HttpServer>* server) {
   auto started =
@@ -252,6 +254,11 @@
                         {.local = local,
                          .max_header_bytes = settings_.max_header_bytes,
                          .max_body_bytes = settings_.max_body_bytes,
+                         .max_connections = MaxConnections(traits),
+                         .account = account_,
+                         .body_copies = 1,  // that of an attempt
+                         .handler_bytes = kHandlerBytes,
+                         .check_head = traits.check_head,
                          .request_timeout = settings_.request_timeout,
                          .idle_timeout = settings_.idle_timeout,
                          .write_timeout = settings_.write_timeout},
@@ -262,6 +269,20 @@
   return absl::OkStatus();
 }
 
+template <SharedStore Store, MessageCodec D>
+size_t RelayInstance<Store, D>::MaxConnections(
+    const ServerTraits& traits) const {
+  constexpr size_t kMin = 4;
+  constexpr size_t kMax = 4096;
+  const size_t descriptors = settings_.max_descriptors > 0
+                                 ? settings_.max_descriptors
+                                 : RequestAccount::MaxDescriptors();
+  const double most = std::min(
+      traits.descriptors * static_cast<double>(descriptors),
+      traits.memory * static_cast<double>(account_->max_connections()));
+  return std::clamp(static_cast<size_t>(most), kMin, kMax);
+}
+
 template <SharedStore Store, MessageCodec D>
 void RelayInstance<Store, D>::AnswerPeer(const HttpRequest& request,
                                          ResponseWriter& writer) {
@@ -350,6 +371,8 @@
       .limited_servers = static_cast<int64_t>(server_limits_.limited_count()),
       .requests_in_progress = in_progress_,
       .caller_connections = static_cast<int64_t>(CallerConnections()),
+      .request_memory = static_cast<int64_t>(account_->used_bytes()),
+      .refusals = account_->refusals(),
       .available_tokens = tokens.available,
       .waiting_tokens = tokens.waiting,
       .record_age = totals_.record_age()};
--- a/hawthornhollow/relay/relay_instance_requests_impl.h
+++ b/hawthornhollow/relay/relay_instance_requests_impl.h
@@ -24,7 +24,7 @@
     return;
   }
   RunContext run{.request = &request, .call = *call, .arrived = arrived};
-  if (const auto error = Resolve(&run)) {
+  if (const auto error = Resolve(request.body.size(), &run)) {
     RefuseRun(run, *error, writer);
     return;
   }
@@ -36,7 +36,27 @@
 }
 
 template <SharedStore Store, MessageCodec D>
-std::optional<RelayError> RelayInstance<Store, D>::Resolve(RunContext* run) {
+HttpHeadDecision RelayInstance<Store, D>::CheckHead(
+    const HttpRequest& head,
+    std::optional<uint64_t> body_bytes) {
+  auto call = D::DecodeCall(head);
+  if (!call.ok()) {
+    LogEvent("request.rejected", LogSeverity::kWarning)
+        .Add("reason", call.status());
+    return {.refusal = EncodeRefusal(RelayCall(), RelayError::kBadRequest)};
+  }
+  RunContext run{
+      .request = &head, .call = *std::move(call), .arrived = SteadyNow()};
+  const auto error = Resolve(body_bytes.value_or(0), &run);
+  if (!error.has_value())
+    return {.max_body_bytes = run.table->limits().max_body_bytes};
+  ReportRefusal(run, *error);
+  return {.refusal = EncodeRefusal(run.call, *error)};
+}
+
+template <SharedStore Store, MessageCodec D>
+std::optional<RelayError> RelayInstance<Store, D>::Resolve(uint64_t body_bytes,
+                                                           RunContext* run) {
   run->table = catalog_.table();
   if (run->table == nullptr)
     return RelayError::kNotReady;
@@ -48,6 +68,8 @@
     if (run->workspace == nullptr)
       return RelayError::kUnknownKey;
   }
+  if (body_bytes > run->table->limits().max_body_bytes)
+    return RelayError::kBodyTooLarge;
   run->service = PickService(*run->route);
   // Time for the answer to reach the caller.
   constexpr absl::Duration kAnswerDeliveryTime = absl::Milliseconds(20);
@@ -161,13 +183,19 @@
   }
 }
 
+template <SharedStore Store, MessageCodec D>
+HttpResponse RelayInstance<Store, D>::EncodeRefusal(const RelayCall& call,
+                                                    RelayError error) {
+  const absl::Duration retry_after =
+      JitteredRetryAfter(settings_.run.RetryAfter(error), random_);
+  return D::EncodeRefusal(call, error, retry_after);
+}
+
 template <SharedStore Store, MessageCodec D>
 void RelayInstance<Store, D>::Refuse(const RelayCall& call,
                                      RelayError error,
                                      ResponseWriter& writer) {
-  const absl::Duration retry_after =
-      JitteredRetryAfter(settings_.run.RetryAfter(error), random_);
-  HttpResponse response = D::EncodeRefusal(call, error, retry_after);
+  HttpResponse response = EncodeRefusal(call, error);
   if (link_load_.IsBusy(SteadyNow()))
     response.headers.push_back(kCloseConnection);
   writer.Send(response).IgnoreError();
@@ -178,6 +206,12 @@
                                         RelayError error,
                                         ResponseWriter& writer) {
   Refuse(run.call, error, writer);
+  ReportRefusal(run, error);
+}
+
+template <SharedStore Store, MessageCodec D>
+void RelayInstance<Store, D>::ReportRefusal(const RunContext& run,
+                                            RelayError error) {
   const RelayErrorTraits traits = TraitsOf(error);
   ReportEnd(run, {.outcome = std::string(traits.code), .status = traits.status},
             0, 0);
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -73,11 +73,22 @@
       {"servers_limited", gauges.limited_servers},
       {"requests_in_progress", gauges.requests_in_progress},
       {"caller_connections", gauges.caller_connections},
+      {"request_memory_bytes", gauges.request_memory},
       {"tokens_available", gauges.available_tokens},
       {"tokens_waited_for", gauges.waiting_tokens},
   };
   for (const auto& [name, value] : values)
     registry_.Set(name, {}, static_cast<double>(value));
+  const std::pair<std::string_view, int64_t> refusals[] = {
+      {"no_memory", gauges.refusals.memory},
+      {"stalled", gauges.refusals.stalled},
+      {"too_many_connections", gauges.refusals.connections},
+      {"stalled_connection", gauges.refusals.stalled_connections},
+  };
+  for (const auto& [reason, count] : refusals) {
+    registry_.Set("http_refused_total", {{"reason", std::string(reason)}},
+                  static_cast<double>(count));
+  }
   SetAge(registry_, "config_age_seconds", gauges.config_age);
   SetAge(registry_, "servers_age_seconds", gauges.servers_age);
   SetAge(registry_, "record_age_seconds", gauges.record_age);
--- a/hawthornhollow/relay/relay_metrics.h
+++ b/hawthornhollow/relay/relay_metrics.h
@@ -16,6 +16,7 @@
 
 #include "absl/status/status.h"
 #include "absl/time/time.h"
+#include "hawthornhollow/http/request_account.h"
 #include "hawthornhollow/metrics/metrics.h"
 #include "hawthornhollow/relay/relay.h"
 
@@ -44,6 +45,8 @@
   int64_t limited_servers = 0;    // state a limit of requests per second
   int64_t requests_in_progress = 0;
   int64_t caller_connections = 0;  // open connections
+  int64_t request_memory = 0;      // bytes that requests hold
+  HttpRefusals refusals;
   // Sums over all workspaces: tokens that this router can reserve now, and
   // tokens needed by waiting requests.
   int64_t available_tokens = 0;
--- a/hawthornhollow/relay/relay_settings.h
+++ b/hawthornhollow/relay/relay_settings.h
@@ -50,6 +50,11 @@
   size_t max_body_bytes = 8 * 1024 * 1024;
   absl::Duration request_timeout = absl::Seconds(10);
   absl::Duration idle_timeout = absl::Seconds(120);
+  // Of the VM: requests and connections share what the process itself leaves of
+  // the memory, and callers, other routers and probes have parts of the
+  // descriptors. 0: those of the machine and of the process.
+  size_t memory_bytes = 0;
+  size_t max_descriptors = 0;
   // How long a port that is taken is waited for at the start.
   absl::Duration bind_timeout = absl::Seconds(10);
   // Timeout of one write to a caller.
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -126,8 +126,9 @@
 
   AttemptResult AttemptAt(const PromptPlacement::Choice& choice);
 
-  absl::StatusOr<std::unique_ptr<HttpExchange>> Open(const RelayServer& server,
-                                                     const HttpRequest& sent);
+  absl::StatusOr<std::unique_ptr<HttpExchange>> Open(
+      const RelayServer& server,
+      const std::shared_ptr<const HttpRequest>& sent);
 
   void ObserveConnection(const RelayServer& server,
                          bool made,
--- a/hawthornhollow/relay/request_run_impl.h
+++ b/hawthornhollow/relay/request_run_impl.h
@@ -260,7 +260,8 @@
                              .time_left = TimeLeft(),
                              .urgency = UrgencyOf(request_),
                              .resume_after = last_event_};
-  const HttpRequest sent = D::EncodeAttempt(*request_.request, attempt);
+  const auto sent = std::make_shared<const HttpRequest>(
+      D::EncodeAttempt(*request_.request, attempt));
   sent_at_ = SteadyNow();
   auto opened = Open(choice.server, sent);
   if (!opened.ok()) {
@@ -282,7 +283,7 @@
 template <MessageCodec D>
 absl::StatusOr<std::unique_ptr<HttpExchange>> RequestRun<D>::Open(
     const RelayServer& server,
-    const HttpRequest& sent) {
+    const std::shared_ptr<const HttpRequest>& sent) {
   const absl::Time start_time = SteadyNow();
   const absl::Duration connect_timeout =
       shared_.link->ConnectTimeout(start_time);
--- a/hawthornhollow/relay/routing_table.cc
+++ b/hawthornhollow/relay/routing_table.cc
@@ -87,6 +87,9 @@
       return {404, "unknown_route", "no route has this host and path"};
     case RelayError::kUnknownKey:
       return {401, "unknown_key", "the key is not in the configuration"};
+    case RelayError::kBodyTooLarge:
+      return {413, "body_too_large",
+              "the body is over the limit of the configuration"};
     case RelayError::kTotalSpent:
       return {402, "total_spent",
               "what is left of the prepaid total does not cover the request"};
--- a/hawthornhollow/runtime/acceptor.cc
+++ b/hawthornhollow/runtime/acceptor.cc
@@ -9,6 +9,8 @@
 constexpr int kBacklog = 1024;
 // After a failure such as a lack of file descriptors.
 constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(20);
+// Between two looks for room for a connection.
+constexpr absl::Duration kRoomInterval = absl::Milliseconds(5);
 
 using ReusePort =
     boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
@@ -64,17 +66,31 @@
   return ErrorOf(error, "tcp.listen", local_.ToString());
 }
 
-void Acceptor::Start(Handler handler) {
+void Acceptor::Start(Handler handler, Room room) {
   handler_ = std::move(handler);
+  room_ = std::move(room);
   thread_->Spawn([self = shared_from_this()] { self->AcceptLoop(); });
 }
 
 void Acceptor::AcceptLoop() {
   while (acceptor_.is_open()) {
-    if (!AcceptOne())
+    AwaitRoom();
+    if (acceptor_.is_open() && !AcceptOne())
       hawthornhollow::SleepFor(kAcceptRetryDelay);
   }
   handler_ = nullptr;
+  room_ = {};
+}
+
+void Acceptor::AwaitRoom() {
+  if (!room_.has_room || room_.has_room())
+    return;
+  error_code error;
+  Await(&error, [&](auto done) {
+    acceptor_.async_wait(SocketAcceptor::wait_read, std::move(done));
+  });
+  while (acceptor_.is_open() && !room_.make_room())
+    hawthornhollow::SleepFor(kRoomInterval);
 }
 
 bool Acceptor::AcceptOne() {
--- a/hawthornhollow/runtime/asio_internal.h
+++ b/hawthornhollow/runtime/asio_internal.h
@@ -169,9 +169,16 @@
   Acceptor& operator=(const Acceptor&) = delete;
 
   const Endpoint& local() const { return local_; }
+  // Whether another connection may be accepted; both may be empty, and must not
+  // block. If there is no room, connections stay in the system's queue, and
+  // `make_room` is called now and then while one waits there.
+  struct Room {
+    std::function<bool()> has_room;
+    std::function<bool()> make_room;
+  };
   // Runs `handler` on the thread for each connection; it must not block.
   // Callable from any thread, once.
-  void Start(Handler handler);
+  void Start(Handler handler, Room room = {});
   // Stops listening. Callable from any thread.
   void Close();
   // As Close, but first hands over the connections that the kernel has already
@@ -182,12 +189,14 @@
   absl::Status Bind(bool share_port);
   absl::Status Listen();
   void AcceptLoop();
+  void AwaitRoom();
   bool AcceptOne();
 
   std::shared_ptr<IoThread> thread_;
   SocketAcceptor acceptor_;
   Endpoint local_;
   Handler handler_;
+  Room room_;
 };
 
 // Turns an Asio or Beast error into a status with step and peer.
--- a/hawthornhollow/runtime/runtime.cc
+++ b/hawthornhollow/runtime/runtime.cc
@@ -1,5 +1,7 @@
 #include "hawthornhollow/runtime/runtime.h"
 
+#include <malloc.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
@@ -229,6 +231,15 @@
 
 // While a set of asio's holds the signal, it does not end the process. This one
 // is never released.
+void LimitRetainedMemory() {
+  // glibc raises both thresholds, up to 32 MB and 64 MB, with each large block
+  // that is freed: later bodies would then come from the heap, of which only
+  // the top can be given back. Stating the values keeps them.
+  constexpr int kLargeBlockBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, 2 * kLargeBlockBytes);
+}
+
 void KeepHangupsHarmless() {
   static auto* const context = new boost::asio::io_context();
   static auto* const hangups = new boost::asio::signal_set(*context, SIGHUP);
--- a/hawthornhollow/runtime/runtime.h
+++ b/hawthornhollow/runtime/runtime.h
@@ -153,6 +153,10 @@
 // at SIGHUP: one may come right after the start, or just before the exit.
 void KeepHangupsHarmless();
 
+// Makes the allocator give large blocks back to the system as soon as they are
+// freed. For the begin of a program that holds bodies of requests.
+void LimitRetainedMemory();
+
 }  // namespace hawthornhollow
 
 #endif  // HAWTHORNHOLLOW_RUNTIME_RUNTIME_H_
