--- a/hawthornhollow/gate/router_link_server.cc
+++ b/hawthornhollow/gate/router_link_server.cc
@@ -16,6 +16,7 @@
 #include <utility>
 
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/http/request_account.h"
 #include "hawthornhollow/metrics/metrics.h"
 
 namespace hawthornhollow {
@@ -409,6 +410,11 @@
   metrics.Set("gate_remembered_requests", {},
               static_cast<double>(table_.remembered_requests()));
   metrics.Set("gate_links", {}, static_cast<double>(links_.size()));
+  for (const auto& [reason, count] :
+       RequestAccount::OfProcess()->refusals().ByReason()) {
+    metrics.Set("http_refused_total", {{"reason", std::string(reason)}},
+                static_cast<double>(count));
+  }
   return metrics.Render();
 }
 
--- a/hawthornhollow/http/http_server.cc
+++ b/hawthornhollow/http/http_server.cc
@@ -33,6 +33,8 @@
     : options_([&options] {
         if (options.account == nullptr)
           options.account = RequestAccount::OfProcess();
+        options.max_connections = std::min(options.max_connections,
+                                           options.account->max_connections());
         return std::move(options);
       }()),
       handler_(std::move(handler)) {}
--- a/hawthornhollow/http/request_account.cc
+++ b/hawthornhollow/http/request_account.cc
@@ -56,8 +56,10 @@
 }
 
 std::shared_ptr<RequestAccount> RequestAccount::OfProcess() {
-  static const std::shared_ptr<RequestAccount> account =
-      ForMemory(MachineMemory());
+  // Never destroyed: fibers of a runtime that was stopped may still refer to
+  // it.
+  static const auto& account =
+      *new std::shared_ptr<RequestAccount>(ForMemory(MachineMemory()));
   return account;
 }
 
--- a/hawthornhollow/http/request_account.h
+++ b/hawthornhollow/http/request_account.h
@@ -12,12 +12,15 @@
 // Also counts what was refused to clients for want of memory or descriptors,
 // and returns freed memory to the system after pressure.
 
+#include <array>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "hawthornhollow/http/request_memory.h"
 
@@ -29,6 +32,13 @@
   int64_t stalled = 0;              // stalled while others needed the memory
   int64_t connections = 0;          // no room for another connection
   int64_t stalled_connections = 0;  // closed to make room for another one
+  // With the reasons that metrics name.
+  std::array<std::pair<std::string_view, int64_t>, 4> ByReason() const {
+    return {{{"no_memory", memory},
+             {"stalled", stalled},
+             {"too_many_connections", connections},
+             {"stalled_connection", stalled_connections}}};
+  }
   friend auto operator<=>(const HttpRefusals&, const HttpRefusals&) = default;
 };
 
--- a/hawthornhollow/http/request_memory.cc
+++ b/hawthornhollow/http/request_memory.cc
@@ -3,6 +3,9 @@
 // second one keeps two waiting requests from evicting for the same need, and
 // tells who need not be refused.
 //
+// With n requests a decision takes n log n steps, and one look at the stalled
+// ones for each size class and client: it is made whenever a request ends.
+//
 // No request waits without bound: one that finds no room in the second sum is
 // refused after `max_wait`, and what the second sum counts as free is released
 // by the fibers of the leaving requests, which wait for nobody.
@@ -11,7 +14,9 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 #include <tuple>
+#include <utility>
 
 namespace hawthornhollow {
 
@@ -159,86 +164,116 @@
   return waiting;
 }
 
-std::vector<RequestMemory::Requests::iterator> RequestMemory::FindVictims(
-    const Sums& sums,
-    const Request& request,
-    absl::Time now) {
+std::vector<RequestMemory::Requests::iterator>
+RequestMemory::StalledFromLargest(absl::Time now) {
   std::vector<Requests::iterator> stalled;
   for (auto it = requests_.begin(); it != requests_.end(); ++it) {
-    const Request& other = it->second;
-    if (!other.is_waiting && !other.is_complete && !other.is_leaving &&
-        other.held > 0 && now - other.progress_at >= options_.stall_time)
+    const Request& request = it->second;
+    if (!request.is_waiting && !request.is_complete && !request.is_leaving &&
+        request.held > 0 && now - request.progress_at >= options_.stall_time)
       stalled.push_back(it);
   }
   std::stable_sort(stalled.begin(), stalled.end(),
                    [](const auto& left, const auto& right) {
                      return left->second.held > right->second.held;
                    });
+  return stalled;
+}
+
+size_t RequestMemory::CountVictims(
+    const Sums& sums,
+    const std::vector<Requests::iterator>& stalled,
+    const Request& request) const {
   Sums left = sums;
-  std::vector<Requests::iterator> victims;
-  for (const auto& candidate : stalled) {
-    Subtract(&left, candidate->second.client, candidate->second.held);
-    victims.push_back(candidate);
+  for (size_t i = 0; i < stalled.size(); ++i) {
+    Subtract(&left, stalled[i]->second.client, stalled[i]->second.held);
     if (Fits(left, request, request.wanted))
-      return victims;
+      return i + 1;
   }
-  return {};
+  return 0;
 }
 
-RequestMemory::Decisions RequestMemory::Decide(absl::Time now) {
-  Decisions decisions;
-  if (waiting_ == 0)
-    return decisions;
-  const std::vector<Requests::iterator> waiting = WaitingFromSmallest();
-  Sums later = used_;
-  for (const auto& [id, request] : requests_) {
-    if (request.is_leaving)
-      Subtract(&later, request.client, request.held);
-  }
-  // Those that find no room even when the leaving ones have left.
-  std::vector<Requests::iterator> without_room;
+void RequestMemory::MakeRoom(absl::Time now,
+                             const std::vector<Requests::iterator>& waiting,
+                             Sums* later,
+                             Decisions* decisions) {
+  std::vector<Requests::iterator> stalled = StalledFromLargest(now);
+  // Requests of this class (and client, if large) find no room even if all
+  // stalled ones leave: nor do later ones, which want more.
+  std::set<std::pair<SizeClass, std::string>> hopeless;
   for (const auto& it : waiting) {
     Request& request = it->second;
-    if (!Fits(later, request, request.wanted)) {
-      for (const auto& victim : FindVictims(later, request, now)) {
-        victim->second.is_leaving = true;
-        Subtract(&later, victim->second.client, victim->second.held);
-        decisions.evicted.push_back(victim->first);
+    const SizeClass size_class = ClassOf(request.wanted);
+    const std::pair<SizeClass, std::string> kind = {
+        size_class, size_class == kLarge ? request.client : ""};
+    if (!Fits(*later, request, request.wanted)) {
+      const size_t victims =
+          hopeless.contains(kind) ? 0 : CountVictims(*later, stalled, request);
+      if (victims == 0) {
+        hopeless.insert(kind);
+        continue;
       }
+      for (size_t i = 0; i < victims; ++i) {
+        Request& victim = stalled[i]->second;
+        victim.is_leaving = true;
+        Subtract(later, victim.client, victim.held);
+        decisions->evicted.push_back(stalled[i]->first);
+      }
+      stalled.erase(stalled.begin(),
+                    std::next(stalled.begin(), static_cast<int64_t>(victims)));
     }
-    if (!Fits(later, request, request.wanted)) {
-      without_room.push_back(it);
-      continue;
-    }
-    Replace(&later, request, request.wanted);
+    Replace(later, request, request.wanted);
+    request.has_room_later = true;
     if (!Fits(used_, request, request.wanted))
       continue;
     Grant(&request, now);
-    decisions.granted.push_back(it->first);
+    decisions->granted.push_back(it->first);
   }
+}
+
+void RequestMemory::RefuseOverdue(absl::Time now,
+                                  std::vector<Requests::iterator> without_room,
+                                  Sums* later,
+                                  Decisions* decisions) {
   while (!without_room.empty()) {
     const auto largest = without_room.back();
     without_room.pop_back();
     Request& request = largest->second;
-    if (Fits(later, request, request.wanted)) {
-      Replace(&later, request, request.wanted);
-      continue;
-    }
     if (now - request.waits_since < options_.max_wait)
       continue;
     request.is_waiting = false;
     --waiting_;
     request.is_leaving = true;
-    Subtract(&later, request.client, request.held);
-    decisions.refused.push_back(largest->first);
+    decisions->refused.push_back(largest->first);
+    if (request.held == 0)
+      continue;
+    Subtract(later, request.client, request.held);
     // Room for the smallest first.
     std::erase_if(without_room, [&](const auto& it) {
-      const bool fits = Fits(later, it->second, it->second.wanted);
+      const bool fits = Fits(*later, it->second, it->second.wanted);
       if (fits)
-        Replace(&later, it->second, it->second.wanted);
+        Replace(later, it->second, it->second.wanted);
       return fits;
     });
   }
+}
+
+RequestMemory::Decisions RequestMemory::Decide(absl::Time now) {
+  Decisions decisions;
+  if (waiting_ == 0)
+    return decisions;
+  std::vector<Requests::iterator> waiting = WaitingFromSmallest();
+  Sums later = used_;
+  for (const auto& [id, request] : requests_) {
+    if (request.is_leaving)
+      Subtract(&later, request.client, request.held);
+  }
+  for (const auto& it : waiting)
+    it->second.has_room_later = false;
+  MakeRoom(now, waiting, &later, &decisions);
+  std::erase_if(waiting,
+                [](const auto& it) { return it->second.has_room_later; });
+  RefuseOverdue(now, std::move(waiting), &later, &decisions);
   return decisions;
 }
 
--- a/hawthornhollow/http/request_memory.h
+++ b/hawthornhollow/http/request_memory.h
@@ -105,7 +105,8 @@
     size_t wanted = 0;  // while it waits
     bool is_waiting = false;
     bool is_complete = false;
-    bool is_leaving = false;  // refused or evicted
+    bool is_leaving = false;      // refused or evicted
+    bool has_room_later = false;  // within one decision
     absl::Time waits_since;
     absl::Time progress_at;
     size_t arrived = 0;  // since `progress_at`
@@ -126,11 +127,21 @@
   void Replace(Sums* sums, const Request& request, size_t bytes) const;
   void Grant(Request* request, absl::Time now);
   std::vector<Requests::iterator> WaitingFromSmallest();
-  // Stalled requests that make room for `request` if they leave; none if that
-  // does not suffice.
-  std::vector<Requests::iterator> FindVictims(const Sums& sums,
-                                              const Request& request,
-                                              absl::Time now);
+  std::vector<Requests::iterator> StalledFromLargest(absl::Time now);
+  // How many of `stalled` have to leave to make room for `request`; 0 if all do
+  // not suffice.
+  size_t CountVictims(const Sums& sums,
+                      const std::vector<Requests::iterator>& stalled,
+                      const Request& request) const;
+  // Steps of Decide. `later` is what will be held once the leaving have left.
+  void MakeRoom(absl::Time now,
+                const std::vector<Requests::iterator>& waiting,
+                Sums* later,
+                Decisions* decisions);
+  void RefuseOverdue(absl::Time now,
+                     std::vector<Requests::iterator> without_room,
+                     Sums* later,
+                     Decisions* decisions);
 
   const RequestMemoryOptions options_;
   std::array<size_t, kClasses> caps_ = {};
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -79,13 +79,7 @@
   };
   for (const auto& [name, value] : values)
     registry_.Set(name, {}, static_cast<double>(value));
-  const std::pair<std::string_view, int64_t> refusals[] = {
-      {"no_memory", gauges.refusals.memory},
-      {"stalled", gauges.refusals.stalled},
-      {"too_many_connections", gauges.refusals.connections},
-      {"stalled_connection", gauges.refusals.stalled_connections},
-  };
-  for (const auto& [reason, count] : refusals) {
+  for (const auto& [reason, count] : gauges.refusals.ByReason()) {
     registry_.Set("http_refused_total", {{"reason", std::string(reason)}},
                   static_cast<double>(count));
   }
--- a/hawthornhollow/router/router_instance.cc
+++ b/hawthornhollow/router/router_instance.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/http/request_account.h"
 
 namespace hawthornhollow {
 namespace {
@@ -461,6 +462,11 @@
     metrics_.Set("pool_free_slots", {{"pool", pool.pool}},
                  static_cast<double>(pool.free_slots));
   }
+  for (const auto& [reason, count] :
+       RequestAccount::OfProcess()->refusals().ByReason()) {
+    metrics_.Set("http_refused_total", {{"reason", std::string(reason)}},
+                 static_cast<double>(count));
+  }
   HttpResponse response;
   response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
   response.body = metrics_.Render();
--- a/hawthornhollow/runtime/acceptor.cc
+++ b/hawthornhollow/runtime/acceptor.cc
@@ -10,7 +10,7 @@
 // After a failure such as a lack of file descriptors.
 constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(20);
 // Between two looks for room for a connection.
-constexpr absl::Duration kRoomInterval = absl::Milliseconds(5);
+constexpr absl::Duration kRoomInterval = absl::Milliseconds(2);
 
 using ReusePort =
     boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -65,17 +65,24 @@
                       "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
 }
 
-std::string CallerRequestBytes(const CallerRequest& request) {
+std::string CallerHeadBytes(const CallerRequest& request,
+                            const std::string& framing) {
   const HttpRequest made = MakeCallerRequest(request);
   std::string bytes =
       absl::StrCat(made.method, " ", made.target, " HTTP/1.1\r\n");
   for (const auto& [name, value] : made.headers)
     absl::StrAppend(&bytes, name, ": ", value, "\r\n");
-  absl::StrAppend(&bytes, "Content-Length: ", made.body.size(),
-                  "\r\nConnection: close\r\n\r\n", made.body);
+  absl::StrAppend(&bytes, framing, "\r\n\r\n");
   return bytes;
 }
 
+std::string CallerRequestBytes(const CallerRequest& request) {
+  const std::string body = MakeCallerRequest(request).body;
+  return CallerHeadBytes(request, absl::StrCat("Content-Length: ", body.size(),
+                                               "\r\nConnection: close")) +
+         body;
+}
+
 std::string EntrySettings(const std::string& router,
                           const EntryAddresses& addresses) {
   std::string machine = absl::StrCat("\"link_mbps\":", addresses.link_mbps);
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -47,6 +47,9 @@
 std::string RefusalBytes(const std::string& id);
 // A caller's request in bytes, on a connection of its own.
 std::string CallerRequestBytes(const CallerRequest& request);
+// The head alone, with these lines of framing.
+std::string CallerHeadBytes(const CallerRequest& request,
+                            const std::string& framing);
 
 // The settings file of a router.
 struct EntryAddresses {
--- a/testing/untrusted_client_fixture.h
+++ b/testing/untrusted_client_fixture.h
@@ -41,10 +41,8 @@
 
   // The head of an order with this line of framing.
   static std::string HeadWith(const std::string& framing) {
-    return absl::StrCat(
-        "POST /order/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: crowd\r\n"
-        "Deadline-Ms: 8000\r\nAuthorization: Token k1\r\n",
-        framing, "\r\n\r\n");
+    return standins::CallerHeadBytes(
+        {.id = "crowd", .path = "/order/a", .key = "k1"}, framing);
   }
   static std::string DeclaredHead(size_t bytes) {
     return HeadWith(absl::StrCat("Content-Length: ", bytes));
@@ -82,7 +80,10 @@
 
   // Sends, and checks the bounds, with the crowd still there and after it.
   void ExpectWithstands(std::vector<ClientPlan> plans) {
-    ClientCrowd crowd(callers_, std::move(plans));
+    ExpectWithstandsAt(callers_, std::move(plans));
+  }
+  void ExpectWithstandsAt(const Endpoint& port, std::vector<ClientPlan> plans) {
+    ClientCrowd crowd(port, std::move(plans));
     int64_t most_descriptors = 0;
     crowd.Send(kSendTime, [&] {
       most_descriptors = std::max(most_descriptors, OpenDescriptors());
--- a/testing/untrusted_client_test.cc
+++ b/testing/untrusted_client_test.cc
@@ -75,6 +75,12 @@
              .unit_bytes = 15'000}));
 }
 
+// Guards against ports with other limits than that of callers.
+TEST_F(UntrustedClientTest, LargeBodiesForOtherRouters_MemoryStaysUnderTheVms) {
+  StartSmall();
+  ExpectWithstandsAt(peers_, CrowdOfLegalBodies(/*bytes_per_turn=*/64 * 1024));
+}
+
 // Guards against limits that honest clients meet: the largest legal body on the
 // smallest VM, read slowly but steadily while nobody else wants memory.
 TEST_F(UntrustedClientTest, LargestLegalBody_SentSlowly_IsServed) {
