Tests: what the head decides is answered before the body, with the real program

404, 401, 413 and not ready 503, with declared bodies, chunks and clients that ask first; the bodies never come.

--- a/testing/untrusted_client_test.cc
+++ b/testing/untrusted_client_test.cc
@@ -81,6 +81,56 @@
   ExpectWithstandsAt(peers_, CrowdOfLegalBodies(/*bytes_per_turn=*/64 * 1024));
 }
 
+// Guards against a body that is read although the head decides. The bodies
+// never come.
+TEST_F(UntrustedClientTest, HeadDecides_IsAnsweredBeforeTheBody) {
+  struct Case {
+    standins::CallerRequest request;
+    std::string framing;
+    std::string answer;
+  };
+  const Case cases[] = {{{.id = "a", .path = "/nowhere/a", .key = "k1"},
+                         "Content-Length: 4000000",
+                         "HTTP/1.1 404"},
+                        {{.id = "b", .path = "/order/a", .key = "k2"},
+                         "Content-Length: 4000000",
+                         "HTTP/1.1 401"},
+                        {{.id = "c", .path = "/order/a", .key = "k2"},
+                         "Transfer-Encoding: chunked",
+                         "HTTP/1.1 401"},
+                        {{.id = "d", .path = "/order/a", .key = "k1"},
+                         "Content-Length: 4194305",
+                         "HTTP/1.1 413"},
+                        {{.id = "e", .path = "/order/a", .key = "k1"},
+                         "Expect: 100-continue\r\nContent-Length: 4194305",
+                         "HTTP/1.1 413"},
+                        {{.id = "f", .path = "/order/a", .key = "k1"},
+                         "Expect: 100-continue\r\nContent-Length: 4194304",
+                         "HTTP/1.1 100 Continue"}};
+  constexpr absl::Duration kAnswerTime = absl::Seconds(3);
+  StartSmall();
+  for (const Case& each : cases) {
+    const std::string head =
+        standins::CallerHeadBytes(each.request, each.framing);
+    const RawAnswer answer = RawExchange(callers_, head, kAnswerTime);
+    EXPECT_THAT(answer.bytes, testing::StartsWith(each.answer))
+        << each.request.id;
+  }
+  EXPECT_EQ(RunsOfAll(), 0);
+}
+
+// Before there is a configuration.
+TEST_F(UntrustedClientTest, RouterIsNotReady_LargeBodyIsAnswered503AtOnce) {
+  StartEntry();
+  const absl::Time end = absl::Now() + kWait;
+  while (Readiness() == 0 && absl::Now() < end)
+    absl::SleepFor(absl::Milliseconds(20));
+  const RawAnswer answer = RawExchange(callers_, DeclaredHead(kMaxBodyBytes),
+                                       /*timeout=*/absl::Seconds(3));
+  EXPECT_THAT(answer.bytes, testing::StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(answer.bytes, testing::HasSubstr("Retry-After: "));
+}
+
 // Guards against limits that honest clients meet: the largest legal body on the
 // smallest VM, read slowly but steadily while nobody else wants memory.
 TEST_F(UntrustedClientTest, LargestLegalBody_SentSlowly_IsServed) {
