--- a/hawthornhollow/http/http_client_test.cc
+++ b/hawthornhollow/http/http_client_test.cc
@@ -35,8 +35,9 @@
   absl::Status OpenIf(bool may_send) {
     std::promise<absl::Status> status;
     runtime_->Spawn([&] {
-      const auto opened = client_.Open(server_->local(), {}, kTimeout, kTimeout,
-                                       [&] { return may_send; });
+      const auto opened =
+          client_.Open(server_->local(), std::make_shared<const HttpRequest>(),
+                       kTimeout, kTimeout, [&] { return may_send; });
       if (opened.ok())
         (*opened)->ReadHead(kTimeout).status().IgnoreError();
       status.set_value(opened.status());
