--- a/hawthornhollow/relay/relay_instance_requests_impl.h
+++ b/hawthornhollow/relay/relay_instance_requests_impl.h
@@ -158,7 +158,9 @@
   return {.patience = std::min(
               run.route->latency_target * kPatienceShareOfTarget, timeout),
           .timeout = timeout,
-          .ample_timeout = (run.deadline - SteadyNow()) * kMaxShareOfTimeLeft};
+          .ample_timeout =
+              std::min(run.route->latency_target,
+                       (run.deadline - SteadyNow()) * kMaxShareOfTimeLeft)};
 }
 
 template <SharedStore Store, MessageCodec D>
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -383,11 +383,10 @@
   }
 
   // Whether a request should wait on: enough is left, and holders answer. A
-  // holder that has lost the store may commit more when its record is late, but
-  // cannot raise its quota.
+  // holder that has lost the store cannot raise its quota.
   bool IsAmple(const std::string& workspace) {
     const bool can_obtain = book_.IsHolder(workspace)
-                                ? records_.age() <= 2 * options_.book.late_after
+                                ? records_.age() <= options_.book.late_after
                                 : borrower_.DoesAHolderAnswer(workspace);
     return can_obtain && book_.IsAmple(workspace);
   }
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -426,14 +426,8 @@
   int64_t ScheduleRate(int64_t headroom,
                        double demand,
                        absl::Duration max_horizon) const;
-  // Room that a new level record makes for commitments at once: by the demand,
-  // and with what it allows at most before it is late.
-  int64_t DemandBurst(const LocalUsage& usage, absl::Duration now) const;
-  int64_t LevelBurst(const std::string& workspace,
-                     const LocalUsage& usage,
-                     absl::Duration now) const;
-  int64_t ChargeLimit(const std::string& workspace,
-                      const LocalUsage& usage) const;
+  // Room that a new level record makes for commitments at once.
+  int64_t LevelBurst(const LocalUsage& usage, absl::Duration now) const;
   fb::LevelShareT MakeLevelShare(const std::string& workspace,
                                  const LocalUsage& usage,
                                  absl::Duration now) const;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -20,10 +20,7 @@
 // schedule is measured by the VM's boot clock, which the dead incarnation used
 // too, up to the start of the next process. This clock includes suspension, so
 // a router that resumes knows that its record is old. If the VM was rebooted,
-// the age is measured by the time of day (see record_age.cc). How much the
-// schedule allows is no part of the argument: it only says how much is charged
-// for commitments that nobody made, and how far a router goes without the store
-// (see totals_records.cc). If that cannot be
+// the age is measured by the time of day (see record_age.cc). If that cannot be
 // trusted, the whole quota is charged, unless the level record was marked as
 // the incarnation's final one. A workspace that the level record does not name
 // has no commitments. A VM that never comes back keeps its quota, and the
@@ -457,6 +454,41 @@
   UsageOf(reservation.workspace).committing -= reservation.from_authority;
 }
 
+int64_t TotalsBook::Uncommitted(const std::string& workspace) const {
+  const int64_t by_others =
+      TotalOf(workspace) - other_routers_sums(workspace).committed;
+  const LocalUsage* usage = FindUsage(workspace);
+  return usage == nullptr
+             ? by_others
+             : by_others - usage->committed - usage->held + usage->transfers;
+}
+
+bool TotalsBook::IsAmple(const std::string& workspace) const {
+  // No request is to be refused while a tenth is left. Loans, and what was
+  // charged after kills, are committed and within 2% each.
+  constexpr int64_t kAmpleDivisor = 20;
+  return Uncommitted(workspace) >= TotalOf(workspace) / kAmpleDivisor;
+}
+
+int64_t TotalsBook::UsedByAll(const std::string& workspace) const {
+  const LocalUsage* usage = FindUsage(workspace);
+  const int64_t others = other_routers_sums(workspace).used;
+  return usage == nullptr
+             ? others
+             : std::max(usage->reported_used, others + usage->used);
+}
+
+void TotalsBook::ObserveUsed(const std::string& workspace, int64_t tokens) {
+  LocalUsage& usage = UsageOf(workspace);
+  usage.reported_used = std::max(usage.reported_used, tokens);
+}
+
+bool TotalsBook::IsSpent(const std::string& workspace, int64_t tokens) const {
+  const LocalUsage* usage = FindUsage(workspace);
+  const int64_t in_progress = usage == nullptr ? 0 : usage->in_progress;
+  return TotalOf(workspace) - UsedByAll(workspace) - in_progress < tokens;
+}
+
 TotalState TotalsBook::state(const std::string& workspace,
                              absl::Duration now) const {
   const LocalUsage* usage = FindUsage(workspace);
@@ -474,6 +506,15 @@
   return state;
 }
 
+TotalsSum TotalsBook::sum(absl::Duration now) const {
+  TotalsSum sum;
+  for (const auto& [workspace, usage] : usages_) {
+    sum.available += state(workspace, now).available;
+    sum.waiting += usage.waiting;
+  }
+  return sum;
+}
+
 int64_t TotalsBook::WaitingShortfall(const std::string& workspace,
                                      absl::Duration now) const {
   const LocalUsage* usage = FindUsage(workspace);
--- a/hawthornhollow/totals/totals_options.h
+++ b/hawthornhollow/totals/totals_options.h
@@ -43,12 +43,6 @@
   // A level record makes room for the demand of this time at once, so that
   // commitments between two records seldom wait for the next one.
   absl::Duration burst_horizon = absl::Milliseconds(400);
-  // What the schedules of all holders together allow before their records are
-  // late is at most this share of the total: all VMs that lose power at once
-  // and are back by then are charged no more for commitments that nobody made.
-  // Each holder has room for `burst_requests` of average size all the same.
-  double charge_share = 0.02;
-  double burst_requests = 2;
   // A router that holds no quota keeps transferred tokens for the demand of
   // this time and hands over the rest.
   absl::Duration transfer_horizon = absl::Milliseconds(600);
--- a/hawthornhollow/totals/totals_records.cc
+++ b/hawthornhollow/totals/totals_records.cc
@@ -9,15 +9,6 @@
 // schedule of a level record lets a holder continue at its rate of demand, its
 // own and that of the routers that ask it, through an outage; it is also what a
 // killed router is charged.
-//
-// A router that was killed, or whose VM lost power, is mostly back before its
-// last record is late (late_after). So what the schedules of all holders allow
-// until then is limited to a share of the total (charge_share). The price is
-// paid in an outage of the store: where the demand until late_after exceeds the
-// share, commitments wait for some of that time and catch up in the second
-// after. From then on the schedule follows the demand alone, because nobody can
-// tell a router that is gone from one that is cut off and must go on; a router
-// that comes back later is charged more.
 
 #include <algorithm>
 #include <cstdlib>
@@ -142,27 +133,12 @@
   });
 }
 
-int64_t TotalsBook::ChargeLimit(const std::string& workspace,
-                                const LocalUsage& usage) const {
-  const size_t holders = std::max<size_t>(1, HoldersOf(workspace).size());
-  return static_cast<int64_t>(
-      std::max(static_cast<double>(TotalOf(workspace)) * options_.charge_share /
-                   static_cast<double>(holders),
-               usage.average_request * options_.burst_requests));
-}
-
-int64_t TotalsBook::DemandBurst(const LocalUsage& usage,
-                                absl::Duration now) const {
+int64_t TotalsBook::LevelBurst(const LocalUsage& usage,
+                               absl::Duration now) const {
   return static_cast<int64_t>(DemandRate(usage, now) * options_.demand_factor *
                               absl::ToDoubleSeconds(options_.burst_horizon));
 }
 
-int64_t TotalsBook::LevelBurst(const std::string& workspace,
-                               const LocalUsage& usage,
-                               absl::Duration now) const {
-  return std::min(DemandBurst(usage, now), ChargeLimit(workspace, usage));
-}
-
 int64_t TotalsBook::ScheduleRate(int64_t headroom,
                                  double demand,
                                  absl::Duration max_horizon) const {
@@ -187,22 +163,13 @@
   const int64_t headroom =
       EffectiveAuthority(workspace) - usage.committed - usage.held;
   const double demand = DemandRate(usage, now) * options_.demand_factor;
-  const int64_t burst = LevelBurst(workspace, usage, now);
-  const double late_after = absl::ToDoubleSeconds(options_.late_after);
-  const int64_t rate = ScheduleRate(headroom, demand, options_.idle_horizon);
-  const double room = static_cast<double>(
-      std::max<int64_t>(0, ChargeLimit(workspace, usage) - burst));
-  share.burst = usage.lending + burst;
-  share.per_second = std::min(rate, static_cast<int64_t>(room / late_after));
+  share.per_second = ScheduleRate(headroom, demand, options_.idle_horizon);
+  share.burst = usage.lending + LevelBurst(usage, now);
   share.late_after_ms = absl::ToInt64Milliseconds(options_.late_after);
   share.late_per_second =
       ScheduleRate(headroom, demand, options_.max_outage_horizon);
-  // What waited until the record was late catches up.
-  const double withheld =
-      static_cast<double>(DemandBurst(usage, now) - burst) +
-      static_cast<double>(rate - share.per_second) * late_after;
   share.late_burst =
-      share.held + static_cast<int64_t>(withheld) +
+      share.held +
       static_cast<int64_t>(usage.average_request *
                            static_cast<double>(options_.late_requests));
   return share;
@@ -266,9 +233,7 @@
       return true;
     // The next record is written before the room of this one is used up.
     const int64_t quota_left = authority - usage.committed - usage.held;
-    const int64_t low_room = std::min(
-        DemandBurst(usage, now) / 2, LevelBurst(workspace, usage, now) * 3 / 4);
-    if (room < std::min(low_room, quota_left))
+    if (room < std::min(LevelBurst(usage, now) / 2, quota_left))
       return true;
     const int64_t moved =
         std::abs(usage.committed + usage.held - share->committed - share->held);
--- a/hawthornhollow/totals/totals_replay.h
+++ b/hawthornhollow/totals/totals_replay.h
@@ -46,8 +46,6 @@
   // A router is killed, or its VM loses power, at this mean interval.
   absl::Duration mean_time_between_kills = absl::InfiniteDuration();
   absl::Duration downtime = absl::Seconds(1.5);
-  // All VMs lose power at once.
-  absl::Duration power_loss_after = absl::InfiniteDuration();
   // The store is unreachable for all for a time.
   absl::Duration store_away_after = absl::InfiniteDuration();
   absl::Duration store_away;
@@ -71,13 +69,11 @@
   int64_t hand_overs = 0;
   int64_t idle_loans = 0;  // of all borrowers together, when highest
   int64_t lost_loans = 0;  // of killed borrowers
-  int64_t level_records = 0;
   int64_t kills = 0;
   // Used, and in progress at the worst case, when it was highest.
   int64_t peak = 0;
-  int64_t used = 0;     // at the end
-  int64_t charged = 0;  // to starting routers for commitments never made
-  int64_t commits_delayed = 0;  // answers that waited for a level record
+  int64_t used = 0;             // at the end
+  int64_t charged = 0;          // by starting routers, beyond their records
   int64_t spent_by_killed = 0;  // of requests in progress at killed routers
                                 // of the total at the end, in no book's reach
   int64_t left = 0;             // at the end, by the exact counter
@@ -138,7 +134,6 @@
     absl::Duration level_put;
     absl::Duration authority_put;
     absl::Duration levels_read = -absl::InfiniteDuration();
-    int64_t committed_at_end = 0;  // by the incarnation that ended last
   };
   struct Question {
     size_t asker;
--- a/hawthornhollow/totals/totals_replay_impl.h
+++ b/hawthornhollow/totals/totals_replay_impl.h
@@ -23,9 +23,7 @@
        << result.QuestionsPerRequest() << ")"
        << ", for loans " << result.loan_questions << ", hand-overs "
        << result.hand_overs << ", used " << result.used << ", peak "
-       << result.peak << ", level records " << result.level_records
-       << ", waits for a record " << result.commits_delayed
-       << ", charged for nothing " << result.charged << " after "
+       << result.peak << ", charged " << result.charged << " after "
        << result.kills << " kills, idle loans " << result.idle_loans
        << ", lost " << result.lost_loans << ", lost with "
        << "requests " << result.spent_by_killed << ", left " << result.left
@@ -82,12 +80,6 @@
     ScheduleArrival();
     ScheduleKill();
   });
-  if (settings_.power_loss_after < settings_.length) {
-    At(kReplayBegin + settings_.power_loss_after, [this] {
-      for (size_t i = 0; i < routers_.size(); ++i)
-        Kill(i);
-    });
-  }
   while (!events_.empty() && events_.begin()->first < end) {
     auto event = events_.extract(events_.begin());
     now_ = event.key();
@@ -148,13 +140,11 @@
   if (settings_.policy == ReplayPolicy::kEarlier) {
     options.loan_share = std::numeric_limits<int32_t>::max();
     options.loan_horizon = absl::ZeroDuration();
-    options.charge_share = 1;
   }
   options.router = router.name;
   options.boot = "boot";
   options.address = router.name;
   options.failure_domain = std::to_string(index % 3);
-  const int64_t committed = router.committed_at_end;
   router = Router{.name = router.name, .incarnation = router.incarnation};
   router.book = std::make_unique<TotalsBook>(options);
   router.book->SetTotal(kReplayWorkspace, settings_.total, now_);
@@ -173,7 +163,7 @@
       previous,
       {.boot = "boot", .boot_time = now_, .time_of_day = time_of_day});
   for (const InheritedCharge& charge : inherited)
-    result_.charged += charge.charged - committed;
+    result_.charged += charge.charged - charge.recorded;
   Tick(index);
   AtRouter(index, now_ + Uniform(0, 1) * kReplayReturnInterval,
            [this, index] { HandOver(index); });
@@ -184,15 +174,10 @@
   if (router.book == nullptr)
     return;
   ++result_.kills;
-  router.committed_at_end =
-      router.book->state(kReplayWorkspace, now_).committed -
-      router.book->other_routers_sums(kReplayWorkspace).committed;
   for (const auto& [id, running] : router.running) {
     in_progress_ -= running.request.tokens;
     if (running.committed)
       result_.spent_by_killed += running.request.tokens;
-    else
-      router.committed_at_end -= running.reservation.from_authority;
   }
   if (!router.book->IsHolder(kReplayWorkspace))
     result_.lost_loans += router.book->state(kReplayWorkspace, now_).available;
@@ -339,7 +324,6 @@
   Running& running = router.running.at(id);
   running.committed = router.book->Commit(running.reservation, now_);
   if (!running.committed) {
-    ++result_.commits_delayed;
     router.book->AddCommitting(running.reservation);
     SyncLevel(index, false);
     router.book->RemoveCommitting(running.reservation);
--- a/hawthornhollow/totals/totals_replay_routers_impl.h
+++ b/hawthornhollow/totals/totals_replay_routers_impl.h
@@ -18,7 +18,7 @@
 inline constexpr absl::Duration kReplayTick = absl::Milliseconds(10);
 inline constexpr absl::Duration kReplayPatience = absl::Milliseconds(125);
 inline constexpr absl::Duration kReplayTimeout = absl::Milliseconds(250);
-inline constexpr absl::Duration kReplayAmpleTimeout = absl::Milliseconds(2500);
+inline constexpr absl::Duration kReplayAmpleTimeout = absl::Seconds(1);
 inline constexpr absl::Duration kReplayAskInterval = absl::Milliseconds(50);
 inline constexpr absl::Duration kReplayLoanInterval = absl::Milliseconds(100);
 inline constexpr absl::Duration kReplayLoanPause = absl::Seconds(1);
@@ -236,7 +236,6 @@
     return;
   router.is_putting_level = true;
   router.level_put = now_;
-  ++result_.level_records;
   const fb::LevelRecordT record = router.book->MakeLevel(now_);
   At(now_ + settings_.store_call / 2, [=, this] {
     levels_[record.router] = record;
