--- a/hawthornhollow/relay/relay_instance_impl.h
+++ b/hawthornhollow/relay/relay_instance_impl.h
@@ -27,7 +27,8 @@
           {.book = {.router = settings.router,
                     .boot = BootId(),
                     .address = settings.peers.ToString(),
-                    .failure_domain = settings.failure_domain}},
+                    .failure_domain = settings.failure_domain,
+                    .spent_by_use = settings.spent_by_use}},
           [&runtime](std::function<void()> task) {
             runtime.Spawn(std::move(task));
           },
--- a/hawthornhollow/relay/relay_settings.h
+++ b/hawthornhollow/relay/relay_settings.h
@@ -65,6 +65,8 @@
   size_t max_buffered_bytes = 16 * 1024 * 1024;
   // Of one answer of another router. Entries of thousands of servers are 1 MB.
   size_t max_peer_answer_bytes = 8 * 1024 * 1024;
+  // 402 by what requests used, not by commitments; see TotalsOptions.
+  bool spent_by_use = false;
   RunOptions run;
   CongestionDetectorOptions link;
   LinkLoadOptions link_load;
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -235,10 +235,11 @@
   void AddCommitting(const Reservation& reservation);
   void RemoveCommitting(const Reservation& reservation);
 
-  // Whether the total can never cover `tokens`: what ended requests used for
-  // certain, and this router's requests in progress at their worst case, leave
-  // less. Tokens that are only committed, lent or charged ahead of use do not
-  // count.
+  // Whether the total cannot cover `tokens`. With `spent_by_use`, it never can:
+  // what ended requests used for certain, and this router's requests in
+  // progress at their worst case, leave less; tokens that are only committed,
+  // lent or charged ahead of use do not count. Without, by the commitments that
+  // the records show.
   bool IsSpent(const std::string& workspace, int64_t tokens) const;
   // What no router has committed or holds, as recorded, with the tokens that
   // were transferred to this router. Less than a request needs means that no
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -484,6 +484,8 @@
 }
 
 bool TotalsBook::IsSpent(const std::string& workspace, int64_t tokens) const {
+  if (!options_.spent_by_use)
+    return Uncommitted(workspace) < tokens;
   const LocalUsage* usage = FindUsage(workspace);
   const int64_t in_progress = usage == nullptr ? 0 : usage->in_progress;
   return TotalOf(workspace) - UsedByAll(workspace) - in_progress < tokens;
--- a/hawthornhollow/totals/totals_options.h
+++ b/hawthornhollow/totals/totals_options.h
@@ -20,6 +20,11 @@
   std::string failure_domain;
   // How many routers hold the total of one workspace; see ChooseHolders.
   size_t max_holders = 3;
+  // Whether a request can never be covered is told by what requests used, and
+  // not by what the records show as committed. Commitments that nobody made
+  // are charged and not used; with this, requests are refused for a while where
+  // they would be refused for good, come back, and are mostly refused again.
+  bool spent_by_use = false;
   // Multiplier of the recent rate of demand, because a holder may also get the
   // demand of other holders that cannot be reached.
   double demand_factor = 1.2;
--- a/hawthornhollow/totals/totals_random_test.cc
+++ b/hawthornhollow/totals/totals_random_test.cc
@@ -373,7 +373,8 @@
         TotalsOptions{.router = vm.name,
                       .boot = vm.boot,
                       .address = vm.name,
-                      .failure_domain = vm.name.substr(vm.name.size() - 1)});
+                      .failure_domain = vm.name.substr(vm.name.size() - 1),
+                      .spent_by_use = true});
     vm.started_at = ClockOf(vm);
     vm.read = 0;
     vm.era = era_;
--- a/hawthornhollow/totals/totals_replay_impl.h
+++ b/hawthornhollow/totals/totals_replay_impl.h
@@ -137,6 +137,7 @@
 inline void Replay::Start(size_t index) {
   Router& router = routers_[index];
   TotalsOptions options = settings_.options;
+  options.spent_by_use = true;
   if (settings_.policy == ReplayPolicy::kEarlier) {
     options.loan_share = std::numeric_limits<int32_t>::max();
     options.loan_horizon = absl::ZeroDuration();
--- a/hawthornhollow/totals/used_tokens_test.cc
+++ b/hawthornhollow/totals/used_tokens_test.cc
@@ -63,8 +63,10 @@
     book_.ApplyLevel(std::move(level));
   }
 
-  TotalsBook book_{
-      {.router = "router-1", .boot = "boot-1", .address = "router-1"}};
+  TotalsBook book_{{.router = "router-1",
+                    .boot = "boot-1",
+                    .address = "router-1",
+                    .spent_by_use = true}};
   int64_t other_sequence_ = 0;
 };
 
@@ -83,6 +85,26 @@
   EXPECT_FALSE(book_.IsSpent(kWorkspace, 5'001));
 }
 
+// Without the option a total is spent as soon as it is committed.
+TEST_F(UsedTokensTest,
+       TotalCommittedByOthers_WithoutTheOption_IsSpentForLarge) {
+  TotalsBook book(
+      {.router = "router-1", .boot = "boot-1", .address = "router-1"});
+  book.SetTotal(kWorkspace, kTotal, kNow);
+  fb::LevelRecordT level;
+  level.router = "router-9";
+  level.epoch = 1;
+  level.sequence = 1;
+  level.shares.push_back(std::make_unique<fb::LevelShareT>());
+  level.shares[0]->workspace = kWorkspace;
+  level.shares[0]->committed = 95'000;
+  book.ApplyLevel(std::move(level));
+  EXPECT_FALSE(book.IsSpent(kWorkspace, 5'000));
+  EXPECT_TRUE(book.IsSpent(kWorkspace, 5'001));
+  book.SetTotal(kWorkspace, kTotal + 10'000, kNow);
+  EXPECT_FALSE(book.IsSpent(kWorkspace, 5'001));
+}
+
 // An answer that arrives late tells less than is known; it counts for nothing.
 TEST_F(UsedTokensTest, UsedReportedByAHolder_CountsOnceAndNeverFalls) {
   ApplyOther(/*committed=*/95'000, 40'000);
