--- a/hawthornhollow/relay/server_load.h
+++ b/hawthornhollow/relay/server_load.h
@@ -12,22 +12,28 @@
 // On the coordinator:
 //   ServerLoad load(options);
 //   PlacementBid bid = load.Bid(request, now);
-//   if (load.Place(request, router, now)) ...   // before it is sent
-//   load.OnFirstToken(id, now);
+//   if (load.Place(request, router, now).has_room) ...  // before it is sent
+//   load.OnFirstToken(id, took, now);
 //   load.OnEnd(id, now);
+//   load.Expire(now);                                   // about every second
 //
 // On the router that has the request:
-//   const std::optional<size_t> best = ChooseBid(bids, request, options);
+//   const std::optional<size_t> best = ChooseBid(bids, request);
 
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/time/time.h"
+#include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/backend_server.h"
+#include "hawthornhollow/relay/prefill_queue.h"
+#include "hawthornhollow/relay/prefix_cache_model.h"
 
 namespace hawthornhollow {
 
@@ -43,6 +49,12 @@
   // A request whose router reports nothing is dropped this long after its time
   // limit.
   absl::Duration expire_after = absl::Seconds(2);
+  // First tokens are reported this late, as progress reports are batched.
+  absl::Duration report_delay = absl::Milliseconds(60);
+  // From sending a request to its arrival at the server, and back.
+  absl::Duration network_time = absl::Milliseconds(2);
+  // Window of the averages of arrivals and their work.
+  absl::Duration arrival_window = absl::Seconds(4);
   friend auto operator<=>(const ServerLoadOptions&,
                           const ServerLoadOptions&) = default;
 };
@@ -69,7 +81,8 @@
   bool has_room = false;
   // Predicted time until the first token.
   absl::Duration first_token;
-  // Predicted delay of all other requests there, summed.
+  // Predicted delay of all other requests there, summed. Each counts in
+  // proportion to how tight its target is, compared with that of the request.
   absl::Duration delay_to_others;
   int64_t uncached_tokens = 0;  // of the prompt
   // What the server holds: requests, and prompt tokens not processed yet.
@@ -90,6 +103,68 @@
                           const PlacementProgress&) = default;
 };
 
+// The load of one server.
+class ServerLoad {
+ public:
+  explicit ServerLoad(const ServerLoadOptions& options);
+
+  // Predicts what would happen to the request here. Leaves `server` empty.
+  PlacementBid Bid(const PlacementRequest& request, absl::Time now) const;
+  // Counts the request as sent to the server if the bid has room. A request
+  // with a known id replaces the earlier one.
+  PlacementBid Place(const PlacementRequest& request,
+                     std::string_view router,
+                     absl::Time now);
+  // Progress of a placed request; unknown ones are ignored. `took` is the time
+  // from sending it to its first token.
+  void OnFirstToken(std::string_view request,
+                    absl::Duration took,
+                    absl::Time now);
+  void OnEnd(std::string_view request, absl::Time now);
+
+  // Forgets the requests of a router that has died.
+  void DropRouter(std::string_view router);
+  // Forgets requests whose routers have not reported their end in time.
+  void Expire(absl::Time now);
+
+  int64_t requests() const { return static_cast<int64_t>(requests_.size()); }
+  // Learned speed in prompt tokens per millisecond.
+  double speed() const { return queue_.speed(); }
+
+ private:
+  struct Placed {
+    std::string router;
+    int64_t memory_tokens = 0;  // in the worst case
+    int64_t output_tokens = 0;  // in the worst case
+    absl::Duration latency_target;
+    absl::Duration time_limit;
+    absl::Time sent_at;
+    absl::Time expires_at;
+    bool has_first_token = false;
+  };
+  using PlacedMap = std::map<std::string, Placed, std::less<>>;
+
+  absl::Duration DelayToOthers(const PlacementRequest& request,
+                               absl::Duration wait,
+                               absl::Duration work,
+                               absl::Time now) const;
+  int64_t UncachedTokens(const PlacementRequest& request, absl::Time now) const;
+  PlacedMap::iterator Erase(PlacedMap::iterator placed, absl::Time now);
+
+  const ServerLoadOptions options_;
+  PrefillQueue queue_;
+  PrefixCacheModel cache_;
+  PlacedMap requests_;
+  int64_t running_ = 0;  // requests that have their first token
+  int64_t memory_tokens_ = 0;
+  int64_t output_tokens_ = 0;
+  // Arrivals: their number, their work in seconds, and the sum of the inverse
+  // of their targets in seconds.
+  DecayedSum arrivals_;
+  DecayedSum arrived_work_;
+  DecayedSum arrived_tightness_;
+};
+
 // Returns the index of the best bid; nullopt if no server has room.
 std::optional<size_t> ChooseBid(const std::vector<PlacementBid>& bids,
                                 const PlacementRequest& request);
