--- a/hawthornhollow/relay/prefill_queue.cc
+++ b/hawthornhollow/relay/prefill_queue.cc
@@ -87,29 +87,23 @@
   return std::llround(tokens);
 }
 
-void PrefillQueue::Add(std::string_view id,
+void PrefillQueue::Add(uint64_t id,
                        int64_t tokens,
                        int64_t urgency,
-                       int64_t running,
                        absl::Time now) {
   if (entries_.empty())
     busy_since_ = std::max(busy_since_, now);
   const size_t position =
       entries_.size() - static_cast<size_t>(CountBehind(urgency));
-  // The schedule of the prompts ahead is brought up to date, so that prompts
-  // whose first tokens are overdue are not expected in the past.
   entries_.insert(entries_.begin() + static_cast<std::ptrdiff_t>(position),
-                  Entry{.id = std::string(id),
+                  Entry{.id = id,
                         .tokens = std::max<int64_t>(0, tokens),
                         .urgency = urgency,
                         .added = now,
                         .overtook = position < entries_.size()});
-  static_cast<void>(running);
 }
 
-bool PrefillQueue::OnFirstToken(std::string_view id,
-                                int64_t running,
-                                absl::Time at) {
+bool PrefillQueue::OnFirstToken(uint64_t id, int64_t running, absl::Time at) {
   const auto found =
       std::find_if(entries_.begin(), entries_.end(),
                    [id](const Entry& entry) { return entry.id == id; });
@@ -151,7 +145,7 @@
                       options_.prompt_tokens_per_ms * kMaxSpeedFactor);
 }
 
-void PrefillQueue::Remove(std::string_view id, absl::Time now) {
+void PrefillQueue::Remove(uint64_t id, absl::Time now) {
   const auto found =
       std::find_if(entries_.begin(), entries_.end(),
                    [id](const Entry& entry) { return entry.id == id; });
--- a/hawthornhollow/relay/prefill_queue.h
+++ b/hawthornhollow/relay/prefill_queue.h
@@ -8,13 +8,11 @@
 //   PrefillQueue queue(options);
 //   absl::Duration wait = queue.Wait(urgency, running, now);
 //   absl::Duration work = queue.WorkOf(tokens, running);
-//   queue.Add(id, tokens, urgency, running, now);
-//   queue.OnFirstToken(id, now);   // or Remove(id, now)
+//   queue.Add(id, tokens, urgency, now);
+//   queue.OnFirstToken(id, running, now);   // or Remove(id, now)
 
 #include <compare>
 #include <cstdint>
-#include <string>
-#include <string_view>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -51,16 +49,13 @@
   // Time to process `tokens` of a prompt.
   absl::Duration WorkOf(int64_t tokens, int64_t running) const;
 
-  void Add(std::string_view id,
-           int64_t tokens,
-           int64_t urgency,
-           int64_t running,
-           absl::Time now);
+  // `id` is chosen by the caller.
+  void Add(uint64_t id, int64_t tokens, int64_t urgency, absl::Time now);
   // The first token of a prompt arrived at `at`. Prompts before it in the queue
   // have been processed, too. Returns whether the prompt was in the queue.
-  bool OnFirstToken(std::string_view id, int64_t running, absl::Time at);
+  bool OnFirstToken(uint64_t id, int64_t running, absl::Time at);
   // A prompt ended without a first token.
-  void Remove(std::string_view id, absl::Time now);
+  void Remove(uint64_t id, absl::Time now);
 
   // Prompts sent, of which no first token is known, that a prompt of this
   // urgency overtakes.
@@ -73,7 +68,7 @@
 
  private:
   struct Entry {
-    std::string id;
+    uint64_t id = 0;
     int64_t tokens = 0;
     int64_t urgency = 0;
     absl::Time added;
--- a/hawthornhollow/relay/prompt_placement.cc
+++ b/hawthornhollow/relay/prompt_placement.cc
@@ -40,7 +40,9 @@
   std::set<std::string> present;
   for (const RelayServer& server : servers) {
     present.insert(server.id);
-    const auto [found, is_new] = servers_.try_emplace(server.id);
+    const auto [found, is_new] = servers_.try_emplace(
+        server.id, PrefillQueueOptions{.prompt_tokens_per_ms =
+                                           options_.prompt_tokens_per_ms});
     found->second.server = server;
     if (is_new) {
       found->second.registration = ++last_registration_;
@@ -98,16 +100,26 @@
   return tokens - cached;
 }
 
-absl::Duration PromptPlacement::PredictedWait(const State& state,
-                                              int64_t uncached,
-                                              const PlacementQuery& query,
-                                              absl::Time now) const {
+absl::Duration PromptPlacement::PrefillWait(const State& state,
+                                            int64_t uncached,
+                                            absl::Time now) const {
+  if (options_.learn_speed) {
+    return state.queue.Wait(/*urgency=*/0, state.in_flight, now) +
+           state.queue.WorkOf(uncached, state.in_flight);
+  }
   const double tokens =
       static_cast<double>(state.unread_tokens + std::max<int64_t>(0, uncached));
   // Computing durations from integers is several times as fast as from doubles.
   constexpr double kNanosecondsPerMillisecond = 1e6;
-  absl::Duration wait = absl::Nanoseconds(static_cast<int64_t>(
+  return absl::Nanoseconds(static_cast<int64_t>(
       tokens / options_.prompt_tokens_per_ms * kNanosecondsPerMillisecond));
+}
+
+absl::Duration PromptPlacement::PredictedWait(const State& state,
+                                              int64_t uncached,
+                                              const PlacementQuery& query,
+                                              absl::Time now) const {
+  absl::Duration wait = PrefillWait(state, uncached, now);
   if (state.in_flight > 0)
     wait += options_.wait_per_request * state.in_flight;
   if (state.failures > 0)
@@ -156,7 +168,8 @@
   return Choice{.server = best->server,
                 .uncached_tokens = best_uncached,
                 .predicted_wait = best_wait,
-                .registration = best->registration};
+                .registration = best->registration,
+                .sequence = ++last_sequence_};
 }
 
 void PromptPlacement::Begin(const Choice& choice,
@@ -167,6 +180,7 @@
     return;
   ++state->in_flight;
   state->unread_tokens += choice.uncached_tokens;
+  state->queue.Add(choice.sequence, choice.uncached_tokens, /*urgency=*/0, now);
   RecordCachedParts(state, query, now);
 }
 
@@ -199,9 +213,12 @@
   return &found->second;
 }
 
-void PromptPlacement::OnFirstToken(const Choice& choice) {
-  if (State* state = Find(choice))
-    state->unread_tokens -= choice.uncached_tokens;
+void PromptPlacement::OnFirstToken(const Choice& choice, absl::Time now) {
+  State* const state = Find(choice);
+  if (state == nullptr)
+    return;
+  state->unread_tokens -= choice.uncached_tokens;
+  state->queue.OnFirstToken(choice.sequence, state->in_flight, now);
 }
 
 void PromptPlacement::OnFinished(const Choice& choice,
@@ -213,8 +230,10 @@
     return;
   State& state = *found;
   --state.in_flight;
-  if (!had_first_token)
+  if (!had_first_token) {
     state.unread_tokens -= choice.uncached_tokens;
+    state.queue.Remove(choice.sequence, now);
+  }
   if (outcome == Outcome::kAbandoned)
     return;
   const double sample = outcome == Outcome::kAnswered ? 0.0 : 1.0;
--- a/hawthornhollow/relay/prompt_placement.h
+++ b/hawthornhollow/relay/prompt_placement.h
@@ -14,12 +14,18 @@
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
 #include "hawthornhollow/relay/backend_server.h"
+#include "hawthornhollow/relay/prefill_queue.h"
 
 namespace hawthornhollow {
 
 struct PlacementOptions {
-  // Prompt tokens that a server processes per millisecond.
+  // Prompt tokens that a server processes per millisecond, until its first
+  // tokens show its own speed.
   double prompt_tokens_per_ms = 38;
+  // Whether the speed of each server is learned, and the tokens of a prompt
+  // count less as it is processed. If not, all servers have the same speed, and
+  // the tokens of a prompt count in full until its first token.
+  bool learn_speed = true;
   // Added to the predicted wait for each request that this router has in flight
   // at the server.
   absl::Duration wait_per_request = absl::Milliseconds(4);
@@ -68,6 +74,8 @@
     // Identifies the registration of the server that counts the request. A
     // server that was removed and listed again counts from zero.
     uint64_t registration = 0;
+    // Identifies the request.
+    uint64_t sequence = 0;
     friend auto operator<=>(const Choice&, const Choice&) = default;
   };
   // Chooses a server. Returns NOT_FOUND if no server of the service may be
@@ -80,7 +88,7 @@
 
   // Reports the progress of a choice. OnFirstToken is called at most once;
   // OnFinished is called once.
-  void OnFirstToken(const Choice& choice);
+  void OnFirstToken(const Choice& choice, absl::Time now);
   enum class Outcome {
     kAnswered,    // a complete answer, with any status
     kFailed,      // a server error, or an incomplete answer
@@ -103,11 +111,14 @@
 
  private:
   struct State {
+    explicit State(const PrefillQueueOptions& options) : queue(options) {}
+
     RelayServer server;
     uint64_t id_hash = 0;
     uint64_t registration = 0;
     int64_t in_flight = 0;
     int64_t unread_tokens = 0;  // of prompts that have no first token yet
+    PrefillQueue queue;         // the same prompts
     // Prompt part id -> time of its last use by this router.
     std::map<std::string, absl::Time> cached;
     double failures = 0;  // averaged fraction of failed requests
@@ -126,6 +137,9 @@
                          int64_t tokens,
                          absl::Time now) const;
   double FailureShare(const State& state, absl::Time now) const;
+  absl::Duration PrefillWait(const State& state,
+                             int64_t uncached,
+                             absl::Time now) const;
   absl::Duration PredictedWait(const State& state,
                                int64_t uncached,
                                const PlacementQuery& query,
@@ -137,6 +151,7 @@
   const PlacementOptions options_;
   std::map<std::string, State, std::less<>> servers_;
   uint64_t last_registration_ = 0;
+  uint64_t last_sequence_ = 0;
 };
 
 // Returns the prompt part that determines the preferred server: the last part
--- a/hawthornhollow/relay/prompt_placement_test.cc
+++ b/hawthornhollow/relay/prompt_placement_test.cc
@@ -59,7 +59,7 @@
   const std::string first = Choose(Query(1, 0)).server.id;
   for (int i = 1; i < 20; ++i) {
     const auto choice = Choose(Query(1, i));
-    placement_.OnFirstToken(choice);
+    placement_.OnFirstToken(choice, now_);
     placement_.OnFinished(choice, /*had_first_token=*/true, Outcome::kAnswered,
                           now_);
   }
@@ -107,7 +107,7 @@
 TEST_F(PromptPlacementTest, FinishedRequests_LeaveNothingInFlight) {
   const auto a = Choose(Query(1, 0));
   const auto b = Choose(Query(1, 1));
-  placement_.OnFirstToken(a);
+  placement_.OnFirstToken(a, now_);
   placement_.OnFinished(a, /*had_first_token=*/true, Outcome::kAnswered, now_);
   Finish(b, Outcome::kAbandoned);
   EXPECT_EQ(placement_.in_flight(a.server.id), 0);
--- a/hawthornhollow/relay/request_run_answer_impl.h
+++ b/hawthornhollow/relay/request_run_answer_impl.h
@@ -167,7 +167,7 @@
   if (got_first_piece())
     return;
   first_piece_at_ = SteadyNow();
-  shared_.placement->OnFirstToken(choice);
+  shared_.placement->OnFirstToken(choice, *first_piece_at_);
   if (summary_.first_event == absl::InfiniteDuration())
     summary_.first_event = SteadyNow() - request_.arrived;
 }
--- a/hawthornhollow/relay/server_load.cc
+++ b/hawthornhollow/relay/server_load.cc
@@ -18,6 +18,7 @@
 // first one takes as long as processing the part again.
 
 #include "hawthornhollow/relay/server_load.h"
+#include "hawthornhollow/relay/prompt_placement.h"
 
 #include <algorithm>
 #include <limits>
@@ -31,6 +32,26 @@
 constexpr absl::Duration kDefaultTarget = absl::Seconds(1);
 constexpr absl::Duration kDefaultTimeLimit = absl::Seconds(10);
 
+// Engines process about this many prompt tokens per millisecond. For the cost
+// of copies of shared parts, which no particular server pays.
+constexpr double kTypicalTokensPerMs = 38;
+// Processing a shared part at its second server counts this often in addition:
+// requests that the first one takes again do not use it.
+constexpr double kSecondCopyWeight = 1;
+// The same at a server where other requests with the part do not look for it,
+// so that each of them may have to process it.
+constexpr double kLostCopyWeight = 16;
+// A first token later than this share of the target counts with this weight in
+// addition, as predictions are not exact.
+constexpr double kLateShare = 0.5;
+constexpr double kLateWeight = 16;
+// Utilization of a server by requests with one shared part above which the part
+// is to get a further server.
+constexpr double kMaxPartUtilization = 0.3;
+// Shared parts with less are forgotten.
+constexpr double kMinPartUtilization = 0.001;
+constexpr double kPartPressure = 6;
+
 absl::Duration TargetOf(const PlacementRequest& request) {
   return request.latency_target > absl::ZeroDuration() ? request.latency_target
                                                        : kDefaultTarget;
@@ -48,6 +69,25 @@
   return std::max(tokens, request.prompt_tokens);
 }
 
+// Cost of the bid at an index of the bids.
+absl::Duration CostOf(const PlacementBid& bid,
+                      size_t index,
+                      const PlacementRequest& request) {
+  absl::Duration cost = bid.first_token + bid.delay_to_others;
+  const int64_t own_tokens =
+      request.prompt.empty() ? 0 : request.prompt.back().tokens;
+  const double shared_ms =
+      static_cast<double>(
+          std::max<int64_t>(0, bid.uncached_tokens - own_tokens)) /
+      kTypicalTokensPerMs;
+  if (index >= kSharedPartCandidates)
+    cost += absl::Milliseconds(kLostCopyWeight * shared_ms);
+  else if (index > 0)
+    cost += absl::Milliseconds(kSecondCopyWeight * shared_ms);
+  const absl::Duration late = bid.first_token - TargetOf(request) * kLateShare;
+  return cost + kLateWeight * std::max(absl::ZeroDuration(), late);
+}
+
 }  // namespace
 
 ServerLoad::ServerLoad(const ServerLoadOptions& options)
@@ -85,6 +125,18 @@
   return work * delayed;
 }
 
+absl::Duration ServerLoad::PartPressure(const PlacementRequest& request,
+                                        int64_t uncached,
+                                        absl::Time now) const {
+  const auto found = part_work_.find(PreferenceKey(request.prompt));
+  if (found == part_work_.end() || request.prompt.size() < 2)
+    return absl::ZeroDuration();
+  const int64_t shared = PromptTokensOf(request) - uncached;
+  const double excess = found->second.PerSecond(now) - kMaxPartUtilization;
+  return kPartPressure * std::clamp(excess, 0.0, 1.0) *
+         queue_.WorkOf(shared, running_);
+}
+
 PlacementBid ServerLoad::Bid(const PlacementRequest& request,
                              absl::Time now) const {
   PlacementBid bid;
@@ -94,7 +146,8 @@
   const absl::Duration wait = queue_.Wait(request.urgency, running_, now);
   const absl::Duration work = queue_.WorkOf(bid.uncached_tokens, running_);
   bid.first_token = options_.network_time + wait + work;
-  bid.delay_to_others = DelayToOthers(request, wait, work, now);
+  bid.delay_to_others = DelayToOthers(request, wait, work, now) +
+                        PartPressure(request, bid.uncached_tokens, now);
   const bool has_slot = options_.slots == 0 || requests() < options_.slots;
   const bool has_memory =
       options_.memory_tokens == 0 ||
@@ -115,6 +168,7 @@
   if (!bid.has_room)
     return bid;
   const Placed placed = {
+      .sequence = ++last_sequence_,
       .router = std::string(router),
       .memory_tokens = PromptTokensOf(request) + request.max_output_tokens,
       .output_tokens = request.max_output_tokens,
@@ -126,10 +180,15 @@
   memory_tokens_ += placed.memory_tokens;
   output_tokens_ += placed.output_tokens;
   arrivals_.Add(1, now);
-  arrived_work_.Add(
-      absl::ToDoubleSeconds(queue_.WorkOf(bid.uncached_tokens, running_)), now);
+  const double work_seconds =
+      absl::ToDoubleSeconds(queue_.WorkOf(bid.uncached_tokens, running_));
+  arrived_work_.Add(work_seconds, now);
+  if (request.prompt.size() > 1) {
+    part_work_.try_emplace(PreferenceKey(request.prompt), options_.arrival_window)
+        .first->second.Add(work_seconds, now);
+  }
   arrived_tightness_.Add(1 / absl::ToDoubleSeconds(placed.latency_target), now);
-  queue_.Add(request.id, bid.uncached_tokens, request.urgency, running_, now);
+  queue_.Add(placed.sequence, bid.uncached_tokens, request.urgency, now);
   cache_.Use(request.prompt, output_tokens_, now);
   return bid;
 }
@@ -143,7 +202,7 @@
   found->second.has_first_token = true;
   // Reports are late; the time that the router measured is not.
   const absl::Time at = std::min(now, found->second.sent_at + took);
-  queue_.OnFirstToken(request, running_, at);
+  queue_.OnFirstToken(found->second.sequence, running_, at);
   ++running_;
 }
 
@@ -152,7 +211,7 @@
   if (placed->second.has_first_token)
     --running_;
   else
-    queue_.Remove(placed->first, now);
+    queue_.Remove(placed->second.sequence, now);
   memory_tokens_ -= placed->second.memory_tokens;
   output_tokens_ -= placed->second.output_tokens;
   return requests_.erase(placed);
@@ -176,16 +235,20 @@
     placed = placed->second.expires_at <= now ? Erase(placed, now)
                                               : std::next(placed);
   }
+  std::erase_if(part_work_, [now](const auto& part) {
+    return part.second.PerSecond(now) < kMinPartUtilization;
+  });
 }
 
 std::optional<size_t> ChooseBid(const std::vector<PlacementBid>& bids,
                                 const PlacementRequest& request) {
-  static_cast<void>(request);
   std::optional<size_t> best;
   absl::Duration best_cost = absl::InfiniteDuration();
   for (size_t i = 0; i < bids.size(); ++i) {
-    const absl::Duration cost = bids[i].first_token + bids[i].delay_to_others;
-    if (bids[i].has_room && (!best.has_value() || cost < best_cost)) {
+    if (!bids[i].has_room)
+      continue;
+    const absl::Duration cost = CostOf(bids[i], i, request);
+    if (!best.has_value() || cost < best_cost) {
       best = i;
       best_cost = cost;
     }
--- a/hawthornhollow/relay/server_load.h
+++ b/hawthornhollow/relay/server_load.h
@@ -133,6 +133,7 @@
 
  private:
   struct Placed {
+    uint64_t sequence = 0;
     std::string router;
     int64_t memory_tokens = 0;  // in the worst case
     int64_t output_tokens = 0;  // in the worst case
@@ -148,6 +149,11 @@
                                absl::Duration wait,
                                absl::Duration work,
                                absl::Time now) const;
+  // Added to bids of servers that one shared part keeps busy, so that the part
+  // gets a further server in time.
+  absl::Duration PartPressure(const PlacementRequest& request,
+                              int64_t uncached,
+                              absl::Time now) const;
   int64_t UncachedTokens(const PlacementRequest& request, absl::Time now) const;
   PlacedMap::iterator Erase(PlacedMap::iterator placed, absl::Time now);
 
@@ -155,6 +161,7 @@
   PrefillQueue queue_;
   PrefixCacheModel cache_;
   PlacedMap requests_;
+  uint64_t last_sequence_ = 0;
   int64_t running_ = 0;  // requests that have their first token
   int64_t memory_tokens_ = 0;
   int64_t output_tokens_ = 0;
@@ -163,9 +170,17 @@
   DecayedSum arrivals_;
   DecayedSum arrived_work_;
   DecayedSum arrived_tightness_;
+  // Shared part -> work in seconds of the requests with it.
+  std::map<std::string, DecayedSum, std::less<>> part_work_;
 };
 
-// Returns the index of the best bid; nullopt if no server has room.
+// The first bids of a vector are of the servers that all routers agree on for
+// the shared part of the prompt: the preferred one, and the one that is used as
+// well if the part is used very often. See PreferenceKey().
+inline constexpr size_t kSharedPartCandidates = 2;
+
+// Returns the index of the best bid; nullopt if no server has room. For a
+// server that made no bid, leave a bid without room in its place.
 std::optional<size_t> ChooseBid(const std::vector<PlacementBid>& bids,
                                 const PlacementRequest& request);
 
