--- a/hawthornhollow/relay/engine_model.h
+++ b/hawthornhollow/relay/engine_model.h
@@ -12,7 +12,6 @@
 #include <algorithm>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -83,7 +82,8 @@
     double tokens = static_cast<double>(UncachedTokens(job.prompt));
     for (const Active& active : waiting_)
       tokens += static_cast<double>(Left(active));
-    const double steps = 1 + tokens / static_cast<double>(options_.chunk_tokens);
+    const double steps =
+        1 + tokens / static_cast<double>(options_.chunk_tokens);
     return now_ms_ + tokens / Rate() + steps * StepMs();
   }
   double WorkMs(const Job& job) const {
@@ -176,7 +176,7 @@
     }
   }
 
-  const Options options_;
+  Options options_;
   std::deque<Active> waiting_;   // in order of processing
   std::vector<Active> running_;  // have their first token
   // Prompt part id -> tokens, count of uses at its last use.
--- a/hawthornhollow/relay/server_load.cc
+++ b/hawthornhollow/relay/server_load.cc
@@ -35,12 +35,13 @@
 // Engines process about this many prompt tokens per millisecond. For the cost
 // of copies of shared parts, which no particular server pays.
 constexpr double kTypicalTokensPerMs = 38;
-// Processing a shared part at its second server counts this often in addition:
-// requests that the first one takes again do not use it.
-constexpr double kSecondCopyWeight = 1;
-// The same at a server where other requests with the part do not look for it,
-// so that each of them may have to process it.
-constexpr double kLostCopyWeight = 16;
+// A copy of a shared part at a further server costs its processing times these
+// weights in addition, times the part's share of the prompt. At the second
+// server, other requests find it. Elsewhere they do not look for it, so that
+// each of them may have to process it again; there the square of the share
+// keeps small parts free to go to any server.
+constexpr double kSecondCopyWeight = 3;
+constexpr double kLostCopyWeight = 32;
 // A first token later than this share of the target counts with this weight in
 // addition, as predictions are not exact.
 constexpr double kLateShare = 0.5;
@@ -50,6 +51,8 @@
 constexpr double kMaxPartUtilization = 0.3;
 // Shared parts with less are forgotten.
 constexpr double kMinPartUtilization = 0.001;
+// Cost of staying, per unit of utilization above, in multiples of the time to
+// process the part.
 constexpr double kPartPressure = 6;
 
 absl::Duration TargetOf(const PlacementRequest& request) {
@@ -76,13 +79,17 @@
   absl::Duration cost = bid.first_token + bid.delay_to_others;
   const int64_t own_tokens =
       request.prompt.empty() ? 0 : request.prompt.back().tokens;
-  const double shared_ms = static_cast<double>(std::max<int64_t>(
-                               0, bid.uncached_tokens - own_tokens)) /
-                           kTypicalTokensPerMs;
+  const auto uncached_shared = static_cast<double>(
+      std::max<int64_t>(0, bid.uncached_tokens - own_tokens));
+  const double share =
+      uncached_shared /
+      std::max(1.0, uncached_shared + static_cast<double>(own_tokens));
+  double weight = 0;
   if (index >= kSharedPartCandidates)
-    cost += absl::Milliseconds(kLostCopyWeight * shared_ms);
+    weight = kLostCopyWeight * share * share;
   else if (index > 0)
-    cost += absl::Milliseconds(kSecondCopyWeight * shared_ms);
+    weight = kSecondCopyWeight * share;
+  cost += absl::Milliseconds(weight * uncached_shared / kTypicalTokensPerMs);
   const absl::Duration late = bid.first_token - TargetOf(request) * kLateShare;
   return cost + kLateWeight * std::max(absl::ZeroDuration(), late);
 }
@@ -95,7 +102,6 @@
               .report_delay = options.report_delay}),
       cache_({.memory_tokens = options.memory_tokens,
               .cache_time = options.cache_time}),
-      arrivals_(options.arrival_window),
       arrived_work_(options.arrival_window),
       arrived_tightness_(options.arrival_window) {}
 
@@ -178,7 +184,6 @@
   requests_.emplace(request.id, placed);
   memory_tokens_ += placed.memory_tokens;
   output_tokens_ += placed.output_tokens;
-  arrivals_.Add(1, now);
   const double work_seconds =
       absl::ToDoubleSeconds(queue_.WorkOf(bid.uncached_tokens, running_));
   arrived_work_.Add(work_seconds, now);
--- a/hawthornhollow/relay/server_load.h
+++ b/hawthornhollow/relay/server_load.h
@@ -165,9 +165,7 @@
   int64_t running_ = 0;  // requests that have their first token
   int64_t memory_tokens_ = 0;
   int64_t output_tokens_ = 0;
-  // Arrivals: their number, their work in seconds, and the sum of the inverse
-  // of their targets in seconds.
-  DecayedSum arrivals_;
+  // Of arrivals: work in seconds, and the inverse of targets in seconds.
   DecayedSum arrived_work_;
   DecayedSum arrived_tightness_;
   // Shared part -> work in seconds of the requests with it.
