--- a/hawthornhollow/relay/placement_replay_test.cc
+++ b/hawthornhollow/relay/placement_replay_test.cc
@@ -60,6 +60,10 @@
   bool speeds_differ = false;
   double frequent_share = 0;  // of long prompts with one frequently used part
   uint32_t seed = 7;
+
+  friend void PrintTo(const Workload& workload, std::ostream* out) {
+    *out << workload.name;
+  }
 };
 
 std::vector<Arrival> MakeArrivals(const Workload& workload) {
--- a/hawthornhollow/relay/prompt_placement_test.cc
+++ b/hawthornhollow/relay/prompt_placement_test.cc
@@ -114,5 +114,33 @@
   EXPECT_EQ(placement_.in_flight(b.server.id), 0);
 }
 
+// With one speed assumed for all, each prompt went to the same slow server.
+TEST_F(PromptPlacementTest, ServerWithSlowFirstTokens_GetsFewerPrompts) {
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 200; ++i) {
+    PlacementQuery query = Query(1, i);
+    query.prompt = {{"own-" + std::to_string(i), kOwnTokens}};
+    query.prompt_tokens = kOwnTokens;
+    const auto choice = Choose(query);
+    ++chosen[choice.server.id];
+    const double tokens_per_ms = choice.server.id == "engine-0" ? 15 : 45;
+    const absl::Time first_token =
+        now_ + absl::Milliseconds(10 + kOwnTokens / tokens_per_ms);
+    placement_.OnFirstToken(choice, first_token);
+    placement_.OnFinished(choice, /*had_first_token=*/true, Outcome::kAnswered,
+                          first_token);
+    now_ += absl::Seconds(1);
+  }
+  EXPECT_LE(chosen["engine-0"], 15);  // Some, until it is known
+}
+
+// Prompts of other routers ahead of a prompt were not noticed before its first
+// token.
+TEST_F(PromptPlacementTest, OverdueFirstToken_SendsTheSharedPartElsewhere) {
+  const std::string preferred = Choose(Query(1, 0)).server.id;
+  now_ += absl::Seconds(3);
+  EXPECT_NE(Choose(Query(1, 1)).server.id, preferred);
+}
+
 }  // namespace
 }  // namespace hawthornhollow
