--- a/hawthornhollow/relay/server_load.cc
+++ b/hawthornhollow/relay/server_load.cc
@@ -21,7 +21,7 @@
 #include "hawthornhollow/relay/prompt_placement.h"
 
 #include <algorithm>
-#include <limits>
+#include <utility>
 
 namespace hawthornhollow {
 namespace {
@@ -142,6 +142,20 @@
          queue_.WorkOf(shared, running_);
 }
 
+std::vector<PromptPart> ServerLoad::SharedPartsOf(
+    const PlacementRequest& request) const {
+  if (!options_.shared_parts_held_once || request.prompt.empty())
+    return {};
+  return {request.prompt.begin(), request.prompt.end() - 1};
+}
+
+int64_t ServerLoad::AddedMemory(const PlacementRequest& request) const {
+  int64_t added = PromptTokensOf(request) + request.max_output_tokens;
+  for (const PromptPart& part : SharedPartsOf(request))
+    added -= holders_.contains(part.id) ? part.tokens : 0;
+  return added;
+}
+
 PlacementBid ServerLoad::Bid(const PlacementRequest& request,
                              absl::Time now) const {
   PlacementBid bid;
@@ -156,8 +170,7 @@
   const bool has_slot = options_.slots == 0 || requests() < options_.slots;
   const bool has_memory =
       options_.memory_tokens == 0 ||
-      memory_tokens_ + PromptTokensOf(request) + request.max_output_tokens <=
-          options_.memory_tokens;
+      memory_tokens_ + AddedMemory(request) <= options_.memory_tokens;
   bid.has_room =
       has_slot && has_memory && bid.first_token <= TimeLimitOf(request);
   return bid;
@@ -172,16 +185,21 @@
   const PlacementBid bid = Bid(request, now);
   if (!bid.has_room)
     return bid;
-  const Placed placed = {
+  Placed placed = {
       .sequence = ++last_sequence_,
       .router = std::string(router),
+      .shared_parts = SharedPartsOf(request),
       .memory_tokens = PromptTokensOf(request) + request.max_output_tokens,
       .output_tokens = request.max_output_tokens,
       .latency_target = TargetOf(request),
       .time_limit = TimeLimitOf(request),
       .sent_at = now,
       .expires_at = now + TimeLimitOf(request) + options_.expire_after};
-  requests_.emplace(request.id, placed);
+  for (const PromptPart& part : placed.shared_parts) {
+    placed.memory_tokens -= part.tokens;
+    if (++holders_[part.id] == 1)
+      memory_tokens_ += part.tokens;
+  }
   memory_tokens_ += placed.memory_tokens;
   output_tokens_ += placed.output_tokens;
   const double work_seconds =
@@ -195,6 +213,7 @@
   arrived_tightness_.Add(1 / absl::ToDoubleSeconds(placed.latency_target), now);
   queue_.Add(placed.sequence, bid.uncached_tokens, request.urgency, now);
   cache_.Use(request.prompt, output_tokens_, now);
+  requests_.emplace(request.id, std::move(placed));
   return bid;
 }
 
@@ -217,6 +236,13 @@
     --running_;
   else
     queue_.Remove(placed->second.sequence, now);
+  for (const PromptPart& part : placed->second.shared_parts) {
+    const auto held = holders_.find(part.id);
+    if (--held->second > 0)
+      continue;
+    memory_tokens_ -= part.tokens;
+    holders_.erase(held);
+  }
   memory_tokens_ -= placed->second.memory_tokens;
   output_tokens_ -= placed->second.output_tokens;
   return requests_.erase(placed);
--- a/hawthornhollow/relay/server_load.h
+++ b/hawthornhollow/relay/server_load.h
@@ -41,6 +41,9 @@
   // Limits of the server; 0 if unknown.
   int64_t slots = 0;
   int64_t memory_tokens = 0;
+  // Whether the server holds a part that several requests share only once. If
+  // not known, false is safe: a server whose memory is exceeded crashes.
+  bool shared_parts_held_once = false;
   // Prompt tokens that a server processes per millisecond, until its first
   // tokens show its own speed.
   double prompt_tokens_per_ms = 38;
@@ -135,7 +138,9 @@
   struct Placed {
     uint64_t sequence = 0;
     std::string router;
-    int64_t memory_tokens = 0;  // in the worst case
+    // Parts that are held once for all requests.
+    std::vector<PromptPart> shared_parts;
+    int64_t memory_tokens = 0;  // of its own, in the worst case
     int64_t output_tokens = 0;  // in the worst case
     absl::Duration latency_target;
     absl::Duration time_limit;
@@ -154,6 +159,10 @@
   absl::Duration PartPressure(const PlacementRequest& request,
                               int64_t uncached,
                               absl::Time now) const;
+  // The parts of the prompt that the server holds once for all requests.
+  std::vector<PromptPart> SharedPartsOf(const PlacementRequest& request) const;
+  // Memory that the request would take in addition, in the worst case.
+  int64_t AddedMemory(const PlacementRequest& request) const;
   int64_t UncachedTokens(const PlacementRequest& request, absl::Time now) const;
   PlacedMap::iterator Erase(PlacedMap::iterator placed, absl::Time now);
 
@@ -164,6 +173,8 @@
   uint64_t last_sequence_ = 0;
   int64_t running_ = 0;  // requests that have their first token
   int64_t memory_tokens_ = 0;
+  // Shared part -> number of requests that hold it; if held once.
+  std::map<std::string, int64_t, std::less<>> holders_;
   int64_t output_tokens_ = 0;
   // Of arrivals: work in seconds, and the inverse of targets in seconds.
   DecayedSum arrived_work_;
--- a/hawthornhollow/relay/server_load_test.cc
+++ b/hawthornhollow/relay/server_load_test.cc
@@ -170,6 +170,31 @@
   }
 }
 
+// Long prompts found no room at servers that hold a shared part only once.
+TEST_F(ServerLoadTest, SharedPartHeldOnce_CountsOnceUntilItsLastRequestEnds) {
+  const struct {
+    bool held_once;
+    int has_room;  // of requests with a part of 5,000 and 1,100 of their own
+  } cases[] = {{false, 1}, {true, 5}};
+  for (const auto& c : cases) {
+    ServerLoad load(
+        {.memory_tokens = 11'000, .shared_parts_held_once = c.held_once});
+    for (int round = 0; round < 2; ++round) {
+      int has_room = 0;
+      for (int i = 0; i < 9; ++i) {
+        const PlacementRequest request =
+            SharedRequest(absl::StrCat(i), "topic", 5000, 1000);
+        has_room += load.Place(request, "r", At(0)).has_room ? 1 : 0;
+      }
+      EXPECT_EQ(has_room, c.has_room) << c.held_once;
+      for (int i = 0; i < 9; ++i)
+        load.OnEnd(absl::StrCat(i), At(0));
+    }
+    const PlacementRequest other = SharedRequest("x", "other", 9900, 1000);
+    EXPECT_TRUE(load.Bid(other, At(0)).has_room);
+  }
+}
+
 TEST_F(ServerLoadTest, RequestWithoutRoom_IsNotCounted) {
   ServerLoad load({.slots = 1});
   EXPECT_TRUE(load.Place(Request("a", 100), "r", At(0)).has_room);
