--- a/hawthornhollow/relay/server_load.h
+++ b/hawthornhollow/relay/server_load.h
@@ -52,7 +52,8 @@
   // A request whose router reports nothing is dropped this long after its time
   // limit.
   absl::Duration expire_after = absl::Seconds(2);
-  // First tokens are reported this late, as progress reports are batched.
+  // First tokens are reported this late at most, as progress reports are
+  // batched. If they are later, they count as overdue, and the server as slow.
   absl::Duration report_delay = absl::Milliseconds(60);
   // From sending a request to its arrival at the server, and back.
   absl::Duration network_time = absl::Milliseconds(2);
