--- /dev/null
+++ b/hawthornhollow/relay/load_controller.h
@@ -0,0 +1,227 @@
+#ifndef HAWTHORNHOLLOW_RELAY_LOAD_CONTROLLER_H_
+#define HAWTHORNHOLLOW_RELAY_LOAD_CONTROLLER_H_
+
+// Chooses the server of a request by the load that all routers cause: asks the
+// load coordinators of a few candidates, and tells them what becomes of the
+// request. Answers the other routers as a coordinator.
+//
+//   LoadDecision decision = controller.Place(request, candidates);
+//   if (decision.server.empty()) {
+//     // Choose by this router's own view; decision.placed_by tells why.
+//     decision.placed = controller.PlaceUnasked(request, server);
+//   }
+//   controller.OnFirstToken(decision.placed, took);
+//   controller.OnEnd(decision.placed, took);
+//
+// All calls must be made on fibers of one thread.
+
+#include <atomic>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+#include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/load_coordinator.h"
+#include "hawthornhollow/relay/load_messages.h"
+#include "hawthornhollow/relay/prompt_placement.h"
+
+namespace hawthornhollow {
+
+struct LoadControllerOptions {
+  // Whether coordinators are asked and told of requests.
+  bool is_on = true;
+  LoadCoordinatorOptions coordinator;
+  // For one answer of a coordinator: a few round trips between VMs.
+  absl::Duration ask_timeout = absl::Milliseconds(10);
+  // For all answers that one request waits for.
+  absl::Duration place_timeout = absl::Milliseconds(25);
+  // A coordinator that did not answer is not asked again for this time.
+  absl::Duration ask_pause = absl::Milliseconds(400);
+  // Between two reports to one coordinator.
+  absl::Duration report_interval = absl::Milliseconds(20);
+  // Between two looks at which routers are up.
+  absl::Duration routers_interval = absl::Milliseconds(100);
+  // What asking the coordinators of other candidates costs: two round trips. A
+  // request is placed at the first one if the others are better by no more.
+  absl::Duration ask_cost = absl::Milliseconds(4);
+  // Entries kept for one coordinator until the next report; the oldest are
+  // dropped. They expire at the coordinator.
+  size_t max_report_entries = 512;
+  // Of requests that are refused because all servers are full.
+  absl::Duration min_retry_after = absl::Milliseconds(50);
+  absl::Duration max_retry_after = absl::Seconds(5);
+  friend auto operator<=>(const LoadControllerOptions&,
+                          const LoadControllerOptions&) = default;
+};
+
+// What LoadController needs of its router.
+struct LoadCalls {
+  std::function<void(std::function<void()>)> spawn;  // runs on another fiber
+  // All routers that are up, this one included.
+  std::function<std::vector<RouterAddress>()> routers;
+  std::function<absl::StatusOr<PlacementReply>(
+      const std::string& address,
+      const PlacementQuestion& question,
+      absl::Duration timeout)>
+      ask;
+  std::function<absl::Status(const std::string& address,
+                             const LoadReport& report)>
+      report;
+  // While it is, nobody is asked: answers would wait in the link's queue.
+  std::function<bool()> is_link_busy;
+  std::function<absl::Time()> now = &SteadyNow;
+};
+
+// What a server was chosen by.
+enum class PlacedBy {
+  kCoordinator,
+  // The router's own view, because
+  kOff,        // load is not coordinated, or no candidate has a coordinator
+  kLinkBusy,   // this VM's link is busy
+  kNoAnswer,   // the coordinator did not answer in time
+  kUnsettled,  // the coordinator does not know the load yet
+  kNoRoom,     // no server that was asked for has room, but others may
+};
+std::string_view NameOf(PlacedBy placed_by);
+
+// A request that a coordinator was told of.
+struct PlacedRequest {
+  std::string server;
+  std::string request;  // id among all requests of all routers
+  RouterAddress coordinator;
+  bool has_prompt = false;
+  friend auto operator<=>(const PlacedRequest&, const PlacedRequest&) = default;
+};
+
+struct LoadDecision {
+  std::string server;  // empty: to be chosen by the router's own view
+  PlacedBy placed_by = PlacedBy::kOff;
+  PlacementBid bid;      // of the server
+  int64_t messages = 0;  // questions to other routers
+  absl::Duration took;
+  std::optional<PlacedRequest> placed;
+  // Set if every server of the service says that it has no room.
+  std::optional<absl::Duration> full_for;
+
+  std::string_view placed_by_name() const { return NameOf(placed_by); }
+};
+
+class LoadController {
+ public:
+  // `router` is the name of this router.
+  LoadController(std::string router,
+                 const LoadControllerOptions& options,
+                 LoadCalls calls);
+  LoadController(const LoadController&) = delete;
+  LoadController& operator=(const LoadController&) = delete;
+
+  // Ids of requests are made unique with the router's name and a count.
+  std::string UniqueId(std::string_view request);
+
+  // Places a request; may wait for other routers.
+  LoadDecision Place(const PlacementRequest& request,
+                     const PlacementShortlist& candidates);
+  // Tells the server's coordinator of a request that is sent without its bid.
+  // Returns nullopt if it is not told.
+  std::optional<PlacedRequest> PlaceUnasked(const PlacementRequest& request,
+                                            const std::string& server);
+  // Progress of a request. `took` counts from when it was sent to the server.
+  void OnFirstToken(const PlacedRequest& placed, absl::Duration took);
+  void OnEnd(const PlacedRequest& placed, absl::Duration took);
+
+  // Another router asks or tells this one.
+  PlacementReply OnAsked(const PlacementQuestion& question);
+  void OnReported(const LoadReport& report);
+
+  void SetServers(const std::vector<RelayServer>& servers);
+  void SetTable(std::shared_ptr<const RoutingTable> table);
+  size_t coordinated_servers() const { return coordinator_.server_count(); }
+
+  // Follows which routers are up, and reports, until `stop` is set. Call it on
+  // its own fiber.
+  void Run(const std::atomic<bool>& stop);
+  // One round of Run().
+  void ObserveRouters();
+  void SendReports();
+
+ private:
+  // What is to be told to one coordinator.
+  struct Outbox {
+    std::string address;
+    LoadReport report;
+    bool is_sending = false;
+    absl::Time paused_until = absl::InfinitePast();
+  };
+  // The candidates of one coordinator.
+  struct Group {
+    RouterAddress coordinator;
+    std::vector<std::string> servers;
+  };
+  struct Answers;
+  // The course of one request.
+  struct Course;
+
+  LoadDecision PlaceByBids(const PlacementRequest& request,
+                           const PlacementShortlist& candidates);
+  // Asks the coordinator of the first candidate, which places the request if
+  // the others cannot be much better. Returns whether the request's place is
+  // decided.
+  bool AskFirst(const PlacementShortlist& candidates, Course* course);
+  bool PlaceAtBest(Course* course);
+  void AskOthers(const std::vector<std::string>& servers, Course* course);
+  // The most that a place may cost to be taken without asking for others.
+  absl::Duration GoodCost(const PlacementRequest& request) const;
+  std::vector<Group> GroupsOf(const std::vector<std::string>& servers,
+                              const Course& course);
+  // Returns nullopt if the coordinator does not answer.
+  std::optional<PlacementReply> Ask(const Group& group,
+                                    absl::Duration place_within,
+                                    Course* course);
+  std::optional<PlacementReply> AskRemote(const RouterAddress& coordinator,
+                                          PlacementQuestion question,
+                                          absl::Duration timeout);
+  // Takes the bids of an answer, and what it says about the request's place.
+  bool TakeReply(const Group& group,
+                 const std::optional<PlacementReply>& reply,
+                 Course* course);
+  bool IsPaused(const RouterAddress& coordinator) const;
+  absl::Duration PrefillTime(int64_t tokens) const;
+  void ObserveBid(const std::string& service, const PlacementBid& bid);
+  void LogAnswer(const PlacementQuestion& question,
+                 const PlacementReply& reply) const;
+
+  Outbox& OutboxOf(const RouterAddress& coordinator);
+  void TellProgress(const PlacedRequest& placed,
+                    PlacementEvent event,
+                    absl::Duration took);
+  void Trim(LoadReport* report) const;
+  void Send(const std::string& coordinator, Outbox* outbox);
+  // The coordinator did not answer: it is left alone for a while.
+  void OnUntold(const std::string& coordinator,
+                const std::vector<PlacementProgress>& progress);
+
+  const std::string router_;
+  const LoadControllerOptions options_;
+  const LoadCalls calls_;
+  LoadCoordinator coordinator_;
+  // Predicts what a server that holds nothing would offer.
+  const ServerLoad empty_server_;
+  uint64_t request_count_ = 0;
+  std::map<std::string, std::shared_ptr<Outbox>> outboxes_;  // keyed by router
+  // The delay of other requests for each millisecond of a prompt's processing,
+  // on average over the bids of late, keyed by service.
+  std::map<std::string, double> mean_delay_;
+  absl::Time routers_observed_ = absl::InfinitePast();
+};
+
+}  // namespace hawthornhollow
+
+#endif  // HAWTHORNHOLLOW_RELAY_LOAD_CONTROLLER_H_
--- a/hawthornhollow/relay/peer_calls.cc
+++ b/hawthornhollow/relay/peer_calls.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/relay/load_codec_internal.h"
 #include "hawthornhollow/relay/peer_codec_internal.h"
 #include "hawthornhollow/totals/message_bytes.h"
 #include "hawthornhollow/totals/totals_generated.h"
@@ -222,4 +223,29 @@
   return DecodeLimits(*body, address);
 }
 
+absl::StatusOr<PlacementReply> AskPeerForPlacement(
+    HttpClient& client,
+    const std::string& address,
+    const PlacementQuestion& question,
+    absl::Duration timeout) {
+  const auto body = Ask(client, address,
+                        {.method = "POST",
+                         .target = kPlacementTarget,
+                         .body = EncodeQuestion(question)},
+                        timeout);
+  if (!body.ok())
+    return body.status();
+  return DecodePlacementReply(*body, address);
+}
+
+absl::Status ReportLoadToPeer(HttpClient& client,
+                              const std::string& address,
+                              const LoadReport& report) {
+  return Ask(client, address,
+             {.method = "POST",
+              .target = kLoadReportTarget,
+              .body = EncodeReport(report)})
+      .status();
+}
+
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/peer_messages_generated.h
+++ b/hawthornhollow/relay/peer_messages_generated.h
@@ -56,6 +56,38 @@
 struct PermitAnswerBuilder;
 struct PermitAnswerT;
 
+struct PromptPartRecord;
+struct PromptPartRecordBuilder;
+struct PromptPartRecordT;
+
+struct PlacementNeeds;
+struct PlacementNeedsBuilder;
+struct PlacementNeedsT;
+
+struct PlacementProgressRecord;
+struct PlacementProgressRecordBuilder;
+struct PlacementProgressRecordT;
+
+struct PlacementWanted;
+struct PlacementWantedBuilder;
+struct PlacementWantedT;
+
+struct PlacementBidRecord;
+struct PlacementBidRecordBuilder;
+struct PlacementBidRecordT;
+
+struct PlacementAnswer;
+struct PlacementAnswerBuilder;
+struct PlacementAnswerT;
+
+struct PlacementNoticeRecord;
+struct PlacementNoticeRecordBuilder;
+struct PlacementNoticeRecordT;
+
+struct LoadReport;
+struct LoadReportBuilder;
+struct LoadReportT;
+
 bool operator==(const StoredRecordT &lhs, const StoredRecordT &rhs);
 bool operator!=(const StoredRecordT &lhs, const StoredRecordT &rhs);
 bool operator==(const ServerEntriesT &lhs, const ServerEntriesT &rhs);
@@ -76,6 +108,22 @@
 bool operator!=(const PermitWantedT &lhs, const PermitWantedT &rhs);
 bool operator==(const PermitAnswerT &lhs, const PermitAnswerT &rhs);
 bool operator!=(const PermitAnswerT &lhs, const PermitAnswerT &rhs);
+bool operator==(const PromptPartRecordT &lhs, const PromptPartRecordT &rhs);
+bool operator!=(const PromptPartRecordT &lhs, const PromptPartRecordT &rhs);
+bool operator==(const PlacementNeedsT &lhs, const PlacementNeedsT &rhs);
+bool operator!=(const PlacementNeedsT &lhs, const PlacementNeedsT &rhs);
+bool operator==(const PlacementProgressRecordT &lhs, const PlacementProgressRecordT &rhs);
+bool operator!=(const PlacementProgressRecordT &lhs, const PlacementProgressRecordT &rhs);
+bool operator==(const PlacementWantedT &lhs, const PlacementWantedT &rhs);
+bool operator!=(const PlacementWantedT &lhs, const PlacementWantedT &rhs);
+bool operator==(const PlacementBidRecordT &lhs, const PlacementBidRecordT &rhs);
+bool operator!=(const PlacementBidRecordT &lhs, const PlacementBidRecordT &rhs);
+bool operator==(const PlacementAnswerT &lhs, const PlacementAnswerT &rhs);
+bool operator!=(const PlacementAnswerT &lhs, const PlacementAnswerT &rhs);
+bool operator==(const PlacementNoticeRecordT &lhs, const PlacementNoticeRecordT &rhs);
+bool operator!=(const PlacementNoticeRecordT &lhs, const PlacementNoticeRecordT &rhs);
+bool operator==(const LoadReportT &lhs, const LoadReportT &rhs);
+bool operator!=(const LoadReportT &lhs, const LoadReportT &rhs);
 
 struct StoredRecordT : public flatbuffers::NativeTable {
   typedef StoredRecord TableType;
@@ -985,164 +1033,1077 @@
 
 flatbuffers::Offset<PermitAnswer> CreatePermitAnswer(flatbuffers::FlatBufferBuilder &_fbb, const PermitAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PromptPartRecordT : public flatbuffers::NativeTable {
+  typedef PromptPartRecord TableType;
+  std::string id{};
+  int64_t tokens = 0;
+};
 
-inline bool operator==(const StoredRecordT &lhs, const StoredRecordT &rhs) {
-  return
-      (lhs.key == rhs.key) &&
-      (lhs.offset == rhs.offset) &&
-      (lhs.value == rhs.value);
-}
-
-inline bool operator!=(const StoredRecordT &lhs, const StoredRecordT &rhs) {
-    return !(lhs == rhs);
-}
-
+struct PromptPartRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PromptPartRecordT NativeTableType;
+  typedef PromptPartRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_TOKENS = 6
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  int64_t tokens() const {
+    return GetField<int64_t>(VT_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+  PromptPartRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PromptPartRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PromptPartRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline StoredRecordT *StoredRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<StoredRecordT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+struct PromptPartRecordBuilder {
+  typedef PromptPartRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(PromptPartRecord::VT_ID, id);
+  }
+  void add_tokens(int64_t tokens) {
+    fbb_.AddElement<int64_t>(PromptPartRecord::VT_TOKENS, tokens, 0);
+  }
+  explicit PromptPartRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PromptPartRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PromptPartRecord>(end);
+    return o;
+  }
+};
 
-inline void StoredRecord::UnPackTo(StoredRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = key(); if (_e) _o->key = _e->str(); }
-  { auto _e = offset(); _o->offset = _e; }
-  { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
+inline flatbuffers::Offset<PromptPartRecord> CreatePromptPartRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    int64_t tokens = 0) {
+  PromptPartRecordBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_id(id);
+  return builder_.Finish();
 }
 
-inline flatbuffers::Offset<StoredRecord> StoredRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoredRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateStoredRecord(_fbb, _o, _rehasher);
-}
+struct PromptPartRecord::Traits {
+  using type = PromptPartRecord;
+  static auto constexpr Create = CreatePromptPartRecord;
+};
 
-inline flatbuffers::Offset<StoredRecord> CreateStoredRecord(flatbuffers::FlatBufferBuilder &_fbb, const StoredRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StoredRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
-  auto _offset = _o->offset;
-  auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
-  return hawthornhollow::fb::CreateStoredRecord(
+inline flatbuffers::Offset<PromptPartRecord> CreatePromptPartRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    int64_t tokens = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return hawthornhollow::fb::CreatePromptPartRecord(
       _fbb,
-      _key,
-      _offset,
-      _value);
+      id__,
+      tokens);
 }
 
+flatbuffers::Offset<PromptPartRecord> CreatePromptPartRecord(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline bool operator==(const ServerEntriesT &lhs, const ServerEntriesT &rhs) {
-  return
-      (lhs.end == rhs.end) &&
-      (lhs.age_us == rhs.age_us) &&
-      (lhs.unbroken_us == rhs.unbroken_us) &&
-      (lhs.keys == rhs.keys) &&
-      (lhs.records.size() == rhs.records.size() && std::equal(lhs.records.cbegin(), lhs.records.cend(), rhs.records.cbegin(), [](std::unique_ptr<hawthornhollow::fb::StoredRecordT> const &a, std::unique_ptr<hawthornhollow::fb::StoredRecordT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
-      (lhs.era == rhs.era);
-}
-
-inline bool operator!=(const ServerEntriesT &lhs, const ServerEntriesT &rhs) {
-    return !(lhs == rhs);
-}
+struct PlacementNeedsT : public flatbuffers::NativeTable {
+  typedef PlacementNeeds TableType;
+  std::string request{};
+  std::string service{};
+  std::vector<std::unique_ptr<hawthornhollow::fb::PromptPartRecordT>> prompt{};
+  int64_t prompt_tokens = 0;
+  int64_t max_output_tokens = 0;
+  int64_t urgency = 0;
+  int64_t latency_target_us = 0;
+  int64_t time_left_us = 0;
+  PlacementNeedsT() = default;
+  PlacementNeedsT(const PlacementNeedsT &o);
+  PlacementNeedsT(PlacementNeedsT&&) FLATBUFFERS_NOEXCEPT = default;
+  PlacementNeedsT &operator=(PlacementNeedsT o) FLATBUFFERS_NOEXCEPT;
+};
 
+struct PlacementNeeds FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementNeedsT NativeTableType;
+  typedef PlacementNeedsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_SERVICE = 6,
+    VT_PROMPT = 8,
+    VT_PROMPT_TOKENS = 10,
+    VT_MAX_OUTPUT_TOKENS = 12,
+    VT_URGENCY = 14,
+    VT_LATENCY_TARGET_US = 16,
+    VT_TIME_LEFT_US = 18
+  };
+  const flatbuffers::String *request() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUEST);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PromptPartRecord>> *prompt() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PromptPartRecord>> *>(VT_PROMPT);
+  }
+  int64_t prompt_tokens() const {
+    return GetField<int64_t>(VT_PROMPT_TOKENS, 0);
+  }
+  int64_t max_output_tokens() const {
+    return GetField<int64_t>(VT_MAX_OUTPUT_TOKENS, 0);
+  }
+  int64_t urgency() const {
+    return GetField<int64_t>(VT_URGENCY, 0);
+  }
+  int64_t latency_target_us() const {
+    return GetField<int64_t>(VT_LATENCY_TARGET_US, 0);
+  }
+  int64_t time_left_us() const {
+    return GetField<int64_t>(VT_TIME_LEFT_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REQUEST) &&
+           verifier.VerifyString(request()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_PROMPT) &&
+           verifier.VerifyVector(prompt()) &&
+           verifier.VerifyVectorOfTables(prompt()) &&
+           VerifyField<int64_t>(verifier, VT_PROMPT_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_MAX_OUTPUT_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_URGENCY, 8) &&
+           VerifyField<int64_t>(verifier, VT_LATENCY_TARGET_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_TIME_LEFT_US, 8) &&
+           verifier.EndTable();
+  }
+  PlacementNeedsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlacementNeedsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlacementNeeds> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementNeedsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline ServerEntriesT::ServerEntriesT(const ServerEntriesT &o)
-      : end(o.end),
-        age_us(o.age_us),
-        unbroken_us(o.unbroken_us),
-        keys(o.keys),
-        era(o.era) {
-  records.reserve(o.records.size());
-  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new hawthornhollow::fb::StoredRecordT(*records_) : nullptr); }
-}
+struct PlacementNeedsBuilder {
+  typedef PlacementNeeds Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(flatbuffers::Offset<flatbuffers::String> request) {
+    fbb_.AddOffset(PlacementNeeds::VT_REQUEST, request);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(PlacementNeeds::VT_SERVICE, service);
+  }
+  void add_prompt(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PromptPartRecord>>> prompt) {
+    fbb_.AddOffset(PlacementNeeds::VT_PROMPT, prompt);
+  }
+  void add_prompt_tokens(int64_t prompt_tokens) {
+    fbb_.AddElement<int64_t>(PlacementNeeds::VT_PROMPT_TOKENS, prompt_tokens, 0);
+  }
+  void add_max_output_tokens(int64_t max_output_tokens) {
+    fbb_.AddElement<int64_t>(PlacementNeeds::VT_MAX_OUTPUT_TOKENS, max_output_tokens, 0);
+  }
+  void add_urgency(int64_t urgency) {
+    fbb_.AddElement<int64_t>(PlacementNeeds::VT_URGENCY, urgency, 0);
+  }
+  void add_latency_target_us(int64_t latency_target_us) {
+    fbb_.AddElement<int64_t>(PlacementNeeds::VT_LATENCY_TARGET_US, latency_target_us, 0);
+  }
+  void add_time_left_us(int64_t time_left_us) {
+    fbb_.AddElement<int64_t>(PlacementNeeds::VT_TIME_LEFT_US, time_left_us, 0);
+  }
+  explicit PlacementNeedsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementNeeds> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementNeeds>(end);
+    return o;
+  }
+};
 
-inline ServerEntriesT &ServerEntriesT::operator=(ServerEntriesT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(end, o.end);
-  std::swap(age_us, o.age_us);
-  std::swap(unbroken_us, o.unbroken_us);
-  std::swap(keys, o.keys);
-  std::swap(records, o.records);
-  std::swap(era, o.era);
-  return *this;
+inline flatbuffers::Offset<PlacementNeeds> CreatePlacementNeeds(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> request = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PromptPartRecord>>> prompt = 0,
+    int64_t prompt_tokens = 0,
+    int64_t max_output_tokens = 0,
+    int64_t urgency = 0,
+    int64_t latency_target_us = 0,
+    int64_t time_left_us = 0) {
+  PlacementNeedsBuilder builder_(_fbb);
+  builder_.add_time_left_us(time_left_us);
+  builder_.add_latency_target_us(latency_target_us);
+  builder_.add_urgency(urgency);
+  builder_.add_max_output_tokens(max_output_tokens);
+  builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_prompt(prompt);
+  builder_.add_service(service);
+  builder_.add_request(request);
+  return builder_.Finish();
 }
 
-inline ServerEntriesT *ServerEntries::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ServerEntriesT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+struct PlacementNeeds::Traits {
+  using type = PlacementNeeds;
+  static auto constexpr Create = CreatePlacementNeeds;
+};
 
-inline void ServerEntries::UnPackTo(ServerEntriesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = end(); _o->end = _e; }
-  { auto _e = age_us(); _o->age_us = _e; }
-  { auto _e = unbroken_us(); _o->unbroken_us = _e; }
-  { auto _e = keys(); if (_e) { _o->keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->keys[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<hawthornhollow::fb::StoredRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = era(); _o->era = _e; }
+inline flatbuffers::Offset<PlacementNeeds> CreatePlacementNeedsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *request = nullptr,
+    const char *service = nullptr,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::PromptPartRecord>> *prompt = nullptr,
+    int64_t prompt_tokens = 0,
+    int64_t max_output_tokens = 0,
+    int64_t urgency = 0,
+    int64_t latency_target_us = 0,
+    int64_t time_left_us = 0) {
+  auto request__ = request ? _fbb.CreateString(request) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto prompt__ = prompt ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::PromptPartRecord>>(*prompt) : 0;
+  return hawthornhollow::fb::CreatePlacementNeeds(
+      _fbb,
+      request__,
+      service__,
+      prompt__,
+      prompt_tokens,
+      max_output_tokens,
+      urgency,
+      latency_target_us,
+      time_left_us);
 }
 
-inline flatbuffers::Offset<ServerEntries> ServerEntries::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateServerEntries(_fbb, _o, _rehasher);
-}
+flatbuffers::Offset<PlacementNeeds> CreatePlacementNeeds(flatbuffers::FlatBufferBuilder &_fbb, const PlacementNeedsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline flatbuffers::Offset<ServerEntries> CreateServerEntries(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServerEntriesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _end = _o->end;
-  auto _age_us = _o->age_us;
-  auto _unbroken_us = _o->unbroken_us;
-  auto _keys = _o->keys.size() ? _fbb.CreateVectorOfStrings(_o->keys) : 0;
-  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateStoredRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _era = _o->era;
-  return hawthornhollow::fb::CreateServerEntries(
-      _fbb,
-      _end,
-      _age_us,
-      _unbroken_us,
-      _keys,
-      _records,
-      _era);
-}
+struct PlacementProgressRecordT : public flatbuffers::NativeTable {
+  typedef PlacementProgressRecord TableType;
+  std::string server{};
+  std::string request{};
+  bool is_end = false;
+  int64_t took_us = 0;
+};
 
+struct PlacementProgressRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementProgressRecordT NativeTableType;
+  typedef PlacementProgressRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_REQUEST = 6,
+    VT_IS_END = 8,
+    VT_TOOK_US = 10
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  const flatbuffers::String *request() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUEST);
+  }
+  bool is_end() const {
+    return GetField<uint8_t>(VT_IS_END, 0) != 0;
+  }
+  int64_t took_us() const {
+    return GetField<int64_t>(VT_TOOK_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyOffset(verifier, VT_REQUEST) &&
+           verifier.VerifyString(request()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_END, 1) &&
+           VerifyField<int64_t>(verifier, VT_TOOK_US, 8) &&
+           verifier.EndTable();
+  }
+  PlacementProgressRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlacementProgressRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlacementProgressRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementProgressRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline bool operator==(const CrashReportT &lhs, const CrashReportT &rhs) {
-  return
-      (lhs.server == rhs.server) &&
-      (lhs.parts == rhs.parts);
-}
+struct PlacementProgressRecordBuilder {
+  typedef PlacementProgressRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(PlacementProgressRecord::VT_SERVER, server);
+  }
+  void add_request(flatbuffers::Offset<flatbuffers::String> request) {
+    fbb_.AddOffset(PlacementProgressRecord::VT_REQUEST, request);
+  }
+  void add_is_end(bool is_end) {
+    fbb_.AddElement<uint8_t>(PlacementProgressRecord::VT_IS_END, static_cast<uint8_t>(is_end), 0);
+  }
+  void add_took_us(int64_t took_us) {
+    fbb_.AddElement<int64_t>(PlacementProgressRecord::VT_TOOK_US, took_us, 0);
+  }
+  explicit PlacementProgressRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementProgressRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementProgressRecord>(end);
+    return o;
+  }
+};
 
-inline bool operator!=(const CrashReportT &lhs, const CrashReportT &rhs) {
-    return !(lhs == rhs);
+inline flatbuffers::Offset<PlacementProgressRecord> CreatePlacementProgressRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    flatbuffers::Offset<flatbuffers::String> request = 0,
+    bool is_end = false,
+    int64_t took_us = 0) {
+  PlacementProgressRecordBuilder builder_(_fbb);
+  builder_.add_took_us(took_us);
+  builder_.add_request(request);
+  builder_.add_server(server);
+  builder_.add_is_end(is_end);
+  return builder_.Finish();
 }
 
+struct PlacementProgressRecord::Traits {
+  using type = PlacementProgressRecord;
+  static auto constexpr Create = CreatePlacementProgressRecord;
+};
 
-inline CrashReportT *CrashReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<CrashReportT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
+inline flatbuffers::Offset<PlacementProgressRecord> CreatePlacementProgressRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    const char *request = nullptr,
+    bool is_end = false,
+    int64_t took_us = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto request__ = request ? _fbb.CreateString(request) : 0;
+  return hawthornhollow::fb::CreatePlacementProgressRecord(
+      _fbb,
+      server__,
+      request__,
+      is_end,
+      took_us);
 }
 
-inline void CrashReport::UnPackTo(CrashReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = server(); if (_e) _o->server = _e->str(); }
-  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i)->str(); } } }
-}
+flatbuffers::Offset<PlacementProgressRecord> CreatePlacementProgressRecord(flatbuffers::FlatBufferBuilder &_fbb, const PlacementProgressRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline flatbuffers::Offset<CrashReport> CrashReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateCrashReport(_fbb, _o, _rehasher);
-}
+struct PlacementWantedT : public flatbuffers::NativeTable {
+  typedef PlacementWanted TableType;
+  std::string router{};
+  std::unique_ptr<hawthornhollow::fb::PlacementNeedsT> needs{};
+  std::vector<std::string> servers{};
+  int64_t place_within_us = 0;
+  std::vector<std::unique_ptr<hawthornhollow::fb::PlacementProgressRecordT>> progress{};
+  PlacementWantedT() = default;
+  PlacementWantedT(const PlacementWantedT &o);
+  PlacementWantedT(PlacementWantedT&&) FLATBUFFERS_NOEXCEPT = default;
+  PlacementWantedT &operator=(PlacementWantedT o) FLATBUFFERS_NOEXCEPT;
+};
 
-inline flatbuffers::Offset<CrashReport> CreateCrashReport(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
-  auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStrings(_o->parts) : 0;
-  return hawthornhollow::fb::CreateCrashReport(
+struct PlacementWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementWantedT NativeTableType;
+  typedef PlacementWantedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTER = 4,
+    VT_NEEDS = 6,
+    VT_SERVERS = 8,
+    VT_PLACE_WITHIN_US = 10,
+    VT_PROGRESS = 12
+  };
+  const flatbuffers::String *router() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTER);
+  }
+  const hawthornhollow::fb::PlacementNeeds *needs() const {
+    return GetPointer<const hawthornhollow::fb::PlacementNeeds *>(VT_NEEDS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVERS);
+  }
+  int64_t place_within_us() const {
+    return GetField<int64_t>(VT_PLACE_WITHIN_US, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>> *progress() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>> *>(VT_PROGRESS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTER) &&
+           verifier.VerifyString(router()) &&
+           VerifyOffset(verifier, VT_NEEDS) &&
+           verifier.VerifyTable(needs()) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfStrings(servers()) &&
+           VerifyField<int64_t>(verifier, VT_PLACE_WITHIN_US, 8) &&
+           VerifyOffset(verifier, VT_PROGRESS) &&
+           verifier.VerifyVector(progress()) &&
+           verifier.VerifyVectorOfTables(progress()) &&
+           verifier.EndTable();
+  }
+  PlacementWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlacementWantedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlacementWanted> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlacementWantedBuilder {
+  typedef PlacementWanted Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_router(flatbuffers::Offset<flatbuffers::String> router) {
+    fbb_.AddOffset(PlacementWanted::VT_ROUTER, router);
+  }
+  void add_needs(flatbuffers::Offset<hawthornhollow::fb::PlacementNeeds> needs) {
+    fbb_.AddOffset(PlacementWanted::VT_NEEDS, needs);
+  }
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers) {
+    fbb_.AddOffset(PlacementWanted::VT_SERVERS, servers);
+  }
+  void add_place_within_us(int64_t place_within_us) {
+    fbb_.AddElement<int64_t>(PlacementWanted::VT_PLACE_WITHIN_US, place_within_us, 0);
+  }
+  void add_progress(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>>> progress) {
+    fbb_.AddOffset(PlacementWanted::VT_PROGRESS, progress);
+  }
+  explicit PlacementWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementWanted> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementWanted>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlacementWanted> CreatePlacementWanted(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> router = 0,
+    flatbuffers::Offset<hawthornhollow::fb::PlacementNeeds> needs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers = 0,
+    int64_t place_within_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>>> progress = 0) {
+  PlacementWantedBuilder builder_(_fbb);
+  builder_.add_place_within_us(place_within_us);
+  builder_.add_progress(progress);
+  builder_.add_servers(servers);
+  builder_.add_needs(needs);
+  builder_.add_router(router);
+  return builder_.Finish();
+}
+
+struct PlacementWanted::Traits {
+  using type = PlacementWanted;
+  static auto constexpr Create = CreatePlacementWanted;
+};
+
+inline flatbuffers::Offset<PlacementWanted> CreatePlacementWantedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *router = nullptr,
+    flatbuffers::Offset<hawthornhollow::fb::PlacementNeeds> needs = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr,
+    int64_t place_within_us = 0,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>> *progress = nullptr) {
+  auto router__ = router ? _fbb.CreateString(router) : 0;
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*servers) : 0;
+  auto progress__ = progress ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>>(*progress) : 0;
+  return hawthornhollow::fb::CreatePlacementWanted(
+      _fbb,
+      router__,
+      needs,
+      servers__,
+      place_within_us,
+      progress__);
+}
+
+flatbuffers::Offset<PlacementWanted> CreatePlacementWanted(flatbuffers::FlatBufferBuilder &_fbb, const PlacementWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PlacementBidRecordT : public flatbuffers::NativeTable {
+  typedef PlacementBidRecord TableType;
+  std::string server{};
+  bool has_room = false;
+  int64_t first_token_us = 0;
+  int64_t delay_to_others_us = 0;
+  int64_t uncached_tokens = 0;
+  int64_t requests = 0;
+  int64_t queued_tokens = 0;
+};
+
+struct PlacementBidRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementBidRecordT NativeTableType;
+  typedef PlacementBidRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_HAS_ROOM = 6,
+    VT_FIRST_TOKEN_US = 8,
+    VT_DELAY_TO_OTHERS_US = 10,
+    VT_UNCACHED_TOKENS = 12,
+    VT_REQUESTS = 14,
+    VT_QUEUED_TOKENS = 16
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  bool has_room() const {
+    return GetField<uint8_t>(VT_HAS_ROOM, 0) != 0;
+  }
+  int64_t first_token_us() const {
+    return GetField<int64_t>(VT_FIRST_TOKEN_US, 0);
+  }
+  int64_t delay_to_others_us() const {
+    return GetField<int64_t>(VT_DELAY_TO_OTHERS_US, 0);
+  }
+  int64_t uncached_tokens() const {
+    return GetField<int64_t>(VT_UNCACHED_TOKENS, 0);
+  }
+  int64_t requests() const {
+    return GetField<int64_t>(VT_REQUESTS, 0);
+  }
+  int64_t queued_tokens() const {
+    return GetField<int64_t>(VT_QUEUED_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_ROOM, 1) &&
+           VerifyField<int64_t>(verifier, VT_FIRST_TOKEN_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_DELAY_TO_OTHERS_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_UNCACHED_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_REQUESTS, 8) &&
+           VerifyField<int64_t>(verifier, VT_QUEUED_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+  PlacementBidRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlacementBidRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlacementBidRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementBidRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlacementBidRecordBuilder {
+  typedef PlacementBidRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(PlacementBidRecord::VT_SERVER, server);
+  }
+  void add_has_room(bool has_room) {
+    fbb_.AddElement<uint8_t>(PlacementBidRecord::VT_HAS_ROOM, static_cast<uint8_t>(has_room), 0);
+  }
+  void add_first_token_us(int64_t first_token_us) {
+    fbb_.AddElement<int64_t>(PlacementBidRecord::VT_FIRST_TOKEN_US, first_token_us, 0);
+  }
+  void add_delay_to_others_us(int64_t delay_to_others_us) {
+    fbb_.AddElement<int64_t>(PlacementBidRecord::VT_DELAY_TO_OTHERS_US, delay_to_others_us, 0);
+  }
+  void add_uncached_tokens(int64_t uncached_tokens) {
+    fbb_.AddElement<int64_t>(PlacementBidRecord::VT_UNCACHED_TOKENS, uncached_tokens, 0);
+  }
+  void add_requests(int64_t requests) {
+    fbb_.AddElement<int64_t>(PlacementBidRecord::VT_REQUESTS, requests, 0);
+  }
+  void add_queued_tokens(int64_t queued_tokens) {
+    fbb_.AddElement<int64_t>(PlacementBidRecord::VT_QUEUED_TOKENS, queued_tokens, 0);
+  }
+  explicit PlacementBidRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementBidRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementBidRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlacementBidRecord> CreatePlacementBidRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    bool has_room = false,
+    int64_t first_token_us = 0,
+    int64_t delay_to_others_us = 0,
+    int64_t uncached_tokens = 0,
+    int64_t requests = 0,
+    int64_t queued_tokens = 0) {
+  PlacementBidRecordBuilder builder_(_fbb);
+  builder_.add_queued_tokens(queued_tokens);
+  builder_.add_requests(requests);
+  builder_.add_uncached_tokens(uncached_tokens);
+  builder_.add_delay_to_others_us(delay_to_others_us);
+  builder_.add_first_token_us(first_token_us);
+  builder_.add_server(server);
+  builder_.add_has_room(has_room);
+  return builder_.Finish();
+}
+
+struct PlacementBidRecord::Traits {
+  using type = PlacementBidRecord;
+  static auto constexpr Create = CreatePlacementBidRecord;
+};
+
+inline flatbuffers::Offset<PlacementBidRecord> CreatePlacementBidRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    bool has_room = false,
+    int64_t first_token_us = 0,
+    int64_t delay_to_others_us = 0,
+    int64_t uncached_tokens = 0,
+    int64_t requests = 0,
+    int64_t queued_tokens = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return hawthornhollow::fb::CreatePlacementBidRecord(
+      _fbb,
+      server__,
+      has_room,
+      first_token_us,
+      delay_to_others_us,
+      uncached_tokens,
+      requests,
+      queued_tokens);
+}
+
+flatbuffers::Offset<PlacementBidRecord> CreatePlacementBidRecord(flatbuffers::FlatBufferBuilder &_fbb, const PlacementBidRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PlacementAnswerT : public flatbuffers::NativeTable {
+  typedef PlacementAnswer TableType;
+  std::string placed{};
+  std::vector<std::unique_ptr<hawthornhollow::fb::PlacementBidRecordT>> bids{};
+  PlacementAnswerT() = default;
+  PlacementAnswerT(const PlacementAnswerT &o);
+  PlacementAnswerT(PlacementAnswerT&&) FLATBUFFERS_NOEXCEPT = default;
+  PlacementAnswerT &operator=(PlacementAnswerT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PlacementAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementAnswerT NativeTableType;
+  typedef PlacementAnswerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PLACED = 4,
+    VT_BIDS = 6
+  };
+  const flatbuffers::String *placed() const {
+    return GetPointer<const flatbuffers::String *>(VT_PLACED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementBidRecord>> *bids() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementBidRecord>> *>(VT_BIDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PLACED) &&
+           verifier.VerifyString(placed()) &&
+           VerifyOffset(verifier, VT_BIDS) &&
+           verifier.VerifyVector(bids()) &&
+           verifier.VerifyVectorOfTables(bids()) &&
+           verifier.EndTable();
+  }
+  PlacementAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlacementAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlacementAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlacementAnswerBuilder {
+  typedef PlacementAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_placed(flatbuffers::Offset<flatbuffers::String> placed) {
+    fbb_.AddOffset(PlacementAnswer::VT_PLACED, placed);
+  }
+  void add_bids(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementBidRecord>>> bids) {
+    fbb_.AddOffset(PlacementAnswer::VT_BIDS, bids);
+  }
+  explicit PlacementAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlacementAnswer> CreatePlacementAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> placed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementBidRecord>>> bids = 0) {
+  PlacementAnswerBuilder builder_(_fbb);
+  builder_.add_bids(bids);
+  builder_.add_placed(placed);
+  return builder_.Finish();
+}
+
+struct PlacementAnswer::Traits {
+  using type = PlacementAnswer;
+  static auto constexpr Create = CreatePlacementAnswer;
+};
+
+inline flatbuffers::Offset<PlacementAnswer> CreatePlacementAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *placed = nullptr,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::PlacementBidRecord>> *bids = nullptr) {
+  auto placed__ = placed ? _fbb.CreateString(placed) : 0;
+  auto bids__ = bids ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::PlacementBidRecord>>(*bids) : 0;
+  return hawthornhollow::fb::CreatePlacementAnswer(
+      _fbb,
+      placed__,
+      bids__);
+}
+
+flatbuffers::Offset<PlacementAnswer> CreatePlacementAnswer(flatbuffers::FlatBufferBuilder &_fbb, const PlacementAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PlacementNoticeRecordT : public flatbuffers::NativeTable {
+  typedef PlacementNoticeRecord TableType;
+  std::string server{};
+  std::unique_ptr<hawthornhollow::fb::PlacementNeedsT> needs{};
+  PlacementNoticeRecordT() = default;
+  PlacementNoticeRecordT(const PlacementNoticeRecordT &o);
+  PlacementNoticeRecordT(PlacementNoticeRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  PlacementNoticeRecordT &operator=(PlacementNoticeRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PlacementNoticeRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementNoticeRecordT NativeTableType;
+  typedef PlacementNoticeRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_NEEDS = 6
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  const hawthornhollow::fb::PlacementNeeds *needs() const {
+    return GetPointer<const hawthornhollow::fb::PlacementNeeds *>(VT_NEEDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyOffset(verifier, VT_NEEDS) &&
+           verifier.VerifyTable(needs()) &&
+           verifier.EndTable();
+  }
+  PlacementNoticeRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlacementNoticeRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlacementNoticeRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementNoticeRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlacementNoticeRecordBuilder {
+  typedef PlacementNoticeRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(PlacementNoticeRecord::VT_SERVER, server);
+  }
+  void add_needs(flatbuffers::Offset<hawthornhollow::fb::PlacementNeeds> needs) {
+    fbb_.AddOffset(PlacementNoticeRecord::VT_NEEDS, needs);
+  }
+  explicit PlacementNoticeRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementNoticeRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementNoticeRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlacementNoticeRecord> CreatePlacementNoticeRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    flatbuffers::Offset<hawthornhollow::fb::PlacementNeeds> needs = 0) {
+  PlacementNoticeRecordBuilder builder_(_fbb);
+  builder_.add_needs(needs);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct PlacementNoticeRecord::Traits {
+  using type = PlacementNoticeRecord;
+  static auto constexpr Create = CreatePlacementNoticeRecord;
+};
+
+inline flatbuffers::Offset<PlacementNoticeRecord> CreatePlacementNoticeRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    flatbuffers::Offset<hawthornhollow::fb::PlacementNeeds> needs = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return hawthornhollow::fb::CreatePlacementNoticeRecord(
+      _fbb,
+      server__,
+      needs);
+}
+
+flatbuffers::Offset<PlacementNoticeRecord> CreatePlacementNoticeRecord(flatbuffers::FlatBufferBuilder &_fbb, const PlacementNoticeRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LoadReportT : public flatbuffers::NativeTable {
+  typedef LoadReport TableType;
+  std::string router{};
+  std::vector<std::unique_ptr<hawthornhollow::fb::PlacementNoticeRecordT>> notices{};
+  std::vector<std::unique_ptr<hawthornhollow::fb::PlacementProgressRecordT>> progress{};
+  LoadReportT() = default;
+  LoadReportT(const LoadReportT &o);
+  LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  LoadReportT &operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LoadReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadReportT NativeTableType;
+  typedef LoadReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTER = 4,
+    VT_NOTICES = 6,
+    VT_PROGRESS = 8
+  };
+  const flatbuffers::String *router() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTER);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementNoticeRecord>> *notices() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementNoticeRecord>> *>(VT_NOTICES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>> *progress() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>> *>(VT_PROGRESS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTER) &&
+           verifier.VerifyString(router()) &&
+           VerifyOffset(verifier, VT_NOTICES) &&
+           verifier.VerifyVector(notices()) &&
+           verifier.VerifyVectorOfTables(notices()) &&
+           VerifyOffset(verifier, VT_PROGRESS) &&
+           verifier.VerifyVector(progress()) &&
+           verifier.VerifyVectorOfTables(progress()) &&
+           verifier.EndTable();
+  }
+  LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LoadReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LoadReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LoadReportBuilder {
+  typedef LoadReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_router(flatbuffers::Offset<flatbuffers::String> router) {
+    fbb_.AddOffset(LoadReport::VT_ROUTER, router);
+  }
+  void add_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementNoticeRecord>>> notices) {
+    fbb_.AddOffset(LoadReport::VT_NOTICES, notices);
+  }
+  void add_progress(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>>> progress) {
+    fbb_.AddOffset(LoadReport::VT_PROGRESS, progress);
+  }
+  explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadReport> CreateLoadReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> router = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementNoticeRecord>>> notices = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>>> progress = 0) {
+  LoadReportBuilder builder_(_fbb);
+  builder_.add_progress(progress);
+  builder_.add_notices(notices);
+  builder_.add_router(router);
+  return builder_.Finish();
+}
+
+struct LoadReport::Traits {
+  using type = LoadReport;
+  static auto constexpr Create = CreateLoadReport;
+};
+
+inline flatbuffers::Offset<LoadReport> CreateLoadReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *router = nullptr,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::PlacementNoticeRecord>> *notices = nullptr,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>> *progress = nullptr) {
+  auto router__ = router ? _fbb.CreateString(router) : 0;
+  auto notices__ = notices ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::PlacementNoticeRecord>>(*notices) : 0;
+  auto progress__ = progress ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>>(*progress) : 0;
+  return hawthornhollow::fb::CreateLoadReport(
+      _fbb,
+      router__,
+      notices__,
+      progress__);
+}
+
+flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+
+inline bool operator==(const StoredRecordT &lhs, const StoredRecordT &rhs) {
+  return
+      (lhs.key == rhs.key) &&
+      (lhs.offset == rhs.offset) &&
+      (lhs.value == rhs.value);
+}
+
+inline bool operator!=(const StoredRecordT &lhs, const StoredRecordT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline StoredRecordT *StoredRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StoredRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StoredRecord::UnPackTo(StoredRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
+}
+
+inline flatbuffers::Offset<StoredRecord> StoredRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoredRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStoredRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StoredRecord> CreateStoredRecord(flatbuffers::FlatBufferBuilder &_fbb, const StoredRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StoredRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _offset = _o->offset;
+  auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
+  return hawthornhollow::fb::CreateStoredRecord(
+      _fbb,
+      _key,
+      _offset,
+      _value);
+}
+
+
+inline bool operator==(const ServerEntriesT &lhs, const ServerEntriesT &rhs) {
+  return
+      (lhs.end == rhs.end) &&
+      (lhs.age_us == rhs.age_us) &&
+      (lhs.unbroken_us == rhs.unbroken_us) &&
+      (lhs.keys == rhs.keys) &&
+      (lhs.records.size() == rhs.records.size() && std::equal(lhs.records.cbegin(), lhs.records.cend(), rhs.records.cbegin(), [](std::unique_ptr<hawthornhollow::fb::StoredRecordT> const &a, std::unique_ptr<hawthornhollow::fb::StoredRecordT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.era == rhs.era);
+}
+
+inline bool operator!=(const ServerEntriesT &lhs, const ServerEntriesT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ServerEntriesT::ServerEntriesT(const ServerEntriesT &o)
+      : end(o.end),
+        age_us(o.age_us),
+        unbroken_us(o.unbroken_us),
+        keys(o.keys),
+        era(o.era) {
+  records.reserve(o.records.size());
+  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new hawthornhollow::fb::StoredRecordT(*records_) : nullptr); }
+}
+
+inline ServerEntriesT &ServerEntriesT::operator=(ServerEntriesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(end, o.end);
+  std::swap(age_us, o.age_us);
+  std::swap(unbroken_us, o.unbroken_us);
+  std::swap(keys, o.keys);
+  std::swap(records, o.records);
+  std::swap(era, o.era);
+  return *this;
+}
+
+inline ServerEntriesT *ServerEntries::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServerEntriesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServerEntries::UnPackTo(ServerEntriesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = end(); _o->end = _e; }
+  { auto _e = age_us(); _o->age_us = _e; }
+  { auto _e = unbroken_us(); _o->unbroken_us = _e; }
+  { auto _e = keys(); if (_e) { _o->keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->keys[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<hawthornhollow::fb::StoredRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = era(); _o->era = _e; }
+}
+
+inline flatbuffers::Offset<ServerEntries> ServerEntries::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServerEntries(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServerEntries> CreateServerEntries(flatbuffers::FlatBufferBuilder &_fbb, const ServerEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServerEntriesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _end = _o->end;
+  auto _age_us = _o->age_us;
+  auto _unbroken_us = _o->unbroken_us;
+  auto _keys = _o->keys.size() ? _fbb.CreateVectorOfStrings(_o->keys) : 0;
+  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::StoredRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateStoredRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _era = _o->era;
+  return hawthornhollow::fb::CreateServerEntries(
+      _fbb,
+      _end,
+      _age_us,
+      _unbroken_us,
+      _keys,
+      _records,
+      _era);
+}
+
+
+inline bool operator==(const CrashReportT &lhs, const CrashReportT &rhs) {
+  return
+      (lhs.server == rhs.server) &&
+      (lhs.parts == rhs.parts);
+}
+
+inline bool operator!=(const CrashReportT &lhs, const CrashReportT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline CrashReportT *CrashReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashReport::UnPackTo(CrashReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<CrashReport> CrashReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashReport> CreateCrashReport(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStrings(_o->parts) : 0;
+  return hawthornhollow::fb::CreateCrashReport(
       _fbb,
       _server,
       _parts);
@@ -1485,6 +2446,482 @@
       _limit);
 }
 
+
+inline bool operator==(const PromptPartRecordT &lhs, const PromptPartRecordT &rhs) {
+  return
+      (lhs.id == rhs.id) &&
+      (lhs.tokens == rhs.tokens);
+}
+
+inline bool operator!=(const PromptPartRecordT &lhs, const PromptPartRecordT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PromptPartRecordT *PromptPartRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PromptPartRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PromptPartRecord::UnPackTo(PromptPartRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = tokens(); _o->tokens = _e; }
+}
+
+inline flatbuffers::Offset<PromptPartRecord> PromptPartRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePromptPartRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PromptPartRecord> CreatePromptPartRecord(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PromptPartRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _tokens = _o->tokens;
+  return hawthornhollow::fb::CreatePromptPartRecord(
+      _fbb,
+      _id,
+      _tokens);
+}
+
+
+inline bool operator==(const PlacementNeedsT &lhs, const PlacementNeedsT &rhs) {
+  return
+      (lhs.request == rhs.request) &&
+      (lhs.service == rhs.service) &&
+      (lhs.prompt.size() == rhs.prompt.size() && std::equal(lhs.prompt.cbegin(), lhs.prompt.cend(), rhs.prompt.cbegin(), [](std::unique_ptr<hawthornhollow::fb::PromptPartRecordT> const &a, std::unique_ptr<hawthornhollow::fb::PromptPartRecordT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.prompt_tokens == rhs.prompt_tokens) &&
+      (lhs.max_output_tokens == rhs.max_output_tokens) &&
+      (lhs.urgency == rhs.urgency) &&
+      (lhs.latency_target_us == rhs.latency_target_us) &&
+      (lhs.time_left_us == rhs.time_left_us);
+}
+
+inline bool operator!=(const PlacementNeedsT &lhs, const PlacementNeedsT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PlacementNeedsT::PlacementNeedsT(const PlacementNeedsT &o)
+      : request(o.request),
+        service(o.service),
+        prompt_tokens(o.prompt_tokens),
+        max_output_tokens(o.max_output_tokens),
+        urgency(o.urgency),
+        latency_target_us(o.latency_target_us),
+        time_left_us(o.time_left_us) {
+  prompt.reserve(o.prompt.size());
+  for (const auto &prompt_ : o.prompt) { prompt.emplace_back((prompt_) ? new hawthornhollow::fb::PromptPartRecordT(*prompt_) : nullptr); }
+}
+
+inline PlacementNeedsT &PlacementNeedsT::operator=(PlacementNeedsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(request, o.request);
+  std::swap(service, o.service);
+  std::swap(prompt, o.prompt);
+  std::swap(prompt_tokens, o.prompt_tokens);
+  std::swap(max_output_tokens, o.max_output_tokens);
+  std::swap(urgency, o.urgency);
+  std::swap(latency_target_us, o.latency_target_us);
+  std::swap(time_left_us, o.time_left_us);
+  return *this;
+}
+
+inline PlacementNeedsT *PlacementNeeds::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlacementNeedsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlacementNeeds::UnPackTo(PlacementNeedsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); if (_e) _o->request = _e->str(); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = prompt(); if (_e) { _o->prompt.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->prompt[_i] = std::unique_ptr<hawthornhollow::fb::PromptPartRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
+  { auto _e = max_output_tokens(); _o->max_output_tokens = _e; }
+  { auto _e = urgency(); _o->urgency = _e; }
+  { auto _e = latency_target_us(); _o->latency_target_us = _e; }
+  { auto _e = time_left_us(); _o->time_left_us = _e; }
+}
+
+inline flatbuffers::Offset<PlacementNeeds> PlacementNeeds::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementNeedsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlacementNeeds(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlacementNeeds> CreatePlacementNeeds(flatbuffers::FlatBufferBuilder &_fbb, const PlacementNeedsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlacementNeedsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request.empty() ? 0 : _fbb.CreateString(_o->request);
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _prompt = _o->prompt.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::PromptPartRecord>> (_o->prompt.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptPartRecord(*__va->__fbb, __va->__o->prompt[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _prompt_tokens = _o->prompt_tokens;
+  auto _max_output_tokens = _o->max_output_tokens;
+  auto _urgency = _o->urgency;
+  auto _latency_target_us = _o->latency_target_us;
+  auto _time_left_us = _o->time_left_us;
+  return hawthornhollow::fb::CreatePlacementNeeds(
+      _fbb,
+      _request,
+      _service,
+      _prompt,
+      _prompt_tokens,
+      _max_output_tokens,
+      _urgency,
+      _latency_target_us,
+      _time_left_us);
+}
+
+
+inline bool operator==(const PlacementProgressRecordT &lhs, const PlacementProgressRecordT &rhs) {
+  return
+      (lhs.server == rhs.server) &&
+      (lhs.request == rhs.request) &&
+      (lhs.is_end == rhs.is_end) &&
+      (lhs.took_us == rhs.took_us);
+}
+
+inline bool operator!=(const PlacementProgressRecordT &lhs, const PlacementProgressRecordT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PlacementProgressRecordT *PlacementProgressRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlacementProgressRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlacementProgressRecord::UnPackTo(PlacementProgressRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = request(); if (_e) _o->request = _e->str(); }
+  { auto _e = is_end(); _o->is_end = _e; }
+  { auto _e = took_us(); _o->took_us = _e; }
+}
+
+inline flatbuffers::Offset<PlacementProgressRecord> PlacementProgressRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementProgressRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlacementProgressRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlacementProgressRecord> CreatePlacementProgressRecord(flatbuffers::FlatBufferBuilder &_fbb, const PlacementProgressRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlacementProgressRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _request = _o->request.empty() ? 0 : _fbb.CreateString(_o->request);
+  auto _is_end = _o->is_end;
+  auto _took_us = _o->took_us;
+  return hawthornhollow::fb::CreatePlacementProgressRecord(
+      _fbb,
+      _server,
+      _request,
+      _is_end,
+      _took_us);
+}
+
+
+inline bool operator==(const PlacementWantedT &lhs, const PlacementWantedT &rhs) {
+  return
+      (lhs.router == rhs.router) &&
+      ((lhs.needs == rhs.needs) || (lhs.needs && rhs.needs && *lhs.needs == *rhs.needs)) &&
+      (lhs.servers == rhs.servers) &&
+      (lhs.place_within_us == rhs.place_within_us) &&
+      (lhs.progress.size() == rhs.progress.size() && std::equal(lhs.progress.cbegin(), lhs.progress.cend(), rhs.progress.cbegin(), [](std::unique_ptr<hawthornhollow::fb::PlacementProgressRecordT> const &a, std::unique_ptr<hawthornhollow::fb::PlacementProgressRecordT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const PlacementWantedT &lhs, const PlacementWantedT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PlacementWantedT::PlacementWantedT(const PlacementWantedT &o)
+      : router(o.router),
+        needs((o.needs) ? new hawthornhollow::fb::PlacementNeedsT(*o.needs) : nullptr),
+        servers(o.servers),
+        place_within_us(o.place_within_us) {
+  progress.reserve(o.progress.size());
+  for (const auto &progress_ : o.progress) { progress.emplace_back((progress_) ? new hawthornhollow::fb::PlacementProgressRecordT(*progress_) : nullptr); }
+}
+
+inline PlacementWantedT &PlacementWantedT::operator=(PlacementWantedT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(router, o.router);
+  std::swap(needs, o.needs);
+  std::swap(servers, o.servers);
+  std::swap(place_within_us, o.place_within_us);
+  std::swap(progress, o.progress);
+  return *this;
+}
+
+inline PlacementWantedT *PlacementWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlacementWantedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlacementWanted::UnPackTo(PlacementWantedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = router(); if (_e) _o->router = _e->str(); }
+  { auto _e = needs(); if (_e) _o->needs = std::unique_ptr<hawthornhollow::fb::PlacementNeedsT>(_e->UnPack(_resolver)); }
+  { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = place_within_us(); _o->place_within_us = _e; }
+  { auto _e = progress(); if (_e) { _o->progress.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->progress[_i] = std::unique_ptr<hawthornhollow::fb::PlacementProgressRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<PlacementWanted> PlacementWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlacementWanted(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlacementWanted> CreatePlacementWanted(flatbuffers::FlatBufferBuilder &_fbb, const PlacementWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlacementWantedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _router = _o->router.empty() ? 0 : _fbb.CreateString(_o->router);
+  auto _needs = _o->needs ? CreatePlacementNeeds(_fbb, _o->needs.get(), _rehasher) : 0;
+  auto _servers = _o->servers.size() ? _fbb.CreateVectorOfStrings(_o->servers) : 0;
+  auto _place_within_us = _o->place_within_us;
+  auto _progress = _o->progress.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>> (_o->progress.size(), [](size_t i, _VectorArgs *__va) { return CreatePlacementProgressRecord(*__va->__fbb, __va->__o->progress[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hawthornhollow::fb::CreatePlacementWanted(
+      _fbb,
+      _router,
+      _needs,
+      _servers,
+      _place_within_us,
+      _progress);
+}
+
+
+inline bool operator==(const PlacementBidRecordT &lhs, const PlacementBidRecordT &rhs) {
+  return
+      (lhs.server == rhs.server) &&
+      (lhs.has_room == rhs.has_room) &&
+      (lhs.first_token_us == rhs.first_token_us) &&
+      (lhs.delay_to_others_us == rhs.delay_to_others_us) &&
+      (lhs.uncached_tokens == rhs.uncached_tokens) &&
+      (lhs.requests == rhs.requests) &&
+      (lhs.queued_tokens == rhs.queued_tokens);
+}
+
+inline bool operator!=(const PlacementBidRecordT &lhs, const PlacementBidRecordT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PlacementBidRecordT *PlacementBidRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlacementBidRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlacementBidRecord::UnPackTo(PlacementBidRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = has_room(); _o->has_room = _e; }
+  { auto _e = first_token_us(); _o->first_token_us = _e; }
+  { auto _e = delay_to_others_us(); _o->delay_to_others_us = _e; }
+  { auto _e = uncached_tokens(); _o->uncached_tokens = _e; }
+  { auto _e = requests(); _o->requests = _e; }
+  { auto _e = queued_tokens(); _o->queued_tokens = _e; }
+}
+
+inline flatbuffers::Offset<PlacementBidRecord> PlacementBidRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementBidRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlacementBidRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlacementBidRecord> CreatePlacementBidRecord(flatbuffers::FlatBufferBuilder &_fbb, const PlacementBidRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlacementBidRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _has_room = _o->has_room;
+  auto _first_token_us = _o->first_token_us;
+  auto _delay_to_others_us = _o->delay_to_others_us;
+  auto _uncached_tokens = _o->uncached_tokens;
+  auto _requests = _o->requests;
+  auto _queued_tokens = _o->queued_tokens;
+  return hawthornhollow::fb::CreatePlacementBidRecord(
+      _fbb,
+      _server,
+      _has_room,
+      _first_token_us,
+      _delay_to_others_us,
+      _uncached_tokens,
+      _requests,
+      _queued_tokens);
+}
+
+
+inline bool operator==(const PlacementAnswerT &lhs, const PlacementAnswerT &rhs) {
+  return
+      (lhs.placed == rhs.placed) &&
+      (lhs.bids.size() == rhs.bids.size() && std::equal(lhs.bids.cbegin(), lhs.bids.cend(), rhs.bids.cbegin(), [](std::unique_ptr<hawthornhollow::fb::PlacementBidRecordT> const &a, std::unique_ptr<hawthornhollow::fb::PlacementBidRecordT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const PlacementAnswerT &lhs, const PlacementAnswerT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PlacementAnswerT::PlacementAnswerT(const PlacementAnswerT &o)
+      : placed(o.placed) {
+  bids.reserve(o.bids.size());
+  for (const auto &bids_ : o.bids) { bids.emplace_back((bids_) ? new hawthornhollow::fb::PlacementBidRecordT(*bids_) : nullptr); }
+}
+
+inline PlacementAnswerT &PlacementAnswerT::operator=(PlacementAnswerT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(placed, o.placed);
+  std::swap(bids, o.bids);
+  return *this;
+}
+
+inline PlacementAnswerT *PlacementAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlacementAnswerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlacementAnswer::UnPackTo(PlacementAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = placed(); if (_e) _o->placed = _e->str(); }
+  { auto _e = bids(); if (_e) { _o->bids.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->bids[_i] = std::unique_ptr<hawthornhollow::fb::PlacementBidRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<PlacementAnswer> PlacementAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlacementAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlacementAnswer> CreatePlacementAnswer(flatbuffers::FlatBufferBuilder &_fbb, const PlacementAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlacementAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _placed = _o->placed.empty() ? 0 : _fbb.CreateString(_o->placed);
+  auto _bids = _o->bids.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::PlacementBidRecord>> (_o->bids.size(), [](size_t i, _VectorArgs *__va) { return CreatePlacementBidRecord(*__va->__fbb, __va->__o->bids[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hawthornhollow::fb::CreatePlacementAnswer(
+      _fbb,
+      _placed,
+      _bids);
+}
+
+
+inline bool operator==(const PlacementNoticeRecordT &lhs, const PlacementNoticeRecordT &rhs) {
+  return
+      (lhs.server == rhs.server) &&
+      ((lhs.needs == rhs.needs) || (lhs.needs && rhs.needs && *lhs.needs == *rhs.needs));
+}
+
+inline bool operator!=(const PlacementNoticeRecordT &lhs, const PlacementNoticeRecordT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline PlacementNoticeRecordT::PlacementNoticeRecordT(const PlacementNoticeRecordT &o)
+      : server(o.server),
+        needs((o.needs) ? new hawthornhollow::fb::PlacementNeedsT(*o.needs) : nullptr) {
+}
+
+inline PlacementNoticeRecordT &PlacementNoticeRecordT::operator=(PlacementNoticeRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(server, o.server);
+  std::swap(needs, o.needs);
+  return *this;
+}
+
+inline PlacementNoticeRecordT *PlacementNoticeRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlacementNoticeRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlacementNoticeRecord::UnPackTo(PlacementNoticeRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = needs(); if (_e) _o->needs = std::unique_ptr<hawthornhollow::fb::PlacementNeedsT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<PlacementNoticeRecord> PlacementNoticeRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementNoticeRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlacementNoticeRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlacementNoticeRecord> CreatePlacementNoticeRecord(flatbuffers::FlatBufferBuilder &_fbb, const PlacementNoticeRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlacementNoticeRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _needs = _o->needs ? CreatePlacementNeeds(_fbb, _o->needs.get(), _rehasher) : 0;
+  return hawthornhollow::fb::CreatePlacementNoticeRecord(
+      _fbb,
+      _server,
+      _needs);
+}
+
+
+inline bool operator==(const LoadReportT &lhs, const LoadReportT &rhs) {
+  return
+      (lhs.router == rhs.router) &&
+      (lhs.notices.size() == rhs.notices.size() && std::equal(lhs.notices.cbegin(), lhs.notices.cend(), rhs.notices.cbegin(), [](std::unique_ptr<hawthornhollow::fb::PlacementNoticeRecordT> const &a, std::unique_ptr<hawthornhollow::fb::PlacementNoticeRecordT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.progress.size() == rhs.progress.size() && std::equal(lhs.progress.cbegin(), lhs.progress.cend(), rhs.progress.cbegin(), [](std::unique_ptr<hawthornhollow::fb::PlacementProgressRecordT> const &a, std::unique_ptr<hawthornhollow::fb::PlacementProgressRecordT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const LoadReportT &lhs, const LoadReportT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline LoadReportT::LoadReportT(const LoadReportT &o)
+      : router(o.router) {
+  notices.reserve(o.notices.size());
+  for (const auto &notices_ : o.notices) { notices.emplace_back((notices_) ? new hawthornhollow::fb::PlacementNoticeRecordT(*notices_) : nullptr); }
+  progress.reserve(o.progress.size());
+  for (const auto &progress_ : o.progress) { progress.emplace_back((progress_) ? new hawthornhollow::fb::PlacementProgressRecordT(*progress_) : nullptr); }
+}
+
+inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(router, o.router);
+  std::swap(notices, o.notices);
+  std::swap(progress, o.progress);
+  return *this;
+}
+
+inline LoadReportT *LoadReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LoadReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LoadReport::UnPackTo(LoadReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = router(); if (_e) _o->router = _e->str(); }
+  { auto _e = notices(); if (_e) { _o->notices.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notices[_i] = std::unique_ptr<hawthornhollow::fb::PlacementNoticeRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = progress(); if (_e) { _o->progress.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->progress[_i] = std::unique_ptr<hawthornhollow::fb::PlacementProgressRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLoadReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _router = _o->router.empty() ? 0 : _fbb.CreateString(_o->router);
+  auto _notices = _o->notices.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::PlacementNoticeRecord>> (_o->notices.size(), [](size_t i, _VectorArgs *__va) { return CreatePlacementNoticeRecord(*__va->__fbb, __va->__o->notices[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _progress = _o->progress.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::PlacementProgressRecord>> (_o->progress.size(), [](size_t i, _VectorArgs *__va) { return CreatePlacementProgressRecord(*__va->__fbb, __va->__o->progress[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hawthornhollow::fb::CreateLoadReport(
+      _fbb,
+      _router,
+      _notices,
+      _progress);
+}
+
 inline const hawthornhollow::fb::QuarantineList *GetQuarantineList(const void *buf) {
   return flatbuffers::GetRoot<hawthornhollow::fb::QuarantineList>(buf);
 }
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/numbers.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
+#include "hawthornhollow/relay/load_codec_internal.h"
 #include "hawthornhollow/relay/peer_codec_internal.h"
 #include "hawthornhollow/totals/message_bytes.h"
 #include "hawthornhollow/totals/totals_generated.h"
@@ -214,6 +215,26 @@
   writer.Send({.body = EncodeMessage<fb::ServerLimitList>(list)}).IgnoreError();
 }
 
+void ServePlacement(const HttpRequest& request,
+                    const PeerHandlers& handlers,
+                    ResponseWriter& writer) {
+  const auto question = DecodeQuestion(request.body, request.peer);
+  if (!question.ok())
+    return Reject(request, question.status(), writer);
+  const PlacementReply reply = handlers.placement(*question);
+  writer.Send({.body = EncodePlacementReply(reply)}).IgnoreError();
+}
+
+void ServeLoadReport(const HttpRequest& request,
+                     const PeerHandlers& handlers,
+                     ResponseWriter& writer) {
+  const auto report = DecodeReport(request.body, request.peer);
+  if (!report.ok())
+    return Reject(request, report.status(), writer);
+  handlers.load_report(*report);
+  writer.Send({}).IgnoreError();
+}
+
 }  // namespace
 
 void ServePeer(const HttpRequest& request,
@@ -229,6 +250,10 @@
     return ServeQuarantine(handlers, writer);
   if (request.method == "GET" && request.Path() == kLimitsTarget)
     return ServeLimits(handlers, writer);
+  if (request.method == "POST" && request.Path() == kPlacementTarget)
+    return ServePlacement(request, handlers, writer);
+  if (request.method == "POST" && request.Path() == kLoadReportTarget)
+    return ServeLoadReport(request, handlers, writer);
   if (request.method == "POST" && request.Path() == kLimitsTarget)
     return ServeLimitsTold(request, handlers, writer);
   if (request.method == "POST" && request.Path() == kPermitTarget)
--- a/hawthornhollow/relay/peer_service.h
+++ b/hawthornhollow/relay/peer_service.h
@@ -5,7 +5,7 @@
 // routers: transfers of tokens of a workspace's prepaid total, in both
 // directions, the configuration, the entries of backend servers, crashes of
 // servers and what they are put down to, limits that servers state and permits
-// to send to them, and the time of day.
+// to send to them, the load of servers, and the time of day.
 
 #include <functional>
 #include <optional>
@@ -14,6 +14,7 @@
 
 #include "absl/status/statusor.h"
 #include "hawthornhollow/http/http.h"
+#include "hawthornhollow/relay/load_messages.h"
 #include "hawthornhollow/relay/prompt_quarantine.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/server_limits.h"
@@ -84,6 +85,19 @@
     HttpClient& client,
     const std::string& address);
 
+// Asks the router at `address` for bids of servers whose load it coordinates.
+// After an error the request may have been placed.
+absl::StatusOr<PlacementReply> AskPeerForPlacement(
+    HttpClient& client,
+    const std::string& address,
+    const PlacementQuestion& question,
+    absl::Duration timeout);
+
+// Tells the router at `address`, as the coordinator of servers, of requests.
+absl::Status ReportLoadToPeer(HttpClient& client,
+                              const std::string& address,
+                              const LoadReport& report);
+
 // A quarantined part as a record in the store. Times of day are used in it, so
 // it may end early or late by the difference of two VMs' clocks.
 std::string EncodeQuarantine(const QuarantinedPart& part);
@@ -102,6 +116,8 @@
   std::function<PermitAnswer(const PermitQuestion&)> permit;
   std::function<void(const std::vector<ServerLimitStatement>&)> limits_told;
   std::function<std::vector<ServerLimitStatement>()> limits;
+  std::function<PlacementReply(const PlacementQuestion&)> placement;
+  std::function<void(const LoadReport&)> load_report;
 };
 void ServePeer(const HttpRequest& request,
                const PeerHandlers& handlers,
--- a/hawthornhollow/relay/prompt_placement.h
+++ b/hawthornhollow/relay/prompt_placement.h
@@ -49,6 +49,16 @@
   std::set<std::string> excluded_servers;  // ids, not to be chosen
 };
 
+// The servers that a request may go to.
+struct PlacementShortlist {
+  // Ids of a few, the preferred one first, and of some others in the order of
+  // their predicted wait.
+  std::vector<std::string> first;
+  std::vector<std::string> more;
+  // Whether these are all.
+  bool is_whole_service = false;
+};
+
 // Chooses the server with the shortest predicted wait for the first token. The
 // wait covers prompts that the server has still to process and the part of this
 // prompt that it has not cached. All routers agree on one server for each
@@ -73,6 +83,16 @@
   // Chooses a server. Returns NOT_FOUND if no server of the service may be
   // used.
   absl::StatusOr<Choice> Propose(const PlacementQuery& query, absl::Time now);
+  // Names servers among which the load known to other routers decides: those
+  // preferred for the shared part, and some that `request` chooses, so that
+  // requests without a shared part are spread.
+  PlacementShortlist Shortlist(const PlacementQuery& query,
+                               std::string_view request,
+                               absl::Time now);
+  // The same as Propose(), for this server. NOT_FOUND if it may not be used.
+  absl::StatusOr<Choice> ProposeServer(const PlacementQuery& query,
+                                       std::string_view server,
+                                       absl::Time now);
   // Counts the request as in flight at the proposed server.
   void Begin(const Choice& choice, const PlacementQuery& query, absl::Time now);
   // Both in one.
--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -100,6 +100,7 @@
   kRefused,            // servers refused; the request was not executed
   kTokensUnavailable,  // tokens may be left, but not at this router in time
   kOutcomeUnknown,     // it may have been executed; there is no answer
+  kServersFull,        // no server has room for it; not executed
   kServersLimited,     // servers take no more requests now; not executed
   kStopping,           // the router stops before it could end; not executed
   kPromptQuarantined,  // a part of its prompt crashes servers; not executed
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -15,6 +15,7 @@
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/instrumented_store.h"
 #include "hawthornhollow/relay/link_load.h"
+#include "hawthornhollow/relay/load_controller.h"
 #include "hawthornhollow/relay/peer_fallback.h"
 #include "hawthornhollow/relay/peer_service.h"
 #include "hawthornhollow/relay/quarantine_controller.h"
@@ -74,6 +75,8 @@
 
   LimitWatch LimitCalls();
 
+  LoadCalls CallsOfLoad();
+
   void AnswerMetrics(ResponseWriter& writer);
 
   // The other servers may be queried before the callers' server has started.
@@ -132,6 +135,7 @@
   InstrumentedStore<Store> store_;
   LeavingServers leaving_;
   PromptPlacement placement_;
+  LoadController load_;
   TotalsController<InstrumentedStore<Store>> totals_;
   CatalogController<InstrumentedStore<Store>, D> catalog_;
   QuarantineController<InstrumentedStore<Store>> quarantine_;
--- a/hawthornhollow/relay/relay_instance_impl.h
+++ b/hawthornhollow/relay/relay_instance_impl.h
@@ -21,6 +21,7 @@
       link_load_(settings.link_load),
       store_(store, metrics_),
       placement_(settings.placement),
+      load_(settings.router, settings.load, CallsOfLoad()),
       totals_(
           store_,
           metrics_,
@@ -50,10 +51,12 @@
                {.on_table =
                     [this](const std::shared_ptr<const RoutingTable>& table) {
                       totals_.SetTotals(*table);
+                      load_.SetTable(table);
                     },
                 .on_servers =
                     [this](const std::vector<RelayServer>& servers) {
                       placement_.SetServers(leaving_.Apply(servers));
+                      load_.SetServers(servers);
                       server_limits_.KeepServers(servers);
                     }}),
       quarantine_(
@@ -120,6 +123,7 @@
                         quarantine_.OnBrokeOff(call, server, point);
                       }},
       .limits = LimitCalls(),
+      .load = &load_,
       .leaving = &leaving_,
       .callers = &running_,
       .retries = &retries_,
@@ -156,6 +160,7 @@
   runtime_.Spawn([this] { catalog_.FollowServers(stop_); });
   runtime_.Spawn([this] { quarantine_.Run(stop_); });
   runtime_.Spawn([this] { server_limits_.Run(stop_); });
+  runtime_.Spawn([this] { load_.Run(stop_); });
   fallback_.Start(runtime_, stop_);
   runtime_.Spawn([this] { CloseStaleConnections(); });
   runtime_.Spawn([this] { totals_.RunAuthorityLoop(stop_); });
@@ -301,10 +306,38 @@
                  [this](const std::vector<ServerLimitStatement>& statements) {
                    server_limits_.OnTold(statements, "peer");
                  },
-             .limits = [this] { return server_limits_.statements(); }},
+             .limits = [this] { return server_limits_.statements(); },
+             .placement =
+                 [this](const PlacementQuestion& question) {
+                   return load_.OnAsked(question);
+                 },
+             .load_report =
+                 [this](const LoadReport& load_report) {
+                   load_.OnReported(load_report);
+                 }},
             writer);
 }
 
+template <SharedStore Store, MessageCodec D>
+LoadCalls RelayInstance<Store, D>::CallsOfLoad() {
+  return {
+      .spawn =
+          [this](std::function<void()> task) {
+            runtime_.Spawn(std::move(task));
+          },
+      .routers = [this] { return totals_.LivingRouters(); },
+      .ask =
+          [this](const std::string& address, const PlacementQuestion& question,
+                 absl::Duration timeout) {
+            return AskPeerForPlacement(client_, address, question, timeout);
+          },
+      .report =
+          [this](const std::string& address, const LoadReport& report) {
+            return ReportLoadToPeer(client_, address, report);
+          },
+      .is_link_busy = [this] { return link_load_.IsBusy(SteadyNow()); }};
+}
+
 template <SharedStore Store, MessageCodec D>
 LimitWatch RelayInstance<Store, D>::LimitCalls() {
   return {
@@ -348,6 +381,7 @@
       .quarantined_parts =
           static_cast<int64_t>(quarantine_.quarantined().size()),
       .limited_servers = static_cast<int64_t>(server_limits_.limited_count()),
+      .coordinated_servers = static_cast<int64_t>(load_.coordinated_servers()),
       .requests_in_progress = in_progress_,
       .caller_connections = static_cast<int64_t>(CallerConnections()),
       .available_tokens = tokens.available,
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -35,6 +35,27 @@
                   {{"server", std::string(server)}, {"end", std::string(end)}});
 }
 
+void RelayMetrics::OnPlaced(std::string_view placed_by,
+                            int64_t questions,
+                            absl::Duration took) {
+  const std::string by(placed_by);
+  registry_.Count("placements_total", {{"by", by}});
+  registry_.Count("placement_questions_total", {},
+                  static_cast<double>(questions));
+  registry_.Observe("placement_seconds", {{"by", by}},
+                    absl::ToDoubleSeconds(took));
+}
+
+void RelayMetrics::OnFirstToken(std::string_view placed_by,
+                                absl::Duration predicted,
+                                absl::Duration took) {
+  const std::string by(placed_by);
+  registry_.Observe("first_token_predicted_seconds", {{"by", by}},
+                    absl::ToDoubleSeconds(predicted));
+  registry_.Observe("first_token_seconds", {{"by", by}},
+                    absl::ToDoubleSeconds(took));
+}
+
 void RelayMetrics::OnServerConnection(bool made, absl::Duration took) {
   const std::string result = made ? "made" : "failed";
   registry_.Count("server_connections_total", {{"result", result}});
@@ -71,6 +92,7 @@
       {"routers", gauges.routers},
       {"prompt_parts_quarantined", gauges.quarantined_parts},
       {"servers_limited", gauges.limited_servers},
+      {"servers_coordinated", gauges.coordinated_servers},
       {"requests_in_progress", gauges.requests_in_progress},
       {"caller_connections", gauges.caller_connections},
       {"tokens_available", gauges.available_tokens},
--- a/hawthornhollow/relay/relay_metrics.h
+++ b/hawthornhollow/relay/relay_metrics.h
@@ -40,8 +40,9 @@
   int64_t servers = 0;
   int64_t kept_servers = 0;  // in use although their entry is missing
   int64_t routers = 0;
-  int64_t quarantined_parts = 0;  // of prompts
-  int64_t limited_servers = 0;    // state a limit of requests per second
+  int64_t quarantined_parts = 0;    // of prompts
+  int64_t limited_servers = 0;      // state a limit of requests per second
+  int64_t coordinated_servers = 0;  // whose load this router keeps
   int64_t requests_in_progress = 0;
   int64_t caller_connections = 0;  // open connections
   // Sums over all workspaces: tokens that this router can reserve now, and
@@ -60,6 +61,15 @@
   void OnRequestEnd(const EndedRequest& request);
   // Counts one attempt at a server; `end` has the same values as in the log.
   void OnServerAttempt(std::string_view server, std::string_view end);
+  // Counts a choice of a server, by what it was chosen, and the questions to
+  // other routers that it took.
+  void OnPlaced(std::string_view placed_by,
+                int64_t questions,
+                absl::Duration took);
+  // The time until a first token as predicted at the choice, and as it was.
+  void OnFirstToken(std::string_view placed_by,
+                    absl::Duration predicted,
+                    absl::Duration took);
   // Counts a new connection to a server that was established or failed, and how
   // long that took.
   void OnServerConnection(bool made, absl::Duration took);
--- a/hawthornhollow/relay/relay_settings.h
+++ b/hawthornhollow/relay/relay_settings.h
@@ -12,6 +12,7 @@
 #include "hawthornhollow/relay/catalog_controller.h"
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/link_load.h"
+#include "hawthornhollow/relay/load_controller.h"
 #include "hawthornhollow/relay/peer_fallback.h"
 #include "hawthornhollow/relay/prompt_placement.h"
 #include "hawthornhollow/relay/quarantine_controller.h"
@@ -66,6 +67,7 @@
   PeerReaderOptions peer_reader;
   QuarantineControllerOptions quarantine;
   ServerLimitsControllerOptions server_limits;
+  LoadControllerOptions load;
   PlacementOptions placement;
 };
 
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -85,6 +85,14 @@
   // server has a limit.
   absl::StatusOr<PromptPlacement::Choice> ChooseServer();
 
+  // The choice by the load at all routers, or by this router's own view. Tells
+  // the load coordinator of the request.
+  absl::StatusOr<PromptPlacement::Choice> ProposeByLoad(
+      const PlacementQuery& query);
+  PlacementRequest LoadRequest() const;
+  // The request does not go to the chosen server, or has ended there.
+  void EndPlacement(absl::Duration took);
+
   PlacementQuery Query(std::set<std::string> excluded) const;
 
   void Report(const PromptPlacement::Choice& choice, AttemptResult result);
@@ -227,6 +235,8 @@
   // The last complete error answer of a server.
   std::optional<HttpResponse> failed_answer_;
   std::string detail_;
+  // How the attempt's server was chosen.
+  LoadDecision placement_;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/request_run_answer_impl.h
+++ b/hawthornhollow/relay/request_run_answer_impl.h
@@ -168,6 +168,11 @@
     return;
   first_piece_at_ = SteadyNow();
   shared_.placement->OnFirstToken(choice);
+  const absl::Duration took = *first_piece_at_ - sent_at_;
+  if (placement_.placed.has_value())
+    shared_.load->OnFirstToken(*placement_.placed, took);
+  shared_.metrics->OnFirstToken(placement_.placed_by_name(),
+                                choice.predicted_wait, took);
   if (summary_.first_event == absl::InfiniteDuration())
     summary_.first_event = SteadyNow() - request_.arrived;
 }
--- a/hawthornhollow/relay/request_run_impl.h
+++ b/hawthornhollow/relay/request_run_impl.h
@@ -56,6 +56,12 @@
       .Add("prompt", request_.call.prompt_tokens)
       .Add("uncached", choice->uncached_tokens)
       .Add("in_flight", shared_.placement->in_flight(choice->server.id))
+      .Add("by", placement_.placed_by_name())
+      .Add("asked", placement_.messages)
+      .Add("asked_ms", absl::ToInt64Milliseconds(placement_.took))
+      .Add("predicted_ms", absl::ToInt64Milliseconds(choice->predicted_wait))
+      .Add("load_requests", placement_.bid.requests)
+      .Add("load_queued", placement_.bid.queued_tokens)
       .Add("left_ms", absl::ToInt64Milliseconds(TimeLeft()));
   const AttemptResult result = AttemptAt(*choice);
   Report(*choice, result);
@@ -93,16 +99,69 @@
         excluded.insert(server);
     }
     const PlacementQuery query = Query(std::move(excluded));
-    auto choice = shared_.placement->Propose(query, SteadyNow());
+    auto choice = ProposeByLoad(query);
     if (!choice.ok())
       return choice;
     if (shared_.limits.acquire(choice->server.id, urgency)) {
       shared_.placement->Begin(*choice, query, SteadyNow());
+      shared_.metrics->OnPlaced(placement_.placed_by_name(),
+                                placement_.messages, placement_.took);
       return choice;
     }
+    EndPlacement(absl::ZeroDuration());
   }
 }
 
+template <MessageCodec D>
+absl::StatusOr<PromptPlacement::Choice> RequestRun<D>::ProposeByLoad(
+    const PlacementQuery& query) {
+  PromptPlacement& own_view = *shared_.placement;
+  const PlacementRequest request = LoadRequest();
+  placement_ = shared_.load->Place(
+      request, own_view.Shortlist(query, request.id, SteadyNow()));
+  if (placement_.full_for.has_value()) {
+    return ErrorAt(absl::StatusCode::kResourceExhausted, "placement.choose",
+                   request_.service, "no server has room");
+  }
+  if (!placement_.server.empty()) {
+    auto choice = own_view.ProposeServer(query, placement_.server, SteadyNow());
+    if (choice.ok()) {
+      choice->uncached_tokens = placement_.bid.uncached_tokens;
+      choice->predicted_wait = placement_.bid.first_token;
+      return choice;
+    }
+    // It has left while the coordinator answered.
+    EndPlacement(absl::ZeroDuration());
+    placement_.placed_by = PlacedBy::kUnsettled;
+  }
+  auto choice = own_view.Propose(query, SteadyNow());
+  if (choice.ok())
+    placement_.placed = shared_.load->PlaceUnasked(request, choice->server.id);
+  return choice;
+}
+
+template <MessageCodec D>
+PlacementRequest RequestRun<D>::LoadRequest() const {
+  int64_t tokens = 0;
+  for (const PromptPart& part : request_.call.prompt)
+    tokens += part.tokens;
+  return {.id = shared_.load->UniqueId(request_.call.id),
+          .service = request_.service,
+          .prompt = request_.call.prompt,
+          .prompt_tokens = std::max(tokens, request_.call.prompt_tokens),
+          .max_output_tokens = request_.call.max_output_tokens,
+          .urgency = UrgencyOf(request_),
+          .latency_target = request_.route->latency_target,
+          .time_left = std::max(TimeLeft(), absl::ZeroDuration())};
+}
+
+template <MessageCodec D>
+void RequestRun<D>::EndPlacement(absl::Duration took) {
+  if (placement_.placed.has_value())
+    shared_.load->OnEnd(*placement_.placed, took);
+  placement_.placed.reset();
+}
+
 template <MessageCodec D>
 PlacementQuery RequestRun<D>::Query(std::set<std::string> excluded) const {
   return {.service = request_.service,
@@ -127,6 +186,7 @@
     outcome = Outcome::kAbandoned;
   shared_.placement->OnFinished(choice, got_first_piece(), outcome,
                                 SteadyNow());
+  EndPlacement(SteadyNow() - sent_at_);
   shared_.metrics->OnServerAttempt(choice.server.id, NameOf(result));
   if (result == AttemptResult::kAnswered)
     return;
@@ -214,6 +274,8 @@
     return ForwardFailedAnswer();
   if (summary_.may_have_run)
     return Refuse(RelayError::kOutcomeUnknown);
+  if (placement_.full_for.has_value())
+    return Refuse(RelayError::kServersFull, *placement_.full_for);
   const std::vector<std::string> limited = LimitedServersLeft();
   if (limited.empty())
     return Refuse(RelayError::kNoServer);
--- a/hawthornhollow/relay/routing_table.cc
+++ b/hawthornhollow/relay/routing_table.cc
@@ -99,6 +99,9 @@
     case RelayError::kTokensUnavailable:
       return {503, "total_not_at_hand",
               "the router could not reserve the request's tokens in time"};
+    case RelayError::kServersFull:
+      return {503, "servers_full",
+              "no backend server has room for the request in time"};
     case RelayError::kServersLimited:
       return {503, "servers_limited",
               "the backend servers take no more requests a second"};
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -18,6 +18,7 @@
 #include "hawthornhollow/relay/congestion_detector.h"
 #include "hawthornhollow/relay/leaving_servers.h"
 #include "hawthornhollow/relay/link_load.h"
+#include "hawthornhollow/relay/load_controller.h"
 #include "hawthornhollow/relay/prompt_quarantine.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
@@ -100,6 +101,7 @@
   RelayMetrics* metrics = nullptr;
   PromptWatch prompts;
   LimitWatch limits;
+  LoadController* load = nullptr;
   LeavingServers* leaving = nullptr;
   // Of the requests in progress.
   std::set<std::shared_ptr<CallerState>>* callers = nullptr;
