--- a/hawthornhollow/relay/load_controller_test.cc
+++ b/hawthornhollow/relay/load_controller_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <future>
 #include <iomanip>
 #include <iostream>
 #include <random>
@@ -33,7 +34,8 @@
 
   explicit Fleet(int routers,
                  int servers = 3,
-                 const LoadControllerOptions& options = {})
+                 const LoadControllerOptions& options = {},
+                 int64_t slots = kSlots)
       : options_(options) {
     RoutingTable::Parts parts{
         .routes = {{.name = "r", .services = {{.service = kService}}}},
@@ -47,7 +49,7 @@
     table_ = *table;
     for (int i = 0; i < servers; ++i) {
       servers_.push_back(
-          {.id = absl::StrCat("i-", i), .service = kService, .slots = kSlots});
+          {.id = absl::StrCat("i-", i), .service = kService, .slots = slots});
     }
     for (int i = 0; i < routers; ++i)
       living_.push_back({NameOf(i), absl::StrCat("address-", i)});
@@ -670,29 +672,94 @@
   }
 }
 
-// The share of coordinators that a mixed load keeps to one question. Prints the
-// messages that a request takes, which depend on the number of routers only in
-// how many candidates one coordinator has.
+// On a runtime's fibers, with answers that take their time: the others are
+// asked at the same time, and one that is silent costs one time-out.
+TEST_F(LoadControllerTest, OthersAnswerLate_OneTimeOutForAll) {
+  constexpr absl::Duration kAnswerTime = absl::Milliseconds(2);
+  const LoadControllerOptions options{.ask_timeout = absl::Milliseconds(200),
+                                      .place_timeout = absl::Seconds(1)};
+  auto runtime = Runtime::Create({.threads = 1});
+  ASSERT_TRUE(runtime.ok()) << runtime.status();
+  std::promise<LoadDecision> done;
+  int asked_at_once = 0;
+  int most_asked_at_once = 0;
+  LoadController controller(
+      "entry-0", options,
+      {.spawn =
+           [&](std::function<void()> task) {
+             (*runtime)->Spawn(std::move(task));
+           },
+       .routers =
+           [] {
+             std::vector<RouterAddress> routers;
+             for (int i = 1; i <= 40; ++i)
+               routers.push_back({absl::StrCat("entry-", i), "address"});
+             return routers;
+           },
+       .ask = [&](const std::string& /*address*/,
+                  const PlacementQuestion& question,
+                  absl::Duration timeout) -> absl::StatusOr<PlacementReply> {
+         most_asked_at_once = std::max(most_asked_at_once, ++asked_at_once);
+         const std::string& server = question.servers.front();
+         const bool is_silent = server == "i-3";
+         hawthornhollow::SleepFor(is_silent ? timeout : kAnswerTime);
+         --asked_at_once;
+         if (is_silent)
+           return absl::DeadlineExceededError("no answer");
+         // The first is poor, the second good.
+         PlacementReply reply{
+             .bids = {{.server = server,
+                       .has_room = true,
+                       .first_token = absl::Seconds(server == "i-1" ? 1 : 5)}}};
+         if (question.place_within == absl::InfiniteDuration())
+           reply.placed = server;
+         return reply;
+       },
+       .report = [](const std::string&,
+                    const LoadReport&) { return absl::OkStatus(); },
+       .is_link_busy = [] { return false; }});
+  std::vector<RelayServer> servers;
+  for (int i = 0; i < 4; ++i)
+    servers.push_back({.id = absl::StrCat("i-", i), .service = kService});
+  controller.SetServers(servers);
+  controller.ObserveRouters();
+  (*runtime)->Spawn([&] {
+    done.set_value(controller.Place(
+        {.id = "r", .service = kService, .prompt_tokens = 1'000},
+        {.first = {"i-0", "i-1", "i-2", "i-3"}}));
+  });
+  const LoadDecision decision = done.get_future().get();
+  EXPECT_EQ(decision.server, "i-1");
+  EXPECT_EQ(most_asked_at_once, 3);
+  EXPECT_GE(decision.took, options.ask_timeout);
+  EXPECT_LT(decision.took, 2 * options.ask_timeout);
+}
+
+// Guards against questions to all candidates of most requests. Prints how many
+// messages a request takes; at more routers fewer candidates have the same
+// coordinator, and fewer reports go together.
 TEST_F(LoadControllerTest, MessagesOfARequest_ByNumberOfRouters) {
   constexpr int kServers = 48;
+  constexpr int64_t kEngineSlots = 64;
   constexpr int kRequests = 12'000;
   constexpr int kPerSecond = 300;
   constexpr int kSharedParts = 40;
   constexpr absl::Duration kAnswerTime = absl::Milliseconds(800);
-  // A request that is placed with one question and reports its first token and
-  // end on their own takes three messages; few should take the most.
+  // Most requests are to be placed with one question. With reports of the first
+  // token and the end, that makes three messages; some ask for more candidates.
+  constexpr double kMinOneQuestion = 0.5;
   constexpr double kMaxMean = 5;
   std::cout << "routers questions/request reports/request entries/report "
-               "by_coordinator one_question\n";
+               "by_coordinator one_question predicted_p50_ms p90_ms\n";
   for (const int routers : {30, 100, 340}) {
     std::mt19937 random(7);
     const auto draw = [&](int n) {
       return std::uniform_int_distribution<int>(0, n - 1)(random);
     };
-    Fleet fleet(routers, kServers);
+    Fleet fleet(routers, kServers, /*options=*/{}, kEngineSlots);
     std::vector<RelayServer> servers;
     for (const std::string& id : fleet.server_ids())
-      servers.push_back({.id = id, .service = kService, .slots = kSlots});
+      servers.push_back({.id = id, .service = kService, .slots = kEngineSlots});
     PromptPlacement view{PlacementOptions()};
     view.SetServers(servers);
     fleet.Settle();
@@ -702,6 +769,7 @@
     int by_coordinator = 0;
     int one_question = 0;
     int64_t entries = 0;
+    std::vector<int64_t> predicted_ms;
     for (int i = 0; i < kRequests; ++i) {
       fleet.Advance(absl::Seconds(1) / kPerSecond);
       while (!to_begin.empty() && to_begin.front().ends <= fleet.now()) {
@@ -735,12 +803,15 @@
                                   request.id, fleet.now()));
       by_coordinator += decision.placed_by == PlacedBy::kCoordinator ? 1 : 0;
       one_question += decision.messages <= 1 ? 1 : 0;
+      predicted_ms.push_back(
+          absl::ToInt64Milliseconds(decision.bid.first_token));
       if (!decision.placed.has_value())
         continue;
       to_begin.push_back(
           {router, *decision.placed, fleet.now() + absl::Milliseconds(90)});
       to_end.push_back({router, *decision.placed, fleet.now() + kAnswerTime});
     }
+    std::sort(predicted_ms.begin(), predicted_ms.end());
     const double questions = static_cast<double>(fleet.questions()) / kRequests;
     const double reports = static_cast<double>(fleet.reports()) / kRequests;
     std::cout << std::fixed << std::setprecision(2) << std::setw(7) << routers
@@ -751,9 +822,11 @@
               << std::setw(15)
               << static_cast<double>(by_coordinator) / kRequests
               << std::setw(13) << static_cast<double>(one_question) / kRequests
-              << "\n";
+              << std::setw(17) << predicted_ms[kRequests / 2] << std::setw(7)
+              << predicted_ms[kRequests * 9 / 10] << "\n";
     EXPECT_LE(questions + reports, kMaxMean);
     EXPECT_EQ(by_coordinator, kRequests);
+    EXPECT_GT(one_question, kMinOneQuestion * kRequests);
   }
 }
 
