--- a/hawthornhollow/relay/load_controller.cc
+++ b/hawthornhollow/relay/load_controller.cc
@@ -112,11 +112,16 @@
       course.bids.empty()
           ? (course.has_silent ? PlacedBy::kNoAnswer : PlacedBy::kUnsettled)
           : PlacedBy::kNoRoom;
-  // A coordinator that is silent may know of room.
+  // A coordinator that is silent may know of room, and a server without
+  // described memory may queue the request.
   const size_t candidate_count =
       candidates.first.size() + candidates.more.size();
-  if (request.prompt_tokens > 0 && candidates.is_whole_service &&
-      !course.has_silent && course.bids.size() == candidate_count) {
+  if (candidates.is_whole_service && !course.has_silent &&
+      course.bids.size() == candidate_count &&
+      std::all_of(course.bids.begin(), course.bids.end(),
+                  [&](const PlacementBid& bid) {
+                    return coordinator_.HasMemoryLimit(bid.server);
+                  })) {
     absl::Duration earliest = options_.max_retry_after;
     for (const PlacementBid& bid : course.bids)
       earliest = std::min(earliest, bid.first_token);
--- a/hawthornhollow/relay/load_coordinator.cc
+++ b/hawthornhollow/relay/load_coordinator.cc
@@ -142,6 +142,11 @@
   return state == nullptr ? nullptr : &state->coordinator;
 }
 
+bool LoadCoordinator::HasMemoryLimit(std::string_view server) {
+  const State* const state = Find(server);
+  return state != nullptr && state->limits.memory_tokens > 0;
+}
+
 PlacementReply LoadCoordinator::Answer(const PlacementQuestion& question,
                                        absl::Time now) {
   for (const PlacementProgress& progress : question.progress)
--- a/hawthornhollow/relay/load_coordinator.h
+++ b/hawthornhollow/relay/load_coordinator.h
@@ -57,6 +57,10 @@
   // is not known, or no limit of what it holds is.
   const RouterAddress* CoordinatorOf(std::string_view server);
 
+  // Whether the memory of the server's engine is described. Others queue what
+  // they have no slot for.
+  bool HasMemoryLimit(std::string_view server);
+
   // Bids for the servers of the question whose load is known.
   PlacementReply Answer(const PlacementQuestion& question, absl::Time now);
   void OnReport(const LoadReport& report, absl::Time now);
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -64,7 +64,8 @@
                const std::string& id,
                const Endpoint& address,
                int64_t sequence,
-               int64_t born_ms = 0);
+               int64_t born_ms = 0,
+               int64_t slots = 8);
 void DropServer(StoreStandin& store, const std::string& id);
 // Entries among those of the servers that no server wrote. Their servers would
 // be at `address`; no router may use one.
@@ -81,6 +82,7 @@
   int64_t version = 1;
   int64_t tokens_per_event = 1;
   int64_t order_attempts = 1;
+  int64_t memory_tokens = 0;  // of a server's engine; 0: not described
   std::vector<StandinWorkspace> workspaces;
 };
 void PutConfiguration(StoreStandin& store,
