--- a/hawthornhollow/relay/load_controller.cc
+++ b/hawthornhollow/relay/load_controller.cc
@@ -298,8 +298,10 @@
   if (outbox.report.notices.empty())
     question.progress = std::exchange(outbox.report.progress, {});
   auto reply = calls_.ask(coordinator.address, question, timeout);
-  if (reply.ok())
+  if (reply.ok()) {
+    OnAnswered(coordinator.router);
     return *std::move(reply);
+  }
   LogEvent("load.ask_failed", LogSeverity::kWarning)
       .Add("peer", coordinator.router)
       .Add("request", question.request.id)
@@ -437,7 +439,17 @@
   const auto found = outboxes_.find(coordinator);
   if (found == outboxes_.end())
     return;
-  found->second->paused_until = calls_.now() + options_.ask_pause;
+  const absl::Time now = calls_.now();
+  const bool was_dead = IsDead(coordinator);
+  found->second->paused_until = now + options_.ask_pause;
+  found->second->first_failure = std::min(found->second->first_failure, now);
+  found->second->last_failure = now;
+  if (!was_dead && IsDead(coordinator)) {
+    LogEvent("load.coordinator_lost", LogSeverity::kWarning)
+        .Add("peer", coordinator)
+        .Add("silent_ms",
+             absl::ToInt64Milliseconds(now - found->second->first_failure));
+  }
   LoadReport& report = found->second->report;
   for (const PlacementProgress& entry : progress) {
     if (entry.event == PlacementEvent::kEnded)
@@ -446,7 +458,49 @@
   Trim(&report);
 }
 
+bool LoadController::IsDead(const std::string& router) const {
+  const auto found = outboxes_.find(router);
+  return found != outboxes_.end() &&
+         found->second->last_failure - found->second->first_failure >=
+             options_.dead_after;
+}
+
+void LoadController::OnAnswered(const std::string& coordinator) {
+  const auto found = outboxes_.find(coordinator);
+  if (found == outboxes_.end())
+    return;
+  if (IsDead(coordinator))
+    LogEvent("load.coordinator_back").Add("peer", coordinator);
+  found->second->paused_until = absl::InfinitePast();
+  found->second->first_failure = absl::InfiniteFuture();
+  found->second->last_failure = absl::InfinitePast();
+}
+
+void LoadController::CheckCoordinators(const PlacementQuestion& question) {
+  for (const std::string& server : question.servers) {
+    const RouterAddress* const coordinator = coordinator_.CoordinatorOf(server);
+    if (coordinator != nullptr && coordinator->router != router_)
+      Probe(*coordinator, options_.ask_pause);
+  }
+}
+
+void LoadController::Probe(const RouterAddress& router,
+                           absl::Duration interval) {
+  Outbox& outbox = OutboxOf(router);
+  const absl::Time now = calls_.now();
+  if (now - outbox.probed < interval || calls_.is_link_busy())
+    return;
+  outbox.probed = now;
+  calls_.spawn([this, router] {
+    AskRemote(router, {.router = router_}, options_.ask_timeout);
+  });
+}
+
 PlacementReply LoadController::OnAsked(const PlacementQuestion& question) {
+  if (question.router != router_) {
+    heard_[question.router] = calls_.now();
+    CheckCoordinators(question);
+  }
   PlacementReply reply = coordinator_.Answer(question, calls_.now());
   LogAnswer(question, reply);
   return reply;
@@ -478,6 +532,7 @@
 }
 
 void LoadController::OnReported(const LoadReport& report) {
+  heard_[report.router] = calls_.now();
   coordinator_.OnReport(report, calls_.now());
 }
 
@@ -502,12 +557,34 @@
 
 void LoadController::ObserveRouters() {
   routers_observed_ = calls_.now();
-  const std::vector<RouterAddress> routers = calls_.routers();
-  coordinator_.SetRouters(routers, routers_observed_);
+  const std::vector<RouterAddress> known = calls_.routers();
+  DropDeadRouters(known);
+  std::vector<RouterAddress> living;
+  for (const RouterAddress& router : known) {
+    if (!IsDead(router.router))
+      living.push_back(router);
+    else
+      Probe(router, options_.probe_interval);
+  }
+  coordinator_.SetRouters(living, routers_observed_);
   coordinator_.Expire(routers_observed_);
+}
+
+// A router that does not answer may still reach this one, and its requests go
+// on.
+void LoadController::DropDeadRouters(const std::vector<RouterAddress>& known) {
   std::set<std::string_view> present;
-  for (const RouterAddress& router : routers)
+  for (const RouterAddress& router : known)
     present.insert(router.router);
+  std::erase_if(heard_, [&](const auto& item) {
+    const auto& [router, heard] = item;
+    const bool is_gone =
+        !present.contains(router) ||
+        (IsDead(router) && routers_observed_ - heard >= options_.dead_after);
+    if (is_gone)
+      coordinator_.DropRouter(router);
+    return is_gone;
+  });
   std::erase_if(outboxes_, [&](const auto& item) {
     return !item.second->is_sending && !present.contains(item.first);
   });
@@ -532,8 +609,10 @@
   report.router = router_;
   const absl::Status status = calls_.report(outbox->address, report);
   outbox->is_sending = false;
-  if (status.ok())
+  if (status.ok()) {
+    OnAnswered(coordinator);
     return;
+  }
   LogEvent("load.report_failed", LogSeverity::kWarning)
       .Add("peer", coordinator)
       .Add("notices", report.notices.size())
--- a/hawthornhollow/relay/load_controller.h
+++ b/hawthornhollow/relay/load_controller.h
@@ -45,6 +45,12 @@
   absl::Duration place_timeout = absl::Milliseconds(25);
   // A coordinator that did not answer is not asked again for this time.
   absl::Duration ask_pause = absl::Milliseconds(400);
+  // A router that has answered nothing for this time, and was asked or told
+  // something after it, is no coordinator until it answers again. Records in
+  // the store do not tell that a router was killed.
+  absl::Duration dead_after = absl::Seconds(1);
+  // Between two probes of such a router.
+  absl::Duration probe_interval = absl::Seconds(2);
   // Between two reports to one coordinator.
   absl::Duration report_interval = absl::Milliseconds(20);
   // Between two looks at which routers are up.
@@ -65,7 +71,7 @@
 // What LoadController needs of its router.
 struct LoadCalls {
   std::function<void(std::function<void()>)> spawn;  // runs on another fiber
-  // All routers that are up, this one included.
+  // All routers that are known, this one included; some may have been killed.
   std::function<std::vector<RouterAddress>()> routers;
   std::function<absl::StatusOr<PlacementReply>(
       const std::string& address,
@@ -159,6 +165,10 @@
     LoadReport report;
     bool is_sending = false;
     absl::Time paused_until = absl::InfinitePast();
+    // Of the failures without an answer since.
+    absl::Time first_failure = absl::InfiniteFuture();
+    absl::Time last_failure = absl::InfinitePast();
+    absl::Time probed = absl::InfinitePast();
   };
   // The candidates of one coordinator.
   struct Group {
@@ -193,6 +203,14 @@
                  const std::optional<PlacementReply>& reply,
                  Course* course);
   bool IsPaused(const RouterAddress& coordinator) const;
+  bool IsDead(const std::string& router) const;
+  void OnAnswered(const std::string& coordinator);
+  // Another router asks for servers of which it takes this router for the
+  // coordinator, as the coordinator may not answer it.
+  void CheckCoordinators(const PlacementQuestion& question);
+  // Finds out whether a router answers, unless that was done of late.
+  void Probe(const RouterAddress& router, absl::Duration interval);
+  void DropDeadRouters(const std::vector<RouterAddress>& known);
   absl::Duration PrefillTime(int64_t tokens) const;
   void ObserveBid(const std::string& service, const PlacementBid& bid);
   void LogAnswer(const PlacementQuestion& question,
@@ -220,6 +238,8 @@
   // on average over the bids of late, keyed by service.
   std::map<std::string, double> mean_delay_;
   absl::Time routers_observed_ = absl::InfinitePast();
+  // When other routers last asked or told something.
+  std::map<std::string, absl::Time> heard_;
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/load_controller_test.cc
+++ b/hawthornhollow/relay/load_controller_test.cc
@@ -518,6 +518,46 @@
   EXPECT_EQ(fleet.KnownAt(kServer), 2);
 }
 
+// A killed router stays known until it starts again: nothing in the store says
+// that it died.
+TEST_F(LoadControllerTest, CoordinatorKilledAndStillKnown_AnotherTakesOver) {
+  const LoadControllerOptions options;
+  Fleet fleet(5);
+  fleet.Settle();
+  const int killed = fleet.CoordinatorOf(kServer);
+  const int router = fleet.OtherThan(killed);
+  fleet.Kill(killed);
+  int by_coordinator = 0;
+  const absl::Time end = fleet.now() + absl::Seconds(4);
+  absl::Time taken_over = absl::InfiniteFuture();
+  const absl::Time begin = fleet.now();
+  while (fleet.now() < end) {
+    if (fleet.node(router)
+            .Place(fleet.Request(), {.first = {kServer}})
+            .placed_by == PlacedBy::kCoordinator) {
+      ++by_coordinator;
+      taken_over = std::min(taken_over, fleet.now());
+    }
+    fleet.Advance(options.routers_interval);
+    fleet.ObserveAll();
+  }
+  EXPECT_GT(by_coordinator, 0);
+  // Both the one that asks and the next coordinator notice, and it settles.
+  EXPECT_LT(taken_over - begin, 2 * (options.dead_after + options.ask_pause) +
+                                    options.coordinator.settle_time);
+  // It starts again, and is the coordinator again.
+  fleet.Start(killed);
+  const absl::Time back = fleet.now() + 2 * options.probe_interval;
+  while (fleet.now() < back) {
+    fleet.Advance(options.routers_interval);
+    fleet.ObserveAll();
+  }
+  const LoadDecision decision =
+      fleet.node(router).Place(fleet.Request(), {.first = {kServer}});
+  ASSERT_TRUE(decision.placed.has_value());
+  EXPECT_EQ(decision.placed->coordinator.router, Fleet::NameOf(killed));
+}
+
 // In a rolling release routers come and go all the time.
 TEST_F(LoadControllerTest,
        AnotherRouterComesOrGoes_CoordinatorsThatStayAnswer) {
--- a/hawthornhollow/relay/load_coordinator.cc
+++ b/hawthornhollow/relay/load_coordinator.cc
@@ -50,22 +50,18 @@
                                  absl::Time now) {
   if (routers == routers_)
     return;
-  std::set<std::string_view> present;
-  for (const RouterAddress& router : routers)
-    present.insert(router.router);
-  for (const RouterAddress& router : routers_) {
-    if (present.contains(router.router))
-      continue;
-    for (auto& [id, state] : servers_) {
-      if (state.load != nullptr)
-        state.load->DropRouter(router.router);
-    }
-  }
   routers_ = routers;
   ++version_;
   routers_changed_ = now;
 }
 
+void LoadCoordinator::DropRouter(std::string_view router) {
+  for (auto& [id, state] : servers_) {
+    if (state.load != nullptr)
+      state.load->DropRouter(router);
+  }
+}
+
 void LoadCoordinator::SetServers(const std::vector<RelayServer>& servers,
                                  absl::Time now) {
   std::set<std::string_view> present;
--- a/hawthornhollow/relay/load_coordinator.h
+++ b/hawthornhollow/relay/load_coordinator.h
@@ -47,9 +47,10 @@
   LoadCoordinator& operator=(const LoadCoordinator&) = delete;
   ~LoadCoordinator();
 
-  // All routers that are up, this one included. Requests of routers that are
-  // not among them any more are dropped.
+  // The routers that may be coordinators, this one included.
   void SetRouters(const std::vector<RouterAddress>& routers, absl::Time now);
+  // Drops the requests of a router that has died.
+  void DropRouter(std::string_view router);
   void SetServers(const std::vector<RelayServer>& servers, absl::Time now);
   void SetTable(std::shared_ptr<const RoutingTable> table, absl::Time now);
 
--- a/testing/load_coordination_test.cc
+++ b/testing/load_coordination_test.cc
@@ -17,6 +17,8 @@
 constexpr int64_t kMemoryTokens = 100'000;
 // Routers notice one another within it, and coordinators are settled.
 constexpr absl::Duration kSettleTime = absl::Seconds(3);
+// A busy machine must not make coordinators look silent.
+constexpr int64_t kAskMs = 500;
 // Between two events of a stream, so that all requests of a test are in
 // progress at once.
 constexpr absl::Duration kEventPause = absl::Milliseconds(200);
@@ -41,7 +43,8 @@
       routers_.push_back({.callers = {"127.0.0.1", FreePort()},
                           .readiness = {"127.0.0.1", FreePort()},
                           .peers = {"127.0.0.1", FreePort()},
-                          .store = store_server_->local()});
+                          .store = store_server_->local(),
+                          .load_ask_ms = kAskMs});
       processes_.push_back(nullptr);
       Start(i);
     }
--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -81,11 +81,11 @@
   return absl::Substitute(
       R"({"node":"$0","zone":"z",
       "listen":{"front":"$1","ready":"$2","control":"$3"},
-      "bounds":{"grace_s":8},"limits":{"link_mbps":$5},
+      "bounds":{"grace_s":8,"load_ask_ms":$6},"limits":{"link_mbps":$5},
       "platform":{"address":"$4"}})",
       router, addresses.callers.ToString(), addresses.readiness.ToString(),
       addresses.peers.ToString(), addresses.store.ToString(),
-      addresses.link_mbps);
+      addresses.link_mbps, addresses.load_ask_ms);
 }
 
 void PutServer(StoreStandin& store,
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -55,6 +55,7 @@
   Endpoint peers;
   Endpoint store;
   int64_t link_mbps = 1'000;
+  int64_t load_ask_ms = 10;
 };
 std::string EntrySettings(const std::string& router,
                           const EntryAddresses& addresses);
