--- a/hawthornhollow/relay/load_controller.cc
+++ b/hawthornhollow/relay/load_controller.cc
@@ -3,10 +3,10 @@
 // costs both routers some of it, and the request a round trip. So the
 // coordinator of the candidate that is preferred for the prompt's shared part
 // is asked first, and told at which cost it is to place the request at once.
-// That is what another server would cost that has nothing of the prompt in its
-// cache, an empty queue, and delays others as servers do on average: most
-// requests then need one question. Only if the first candidate costs more are
-// the others asked, at the same time, and the request placed at the best.
+// That is what an empty server with the shared part in its cache would cost, if
+// it delayed others as servers do on average, and a part of the latency target:
+// most requests then need one question. Only if the first candidate costs more
+// are the others asked, at the same time, and the request placed at the best.
 //
 // A coordinator that does not answer costs a request one time-out at most. Then
 // the router chooses by its own view, and does not ask that coordinator for a
@@ -64,9 +64,12 @@
 struct LoadController::Course {
   const PlacementRequest& request;
   absl::Time deadline;
+  // Of all candidates in their order, which matters to ChooseBid(); without
+  // room until they are received.
   std::vector<PlacementBid> bids;
-  std::set<std::string> asked;  // servers
-  bool has_silent = false;      // a coordinator did not answer
+  std::set<std::string> asked;     // servers
+  std::set<std::string> answered;  // servers
+  bool has_silent = false;         // a coordinator did not answer
   LoadDecision decision;
 };
 
@@ -100,6 +103,10 @@
                                          const PlacementShortlist& candidates) {
   Course course{.request = request,
                 .deadline = calls_.now() + options_.place_timeout};
+  for (const auto* servers : {&candidates.first, &candidates.more}) {
+    for (const std::string& server : *servers)
+      course.bids.push_back({.server = server});
+  }
   if (AskFirst(candidates, &course))
     return course.decision;
   AskOthers(candidates.first, &course);
@@ -109,15 +116,13 @@
   if (PlaceAtBest(&course))
     return course.decision;
   course.decision.placed_by =
-      course.bids.empty()
+      course.answered.empty()
           ? (course.has_silent ? PlacedBy::kNoAnswer : PlacedBy::kUnsettled)
           : PlacedBy::kNoRoom;
   // A coordinator that is silent may know of room, and a server without
   // described memory may queue the request.
-  const size_t candidate_count =
-      candidates.first.size() + candidates.more.size();
   if (candidates.is_whole_service && !course.has_silent &&
-      course.bids.size() == candidate_count &&
+      course.answered.size() == course.bids.size() &&
       std::all_of(course.bids.begin(), course.bids.end(),
                   [&](const PlacementBid& bid) {
                     return coordinator_.HasMemoryLimit(bid.server);
@@ -154,10 +159,7 @@
     return true;
   // The others do not know whether the preferred server would be better, so
   // the router's own view decides, as it does without coordinators.
-  const bool has_first_bid =
-      std::any_of(course->bids.begin(), course->bids.end(),
-                  [&](const PlacementBid& bid) { return bid.server == first; });
-  if (has_first_bid || !has_prompt)
+  if (course->answered.contains(first) || !has_prompt)
     return false;
   course->decision.placed_by =
       reply.has_value() ? PlacedBy::kUnsettled : PlacedBy::kNoAnswer;
@@ -228,10 +230,18 @@
   // Then only slots and requests count, and any place is as good.
   if (request.prompt_tokens <= 0)
     return absl::InfiniteDuration();
+  // What is shared is in the cache of such a server, if it is worth while to
+  // ask for it.
+  PlacementRequest own = request;
+  if (own.prompt.size() > 1) {
+    own.prompt.erase(own.prompt.begin(), own.prompt.end() - 1);
+    own.prompt_tokens = own.prompt.back().tokens;
+  }
   const auto mean = mean_delay_.find(request.service);
   const double delay = mean == mean_delay_.end() ? 0 : mean->second;
-  return empty_server_.Bid(request, calls_.now()).first_token +
-         PrefillTime(request.prompt_tokens) * delay + options_.ask_cost;
+  return empty_server_.Bid(own, calls_.now()).first_token +
+         PrefillTime(own.prompt_tokens) * delay +
+         request.latency_target * options_.good_share;
 }
 
 absl::Duration LoadController::PrefillTime(int64_t tokens) const {
@@ -325,9 +335,9 @@
         course->bids.begin(), course->bids.end(),
         [&](const PlacementBid& other) { return other.server == bid.server; });
     if (known == course->bids.end())
-      course->bids.push_back(bid);
-    else
-      *known = bid;
+      continue;  // not asked for
+    *known = bid;
+    course->answered.insert(bid.server);
     if (bid.server != reply->placed)
       continue;
     course->decision.server = bid.server;
--- a/hawthornhollow/relay/load_controller.h
+++ b/hawthornhollow/relay/load_controller.h
@@ -55,9 +55,11 @@
   absl::Duration report_interval = absl::Milliseconds(20);
   // Between two looks at which routers are up.
   absl::Duration routers_interval = absl::Milliseconds(100);
-  // What asking the coordinators of other candidates costs: two round trips. A
-  // request is placed at the first one if the others are better by no more.
-  absl::Duration ask_cost = absl::Milliseconds(4);
+  // A request is placed at the first candidate without asking for others if
+  // that costs this part of the latency target more than an empty server would.
+  // An answer has its full value within the target, and asking costs round
+  // trips.
+  double good_share = 0.1;
   // Entries kept for one coordinator until the next report; the oldest are
   // dropped. They expire at the coordinator.
   size_t max_report_entries = 512;
@@ -187,7 +189,8 @@
   bool AskFirst(const PlacementShortlist& candidates, Course* course);
   bool PlaceAtBest(Course* course);
   void AskOthers(const std::vector<std::string>& servers, Course* course);
-  // The most that a place may cost to be taken without asking for others.
+  // The most that the place at the first candidate may cost to be taken without
+  // asking for others.
   absl::Duration GoodCost(const PlacementRequest& request) const;
   std::vector<Group> GroupsOf(const std::vector<std::string>& servers,
                               const Course& course);
--- a/hawthornhollow/relay/load_coordinator.cc
+++ b/hawthornhollow/relay/load_coordinator.cc
@@ -155,10 +155,10 @@
     reply.bids.push_back(state->load->Bid(question.request, now));
     reply.bids.back().server = server;
   }
-  const std::optional<size_t> best = ChooseBid(reply.bids, question.request);
-  if (!best.has_value() || CostOf(reply.bids[*best]) > question.place_within)
+  if (reply.bids.empty() || reply.bids[0].server != question.servers[0] ||
+      !reply.bids[0].has_room || CostOf(reply.bids[0]) > question.place_within)
     return reply;
-  PlacementBid& bid = reply.bids[*best];
+  PlacementBid& bid = reply.bids[0];
   State* const state = FindOwn(bid.server);
   PlacementBid placed =
       state->load->Place(question.request, question.router, now);
--- a/hawthornhollow/relay/load_messages.h
+++ b/hawthornhollow/relay/load_messages.h
@@ -19,8 +19,8 @@
   return bid.first_token + bid.delay_to_others;
 }
 
-// Asks a coordinator for bids of its servers. The request is placed at the best
-// of them if that costs no more than `place_within`.
+// Asks a coordinator for bids of its servers. The request is placed at the
+// first of them if that has room and costs no more than `place_within`.
 struct PlacementQuestion {
   // Never places; costs are not negative.
   static constexpr absl::Duration kBidOnly = absl::Nanoseconds(-1);
--- a/hawthornhollow/relay/placement_shortlist.cc
+++ b/hawthornhollow/relay/placement_shortlist.cc
@@ -12,12 +12,13 @@
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/prompt_placement.h"
 #include "hawthornhollow/relay/relay.h"
+#include "hawthornhollow/relay/server_load.h"
 
 namespace hawthornhollow {
 namespace {
 
 // Servers preferred for the shared part.
-constexpr size_t kPreferred = 2;
+constexpr size_t kPreferred = kSharedPartCandidates;
 // Servers that the request's id chooses: the better of two takes part. Without
 // a shared part there are no others, and all take part.
 constexpr size_t kRandom = 2;
@@ -99,7 +100,8 @@
   return Choice{.server = state.server,
                 .uncached_tokens = uncached,
                 .predicted_wait = PredictedWait(state, uncached, query, now),
-                .registration = state.registration};
+                .registration = state.registration,
+                .sequence = ++last_sequence_};
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/request_run_answer_impl.h
+++ b/hawthornhollow/relay/request_run_answer_impl.h
@@ -167,7 +167,7 @@
   if (got_first_piece())
     return;
   first_piece_at_ = SteadyNow();
-  shared_.placement->OnFirstToken(choice);
+  shared_.placement->OnFirstToken(choice, *first_piece_at_);
   const absl::Duration took = *first_piece_at_ - sent_at_;
   if (placement_.placed.has_value())
     shared_.load->OnFirstToken(*placement_.placed, took);
--- a/testing/load_coordination_test.cc
+++ b/testing/load_coordination_test.cc
@@ -225,5 +225,31 @@
   EXPECT_EQ(CountLines("request.placed", "by=coordinator") - before, kRouters);
 }
 
+// Nothing in the store says that a router was killed, so the others must find
+// out.
+TEST_F(LoadCoordinationTest, RouterKilledForGood_OthersCoordinateItsServers) {
+  ASSERT_TRUE(processes_[0]->Signal(SIGKILL).ok());
+  ASSERT_TRUE(processes_[0]->Wait(kWait).ok());
+  constexpr int kParts = 7;
+  const auto send = [&](int number) {
+    const auto answer = SendTo(1 + number % (kRouters - 1),
+                               absl::StrCat("part-", number % kParts));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 200) << answer->body;
+  };
+  const absl::Time end = absl::Now() + 3 * kSettleTime;
+  for (int i = 0; absl::Now() < end; ++i) {
+    send(i);
+    absl::SleepFor(absl::Milliseconds(20));
+  }
+  absl::SleepFor(absl::Milliseconds(200));
+  const int before = CountLines("request.placed", "by=coordinator");
+  const int sent = (kRouters - 1) * kParts;
+  for (int i = 0; i < sent; ++i)
+    send(i);
+  absl::SleepFor(absl::Milliseconds(200));
+  EXPECT_EQ(CountLines("request.placed", "by=coordinator") - before, sent);
+}
+
 }  // namespace
 }  // namespace hawthornhollow
