--- a/hawthornhollow/relay/load_controller.cc
+++ b/hawthornhollow/relay/load_controller.cc
@@ -79,6 +79,7 @@
     : router_(std::move(router)),
       options_(options),
       calls_(std::move(calls)),
+      peers_(router_, options.peers, calls_),
       coordinator_(router_, options.coordinator),
       empty_server_(options.coordinator.server) {}
 
@@ -146,7 +147,7 @@
   std::vector<Group> groups = GroupsOf(candidates.first, *course);
   if (!has_prompt) {
     std::erase_if(groups, [&](const Group& group) {
-      return IsPaused(group.coordinator);
+      return peers_.IsPaused(group.coordinator.router);
     });
   }
   if (groups.empty()) {
@@ -171,7 +172,7 @@
   const std::vector<Group> groups = GroupsOf(servers, *course);
   const auto answers = std::make_shared<Answers>();
   const absl::Duration timeout =
-      std::min(options_.ask_timeout, course->deadline - calls_.now());
+      std::min(options_.peers.ask_timeout, course->deadline - calls_.now());
   for (const Group& group : groups) {
     for (const std::string& server : group.servers)
       course->asked.insert(server);
@@ -182,7 +183,8 @@
       answers->received.emplace_back(group, OnAsked(question));
       continue;
     }
-    if (IsPaused(group.coordinator) || timeout <= absl::ZeroDuration()) {
+    if (peers_.IsPaused(group.coordinator.router) ||
+        timeout <= absl::ZeroDuration()) {
       course->has_silent = true;
       continue;
     }
@@ -190,7 +192,7 @@
     ++answers->missing;
     calls_.spawn([this, answers, group, timeout,
                   question = std::move(question)]() mutable {
-      auto reply = AskRemote(group.coordinator, std::move(question), timeout);
+      auto reply = peers_.Ask(group.coordinator, std::move(question), timeout);
       answers->received.emplace_back(group, std::move(reply));
       --answers->missing;
       answers->changed.Notify();
@@ -282,11 +284,12 @@
   if (group.coordinator.router == router_)
     return OnAsked(question);
   const absl::Duration timeout =
-      std::min(options_.ask_timeout, course->deadline - calls_.now());
-  if (IsPaused(group.coordinator) || timeout <= absl::ZeroDuration())
+      std::min(options_.peers.ask_timeout, course->deadline - calls_.now());
+  if (peers_.IsPaused(group.coordinator.router) ||
+      timeout <= absl::ZeroDuration())
     return std::nullopt;
   ++course->decision.messages;
-  auto reply = AskRemote(group.coordinator, std::move(question), timeout);
+  auto reply = peers_.Ask(group.coordinator, std::move(question), timeout);
   if (!reply.has_value()) {
     // It may have placed the request, and the answer is lost.
     for (const std::string& server : group.servers) {
@@ -299,29 +302,6 @@
   return reply;
 }
 
-std::optional<PlacementReply> LoadController::AskRemote(
-    const RouterAddress& coordinator,
-    PlacementQuestion question,
-    absl::Duration timeout) {
-  Outbox& outbox = OutboxOf(coordinator);
-  // Notices go before progress, so they must not stay behind.
-  if (outbox.report.notices.empty())
-    question.progress = std::exchange(outbox.report.progress, {});
-  auto reply = calls_.ask(coordinator.address, question, timeout);
-  if (reply.ok()) {
-    OnAnswered(coordinator.router);
-    return *std::move(reply);
-  }
-  LogEvent("load.ask_failed", LogSeverity::kWarning)
-      .Add("peer", coordinator.router)
-      .Add("request", question.request.id)
-      .Add("timeout_ms", absl::ToInt64Milliseconds(timeout))
-      .Add("pause_ms", absl::ToInt64Milliseconds(options_.ask_pause))
-      .Add("reason", reply.status());
-  OnUntold(coordinator.router, question.progress);
-  return std::nullopt;
-}
-
 bool LoadController::TakeReply(const Group& group,
                                const std::optional<PlacementReply>& reply,
                                Course* course) {
@@ -352,11 +332,6 @@
   return !course->decision.server.empty();
 }
 
-bool LoadController::IsPaused(const RouterAddress& coordinator) const {
-  const auto found = outboxes_.find(coordinator.router);
-  return found != outboxes_.end() && found->second->paused_until > calls_.now();
-}
-
 void LoadController::ObserveBid(const std::string& service,
                                 const PlacementBid& bid) {
   if (bid.uncached_tokens <= 0)
@@ -385,11 +360,9 @@
                           calls_.now());
     return placed;
   }
-  if (IsPaused(*coordinator) || calls_.is_link_busy())
+  if (peers_.IsPaused(coordinator->router) || calls_.is_link_busy())
     return std::nullopt;
-  Outbox& outbox = OutboxOf(*coordinator);
-  outbox.report.notices.push_back(std::move(notice));
-  Trim(&outbox.report);
+  peers_.Tell(*coordinator, std::move(notice));
   return placed;
 }
 
@@ -416,96 +389,17 @@
                           calls_.now());
     return;
   }
-  LoadReport& report = OutboxOf(placed.coordinator).report;
-  report.progress.push_back(progress);
-  Trim(&report);
-}
-
-void LoadController::Trim(LoadReport* report) const {
-  const auto trim = [&](auto& entries) {
-    if (entries.size() > options_.max_report_entries) {
-      entries.erase(entries.begin(),
-                    entries.end() - static_cast<std::ptrdiff_t>(
-                                        options_.max_report_entries));
-    }
-  };
-  trim(report->notices);
-  trim(report->progress);
-}
-
-LoadController::Outbox& LoadController::OutboxOf(
-    const RouterAddress& coordinator) {
-  auto& outbox = outboxes_[coordinator.router];
-  if (outbox == nullptr)
-    outbox = std::make_shared<Outbox>();
-  outbox->address = coordinator.address;
-  return *outbox;
-}
-
-// Only ends are told again: a request that has ended would hold its slot and
-// memory at the coordinator until it expires.
-void LoadController::OnUntold(const std::string& coordinator,
-                              const std::vector<PlacementProgress>& progress) {
-  const auto found = outboxes_.find(coordinator);
-  if (found == outboxes_.end())
-    return;
-  const absl::Time now = calls_.now();
-  const bool was_dead = IsDead(coordinator);
-  found->second->paused_until = now + options_.ask_pause;
-  found->second->first_failure = std::min(found->second->first_failure, now);
-  found->second->last_failure = now;
-  if (!was_dead && IsDead(coordinator)) {
-    LogEvent("load.coordinator_lost", LogSeverity::kWarning)
-        .Add("peer", coordinator)
-        .Add("silent_ms",
-             absl::ToInt64Milliseconds(now - found->second->first_failure));
-  }
-  LoadReport& report = found->second->report;
-  for (const PlacementProgress& entry : progress) {
-    if (entry.event == PlacementEvent::kEnded)
-      report.progress.push_back(entry);
-  }
-  Trim(&report);
-}
-
-bool LoadController::IsDead(const std::string& router) const {
-  const auto found = outboxes_.find(router);
-  return found != outboxes_.end() &&
-         found->second->last_failure - found->second->first_failure >=
-             options_.dead_after;
-}
-
-void LoadController::OnAnswered(const std::string& coordinator) {
-  const auto found = outboxes_.find(coordinator);
-  if (found == outboxes_.end())
-    return;
-  if (IsDead(coordinator))
-    LogEvent("load.coordinator_back").Add("peer", coordinator);
-  found->second->paused_until = absl::InfinitePast();
-  found->second->first_failure = absl::InfiniteFuture();
-  found->second->last_failure = absl::InfinitePast();
+  peers_.Tell(placed.coordinator, progress);
 }
 
 void LoadController::CheckCoordinators(const PlacementQuestion& question) {
   for (const std::string& server : question.servers) {
     const RouterAddress* const coordinator = coordinator_.CoordinatorOf(server);
     if (coordinator != nullptr && coordinator->router != router_)
-      Probe(*coordinator, options_.ask_pause);
+      peers_.Probe(*coordinator, options_.peers.ask_pause);
   }
 }
 
-void LoadController::Probe(const RouterAddress& router,
-                           absl::Duration interval) {
-  Outbox& outbox = OutboxOf(router);
-  const absl::Time now = calls_.now();
-  if (now - outbox.probed < interval || calls_.is_link_busy())
-    return;
-  outbox.probed = now;
-  calls_.spawn([this, router] {
-    AskRemote(router, {.router = router_}, options_.ask_timeout);
-  });
-}
-
 PlacementReply LoadController::OnAsked(const PlacementQuestion& question) {
   if (question.router != router_) {
     heard_[question.router] = calls_.now();
@@ -518,27 +412,22 @@
 
 void LoadController::LogAnswer(const PlacementQuestion& question,
                                const PlacementReply& reply) const {
-  // The one that was placed at, or else the one that was asked for first.
-  const PlacementBid* shown = reply.bids.empty() ? nullptr : &reply.bids[0];
-  for (const PlacementBid& bid : reply.bids) {
-    if (bid.server == reply.placed)
-      shown = &bid;
-  }
-  LogEvent event("load.answered");
-  event.Add("request", question.request.id)
+  // Only the first one can have been placed at.
+  const PlacementBid bid =
+      reply.bids.empty() ? PlacementBid() : reply.bids.front();
+  LogEvent("load.answered")
+      .Add("request", question.request.id)
       .Add("peer", question.router)
       .Add("servers", question.servers.size())
       .Add("bids", reply.bids.size())
-      .Add("placed", reply.placed);
-  if (shown == nullptr)
-    return;
-  event.Add("server", shown->server)
-      .Add("room", shown->has_room ? 1 : 0)
-      .Add("first_ms", absl::ToInt64Milliseconds(shown->first_token))
-      .Add("delay_ms", absl::ToInt64Milliseconds(shown->delay_to_others))
-      .Add("uncached", shown->uncached_tokens)
-      .Add("requests", shown->requests)
-      .Add("queued", shown->queued_tokens);
+      .Add("placed", reply.placed)
+      .Add("server", bid.server)
+      .Add("room", bid.has_room ? 1 : 0)
+      .Add("first_ms", absl::ToInt64Milliseconds(bid.first_token))
+      .Add("delay_ms", absl::ToInt64Milliseconds(bid.delay_to_others))
+      .Add("uncached", bid.uncached_tokens)
+      .Add("requests", bid.requests)
+      .Add("queued", bid.queued_tokens);
 }
 
 void LoadController::OnReported(const LoadReport& report) {
@@ -571,10 +460,10 @@
   DropDeadRouters(known);
   std::vector<RouterAddress> living;
   for (const RouterAddress& router : known) {
-    if (!IsDead(router.router))
+    if (!peers_.IsDead(router.router))
       living.push_back(router);
     else
-      Probe(router, options_.probe_interval);
+      peers_.Probe(router, options_.peers.probe_interval);
   }
   coordinator_.SetRouters(living, routers_observed_);
   coordinator_.Expire(routers_observed_);
@@ -590,45 +479,13 @@
     const auto& [router, heard] = item;
     const bool is_gone =
         !present.contains(router) ||
-        (IsDead(router) && routers_observed_ - heard >= options_.dead_after);
+        (peers_.IsDead(router) &&
+         routers_observed_ - heard >= options_.peers.dead_after);
     if (is_gone)
       coordinator_.DropRouter(router);
     return is_gone;
   });
-  std::erase_if(outboxes_, [&](const auto& item) {
-    return !item.second->is_sending && !present.contains(item.first);
-  });
-}
-
-void LoadController::SendReports() {
-  const absl::Time now = calls_.now();
-  for (auto& [coordinator, outbox] : outboxes_) {
-    const LoadReport& report = outbox->report;
-    if (outbox->is_sending || outbox->paused_until > now ||
-        (report.notices.empty() && report.progress.empty()))
-      continue;
-    outbox->is_sending = true;
-    calls_.spawn([this, coordinator = coordinator, outbox = outbox] {
-      Send(coordinator, outbox.get());
-    });
-  }
-}
-
-void LoadController::Send(const std::string& coordinator, Outbox* outbox) {
-  LoadReport report = std::exchange(outbox->report, {});
-  report.router = router_;
-  const absl::Status status = calls_.report(outbox->address, report);
-  outbox->is_sending = false;
-  if (status.ok()) {
-    OnAnswered(coordinator);
-    return;
-  }
-  LogEvent("load.report_failed", LogSeverity::kWarning)
-      .Add("peer", coordinator)
-      .Add("notices", report.notices.size())
-      .Add("progress", report.progress.size())
-      .Add("reason", status);
-  OnUntold(coordinator, report.progress);
+  peers_.KeepRouters(known);
 }
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/load_controller.h
+++ b/hawthornhollow/relay/load_controller.h
@@ -31,6 +31,7 @@
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/load_coordinator.h"
 #include "hawthornhollow/relay/load_messages.h"
+#include "hawthornhollow/relay/load_peers.h"
 #include "hawthornhollow/relay/prompt_placement.h"
 
 namespace hawthornhollow {
@@ -39,18 +40,9 @@
   // Whether coordinators are asked and told of requests.
   bool is_on = true;
   LoadCoordinatorOptions coordinator;
-  // For one answer of a coordinator: a few round trips between VMs.
-  absl::Duration ask_timeout = absl::Milliseconds(10);
+  LoadPeersOptions peers;
   // For all answers that one request waits for.
   absl::Duration place_timeout = absl::Milliseconds(25);
-  // A coordinator that did not answer is not asked again for this time.
-  absl::Duration ask_pause = absl::Milliseconds(400);
-  // A router that has answered nothing for this time, and was asked or told
-  // something after it, is no coordinator until it answers again. Records in
-  // the store do not tell that a router was killed.
-  absl::Duration dead_after = absl::Seconds(1);
-  // Between two probes of such a router.
-  absl::Duration probe_interval = absl::Seconds(2);
   // Between two reports to one coordinator.
   absl::Duration report_interval = absl::Milliseconds(20);
   // Between two looks at which routers are up.
@@ -60,9 +52,6 @@
   // An answer has its full value within the target, and asking costs round
   // trips.
   double good_share = 0.1;
-  // Entries kept for one coordinator until the next report; the oldest are
-  // dropped. They expire at the coordinator.
-  size_t max_report_entries = 512;
   // Of requests that are refused because all servers are full.
   absl::Duration min_retry_after = absl::Milliseconds(50);
   absl::Duration max_retry_after = absl::Seconds(5);
@@ -70,24 +59,6 @@
                           const LoadControllerOptions&) = default;
 };
 
-// What LoadController needs of its router.
-struct LoadCalls {
-  std::function<void(std::function<void()>)> spawn;  // runs on another fiber
-  // All routers that are known, this one included; some may have been killed.
-  std::function<std::vector<RouterAddress>()> routers;
-  std::function<absl::StatusOr<PlacementReply>(
-      const std::string& address,
-      const PlacementQuestion& question,
-      absl::Duration timeout)>
-      ask;
-  std::function<absl::Status(const std::string& address,
-                             const LoadReport& report)>
-      report;
-  // While it is, nobody is asked: answers would wait in the link's queue.
-  std::function<bool()> is_link_busy;
-  std::function<absl::Time()> now = &SteadyNow;
-};
-
 // What a server was chosen by.
 enum class PlacedBy {
   kCoordinator,
@@ -158,20 +129,9 @@
   void Run(const std::atomic<bool>& stop);
   // One round of Run().
   void ObserveRouters();
-  void SendReports();
+  void SendReports() { peers_.SendReports(); }
 
  private:
-  // What is to be told to one coordinator.
-  struct Outbox {
-    std::string address;
-    LoadReport report;
-    bool is_sending = false;
-    absl::Time paused_until = absl::InfinitePast();
-    // Of the failures without an answer since.
-    absl::Time first_failure = absl::InfiniteFuture();
-    absl::Time last_failure = absl::InfinitePast();
-    absl::Time probed = absl::InfinitePast();
-  };
   // The candidates of one coordinator.
   struct Group {
     RouterAddress coordinator;
@@ -198,45 +158,31 @@
   std::optional<PlacementReply> Ask(const Group& group,
                                     absl::Duration place_within,
                                     Course* course);
-  std::optional<PlacementReply> AskRemote(const RouterAddress& coordinator,
-                                          PlacementQuestion question,
-                                          absl::Duration timeout);
   // Takes the bids of an answer, and what it says about the request's place.
   bool TakeReply(const Group& group,
                  const std::optional<PlacementReply>& reply,
                  Course* course);
-  bool IsPaused(const RouterAddress& coordinator) const;
-  bool IsDead(const std::string& router) const;
-  void OnAnswered(const std::string& coordinator);
   // Another router asks for servers of which it takes this router for the
   // coordinator, as the coordinator may not answer it.
   void CheckCoordinators(const PlacementQuestion& question);
-  // Finds out whether a router answers, unless that was done of late.
-  void Probe(const RouterAddress& router, absl::Duration interval);
   void DropDeadRouters(const std::vector<RouterAddress>& known);
   absl::Duration PrefillTime(int64_t tokens) const;
   void ObserveBid(const std::string& service, const PlacementBid& bid);
   void LogAnswer(const PlacementQuestion& question,
                  const PlacementReply& reply) const;
 
-  Outbox& OutboxOf(const RouterAddress& coordinator);
   void TellProgress(const PlacedRequest& placed,
                     PlacementEvent event,
                     absl::Duration took);
-  void Trim(LoadReport* report) const;
-  void Send(const std::string& coordinator, Outbox* outbox);
-  // The coordinator did not answer: it is left alone for a while.
-  void OnUntold(const std::string& coordinator,
-                const std::vector<PlacementProgress>& progress);
 
   const std::string router_;
   const LoadControllerOptions options_;
   const LoadCalls calls_;
+  LoadPeers peers_;
   LoadCoordinator coordinator_;
   // Predicts what a server that holds nothing would offer.
   const ServerLoad empty_server_;
   uint64_t request_count_ = 0;
-  std::map<std::string, std::shared_ptr<Outbox>> outboxes_;  // keyed by router
   // The delay of other requests for each millisecond of a prompt's processing,
   // on average over the bids of late, keyed by service.
   std::map<std::string, double> mean_delay_;
