--- a/hawthornhollow/relay/load_controller.cc
+++ b/hawthornhollow/relay/load_controller.cc
@@ -90,10 +90,12 @@
 
 LoadDecision LoadController::Place(const PlacementRequest& request,
                                    const PlacementShortlist& candidates) {
-  if (!options_.is_on || candidates.first.empty())
+  if (!options_.is_on)
     return {.placed_by = PlacedBy::kOff};
   if (calls_.is_link_busy())
     return {.placed_by = PlacedBy::kLinkBusy};
+  if (candidates.first.empty())
+    return {.placed_by = PlacedBy::kOff};
   const absl::Time begin = calls_.now();
   LoadDecision decision = PlaceByBids(request, candidates);
   decision.took = calls_.now() - begin;
@@ -116,10 +118,9 @@
   AskOthers(candidates.more, &course);
   if (PlaceAtBest(&course))
     return course.decision;
-  course.decision.placed_by =
-      course.answered.empty()
-          ? (course.has_silent ? PlacedBy::kNoAnswer : PlacedBy::kUnsettled)
-          : PlacedBy::kNoRoom;
+  course.decision.placed_by = course.has_silent         ? PlacedBy::kNoAnswer
+                              : course.answered.empty() ? PlacedBy::kUnsettled
+                                                        : PlacedBy::kNoRoom;
   // A coordinator that is silent may know of room, and a server without
   // described memory may queue the request.
   if (candidates.is_whole_service && !course.has_silent &&
--- a/hawthornhollow/relay/load_controller.h
+++ b/hawthornhollow/relay/load_controller.h
@@ -52,8 +52,9 @@
   // An answer has its full value within the target, and asking costs round
   // trips.
   double good_share = 0.1;
-  // Of requests that are refused because all servers are full.
-  absl::Duration min_retry_after = absl::Milliseconds(50);
+  // Of requests that are refused because all servers are full. Bids do not tell
+  // when a slot becomes free, so the least is what refused requests get.
+  absl::Duration min_retry_after = absl::Milliseconds(400);
   absl::Duration max_retry_after = absl::Seconds(5);
   friend auto operator<=>(const LoadControllerOptions&,
                           const LoadControllerOptions&) = default;
@@ -105,6 +106,8 @@
   // Ids of requests are made unique with the router's name and a count.
   std::string UniqueId(std::string_view request);
 
+  // Whether Place() asks coordinators now. If not, it needs no candidates.
+  bool IsAsking() const { return options_.is_on && !calls_.is_link_busy(); }
   // Places a request; may wait for other routers.
   LoadDecision Place(const PlacementRequest& request,
                      const PlacementShortlist& candidates);
--- a/hawthornhollow/relay/request_run_impl.h
+++ b/hawthornhollow/relay/request_run_impl.h
@@ -118,7 +118,9 @@
   PromptPlacement& own_view = *shared_.placement;
   const PlacementRequest request = LoadRequest();
   placement_ = shared_.load->Place(
-      request, own_view.Shortlist(query, request.id, SteadyNow()));
+      request, shared_.load->IsAsking()
+                   ? own_view.Shortlist(query, request.id, SteadyNow())
+                   : PlacementShortlist());
   if (placement_.full_for.has_value()) {
     return ErrorAt(absl::StatusCode::kResourceExhausted, "placement.choose",
                    request_.service, "no server has room");
