--- a/hawthornhollow/relay/load_controller.cc
+++ b/hawthornhollow/relay/load_controller.cc
@@ -36,21 +36,9 @@
 }  // namespace
 
 std::string_view NameOf(PlacedBy placed_by) {
-  switch (placed_by) {
-    case PlacedBy::kCoordinator:
-      return "coordinator";
-    case PlacedBy::kOff:
-      return "off";
-    case PlacedBy::kLinkBusy:
-      return "link_busy";
-    case PlacedBy::kNoAnswer:
-      return "no_answer";
-    case PlacedBy::kUnsettled:
-      return "unsettled";
-    case PlacedBy::kNoRoom:
-      return "no_room";
-  }
-  return "";
+  constexpr std::string_view kNames[] = {
+      "coordinator", "off", "link_busy", "no_answer", "unsettled", "no_room"};
+  return kNames[static_cast<size_t>(placed_by)];
 }
 
 // Answers to questions that were asked at the same time. Shared with the fibers
@@ -112,6 +100,10 @@
   }
   if (AskFirst(candidates, &course))
     return course.decision;
+  if (IsCrowded(request.service)) {
+    course.decision.placed_by = PlacedBy::kNoRoom;
+    return course.decision;
+  }
   AskOthers(candidates.first, &course);
   if (PlaceAtBest(&course))
     return course.decision;
@@ -133,10 +125,17 @@
     for (const PlacementBid& bid : course.bids)
       earliest = std::min(earliest, bid.first_token);
     course.decision.full_for = std::max(earliest, options_.min_retry_after);
+  } else if (!coordinator_.HasMemoryLimit(candidates.first.front())) {
+    crowded_until_[request.service] = calls_.now() + options_.crowded_pause;
   }
   return course.decision;
 }
 
+bool LoadController::IsCrowded(const std::string& service) const {
+  const auto found = crowded_until_.find(service);
+  return found != crowded_until_.end() && found->second > calls_.now();
+}
+
 bool LoadController::AskFirst(const PlacementShortlist& candidates,
                               Course* course) {
   const std::string& first = candidates.first.front();
--- a/hawthornhollow/relay/load_controller.h
+++ b/hawthornhollow/relay/load_controller.h
@@ -52,6 +52,10 @@
   // An answer has its full value within the target, and asking costs round
   // trips.
   double good_share = 0.1;
+  // After no candidate of a service without described memory had room, its
+  // requests ask only one coordinator for this time: many questions to find a
+  // slot are least useful when none is free.
+  absl::Duration crowded_pause = absl::Milliseconds(50);
   // Of requests that are refused because all servers are full. Bids do not tell
   // when a slot becomes free, so the least is what refused requests get.
   absl::Duration min_retry_after = absl::Milliseconds(400);
@@ -151,6 +155,7 @@
   // decided.
   bool AskFirst(const PlacementShortlist& candidates, Course* course);
   bool PlaceAtBest(Course* course);
+  bool IsCrowded(const std::string& service) const;
   void AskOthers(const std::vector<std::string>& servers, Course* course);
   // The most that the place at the first candidate may cost to be taken without
   // asking for others.
@@ -189,6 +194,8 @@
   // The delay of other requests for each millisecond of a prompt's processing,
   // on average over the bids of late, keyed by service.
   std::map<std::string, double> mean_delay_;
+  // Service -> until when it is taken to have no room.
+  std::map<std::string, absl::Time> crowded_until_;
   absl::Time routers_observed_ = absl::InfinitePast();
   // When other routers last asked or told something.
   std::map<std::string, absl::Time> heard_;
--- a/hawthornhollow/relay/load_controller_test.cc
+++ b/hawthornhollow/relay/load_controller_test.cc
@@ -170,6 +170,31 @@
   EXPECT_EQ(decision.server, "i-1");
 }
 
+// Guards against many questions for each request when no slot is free.
+TEST_F(LoadControllerTest, NoMemoryDescribed_AllFull_FewAreAskedForAWhile) {
+  const LoadControllerOptions options;
+  constexpr int kServers = 6;
+  Fleet fleet(40, kServers, options, kSlots, "plain");
+  fleet.Settle();
+  for (const std::string& server : fleet.server_ids()) {
+    for (int64_t i = 0; i < kSlots; ++i)
+      PlaceAt(fleet, server, fleet.Request(0));
+  }
+  const PlacementShortlist all{.first = fleet.server_ids(),
+                               .is_whole_service = true};
+  int router = 0;
+  while (std::any_of(all.first.begin(), all.first.end(),
+                     [&](const std::string& server) {
+                       return fleet.CoordinatorOf(server) == router;
+                     }))
+    ++router;
+  LoadController& node = fleet.node(router);
+  EXPECT_GT(node.Place(fleet.Request(0), all).messages, 1);
+  EXPECT_EQ(node.Place(fleet.Request(0), all).messages, 1);
+  fleet.Advance(options.crowded_pause);
+  EXPECT_GT(node.Place(fleet.Request(0), all).messages, 1);
+}
+
 // A server of which only slots are known may queue the request.
 TEST_F(LoadControllerTest, NoMemoryDescribed_AllFull_NotRefused) {
   Fleet fleet(3, /*servers=*/1, /*options=*/{}, kSlots, "plain");
