--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -55,6 +55,7 @@
   Endpoint peers;
   Endpoint store;
   double link_mbps = 1'000;
+  int64_t load_ask_ms = 10;
 };
 std::string EntrySettings(const std::string& router,
                           const EntryAddresses& addresses);
@@ -95,6 +96,7 @@
   int64_t order_attempts = 1;
   double cold_per_second = 0;
   absl::Duration cold_time;
+  int64_t memory_tokens = 0;  // of a server's engine; 0: not described
   std::vector<StandinWorkspace> workspaces;
 };
 void PutConfiguration(StoreStandin& store,
