--- a/hawthornhollow/relay/load_controller.h
+++ b/hawthornhollow/relay/load_controller.h
@@ -38,7 +38,7 @@
 
 struct LoadControllerOptions {
   // Whether coordinators are asked and told of requests.
-  bool is_on = true;
+  bool is_on = false;
   LoadCoordinatorOptions coordinator;
   LoadPeersOptions peers;
   // For all answers that one request waits for.
--- a/hawthornhollow/relay/prompt_placement.h
+++ b/hawthornhollow/relay/prompt_placement.h
@@ -25,7 +25,7 @@
   // Whether the speed of each server is learned, and the tokens of a prompt
   // count less as it is processed. If not, all servers have the same speed, and
   // the tokens of a prompt count in full until its first token.
-  bool learn_speed = true;
+  bool learn_speed = false;
   // With learned speeds, processing a shared part again counts this often in
   // addition, as small errors of the speeds would spread copies of parts.
   double copy_weight = 0.5;
