--- a/hawthornhollow/http/http_client.cc
+++ b/hawthornhollow/http/http_client.cc
@@ -32,7 +32,7 @@
   using ExchangeOr = absl::StatusOr<std::unique_ptr<HttpExchange>>;
 
   ExchangeOr Open(const Endpoint& endpoint,
-                  const HttpRequest& request,
+                  const std::shared_ptr<const HttpRequest>& request,
                   absl::Duration timeout,
                   absl::Duration connect_timeout,
                   const std::function<bool()>& may_send);
@@ -64,7 +64,7 @@
 
 HttpClient::Impl::ExchangeOr HttpClient::Impl::Open(
     const Endpoint& endpoint,
-    const HttpRequest& request,
+    const std::shared_ptr<const HttpRequest>& request,
     absl::Duration timeout,
     absl::Duration connect_timeout,
     const std::function<bool()>& may_send) {
@@ -124,9 +124,19 @@
     const Endpoint& endpoint,
     const HttpRequest& request,
     absl::Duration timeout,
+    absl::Duration connect_timeout) {
+  return Open(endpoint, std::make_shared<const HttpRequest>(request), timeout,
+              connect_timeout);
+}
+
+absl::StatusOr<std::unique_ptr<HttpExchange>> HttpClient::Open(
+    const Endpoint& endpoint,
+    std::shared_ptr<const HttpRequest> request,
+    absl::Duration timeout,
     absl::Duration connect_timeout,
     const std::function<bool()>& may_send) {
-  return impl_->Open(endpoint, request, timeout, connect_timeout, may_send);
+  return impl_->Open(endpoint, std::move(request), timeout, connect_timeout,
+                     may_send);
 }
 
 void HttpClient::CloseStaleConnections() {
--- a/hawthornhollow/relay/relay_metrics.cc
+++ b/hawthornhollow/relay/relay_metrics.cc
@@ -102,11 +102,16 @@
       {"servers_coordinated", gauges.coordinated_servers},
       {"requests_in_progress", gauges.requests_in_progress},
       {"caller_connections", gauges.caller_connections},
+      {"request_memory_bytes", gauges.request_memory},
       {"tokens_available", gauges.available_tokens},
       {"tokens_waited_for", gauges.waiting_tokens},
   };
   for (const auto& [name, value] : values)
     registry_.Set(name, {}, static_cast<double>(value));
+  for (const auto& [reason, count] : gauges.refusals.ByReason()) {
+    registry_.Set("http_refused_total", {{"reason", std::string(reason)}},
+                  static_cast<double>(count));
+  }
   SetAge(registry_, "config_age_seconds", gauges.config_age);
   SetAge(registry_, "servers_age_seconds", gauges.servers_age);
   SetAge(registry_, "record_age_seconds", gauges.record_age);
--- a/hawthornhollow/relay/server_load.cc
+++ b/hawthornhollow/relay/server_load.cc
@@ -45,7 +45,7 @@
 // A first token later than this share of the target counts with this weight in
 // addition, as predictions are not exact.
 constexpr double kLateShare = 0.5;
-constexpr double kLateWeight = 16;
+constexpr double kLateWeight = 1;
 // Utilization of a server by requests with one shared part above which the part
 // is to get a further server.
 constexpr double kMaxPartUtilization = 0.3;
@@ -53,7 +53,7 @@
 constexpr double kMinPartUtilization = 0.001;
 // Cost of staying, per unit of utilization above, in multiples of the time to
 // process the part.
-constexpr double kPartPressure = 6;
+constexpr double kPartPressure = 0;
 
 absl::Duration TargetOf(const PlacementRequest& request) {
   return request.latency_target > absl::ZeroDuration() ? request.latency_target
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -47,6 +47,9 @@
 std::string RefusalBytes(const std::string& id);
 // A caller's request in bytes, on a connection of its own.
 std::string CallerRequestBytes(const CallerRequest& request);
+// The head alone, with these lines of framing.
+std::string CallerHeadBytes(const CallerRequest& request,
+                            const std::string& framing);
 
 // The settings file of a router.
 struct EntryAddresses {
@@ -56,6 +59,9 @@
   Endpoint store;
   double link_mbps = 1'000;
   int64_t load_ask_ms = 10;
+  // Of the VM; 0: not stated.
+  int64_t memory_mb = 0;
+  int64_t max_fds = 0;
 };
 std::string EntrySettings(const std::string& router,
                           const EntryAddresses& addresses);
