--- a/hawthornhollow/relay/server_load.cc
+++ b/hawthornhollow/relay/server_load.cc
@@ -42,18 +42,9 @@
 // keeps small parts free to go to any server.
 constexpr double kSecondCopyWeight = 3;
 constexpr double kLostCopyWeight = 32;
-// A first token later than this share of the target counts with this weight in
-// addition, as predictions are not exact.
-constexpr double kLateShare = 0.5;
-constexpr double kLateWeight = 1;
-// Utilization of a server by requests with one shared part above which the part
-// is to get a further server.
-constexpr double kMaxPartUtilization = 0.3;
-// Shared parts with less are forgotten.
-constexpr double kMinPartUtilization = 0.001;
-// Cost of staying, per unit of utilization above, in multiples of the time to
-// process the part.
-constexpr double kPartPressure = 0;
+// A first token later than the target has lost most of its value to the
+// caller, so what exceeds the target counts with this weight in addition.
+constexpr double kLateWeight = 16;
 
 absl::Duration TargetOf(const PlacementRequest& request) {
   return request.latency_target > absl::ZeroDuration() ? request.latency_target
@@ -90,7 +81,7 @@
   else if (index > 0)
     weight = kSecondCopyWeight * share;
   cost += absl::Milliseconds(weight * uncached_shared / kTypicalTokensPerMs);
-  const absl::Duration late = bid.first_token - TargetOf(request) * kLateShare;
+  const absl::Duration late = bid.first_token - TargetOf(request);
   return cost + kLateWeight * std::max(absl::ZeroDuration(), late);
 }
 
@@ -130,18 +121,6 @@
   return work * delayed;
 }
 
-absl::Duration ServerLoad::PartPressure(const PlacementRequest& request,
-                                        int64_t uncached,
-                                        absl::Time now) const {
-  const auto found = part_work_.find(PreferenceKey(request.prompt));
-  if (found == part_work_.end() || request.prompt.size() < 2)
-    return absl::ZeroDuration();
-  const int64_t shared = PromptTokensOf(request) - uncached;
-  const double excess = found->second.PerSecond(now) - kMaxPartUtilization;
-  return kPartPressure * std::clamp(excess, 0.0, 1.0) *
-         queue_.WorkOf(shared, running_);
-}
-
 std::vector<PromptPart> ServerLoad::SharedPartsOf(
     const PlacementRequest& request) const {
   if (!options_.shared_parts_held_once || request.prompt.empty())
@@ -165,8 +144,7 @@
   const absl::Duration wait = queue_.Wait(request.urgency, running_, now);
   const absl::Duration work = queue_.WorkOf(bid.uncached_tokens, running_);
   bid.first_token = options_.network_time + wait + work;
-  bid.delay_to_others = DelayToOthers(request, wait, work, now) +
-                        PartPressure(request, bid.uncached_tokens, now);
+  bid.delay_to_others = DelayToOthers(request, wait, work, now);
   const bool has_slot = options_.slots == 0 || requests() < options_.slots;
   const bool has_memory =
       options_.memory_tokens == 0 ||
@@ -205,11 +183,6 @@
   const double work_seconds =
       absl::ToDoubleSeconds(queue_.WorkOf(bid.uncached_tokens, running_));
   arrived_work_.Add(work_seconds, now);
-  if (request.prompt.size() > 1) {
-    part_work_
-        .try_emplace(PreferenceKey(request.prompt), options_.arrival_window)
-        .first->second.Add(work_seconds, now);
-  }
   arrived_tightness_.Add(1 / absl::ToDoubleSeconds(placed.latency_target), now);
   queue_.Add(placed.sequence, bid.uncached_tokens, request.urgency, now);
   cache_.Use(request.prompt, output_tokens_, now);
@@ -266,9 +239,6 @@
     placed = placed->second.expires_at <= now ? Erase(placed, now)
                                               : std::next(placed);
   }
-  std::erase_if(part_work_, [now](const auto& part) {
-    return part.second.PerSecond(now) < kMinPartUtilization;
-  });
 }
 
 std::optional<size_t> ChooseBid(const std::vector<PlacementBid>& bids,
--- a/hawthornhollow/relay/server_load.h
+++ b/hawthornhollow/relay/server_load.h
@@ -155,11 +155,6 @@
                                absl::Duration wait,
                                absl::Duration work,
                                absl::Time now) const;
-  // Added to bids of servers that one shared part keeps busy, so that the part
-  // gets a further server in time.
-  absl::Duration PartPressure(const PlacementRequest& request,
-                              int64_t uncached,
-                              absl::Time now) const;
   // The parts of the prompt that the server holds once for all requests.
   std::vector<PromptPart> SharedPartsOf(const PlacementRequest& request) const;
   // Memory that the request would take in addition, in the worst case.
@@ -180,8 +175,6 @@
   // Of arrivals: work in seconds, and the inverse of targets in seconds.
   DecayedSum arrived_work_;
   DecayedSum arrived_tightness_;
-  // Shared part -> work in seconds of the requests with it.
-  std::map<std::string, DecayedSum, std::less<>> part_work_;
 };
 
 // The first bids of a vector are of the servers that all routers agree on for
