--- a/hawthornhollow/relay/prompt_placement.h
+++ b/hawthornhollow/relay/prompt_placement.h
@@ -14,12 +14,21 @@
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
 #include "hawthornhollow/relay/backend_server.h"
+#include "hawthornhollow/relay/prefill_queue.h"
 
 namespace hawthornhollow {
 
 struct PlacementOptions {
-  // Prompt tokens that a server processes per millisecond.
+  // Prompt tokens that a server processes per millisecond, until its first
+  // tokens show its own speed.
   double prompt_tokens_per_ms = 38;
+  // Whether the speed of each server is learned, and the tokens of a prompt
+  // count less as it is processed. If not, all servers have the same speed, and
+  // the tokens of a prompt count in full until its first token.
+  bool learn_speed = true;
+  // With learned speeds, processing a shared part again counts this often in
+  // addition, as small errors of the speeds would spread copies of parts.
+  double copy_weight = 0.5;
   // Added to the predicted wait for each request that this router has in flight
   // at the server.
   absl::Duration wait_per_request = absl::Milliseconds(4);
@@ -49,6 +58,16 @@
   std::set<std::string> excluded_servers;  // ids, not to be chosen
 };
 
+// The servers that a request may go to.
+struct PlacementShortlist {
+  // Ids of a few, the preferred one first, and of some others in the order of
+  // their predicted wait.
+  std::vector<std::string> first;
+  std::vector<std::string> more;
+  // Whether these are all.
+  bool is_whole_service = false;
+};
+
 // Chooses the server with the shortest predicted wait for the first token. The
 // wait covers prompts that the server has still to process and the part of this
 // prompt that it has not cached. All routers agree on one server for each
@@ -72,11 +91,23 @@
     // Identifies the registration of the server that counts the request. A
     // server that was removed and listed again counts from zero.
     uint64_t registration = 0;
+    // Identifies the request.
+    uint64_t sequence = 0;
     friend auto operator<=>(const Choice&, const Choice&) = default;
   };
   // Chooses a server. Returns NOT_FOUND if no server of the service may be
   // used.
   absl::StatusOr<Choice> Propose(const PlacementQuery& query, absl::Time now);
+  // Names servers among which the load known to other routers decides: those
+  // preferred for the shared part, and some that `request` chooses, so that
+  // requests without a shared part are spread.
+  PlacementShortlist Shortlist(const PlacementQuery& query,
+                               std::string_view request,
+                               absl::Time now);
+  // The same as Propose(), for this server. NOT_FOUND if it may not be used.
+  absl::StatusOr<Choice> ProposeServer(const PlacementQuery& query,
+                                       std::string_view server,
+                                       absl::Time now);
   // Counts the request as in flight at the proposed server.
   void Begin(const Choice& choice, const PlacementQuery& query, absl::Time now);
   // Both in one.
@@ -84,7 +115,7 @@
 
   // Reports the progress of a choice. OnFirstToken is called at most once;
   // OnFinished is called once.
-  void OnFirstToken(const Choice& choice);
+  void OnFirstToken(const Choice& choice, absl::Time now);
   enum class Outcome {
     kAnswered,    // a complete answer, with any status
     kFailed,      // a server error, or an incomplete answer
@@ -114,11 +145,14 @@
 
  private:
   struct State {
+    explicit State(const PrefillQueueOptions& options) : queue(options) {}
+
     RelayServer server;
     uint64_t id_hash = 0;
     uint64_t registration = 0;
     int64_t in_flight = 0;
     int64_t unread_tokens = 0;  // of prompts that have no first token yet
+    PrefillQueue queue;         // the same prompts
     // Prompt part id -> time of its last use by this router.
     std::map<std::string, absl::Time> cached;
     double failures = 0;  // averaged fraction of failed requests
@@ -137,6 +171,10 @@
                          int64_t tokens,
                          absl::Time now) const;
   double FailureShare(const State& state, absl::Time now) const;
+  absl::Duration PrefillWait(const State& state,
+                             int64_t uncached,
+                             const PlacementQuery& query,
+                             absl::Time now) const;
   absl::Duration PredictedWait(const State& state,
                                int64_t uncached,
                                const PlacementQuery& query,
@@ -149,6 +187,7 @@
   std::map<std::string, State, std::less<>> servers_;
   std::set<std::string> evacuated_domains_;
   uint64_t last_registration_ = 0;
+  uint64_t last_sequence_ = 0;
 };
 
 // Returns the prompt part that determines the preferred server: the last part
--- a/hawthornhollow/relay/prompt_placement_test.cc
+++ b/hawthornhollow/relay/prompt_placement_test.cc
@@ -59,7 +59,7 @@
   const std::string first = Choose(Query(1, 0)).server.id;
   for (int i = 1; i < 20; ++i) {
     const auto choice = Choose(Query(1, i));
-    placement_.OnFirstToken(choice);
+    placement_.OnFirstToken(choice, now_);
     placement_.OnFinished(choice, /*had_first_token=*/true, Outcome::kAnswered,
                           now_);
   }
@@ -107,7 +107,7 @@
 TEST_F(PromptPlacementTest, FinishedRequests_LeaveNothingInFlight) {
   const auto a = Choose(Query(1, 0));
   const auto b = Choose(Query(1, 1));
-  placement_.OnFirstToken(a);
+  placement_.OnFirstToken(a, now_);
   placement_.OnFinished(a, /*had_first_token=*/true, Outcome::kAnswered, now_);
   Finish(b, Outcome::kAbandoned);
   EXPECT_EQ(placement_.in_flight(a.server.id), 0);
@@ -151,5 +151,33 @@
   EXPECT_TRUE(placement_.IsServiceEvacuated("engine"));
 }
 
+// With one speed assumed for all, each prompt went to the same slow server.
+TEST_F(PromptPlacementTest, ServerWithSlowFirstTokens_GetsFewerPrompts) {
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 200; ++i) {
+    PlacementQuery query = Query(1, i);
+    query.prompt = {{"own-" + std::to_string(i), kOwnTokens}};
+    query.prompt_tokens = kOwnTokens;
+    const auto choice = Choose(query);
+    ++chosen[choice.server.id];
+    const double tokens_per_ms = choice.server.id == "engine-0" ? 15 : 45;
+    const absl::Time first_token =
+        now_ + absl::Milliseconds(10 + kOwnTokens / tokens_per_ms);
+    placement_.OnFirstToken(choice, first_token);
+    placement_.OnFinished(choice, /*had_first_token=*/true, Outcome::kAnswered,
+                          first_token);
+    now_ += absl::Seconds(1);
+  }
+  EXPECT_LE(chosen["engine-0"], 15);  // Some, until it is known
+}
+
+// Prompts of other routers ahead of a prompt were not noticed before its first
+// token.
+TEST_F(PromptPlacementTest, OverdueFirstToken_SendsTheSharedPartElsewhere) {
+  const std::string preferred = Choose(Query(1, 0)).server.id;
+  now_ += absl::Seconds(3);
+  EXPECT_NE(Choose(Query(1, 1)).server.id, preferred);
+}
+
 }  // namespace
 }  // namespace hawthornhollow
--- a/testing/platform_standin_messages.cc
+++ b/testing/platform_standin_messages.cc
@@ -93,10 +93,11 @@
   return absl::Substitute(
       R"({"node":"$0","zone":"z",
       "listen":{"front":"$1","ready":"$2","control":"$3"},
-      "bounds":{"grace_s":8},"limits":{$5},
+      "bounds":{"grace_s":8,"load_ask_ms":$6},"limits":{$5},
       "platform":{"address":"$4"}})",
       router, addresses.callers.ToString(), addresses.readiness.ToString(),
-      addresses.peers.ToString(), addresses.store.ToString(), machine);
+      addresses.peers.ToString(), addresses.store.ToString(), machine,
+      addresses.load_ask_ms);
 }
 
 void PutServer(StoreStandin& store,
@@ -179,6 +180,10 @@
             out, R"({"name":"$0","api_keys":["$1"],"prepaid":$2})",
             workspace.name, workspace.key, workspace.prepaid);
       });
+  const std::string memory = configuration.memory_tokens == 0
+                                 ? ""
+                                 : absl::StrCat(R"(,"kv_capacity_tokens":)",
+                                                configuration.memory_tokens);
   store.Put(
       "keyed.op", "config",
       absl::Substitute(R"({"version":$0,
@@ -192,13 +197,13 @@
        {"name":"l","host":"h.example","path_prefix":"/lookup/",
         "kind":"idempotent","timeout_ms":3000,"service":"engine",
         "max_attempts":2}],
-      "services":[{"name":"engine","engine":{"stride":$2},
+      "services":[{"name":"engine","engine":{"stride":$2$6},
         "cold_per_s":$4,"cold_s":$5}],
       "tenants":[$3]})",
                        configuration.version, configuration.order_attempts,
                        configuration.tokens_per_event, workspaces,
                        configuration.cold_per_second,
-                       absl::ToDoubleSeconds(configuration.cold_time)));
+                       absl::ToDoubleSeconds(configuration.cold_time), memory));
 }
 
 }  // namespace hawthornhollow::standins
--- a/testing/platform_standin_messages.h
+++ b/testing/platform_standin_messages.h
@@ -58,6 +58,7 @@
   Endpoint peers;
   Endpoint store;
   double link_mbps = 1'000;
+  int64_t load_ask_ms = 10;
   // Of the VM; 0: not stated.
   int64_t memory_mb = 0;
   int64_t max_fds = 0;
@@ -101,6 +102,7 @@
   int64_t order_attempts = 1;
   double cold_per_second = 0;
   absl::Duration cold_time;
+  int64_t memory_tokens = 0;  // of a server's engine; 0: not described
   std::vector<StandinWorkspace> workspaces;
 };
 void PutConfiguration(StoreStandin& store,
