A new router gives no permits for cold servers until others know it

When a fleet starts for the first time, each router knows those that wrote their records before it, and many take themselves for one of the three granters of a server.

--- a/hawthornhollow/relay/cold_fleet_test.cc
+++ b/hawthornhollow/relay/cold_fleet_test.cc
@@ -76,6 +76,7 @@
   std::vector<RelayServer> listed;
   std::vector<RouterAddress> known;
   double known_changed = -10;
+  bool is_new = false;
   std::map<std::string, double> paused_until;
 };
 
@@ -210,6 +211,8 @@
          .urgency = urgency,
          .requests_per_second = statement.requests_per_second,
          .granters = granters.size(),
+         .routers = granter->known.size(),
+         .is_new_router = granter->is_new,
          .since_routers_changed = absl::Seconds(now_ - granter->known_changed)},
         At(now_));
   }
@@ -278,9 +281,8 @@
       return;
     const auto change = router->cold->OnAnswer(server, absl::Seconds(cold_for),
                                                At(sent), At(now_));
-    if (!change.has_value() || change->cold_for == absl::ZeroDuration())
-      return;
-    Tell(router, server);
+    if (change.has_value() && change->cold_for > absl::ZeroDuration())
+      Tell(router, server);
   }
   void Tell(Router* router, const std::string& server) {
     const ColdStatement statement = *router->cold->Find(server, At(now_));
@@ -293,10 +295,8 @@
   }
 
   void HearRefusal(Router* router, const std::string& server) {
-    if (!Runs(*router) ||
-        !router->cold->OnRefused(server, At(now_)).has_value())
-      return;
-    Tell(router, server);
+    if (Runs(*router) && router->cold->OnRefused(server, At(now_)).has_value())
+      Tell(router, server);
   }
 
   // A server starts anew under its address. Its last entry is still listed.
@@ -364,7 +364,8 @@
     routers_.push_back(
         {.address = {absl::StrCat("r-", number), absl::StrCat(number)},
          .known = routers_.front().known,
-         .known_changed = now_});
+         .known_changed = now_,
+         .is_new = true});
     Router* added = &routers_.back();
     Start(added, now_);
     added->known.push_back(added->address);
--- a/hawthornhollow/relay/cold_servers.cc
+++ b/hawthornhollow/relay/cold_servers.cc
@@ -13,6 +13,9 @@
 // What is left to 5 + 1.5 r is for the delay between a permit and its use: a
 // tenth of a second of r (ServerLimitsControllerOptions::max_permit_age).
 //
+// A router that starts for the first time gives nothing until the others know
+// it, so c is not zero only while one is cut off from the store, or goes.
+//
 // A granter that is killed gives nothing for a while after its start, so both
 // incarnations together stay within the bound. One that is suspended gathers no
 // more than one permit. A permit that was asked for long ago is not used, so
@@ -314,10 +317,22 @@
                   .as_of = as_of});
 }
 
+absl::Duration ColdServers::QuietTime(const ColdPermitQuestion& question,
+                                      absl::Time now) {
+  const absl::Duration after_start = start_ + options_.quiet_after_start - now;
+  const absl::Duration until_known =
+      std::clamp(options_.quiet_per_router * question.routers,
+                 options_.quiet_after_start, options_.settled_after) -
+      question.since_routers_changed;
+  is_known_ |= !question.is_new_router || until_known <= absl::ZeroDuration();
+  return std::max({absl::ZeroDuration(), after_start,
+                   is_known_ ? absl::ZeroDuration() : until_known});
+}
+
 Permit ColdServers::Grant(const ColdPermitQuestion& question, absl::Time now) {
-  const absl::Time quiet_until = start_ + options_.quiet_after_start;
-  if (now < quiet_until)
-    return {.retry_after = quiet_until - now};
+  const absl::Duration quiet = QuietTime(question, now);
+  if (quiet > absl::ZeroDuration())
+    return {.retry_after = quiet};
   double requests_per_second = question.requests_per_second;
   if (const auto known = Find(question.server, now)) {
     requests_per_second =
--- a/hawthornhollow/relay/cold_servers.h
+++ b/hawthornhollow/relay/cold_servers.h
@@ -50,6 +50,13 @@
   // incarnation may have given some just before: one second, and the delay
   // between a permit and its use.
   absl::Duration quiet_after_start = absl::Milliseconds(1'200);
+  // A router of which the others have not known gives none until the routers
+  // that it knows have not changed for this time for each of them, within the
+  // bounds `quiet_after_start` and `settled_after`: twice the time in which the
+  // others read its record (RecordSynchronizerOptions::interval_per_router).
+  // When a whole fleet starts for the first time, many take themselves for one
+  // of the three.
+  absl::Duration quiet_per_router = absl::Milliseconds(80);
   // The choice of granters is settled once the known routers have not changed
   // for this time, in which all have read the records of one that came or went.
   absl::Duration settled_after = absl::Seconds(5);
@@ -84,7 +91,9 @@
   int64_t urgency = 0;
   // Of the server, from all routers together, as the router that asks knows it.
   double requests_per_second = 0;
-  size_t granters = 0;  // that this router knows; at most kColdGranters
+  size_t granters = 0;         // that this router knows; at most kGranters
+  size_t routers = 0;          // that it knows, itself included
+  bool is_new_router = false;  // others may not know this router yet
   absl::Duration since_routers_changed;
 };
 
@@ -175,6 +184,8 @@
   std::optional<ColdChange> Apply(std::string_view server,
                                   absl::Time now,
                                   Change change);
+  // Zero: this router may give permits.
+  absl::Duration QuietTime(const ColdPermitQuestion& question, absl::Time now);
   void SetPermitRate(std::string_view server,
                      double requests_per_second,
                      absl::Time now);
@@ -190,6 +201,7 @@
   // the cold ones.
   std::set<std::string, std::less<>> candidates_;
   uint64_t answers_ = 0;
+  bool is_known_ = false;  // all routers know this one
 };
 
 // The routers that give permits for a cold server, in the order in which
--- a/hawthornhollow/relay/cold_servers_test.cc
+++ b/hawthornhollow/relay/cold_servers_test.cc
@@ -249,6 +249,29 @@
   EXPECT_TRUE(started.Grant(Question(), At(1.2)).granted);
 }
 
+// When a whole fleet starts for the first time, many routers take themselves
+// for a granter.
+TEST_F(ColdServersTest, NewRouter_GivesNoneUntilTheOthersKnowIt) {
+  ColdPermitQuestion question = Question();
+  question.is_new_router = true;
+  question.routers = 30;
+  question.since_routers_changed = absl::Milliseconds(2'000);
+  EXPECT_EQ(cold_.Grant(question, At(0)).retry_after, absl::Milliseconds(400));
+  question.since_routers_changed = absl::Milliseconds(2'400);
+  EXPECT_TRUE(cold_.Grant(question, At(1)).granted);
+  // Others that come later change nothing.
+  question.since_routers_changed = absl::ZeroDuration();
+  EXPECT_TRUE(cold_.Grant(question, At(2)).granted);
+}
+
+TEST_F(ColdServersTest, NewRouterAmongMany_GivesSomeOnceSettled) {
+  ColdPermitQuestion question = Question();
+  question.is_new_router = true;
+  question.routers = 340;
+  question.since_routers_changed = absl::Milliseconds(4'900);
+  EXPECT_EQ(cold_.Grant(question, At(0)).retry_after, absl::Milliseconds(100));
+}
+
 TEST_F(ColdServersTest, FewRouters_GiveMoreOnceTheyAreSettled) {
   ColdPermitQuestion question = Question(/*granters=*/1);
   EXPECT_EQ(AssumedGranters(question, ColdServerOptions()), 1);
--- a/hawthornhollow/relay/record_synchronizer.h
+++ b/hawthornhollow/relay/record_synchronizer.h
@@ -88,6 +88,9 @@
                                                  : BootTime() - last_durable_;
   }
 
+  // Whether the others did not count this router as up when it started: it had
+  // no record, or a final one.
+  bool is_new_router() const { return is_new_router_; }
   // Addresses at which the other routers listen for routers.
   std::vector<std::string> OtherRouterAddresses() const {
     std::vector<std::string> addresses;
@@ -232,6 +235,8 @@
             [this](auto record) { book_.ApplyLevel(std::move(record)); }))
       return false;
     levels_read_ = SteadyNow();
+    is_new_router_ = !previous.authority.has_value() ||
+                     (previous.level.has_value() && previous.level->final);
     IncarnationStart start = MakeIncarnationStart(previous);
     start.store_era = era;
     start.read_at = read_at;
@@ -519,6 +524,7 @@
   FiberSignal level_wanted_;
   FiberSignal changed_;
   absl::Time levels_read_ = absl::InfinitePast();
+  bool is_new_router_ = true;
   std::string authority_bytes_;  // serialized pending authority record
   int64_t authority_offset_ = 0;
   bool own_record_found_ = false;
--- a/hawthornhollow/relay/relay_instance_impl.h
+++ b/hawthornhollow/relay/relay_instance_impl.h
@@ -84,6 +84,7 @@
                },
            .routers = [this] { return totals_.LivingRouters(); },
            .knows_routers = [this] { return totals_.started(); },
+           .is_new_router = [this] { return totals_.is_new_router(); },
            .ask =
                [this](const std::string& address,
                       const PermitQuestion& question) {
--- a/hawthornhollow/relay/server_limits_calls.h
+++ b/hawthornhollow/relay/server_limits_calls.h
@@ -40,6 +40,8 @@
   std::function<std::vector<RouterAddress>()> routers;
   // Whether `routers` is more than this one, which has not read of others yet.
   std::function<bool()> knows_routers;
+  // Whether the others may not have known this router before it started.
+  std::function<bool()> is_new_router;
   std::function<absl::StatusOr<PermitAnswer>(const std::string& address,
                                              const PermitQuestion& question)>
       ask;
--- a/hawthornhollow/relay/server_limits_controller.h
+++ b/hawthornhollow/relay/server_limits_controller.h
@@ -332,8 +332,9 @@
                    int64_t urgency,
                    const ColdStatement& cold) {
     const absl::Time now = SteadyNow();
+    const std::vector<RouterAddress> routers = calls_.routers();
     const auto granters =
-        ChooseGranters(server, calls_.routers(), ColdServers::kGranters);
+        ChooseGranters(server, routers, ColdServers::kGranters);
     const bool is_granter = calls_.knows_routers() &&
                             std::any_of(granters.begin(), granters.end(),
                                         [this](const RouterAddress& granter) {
@@ -345,6 +346,8 @@
                            .urgency = urgency,
                            .requests_per_second = cold.requests_per_second,
                            .granters = granters.size(),
+                           .routers = routers.size(),
+                           .is_new_router = calls_.is_new_router(),
                            .since_routers_changed = now - routers_changed_},
                           now)
             : Permit{.retry_after = options_.ask_pause};
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -264,6 +264,8 @@
   }
   // Whether the records of the routers have been read.
   bool started() const { return book_.started(); }
+  // Whether the others did not count this router as up when it started.
+  bool is_new_router() const { return records_.is_new_router(); }
   // Number of known routers, including this one.
   size_t router_count() const { return book_.router_count(); }
   // Each loop keeps one of this router's records up to date until `stop` is
