--- a/testing/cold_server_test.cc
+++ b/testing/cold_server_test.cc
@@ -201,5 +201,43 @@
   EXPECT_GT(replicas_[0]->arrivals().size() - before, answers.size() / 4);
 }
 
+// Each router knows only those that wrote their records before it, and requests
+// arrive from the first moment on.
+class FirstStartTest : public SeveralEntriesFixture {
+ protected:
+  void SetUp() override {
+    EntryFixture::SetUp();
+    standins::PutConfiguration(
+        store_, {.tokens_per_event = kTokensPerEvent,
+                 .cold_per_second = kRate,
+                 .cold_time = kColdTime,
+                 .workspaces = {
+                     {.name = "ward-7", .key = "k1", .prepaid = 1'000'000}}});
+    for (size_t i = 0; i < replica_servers_.size(); ++i) {
+      standins::PutServer(store_, absl::StrCat("i-", i),
+                          replica_servers_[i]->local(), /*sequence=*/1,
+                          /*born_ms=*/1, kLong);
+    }
+  }
+};
+
+TEST_F(FirstStartTest, AllRoutersStartAtOnce_ColdServersGetTheirRate) {
+  constexpr int kRouters = 8;
+  for (int i = 0; i < kRouters; ++i)
+    StartAnother(i);
+  const absl::Time end = absl::Now() + absl::Seconds(6);
+  for (int i = 0; absl::Now() < end; ++i) {
+    SeveralEntriesFixture::SendTo(more_callers_[i % kRouters], "/lookup/a")
+        .status()
+        .IgnoreError();
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  for (const auto& replica : replicas_) {
+    EXPECT_LE(MostInASecond(replica->arrivals(), absl::InfinitePast()),
+              kMostInASecond);
+    EXPECT_FALSE(replica->arrivals().empty());
+  }
+}
+
 }  // namespace
 }  // namespace hawthornhollow
