--- a/testing/cold_server_test.cc
+++ b/testing/cold_server_test.cc
@@ -216,7 +216,7 @@
     for (size_t i = 0; i < replica_servers_.size(); ++i) {
       standins::PutServer(store_, absl::StrCat("i-", i),
                           replica_servers_[i]->local(), /*sequence=*/1,
-                          /*born_ms=*/1, kLong);
+                          /*born_ms=*/1, {.cold_for = kLong});
     }
   }
 };
