--- a/hawthornhollow/relay/link_readiness_test.cc
+++ b/hawthornhollow/relay/link_readiness_test.cc
@@ -15,7 +15,7 @@
     now_ += free;
   }
 
-  const LinkReadinessOptions options_;
+  const LinkReadinessOptions options_ = LinkReadinessOptions();
   LinkReadiness readiness_{options_};
   absl::Time now_ = absl::UnixEpoch();
 };
