--- a/testing/cold_server_test.cc
+++ b/testing/cold_server_test.cc
@@ -206,7 +206,7 @@
 class FirstStartTest : public SeveralEntriesFixture {
  protected:
   void SetUp() override {
-    EntryFixture::SetUp();
+    EntryFixture::SetUp();  // NOLINT(bugprone-parent-virtual-call)
     standins::PutConfiguration(
         store_, {.tokens_per_event = kTokensPerEvent,
                  .cold_per_second = kRate,
