--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -42,7 +42,7 @@
   return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
-[[noreturn]] int Play(const std::string& record_file) {
+[[noreturn]] void Play(const std::string& record_file) {
   const bool has_trouble = IsTroublePlayed();
   Record record(record_file);
   Store store("127.0.0.1");
@@ -133,5 +133,5 @@
   if (argc != 2)
     return 2;
   review::FinishAfter(110);
-  return review::Play(argv[1]);
+  review::Play(argv[1]);
 }
