--- a/review/common-2/net.cc
+++ b/review/common-2/net.cc
@@ -235,23 +235,24 @@
 }
 
 Listener::Listener(const Address& local, Serve serve)
-    : local_(local), serve_(std::move(serve)) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    : local_(local), fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (local_.port == 0)
     local_.port = FreePort(local_.ip);
   const sockaddr_in system = ToSystem(local_);
   constexpr int kBacklog = 512;
-  if (bind(fd, reinterpret_cast<const sockaddr*>(&system), sizeof system) !=
+  if (bind(fd_, reinterpret_cast<const sockaddr*>(&system), sizeof system) !=
           0 ||
-      listen(fd, kBacklog) != 0) {
+      listen(fd_, kBacklog) != 0) {
     std::perror("listen");
-    std::exit(2);
+    std::_Exit(2);
   }
-  std::thread([fd, serve = serve_] {
+  std::thread([fd = fd_, serve = std::move(serve)] {
     while (true) {
       const int accepted = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
+      if (accepted < 0 && errno != ECONNABORTED && errno != EINTR)
+        break;
       if (accepted < 0)
         continue;
       const int no_delay = 1;
@@ -262,9 +263,14 @@
         serve(socket);
       }).detach();
     }
+    close(fd);
   }).detach();
 }
 
+Listener::~Listener() {
+  shutdown(fd_, SHUT_RDWR);  // wakes the accepting thread, which closes it
+}
+
 std::map<std::string, std::string> QueryOf(const std::string& target) {
   std::map<std::string, std::string> query;
   size_t begin = target.find('?');
--- a/review/common-2/net.h
+++ b/review/common-2/net.h
@@ -91,11 +91,13 @@
   Listener(const Address& local, Serve serve);
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
+  // Listens no more; connections go on.
+  ~Listener();
   const Address& local() const { return local_; }
 
  private:
   Address local_;
-  Serve serve_;
+  int fd_;
 };
 
 // "?a=b&c=d" of a target, percent-decoded.
--- a/review/common-2/standins.cc
+++ b/review/common-2/standins.cc
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -268,29 +269,59 @@
     : store_(store),
       id_(std::move(id)),
       service_(std::move(service)),
-      handler_(std::move(handler)) {
+      handler_(std::move(handler)),
+      born_ms_(UnixMilliseconds()) {
   listener_ = std::make_unique<Listener>(
       Address{ip, 0}, [this](Socket& socket) { Serve(socket); });
+  local_ = listener_->local();
   std::thread([this] { Beat(); }).detach();
 }
 
+void Replica::Crash(double seconds) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    listener_.reset();
+    for (const int fd : connections_)
+      shutdown(fd, SHUT_RDWR);
+  }
+  std::thread([this, seconds] {
+    Sleep(seconds);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    born_ms_ = UnixMilliseconds();
+    listener_ = std::make_unique<Listener>(
+        local_, [this](Socket& socket) { Serve(socket); });
+  }).detach();
+}
+
 void Replica::Beat() {
   constexpr double kBeatInterval = 1.2;
-  const int64_t born = UnixMilliseconds();
   for (int64_t sequence = 1;; ++sequence) {
-    store_.Put("keyed.servers", id_,
-               "{\"service\":" + JsonText(service_) + ",\"address\":\"" +
-                   listener_->local().ToString() +
-                   "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":64,"
-                   "\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":" +
-                   std::to_string(born) +
-                   ",\"sequence\":" + std::to_string(sequence) + "}");
+    int64_t born = 0;
+    bool is_up = false;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      born = born_ms_;
+      is_up = listener_ != nullptr;
+    }
+    if (is_up) {
+      store_.Put("keyed.servers", id_,
+                 "{\"service\":" + JsonText(service_) + ",\"address\":\"" +
+                     local_.ToString() +
+                     "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":64,"
+                     "\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":" +
+                     std::to_string(born) +
+                     ",\"sequence\":" + std::to_string(sequence) + "}");
+    }
     Sleep(kBeatInterval);
   }
 }
 
 void Replica::Serve(Socket& socket) {
   constexpr double kIdle = 600;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    connections_.insert(socket.fd());
+  }
   Reader reader(socket);
   Message request;
   while (reader.ReadRequest(&request, kIdle) == Reader::End::kWhole) {
@@ -302,8 +333,10 @@
       continue;
     }
     if (!handler_(request, socket))
-      return;
+      break;
   }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  connections_.erase(socket.fd());
 }
 
 std::string SealedAnswer(const Message& request,
--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,9 @@
           const std::string& ip,
           Handler handler);
   const std::string& id() const { return id_; }
+  // As if its process had been killed: its connections end, and new ones are
+  // refused for `seconds`. Then it starts again under its id.
+  void Crash(double seconds);
 
  private:
   void Serve(Socket& socket);
@@ -84,7 +88,11 @@
   const std::string id_;
   const std::string service_;
   const Handler handler_;
-  std::unique_ptr<Listener> listener_;
+  Address local_;
+  std::mutex mutex_;
+  std::unique_ptr<Listener> listener_;  // null while it is down
+  std::set<int> connections_;
+  int64_t born_ms_ = 0;
 };
 
 // A sealed answer with its length.
