--- a/review/common-2/net.cc
+++ b/review/common-2/net.cc
@@ -92,11 +92,15 @@
   return static_cast<int>(count);
 }
 
-int Connect(const Address& to, double seconds, int receive_buffer) {
+int Connect(const Address& to, double seconds, const ClientSocket& client) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (receive_buffer > 0) {
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
-               sizeof receive_buffer);
+  if (client.receive_buffer > 0) {
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &client.receive_buffer,
+               sizeof client.receive_buffer);
+  }
+  if (client.segment > 0) {
+    setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &client.segment,
+               sizeof client.segment);
   }
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
--- a/review/common-2/net.h
+++ b/review/common-2/net.h
@@ -48,8 +48,15 @@
   int fd_;
 };
 
-// Connects; the receive buffer is the system's if `receive_buffer` is 0.
-int Connect(const Address& to, double seconds, int receive_buffer = 0);
+// What a client's connection is like; 0: as the system sets it.
+struct ClientSocket {
+  int receive_buffer = 0;
+  // The largest segment: loopback's is 64 KB, and the sender's buffer grows
+  // with it. That of a real network is about 1,400 bytes.
+  int segment = 0;
+};
+// Returns -1 if no connection was made in `seconds`.
+int Connect(const Address& to, double seconds, const ClientSocket& client = {});
 
 struct Message {
   std::string first_line;
