--- a/review/common-2/standins.cc
+++ b/review/common-2/standins.cc
@@ -132,13 +132,35 @@
   Add(&topics_[topic], key, value);
 }
 
+void Store::TakeCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  copy_ = topics_;
+}
+
+void Store::GoAway() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  is_away_ = true;
+}
+
+void Store::ComeBack() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  topics_ = copy_;
+  ++era_;
+  is_away_ = false;
+}
+
 void Store::Serve(Socket& socket) {
   constexpr double kIdle = 600;
   constexpr double kAnswerTime = 0.004;
   Reader reader(socket);
   Message request;
   while (reader.ReadRequest(&request, kIdle) == Reader::End::kWhole) {
-    const std::string answer = Answer(request);
+    std::string answer = Answer(request);
+    const size_t head = answer.find("\r\n") + 2;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      answer.insert(head, "Store-Era: " + std::to_string(era_) + "\r\n");
+    }
     Sleep(kAnswerTime);
     if (!socket.Send(answer))
       return;
@@ -149,6 +171,8 @@
   const std::string target = request.Target();
   const std::string path = PathOf(target);
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (is_away_)
+    return Response(503, "{}");
   // A request line that HTTP does not allow.
   if (target.find(' ') != std::string::npos)
     return Response(400, "{}");
--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -40,6 +40,11 @@
   void Put(const std::string& topic,
            const std::string& key,
            const std::string& value);
+  // A drill: takes a copy; is away, so that no call is answered but by 503; and
+  // comes back from the copy, with the next era.
+  void TakeCopy();
+  void GoAway();
+  void ComeBack();
 
  private:
   struct Entry {
@@ -61,6 +66,9 @@
 
   std::mutex mutex_;
   std::map<std::string, Topic> topics_;
+  std::map<std::string, Topic> copy_;
+  bool is_away_ = false;
+  int era_ = 1;
   std::unique_ptr<Listener> listener_;
 };
 
