--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases in review/6 to review/10 into
-# target/review-2/. They need a C++20 compiler and nothing else.
+# Builds the stand-ins of the cases in review/6 to review/10, and the programs of
+# what was seen besides (review/seen-2/, no cases), into target/review-2/. They
+# need a C++20 compiler and nothing else.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=target/review-2
@@ -16,6 +17,10 @@
   [ "$number" -ge 6 ] || continue
   g++ "${flags[@]}" "$case" "$out/net.o" "$out/standins.o" -o "$out/case-$number" &
 done
+for seen in review/seen-2/*/case.cc; do
+  name=$(basename "$(dirname "$seen")")
+  g++ "${flags[@]}" "$seen" "$out/net.o" "$out/standins.o" -o "$out/seen-$name" &
+done
 wait
 for case in review/[0-9]*/case.cc; do
   number=$(basename "$(dirname "$case")")
