--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,4 +1,4 @@
-// Case 6 (REFUSED): one of three replicas runs an order and then fails it with
+// Case 6 (REFUSED): one of seven replicas runs an order and then fails it with
 // a 503 that does not say Not-Executed.
 
 #include <atomic>
@@ -74,9 +74,14 @@
                              : SealedAnswer(request, "200 OK", "booked"));
     };
   };
-  const Replica first(store, "i-1", "app", "127.0.0.1", serve("i-1", true));
-  const Replica second(store, "i-2", "app", "127.0.0.1", serve("i-2", false));
-  const Replica third(store, "i-3", "app", "127.0.0.1", serve("i-3", false));
+  // One of seven fails: a share of 0.143.
+  constexpr int kReplicas = 7;
+  std::vector<std::unique_ptr<Replica>> replicas;
+  for (int i = 1; i <= kReplicas; ++i) {
+    const std::string id = "i-" + std::to_string(i);
+    replicas.push_back(std::make_unique<Replica>(
+        store, id, "app", "127.0.0.1", serve(id, /*is_failing=*/i == 1)));
+  }
   Machine machine({}, store, TemporaryFolder());
   machine.Start();
   if (!machine.AwaitReady(10))
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -17,7 +17,7 @@
 
 constexpr char kFirstPart[] = "a1";
 constexpr char kHarmfulPart[] = "dead";
-constexpr int kReplicas = 4;
+constexpr int kReplicas = 7;
 constexpr int kRequests = 30;  // before the quiet time, and in the rule's span
 constexpr double kBetweenRequests = 0.2;
 constexpr double kQuietTime = 11;
