--- a/hawthornhollow/relay/record_synchronizer.h
+++ b/hawthornhollow/relay/record_synchronizer.h
@@ -241,6 +241,8 @@
     start.store_era = era;
     start.read_at = read_at;
     LogInheritedCharges(previous, start, book_.Start(previous, start));
+    ObserveAuthoritiesRead();
+    LogQuotaDoubt();
     return SyncAuthority();
   }
 
@@ -379,6 +381,7 @@
                                options_.call_timeout);
     if (end.ok()) {
       authorities_.SetEnd(*end);
+      ObserveAuthoritiesRead();
       return Outcome::kDurable;
     }
     return end.status().code() == absl::StatusCode::kFailedPrecondition
@@ -448,7 +451,8 @@
       return false;
     last_durable_ = written;
     book_.OnLevelDurable();
-    if (book_.NeedsRecordsAnew())
+    LogQuotaDoubt();
+    if (book_.NeedsRecordsAnew() || book_.NeedsCompleteRecord())
       authority_wanted_.Notify();
     changed_.Notify();
     return true;
@@ -461,11 +465,32 @@
       return false;
     for (const StoredValue& value : result->page.values)
       ApplyAuthority(value);
+    ObserveAuthoritiesRead();
+    LogQuotaDoubt();
     if (!result->page.values.empty())
       changed_.Notify();
     return true;
   }
 
+  // A position in another era means nothing to the book.
+  void ObserveAuthoritiesRead() {
+    if (authorities_.position().era == book_.era())
+      book_.ObserveAuthoritiesRead(authorities_.position().offset);
+  }
+
+  // Logs whether an earlier incarnation may have had a larger quota than the
+  // store tells, when that changes.
+  void LogQuotaDoubt() {
+    if (book_.quota_doubt() == logged_doubt_)
+      return;
+    LogEvent("total.quota_doubt", LogSeverity::kWarning)
+        .Add("doubt", NameOf(book_.quota_doubt()))
+        .Add("previous", NameOf(logged_doubt_))
+        .Add("era", book_.era())
+        .Add("routers", static_cast<int64_t>(book_.router_count()));
+    logged_doubt_ = book_.quota_doubt();
+  }
+
   void ApplyAuthority(const StoredValue& value) {
     auto record = DecodeStored(value, &DecodeAuthority);
     if (!record.has_value())
@@ -525,6 +550,7 @@
   FiberSignal changed_;
   absl::Time levels_read_ = absl::InfinitePast();
   bool is_new_router_ = true;
+  QuotaDoubt logged_doubt_ = QuotaDoubt::kNone;
   std::string authority_bytes_;  // serialized pending authority record
   int64_t authority_offset_ = 0;
   bool own_record_found_ = false;
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -209,6 +209,7 @@
         return RefuseCommit(request, hold.reservation_, waited);
       SetState(hold, TokenHold::State::kCommitting);
       records_.RequestLevelSync();
+      records_.RequestAuthoritySync();
       records_.changed().WaitForMoreThan(
           seen, std::min(timeout - waited, options_.check_interval));
     }
--- a/hawthornhollow/totals/store_era_test.cc
+++ b/hawthornhollow/totals/store_era_test.cc
@@ -48,6 +48,28 @@
   void ApplyOther(int64_t epoch, int64_t tokens) {
     book_.ApplyAuthority(OtherQuota(epoch, tokens));
   }
+  // A third router without a quota. What one of three remembers is not enough
+  // to end the doubt about another one's quota.
+  void ApplyThird(int64_t epoch) { book_.ApplyAuthority(ThirdQuota(epoch)); }
+  static fb::AuthorityRecordT ThirdQuota(int64_t epoch) {
+    fb::AuthorityRecordT record;
+    record.router = "router-3";
+    record.address = "router-3";
+    record.epoch = epoch;
+    return record;
+  }
+  // What a router tells of router-2's last quota before the restore.
+  static void Tell(fb::AuthorityRecordT& record, int64_t tokens) {
+    auto told = std::make_unique<fb::RememberedQuotaT>();
+    told->router = "router-2";
+    told->epoch = FirstEpochOf(kEra);
+    told->sequence = 9;
+    auto share = std::make_unique<fb::AuthorityShareT>();
+    share->workspace = kWorkspace;
+    share->tokens = tokens;
+    told->shares.push_back(std::move(share));
+    record.remembered.push_back(std::move(told));
+  }
 
   static RouterRecords Write(TotalsBook* book, absl::Duration now) {
     RouterRecords records;
@@ -97,6 +119,7 @@
 }
 
 TEST_F(StoreEraTest, QuotaOfAnotherRouterIsUncertain_NoneIsRaised) {
+  ApplyThird(FirstEpochOf(kEra));
   const int64_t before = book_.state(kWorkspace, {}).total - 30'000;
   const int64_t quota = QuotaWanted(absl::ZeroDuration());
   ASSERT_EQ(quota, before);
@@ -105,10 +128,12 @@
   EXPECT_EQ(QuotaWanted(kSettled), quota);
   // It lives: what it has given back may be taken.
   ApplyOther(FirstEpochOf(kEra + 1), 10'000);
+  ApplyThird(FirstEpochOf(kEra + 1));
   EXPECT_EQ(QuotaWanted(kSettled), kTotal - 10'000);
 }
 
 TEST_F(StoreEraTest, SuccessorOfALostIncarnation_KeepsQuotasUncertain) {
+  ApplyThird(FirstEpochOf(kEra));
   ApplyOther(FirstEpochOf(kEra) + 1, 10'000);
   const int64_t quota = QuotaWanted(absl::ZeroDuration());
   ApplyOther(FirstEpochOf(kEra) + 2, 0);
@@ -116,10 +141,43 @@
   fb::AuthorityRecordT successor = OtherQuota(FirstEpochOf(kEra + 1), 0);
   successor.incomplete = true;
   book_.ApplyAuthority(std::move(successor));
+  ApplyThird(FirstEpochOf(kEra + 1));
   EXPECT_EQ(QuotaWanted(kSettled), quota);
 }
 
+// The quota that a router killed in a drill may have had: what enough of the
+// others remember, and an allowance; not all that nobody holds, for good.
+TEST_F(StoreEraTest, LostQuotaThatOthersRemember_CostsNoMoreThanThat) {
+  constexpr int64_t kAllowance = kTotal / 50;
+  ApplyThird(FirstEpochOf(kEra));
+  book_.BeginEra(kEra + 1, absl::ZeroDuration());
+  fb::AuthorityRecordT successor = OtherQuota(FirstEpochOf(kEra + 1) + 1, 0);
+  successor.incomplete = true;
+  book_.ApplyAuthority(std::move(successor));
+  Write(&book_, absl::ZeroDuration());
+  fb::AuthorityRecordT third = ThirdQuota(FirstEpochOf(kEra + 1));
+  Tell(third, 35'000);
+  book_.ApplyAuthority(std::move(third));
+  const fb::AuthorityRecordT own = book_.MakeAuthority(kSettled);
+  book_.OnAuthorityDurable();
+  ASSERT_EQ(own.remembered.size(), 1);
+  EXPECT_EQ(own.remembered[0]->shares[0]->tokens, 30'000);
+  EXPECT_EQ(QuotaWanted(kSettled), kTotal - 35'000 - kAllowance);
+}
+
+// The same where its VM doesn't come back.
+TEST_F(StoreEraTest, RouterThatDoesNotComeBack_CostsWhatOthersRemember) {
+  ApplyThird(FirstEpochOf(kEra));
+  book_.BeginEra(kEra + 1, absl::ZeroDuration());
+  Write(&book_, absl::ZeroDuration());
+  fb::AuthorityRecordT third = ThirdQuota(FirstEpochOf(kEra + 1));
+  Tell(third, 30'000);
+  book_.ApplyAuthority(std::move(third));
+  EXPECT_EQ(QuotaWanted(kSettled), kTotal - 30'000 - kTotal / 50);
+}
+
 TEST_F(StoreEraTest, TopUpWhileQuotasAreUncertain_IsAssigned) {
+  ApplyThird(FirstEpochOf(kEra));
   const int64_t quota = QuotaWanted(absl::ZeroDuration());
   book_.BeginEra(kEra + 1, absl::ZeroDuration());
   // A router that is gone may have known this one.
@@ -154,6 +212,78 @@
   EXPECT_TRUE(next.MakeAuthority(absl::ZeroDuration()).incomplete);
 }
 
+// Its level record tells of the charge before its quota counts as certain: if
+// it is killed in between, its own successor asks again.
+TEST_F(StoreEraTest, SuccessorThatLearnsItsQuota_WritesItsLevelFirst) {
+  TotalsBook next({.router = "router-2", .boot = "boot-1", .address = "b"});
+  next.SetTotal(kWorkspace, kTotal, absl::ZeroDuration());
+  const fb::AuthorityRecordT copy = OtherQuota(FirstEpochOf(kEra), 1'000);
+  next.ApplyAuthority(ThirdQuota(FirstEpochOf(kEra + 1)));
+  RouterRecords previous;
+  previous.authority = copy;
+  next.Start(previous, {.boot = "boot-1", .store_era = kEra + 1});
+  Write(&next, absl::ZeroDuration());
+  ASSERT_EQ(next.quota_doubt(), QuotaDoubt::kOpen);
+  fb::AuthorityRecordT third = ThirdQuota(FirstEpochOf(kEra + 1));
+  third.sequence = 1;
+  Tell(third, 40'000);
+  next.ApplyAuthority(std::move(third));
+  ASSERT_EQ(next.quota_doubt(), QuotaDoubt::kLearned);
+  EXPECT_TRUE(next.MakeAuthority(kSettled).incomplete);
+  next.OnAuthorityDurable();
+  EXPECT_TRUE(next.NeedsLevelRecord(kSettled));
+  const fb::LevelRecordT level = next.MakeLevel(kSettled);
+  EXPECT_EQ(FindShare(level, kWorkspace)->committed, 42'000);
+  next.OnLevelDurable();
+  EXPECT_EQ(next.quota_doubt(), QuotaDoubt::kNone);
+  EXPECT_TRUE(next.NeedsAuthorityRecord(kSettled));
+  const fb::AuthorityRecordT complete = next.MakeAuthority(kSettled);
+  EXPECT_FALSE(complete.incomplete);
+  EXPECT_GE(FindShare(complete, kWorkspace)->tokens, 42'000);
+}
+
+// Others could not tell of it if the store lost it.
+TEST_F(StoreEraTest, RaisedQuotaThatNobodyHasRead_IsHardlyUsed) {
+  TotalsBook book({.router = "router-4", .boot = "boot-1", .address = "d"});
+  book.ApplyAuthority(OtherQuota(FirstEpochOf(kEra), 0));
+  book.ApplyAuthority(ThirdQuota(FirstEpochOf(kEra)));
+  Start(&book, {}, kEra);
+  book.ObserveAuthoritiesRead(3);
+  Write(&book, absl::ZeroDuration());
+  const std::optional<Reservation> much =
+      book.Reserve(kWorkspace, kTotal / 25, absl::ZeroDuration());
+  ASSERT_TRUE(much.has_value());
+  book.AddCommitting(*much);
+  book.ObserveAuthoritiesRead(4);
+  Write(&book, absl::ZeroDuration());
+  EXPECT_FALSE(book.Commit(*much, absl::ZeroDuration()));
+  fb::LevelRecordT reader;
+  reader.router = "router-3";
+  reader.epoch = FirstEpochOf(kEra);
+  reader.authorities_read = 4;
+  book.ApplyLevel(std::move(reader));
+  EXPECT_TRUE(book.Commit(*much, absl::ZeroDuration()));
+}
+
+// Most of a quota is for outages of the store: a router that was killed as its
+// record was young cannot have used it.
+TEST_F(StoreEraTest, QuotaOfAYoungRecord_IsUsedOnlyAsFarAsItIsReady) {
+  TotalsBook book({.router = "router-4", .boot = "boot-1", .address = "d"});
+  Start(&book, {}, kEra);
+  const fb::AuthorityRecordT record =
+      *Write(&book, absl::ZeroDuration()).authority;
+  const fb::AuthorityShareT* share = FindShare(record, kWorkspace);
+  ASSERT_LT(share->ready, share->tokens / 4);
+  const std::optional<Reservation> half =
+      book.Reserve(kWorkspace, share->tokens / 2, absl::ZeroDuration());
+  ASSERT_TRUE(half.has_value());
+  book.AddCommitting(*half);
+  book.MakeLevel(absl::ZeroDuration());
+  book.OnLevelDurable();
+  EXPECT_FALSE(book.Commit(*half, absl::ZeroDuration()));
+  EXPECT_TRUE(book.Commit(*half, absl::Milliseconds(record.ready_ms)));
+}
+
 // Its predecessor's level record may take effect late.
 TEST_F(StoreEraTest, SuccessorOfARouterThatLivedOn_HasALaterEpoch) {
   const RouterRecords copy = Write(&book_, absl::ZeroDuration());
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -57,6 +57,7 @@
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
 #include "hawthornhollow/base/base.h"
+#include "hawthornhollow/totals/confirmed_quotas.h"
 #include "hawthornhollow/totals/restored_totals.h"
 #include "hawthornhollow/totals/totals_generated.h"
 #include "hawthornhollow/totals/totals_options.h"
@@ -205,6 +206,14 @@
   int64_t era() const { return era_; }
   // Whether this router's quota has to be written anew, after its level record.
   bool NeedsRecordsAnew() const;
+  // Whether a doubt about the quota has ended that the newest record tells of.
+  bool NeedsCompleteRecord() const;
+  // Reports that all authority records before `offset`, in the current era,
+  // were applied or are this router's own.
+  void ObserveAuthoritiesRead(int64_t offset) { authorities_read_ = offset; }
+  // Whether an earlier incarnation of this router may have had a larger quota
+  // than the store tells.
+  QuotaDoubt quota_doubt() const { return quota_doubt_; }
 
   // Records that a request needs `tokens`, once for each request.
   void ObserveDemand(const std::string& workspace,
@@ -353,9 +362,36 @@
   const LocalUsage* FindUsage(const std::string& workspace) const;
   int64_t TotalOf(const std::string& workspace) const;
   // CommitLimit is what may be committed at `now` by all records that may be in
-  // force; EffectiveAuthority is the quota by them, whatever the time.
+  // force, RecordedLimit the same whether or not others know the quota.
+  // QuotaInForce is the quota by these records, EffectiveAuthority what may be
+  // used of it.
   int64_t CommitLimit(const std::string& workspace, absl::Duration now) const;
-  int64_t EffectiveAuthority(const std::string& workspace) const;
+  int64_t RecordedLimit(const std::string& workspace, absl::Duration now) const;
+  int64_t QuotaInForce(const std::string& workspace) const;
+  int64_t EffectiveAuthority(const std::string& workspace,
+                             absl::Duration now) const;
+  // What records that enough others know allow now.
+  int64_t ConfirmedAuthority(const std::string& workspace,
+                             absl::Duration now) const;
+  // How long a record is young: only what it makes ready is used.
+  absl::Duration ReadyHorizon() const;
+  bool IsNewestRecordYoung(absl::Duration now) const;
+  int64_t TargetReady(const LocalUsage& usage,
+                      int64_t quota,
+                      absl::Duration now) const;
+  bool IsReadyRunningOut(const std::string& workspace,
+                         const LocalUsage& usage,
+                         absl::Duration now) const;
+  // The part of a total that may be used of a quota that others do not know
+  // yet.
+  int64_t UnknownAllowance(const std::string& workspace) const;
+  // This router and those of which anybody in the store tells, but for routers
+  // of versions that did not know eras.
+  size_t KnownRouters() const;
+  // How many routers have read all authority records before `end`.
+  size_t ReadersOf(int64_t end) const;
+  void ConfirmQuotas();
+  void Confirm(ConfirmedQuotas* confirmed);
   // What may still be held or transferred out of this router's own quota.
   int64_t AvailableFromAuthority(const std::string& workspace,
                                  const LocalUsage& usage,
@@ -371,6 +407,33 @@
   bool AreQuotasCertain(absl::Duration now) const;
   bool AreOtherQuotasCertain() const;
   bool IsQuotaCertain(const RouterRecords& records) const;
+  bool HasEnded(const RouterRecords& records) const;
+  // What this router remembers of another one's quota when the era began; unset
+  // if it cannot tell.
+  std::optional<fb::RememberedQuotaT> Remember(const std::string& router) const;
+  void RememberOthers();
+  void RememberOwnTelling(const fb::AuthorityRecordT& previous);
+  // Routers that wrote no record in this store of which others tell.
+  std::vector<std::string> RoutersOnlyTold() const;
+  // The routers of which this one has to tell what it remembers.
+  std::vector<std::string> RoutersToTellOf(absl::Duration now) const;
+  bool HasToldOf(const std::string& router) const;
+  // The newest quota of a router before the era that anybody remembers; unset
+  // unless enough routers have told.
+  std::optional<fb::RememberedQuotaT> ToldQuota(
+      const std::string& router) const;
+  // The most that the router can have committed by it, if it had ended while
+  // the record was young, or at any time.
+  int64_t BoundOf(const fb::RememberedQuotaT& quota,
+                  const std::string& workspace,
+                  bool is_young) const;
+  // Whether this router's earlier incarnation had ended while it was.
+  bool EndedWhileYoung(const fb::RememberedQuotaT& quota) const;
+  // Adds what another router's quota may exceed its record by; returns false if
+  // nobody knows.
+  bool AddMargin(const std::string& router) const;
+  // The doubt about this router's own earlier quota ends once it is known.
+  void LearnOwnQuota();
   // Whether this incarnation has lived through a change of the era and has not
   // written a level record since.
   bool NeedsLevelFirst() const;
@@ -455,8 +518,14 @@
   int64_t era_ = 0;  // of the store
   // This incarnation has lived through a change of the era.
   bool carried_over_ = false;
-  // Commitments of an earlier incarnation may be missing from all records.
-  bool incomplete_ = false;
+  QuotaDoubt quota_doubt_ = QuotaDoubt::kNone;
+  absl::Duration incarnation_began_;      // since the VM's boot
+  bool is_level_after_learning_ = false;  // the pending one
+  ConfirmedQuotas confirmed_ready_{&fb::AuthorityShareT::ready};
+  ConfirmedQuotas confirmed_quotas_{&fb::AuthorityShareT::tokens};
+  int64_t authorities_read_ = 0;
+  // Other routers' quotas when the era began; unset for those in doubt then.
+  std::map<std::string, std::optional<fb::RememberedQuotaT>> remembered_;
   // The store has another authority record of this router than the newest one.
   bool is_authority_replaced_ = false;
   // Since the store came back. Until `settled_at_` living routers write their
@@ -465,6 +534,7 @@
   absl::Duration settled_at_ = -absl::InfiniteDuration();
   // Computed when needed and cleared when a record or the era changes.
   mutable std::optional<bool> others_certain_;
+  mutable std::map<std::string, int64_t> others_margins_;
   mutable std::map<std::string, int64_t> others_given_back_;
   // This router's quotas when the era began; keyed by workspace.
   std::map<std::string, int64_t> restored_quotas_;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -74,7 +74,8 @@
 // top-up that this router has not read is outside the argument.
 //
 // All this relies on a store that keeps what it has acknowledged;
-// totals_restored.cc argues for one that comes back from an older copy.
+// totals_restored.cc argues for one that comes back from an older copy, and
+// remembered_quotas.cc for a quota that was lost with a killed router.
 //
 // Which routers are holders is not part of the argument. Routers that disagree
 // about it, because one has read an older record, still keep to their quotas.
@@ -111,7 +112,8 @@
                           int64_t tokens,
                           absl::Duration now) {
   const std::string name(workspace);
-  totals_[name] = tokens;
+  if (std::exchange(totals_[name], tokens) != tokens)
+    others_certain_.reset();
   restored_.NoteTotal(name, tokens, now);
   UsageOf(name);
 }
@@ -123,6 +125,7 @@
   if (!IsNewer(record, known))
     return;
   others_certain_.reset();
+  others_margins_.clear();
   others_given_back_.clear();
   if (known.has_value())
     AddToSums(*known, -1);
@@ -132,6 +135,8 @@
   known = std::move(record);
   if (IsCandidate(records) != was_candidate)
     holders_.clear();
+  ConfirmQuotas();
+  LearnOwnQuota();
 }
 
 void TotalsBook::ApplyAuthority(fb::AuthorityRecordT record) {
@@ -211,6 +216,7 @@
 std::vector<InheritedCharge> TotalsBook::Start(const RouterRecords& previous,
                                                const IncarnationStart& start) {
   started_ = true;
+  incarnation_began_ = start.boot_time;
   era_ = start.store_era;
   others_certain_.reset();
   // A predecessor that lived into this era may have records of its first epoch
@@ -219,19 +225,27 @@
       std::max(FirstEpochOf(era_) + 1,
                1 + std::max(previous.authority ? previous.authority->epoch : 0,
                             previous.level ? previous.level->epoch : 0));
-  incomplete_ = previous.authority.has_value() ? !IsQuotaCertain(previous)
-                                               : previous.level.has_value();
+  const bool is_complete = previous.authority.has_value()
+                               ? IsQuotaCertain(previous)
+                               : !previous.level.has_value();
+  quota_doubt_ = is_complete ? QuotaDoubt::kNone : QuotaDoubt::kOpen;
   if (previous.level.has_value()) {
     for (const auto& share : previous.level->shares)
       UsageOf(share->workspace).used = share->used;
   }
   // Living routers may not have written their records again.
   BeginRestored(start.read_at);
-  if (!incomplete_ && AreOtherQuotasCertain())
+  if (is_complete && AreOtherQuotasCertain())
     settled_at_ = -absl::InfiniteDuration();
   if (!previous.authority.has_value())
     return {};
   durable_authority_ = previous.authority;
+  RememberOwnTelling(*previous.authority);
+  if (is_complete && ReadersOf(previous.authority->authorities_read + 1) >=
+                         ReadersNeeded(KnownRouters())) {
+    confirmed_ready_.SetKnown(*previous.authority);
+    confirmed_quotas_.SetKnown(*previous.authority);
+  }
   const std::optional<fb::LevelRecordT>& level = previous.level;
   const RecordAge record_age =
       level.has_value() ? RecordAgeAtStart(*level, start) : RecordAge();
@@ -245,7 +259,7 @@
   std::vector<InheritedCharge> inherited;
   for (auto& authority : durable_authority_->shares) {
     const fb::LevelShareT* share = FindShare(level, authority->workspace);
-    if ((share == nullptr || TellsOnlyUsed(*share)) && !incomplete_) {
+    if ((share == nullptr || TellsOnlyUsed(*share)) && is_complete) {
       restored_quotas_[authority->workspace] = authority->restored;
       authority->tokens = 0;
       continue;
@@ -255,7 +269,7 @@
             ? authority->tokens
             : InheritedTokens(*authority, *share, previous, record_age);
     restored_quotas_[authority->workspace] =
-        incomplete_ && EraOf(previous.authority->epoch) < era_
+        !is_complete && EraOf(previous.authority->epoch) < era_
             ? charged
             : authority->restored;
     UsageOf(authority->workspace).committed += charged;
@@ -268,6 +282,7 @@
     // authority record of its own.
     authority->tokens = charged;
   }
+  LearnOwnQuota();
   return inherited;
 }
 
@@ -307,12 +322,18 @@
 
 int64_t TotalsBook::CommitLimit(const std::string& workspace,
                                 absl::Duration now) const {
+  return std::min(EffectiveAuthority(workspace, now),
+                  RecordedLimit(workspace, now));
+}
+
+int64_t TotalsBook::RecordedLimit(const std::string& workspace,
+                                  absl::Duration now) const {
   // A workspace without a share in a record may not commit anything.
   const fb::LevelShareT* durable = FindShare(durable_level_, workspace);
   if (durable == nullptr)
     return 0;
   const int64_t limit =
-      std::min(EffectiveAuthority(workspace),
+      std::min(QuotaInForce(workspace),
                ScheduleLimit(*durable, AgeOf(*durable_level_, now)));
   if (!pending_level_.has_value())
     return limit;
@@ -327,7 +348,24 @@
   return share == nullptr ? 0 : share->tokens;
 }
 
-int64_t TotalsBook::EffectiveAuthority(const std::string& workspace) const {
+int64_t TotalsBook::EffectiveAuthority(const std::string& workspace,
+                                       absl::Duration now) const {
+  return std::min(QuotaInForce(workspace), ConfirmedAuthority(workspace, now) +
+                                               UnknownAllowance(workspace));
+}
+
+int64_t TotalsBook::ConfirmedAuthority(const std::string& workspace,
+                                       absl::Duration now) const {
+  if (!IsNewestRecordYoung(now))
+    return confirmed_quotas_.tokens(workspace);
+  const int64_t ready = confirmed_ready_.tokens(workspace);
+  if (!pending_authority_.has_value())
+    return ready;
+  const fb::AuthorityShareT* pending = FindShare(pending_authority_, workspace);
+  return std::min(ready, pending == nullptr ? 0 : pending->ready);
+}
+
+int64_t TotalsBook::QuotaInForce(const std::string& workspace) const {
   const int64_t durable = DurableAuthority(workspace);
   if (!pending_authority_.has_value())
     return durable;
@@ -344,7 +382,7 @@
                                            const LocalUsage& usage,
                                            absl::Duration now) const {
   const int64_t taken = usage.committed + usage.held;
-  int64_t free = EffectiveAuthority(workspace) - taken;
+  int64_t free = QuotaInForce(workspace) - taken;
   if (!HasFreshLevel(now))
     free = std::min(free, CommitLimit(workspace, now) - taken);
   return std::max<int64_t>(0, free);
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -20,6 +20,10 @@
 struct AuthorityShareBuilder;
 struct AuthorityShareT;
 
+struct RememberedQuota;
+struct RememberedQuotaBuilder;
+struct RememberedQuotaT;
+
 struct AuthorityRecord;
 struct AuthorityRecordBuilder;
 struct AuthorityRecordT;
@@ -50,6 +54,8 @@
 
 bool operator==(const AuthorityShareT &lhs, const AuthorityShareT &rhs);
 bool operator!=(const AuthorityShareT &lhs, const AuthorityShareT &rhs);
+bool operator==(const RememberedQuotaT &lhs, const RememberedQuotaT &rhs);
+bool operator!=(const RememberedQuotaT &lhs, const RememberedQuotaT &rhs);
 bool operator==(const AuthorityRecordT &lhs, const AuthorityRecordT &rhs);
 bool operator!=(const AuthorityRecordT &lhs, const AuthorityRecordT &rhs);
 bool operator==(const LevelShareT &lhs, const LevelShareT &rhs);
@@ -71,6 +77,7 @@
   int64_t tokens = 0;
   int64_t demand = 0;
   int64_t restored = 0;
+  int64_t ready = 0;
 };
 
 struct AuthorityShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -81,7 +88,8 @@
     VT_WORKSPACE = 4,
     VT_TOKENS = 6,
     VT_DEMAND = 8,
-    VT_RESTORED = 10
+    VT_RESTORED = 10,
+    VT_READY = 12
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -95,6 +103,9 @@
   int64_t restored() const {
     return GetField<int64_t>(VT_RESTORED, 0);
   }
+  int64_t ready() const {
+    return GetField<int64_t>(VT_READY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
@@ -102,6 +113,7 @@
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_DEMAND, 8) &&
            VerifyField<int64_t>(verifier, VT_RESTORED, 8) &&
+           VerifyField<int64_t>(verifier, VT_READY, 8) &&
            verifier.EndTable();
   }
   AuthorityShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -125,6 +137,9 @@
   void add_restored(int64_t restored) {
     fbb_.AddElement<int64_t>(AuthorityShare::VT_RESTORED, restored, 0);
   }
+  void add_ready(int64_t ready) {
+    fbb_.AddElement<int64_t>(AuthorityShare::VT_READY, ready, 0);
+  }
   explicit AuthorityShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -141,8 +156,10 @@
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
     int64_t tokens = 0,
     int64_t demand = 0,
-    int64_t restored = 0) {
+    int64_t restored = 0,
+    int64_t ready = 0) {
   AuthorityShareBuilder builder_(_fbb);
+  builder_.add_ready(ready);
   builder_.add_restored(restored);
   builder_.add_demand(demand);
   builder_.add_tokens(tokens);
@@ -160,18 +177,175 @@
     const char *workspace = nullptr,
     int64_t tokens = 0,
     int64_t demand = 0,
-    int64_t restored = 0) {
+    int64_t restored = 0,
+    int64_t ready = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return hawthornhollow::fb::CreateAuthorityShare(
       _fbb,
       workspace__,
       tokens,
       demand,
-      restored);
+      restored,
+      ready);
 }
 
 flatbuffers::Offset<AuthorityShare> CreateAuthorityShare(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RememberedQuotaT : public flatbuffers::NativeTable {
+  typedef RememberedQuota TableType;
+  std::string router{};
+  int64_t epoch = 0;
+  int64_t sequence = 0;
+  std::vector<std::unique_ptr<hawthornhollow::fb::AuthorityShareT>> shares{};
+  std::string boot{};
+  int64_t written_us = 0;
+  int64_t ready_ms = 0;
+  RememberedQuotaT() = default;
+  RememberedQuotaT(const RememberedQuotaT &o);
+  RememberedQuotaT(RememberedQuotaT&&) FLATBUFFERS_NOEXCEPT = default;
+  RememberedQuotaT &operator=(RememberedQuotaT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RememberedQuota FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RememberedQuotaT NativeTableType;
+  typedef RememberedQuotaBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTER = 4,
+    VT_EPOCH = 6,
+    VT_SEQUENCE = 8,
+    VT_SHARES = 10,
+    VT_BOOT = 12,
+    VT_WRITTEN_US = 14,
+    VT_READY_MS = 16
+  };
+  const flatbuffers::String *router() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTER);
+  }
+  int64_t epoch() const {
+    return GetField<int64_t>(VT_EPOCH, 0);
+  }
+  int64_t sequence() const {
+    return GetField<int64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *shares() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *>(VT_SHARES);
+  }
+  const flatbuffers::String *boot() const {
+    return GetPointer<const flatbuffers::String *>(VT_BOOT);
+  }
+  int64_t written_us() const {
+    return GetField<int64_t>(VT_WRITTEN_US, 0);
+  }
+  int64_t ready_ms() const {
+    return GetField<int64_t>(VT_READY_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTER) &&
+           verifier.VerifyString(router()) &&
+           VerifyField<int64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<int64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_SHARES) &&
+           verifier.VerifyVector(shares()) &&
+           verifier.VerifyVectorOfTables(shares()) &&
+           VerifyOffset(verifier, VT_BOOT) &&
+           verifier.VerifyString(boot()) &&
+           VerifyField<int64_t>(verifier, VT_WRITTEN_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_READY_MS, 8) &&
+           verifier.EndTable();
+  }
+  RememberedQuotaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RememberedQuotaT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RememberedQuota> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RememberedQuotaT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RememberedQuotaBuilder {
+  typedef RememberedQuota Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_router(flatbuffers::Offset<flatbuffers::String> router) {
+    fbb_.AddOffset(RememberedQuota::VT_ROUTER, router);
+  }
+  void add_epoch(int64_t epoch) {
+    fbb_.AddElement<int64_t>(RememberedQuota::VT_EPOCH, epoch, 0);
+  }
+  void add_sequence(int64_t sequence) {
+    fbb_.AddElement<int64_t>(RememberedQuota::VT_SEQUENCE, sequence, 0);
+  }
+  void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>> shares) {
+    fbb_.AddOffset(RememberedQuota::VT_SHARES, shares);
+  }
+  void add_boot(flatbuffers::Offset<flatbuffers::String> boot) {
+    fbb_.AddOffset(RememberedQuota::VT_BOOT, boot);
+  }
+  void add_written_us(int64_t written_us) {
+    fbb_.AddElement<int64_t>(RememberedQuota::VT_WRITTEN_US, written_us, 0);
+  }
+  void add_ready_ms(int64_t ready_ms) {
+    fbb_.AddElement<int64_t>(RememberedQuota::VT_READY_MS, ready_ms, 0);
+  }
+  explicit RememberedQuotaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RememberedQuota> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RememberedQuota>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RememberedQuota> CreateRememberedQuota(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> router = 0,
+    int64_t epoch = 0,
+    int64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>> shares = 0,
+    flatbuffers::Offset<flatbuffers::String> boot = 0,
+    int64_t written_us = 0,
+    int64_t ready_ms = 0) {
+  RememberedQuotaBuilder builder_(_fbb);
+  builder_.add_ready_ms(ready_ms);
+  builder_.add_written_us(written_us);
+  builder_.add_sequence(sequence);
+  builder_.add_epoch(epoch);
+  builder_.add_boot(boot);
+  builder_.add_shares(shares);
+  builder_.add_router(router);
+  return builder_.Finish();
+}
+
+struct RememberedQuota::Traits {
+  using type = RememberedQuota;
+  static auto constexpr Create = CreateRememberedQuota;
+};
+
+inline flatbuffers::Offset<RememberedQuota> CreateRememberedQuotaDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *router = nullptr,
+    int64_t epoch = 0,
+    int64_t sequence = 0,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *shares = nullptr,
+    const char *boot = nullptr,
+    int64_t written_us = 0,
+    int64_t ready_ms = 0) {
+  auto router__ = router ? _fbb.CreateString(router) : 0;
+  auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>(*shares) : 0;
+  auto boot__ = boot ? _fbb.CreateString(boot) : 0;
+  return hawthornhollow::fb::CreateRememberedQuota(
+      _fbb,
+      router__,
+      epoch,
+      sequence,
+      shares__,
+      boot__,
+      written_us,
+      ready_ms);
+}
+
+flatbuffers::Offset<RememberedQuota> CreateRememberedQuota(flatbuffers::FlatBufferBuilder &_fbb, const RememberedQuotaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct AuthorityRecordT : public flatbuffers::NativeTable {
   typedef AuthorityRecord TableType;
   std::string router{};
@@ -181,6 +355,11 @@
   std::vector<std::unique_ptr<hawthornhollow::fb::AuthorityShareT>> shares{};
   std::string failure_domain{};
   bool incomplete = false;
+  int64_t authorities_read = 0;
+  std::vector<std::unique_ptr<hawthornhollow::fb::RememberedQuotaT>> remembered{};
+  std::string boot{};
+  int64_t written_us = 0;
+  int64_t ready_ms = 0;
   AuthorityRecordT() = default;
   AuthorityRecordT(const AuthorityRecordT &o);
   AuthorityRecordT(AuthorityRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -198,7 +377,12 @@
     VT_ADDRESS = 10,
     VT_SHARES = 12,
     VT_FAILURE_DOMAIN = 14,
-    VT_INCOMPLETE = 16
+    VT_INCOMPLETE = 16,
+    VT_AUTHORITIES_READ = 18,
+    VT_REMEMBERED = 20,
+    VT_BOOT = 22,
+    VT_WRITTEN_US = 24,
+    VT_READY_MS = 26
   };
   const flatbuffers::String *router() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTER);
@@ -221,6 +405,21 @@
   bool incomplete() const {
     return GetField<uint8_t>(VT_INCOMPLETE, 0) != 0;
   }
+  int64_t authorities_read() const {
+    return GetField<int64_t>(VT_AUTHORITIES_READ, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::RememberedQuota>> *remembered() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::RememberedQuota>> *>(VT_REMEMBERED);
+  }
+  const flatbuffers::String *boot() const {
+    return GetPointer<const flatbuffers::String *>(VT_BOOT);
+  }
+  int64_t written_us() const {
+    return GetField<int64_t>(VT_WRITTEN_US, 0);
+  }
+  int64_t ready_ms() const {
+    return GetField<int64_t>(VT_READY_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ROUTER) &&
@@ -235,6 +434,14 @@
            VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
            verifier.VerifyString(failure_domain()) &&
            VerifyField<uint8_t>(verifier, VT_INCOMPLETE, 1) &&
+           VerifyField<int64_t>(verifier, VT_AUTHORITIES_READ, 8) &&
+           VerifyOffset(verifier, VT_REMEMBERED) &&
+           verifier.VerifyVector(remembered()) &&
+           verifier.VerifyVectorOfTables(remembered()) &&
+           VerifyOffset(verifier, VT_BOOT) &&
+           verifier.VerifyString(boot()) &&
+           VerifyField<int64_t>(verifier, VT_WRITTEN_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_READY_MS, 8) &&
            verifier.EndTable();
   }
   AuthorityRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -267,6 +474,21 @@
   void add_incomplete(bool incomplete) {
     fbb_.AddElement<uint8_t>(AuthorityRecord::VT_INCOMPLETE, static_cast<uint8_t>(incomplete), 0);
   }
+  void add_authorities_read(int64_t authorities_read) {
+    fbb_.AddElement<int64_t>(AuthorityRecord::VT_AUTHORITIES_READ, authorities_read, 0);
+  }
+  void add_remembered(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::RememberedQuota>>> remembered) {
+    fbb_.AddOffset(AuthorityRecord::VT_REMEMBERED, remembered);
+  }
+  void add_boot(flatbuffers::Offset<flatbuffers::String> boot) {
+    fbb_.AddOffset(AuthorityRecord::VT_BOOT, boot);
+  }
+  void add_written_us(int64_t written_us) {
+    fbb_.AddElement<int64_t>(AuthorityRecord::VT_WRITTEN_US, written_us, 0);
+  }
+  void add_ready_ms(int64_t ready_ms) {
+    fbb_.AddElement<int64_t>(AuthorityRecord::VT_READY_MS, ready_ms, 0);
+  }
   explicit AuthorityRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -286,10 +508,20 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>> shares = 0,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
-    bool incomplete = false) {
+    bool incomplete = false,
+    int64_t authorities_read = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::RememberedQuota>>> remembered = 0,
+    flatbuffers::Offset<flatbuffers::String> boot = 0,
+    int64_t written_us = 0,
+    int64_t ready_ms = 0) {
   AuthorityRecordBuilder builder_(_fbb);
+  builder_.add_ready_ms(ready_ms);
+  builder_.add_written_us(written_us);
+  builder_.add_authorities_read(authorities_read);
   builder_.add_sequence(sequence);
   builder_.add_epoch(epoch);
+  builder_.add_boot(boot);
+  builder_.add_remembered(remembered);
   builder_.add_failure_domain(failure_domain);
   builder_.add_shares(shares);
   builder_.add_address(address);
@@ -311,11 +543,18 @@
     const char *address = nullptr,
     const std::vector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> *shares = nullptr,
     const char *failure_domain = nullptr,
-    bool incomplete = false) {
+    bool incomplete = false,
+    int64_t authorities_read = 0,
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::RememberedQuota>> *remembered = nullptr,
+    const char *boot = nullptr,
+    int64_t written_us = 0,
+    int64_t ready_ms = 0) {
   auto router__ = router ? _fbb.CreateString(router) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>>(*shares) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+  auto remembered__ = remembered ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::RememberedQuota>>(*remembered) : 0;
+  auto boot__ = boot ? _fbb.CreateString(boot) : 0;
   return hawthornhollow::fb::CreateAuthorityRecord(
       _fbb,
       router__,
@@ -324,7 +563,12 @@
       address__,
       shares__,
       failure_domain__,
-      incomplete);
+      incomplete,
+      authorities_read,
+      remembered__,
+      boot__,
+      written_us,
+      ready_ms);
 }
 
 flatbuffers::Offset<AuthorityRecord> CreateAuthorityRecord(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -511,6 +755,7 @@
   int64_t time_of_day_us = 0;
   bool final = false;
   std::vector<std::unique_ptr<hawthornhollow::fb::LevelShareT>> shares{};
+  int64_t authorities_read = 0;
   LevelRecordT() = default;
   LevelRecordT(const LevelRecordT &o);
   LevelRecordT(LevelRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -529,7 +774,8 @@
     VT_WRITTEN_US = 12,
     VT_TIME_OF_DAY_US = 14,
     VT_FINAL = 16,
-    VT_SHARES = 18
+    VT_SHARES = 18,
+    VT_AUTHORITIES_READ = 20
   };
   const flatbuffers::String *router() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTER);
@@ -555,6 +801,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> *shares() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> *>(VT_SHARES);
   }
+  int64_t authorities_read() const {
+    return GetField<int64_t>(VT_AUTHORITIES_READ, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ROUTER) &&
@@ -569,6 +818,7 @@
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
            verifier.VerifyVectorOfTables(shares()) &&
+           VerifyField<int64_t>(verifier, VT_AUTHORITIES_READ, 8) &&
            verifier.EndTable();
   }
   LevelRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -604,6 +854,9 @@
   void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>>> shares) {
     fbb_.AddOffset(LevelRecord::VT_SHARES, shares);
   }
+  void add_authorities_read(int64_t authorities_read) {
+    fbb_.AddElement<int64_t>(LevelRecord::VT_AUTHORITIES_READ, authorities_read, 0);
+  }
   explicit LevelRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -624,8 +877,10 @@
     int64_t written_us = 0,
     int64_t time_of_day_us = 0,
     bool final = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>>> shares = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>>> shares = 0,
+    int64_t authorities_read = 0) {
   LevelRecordBuilder builder_(_fbb);
+  builder_.add_authorities_read(authorities_read);
   builder_.add_time_of_day_us(time_of_day_us);
   builder_.add_written_us(written_us);
   builder_.add_sequence(sequence);
@@ -651,7 +906,8 @@
     int64_t written_us = 0,
     int64_t time_of_day_us = 0,
     bool final = false,
-    const std::vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> *shares = nullptr) {
+    const std::vector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> *shares = nullptr,
+    int64_t authorities_read = 0) {
   auto router__ = router ? _fbb.CreateString(router) : 0;
   auto boot__ = boot ? _fbb.CreateString(boot) : 0;
   auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>>(*shares) : 0;
@@ -664,7 +920,8 @@
       written_us,
       time_of_day_us,
       final,
-      shares__);
+      shares__,
+      authorities_read);
 }
 
 flatbuffers::Offset<LevelRecord> CreateLevelRecord(flatbuffers::FlatBufferBuilder &_fbb, const LevelRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1069,7 +1326,8 @@
       (lhs.workspace == rhs.workspace) &&
       (lhs.tokens == rhs.tokens) &&
       (lhs.demand == rhs.demand) &&
-      (lhs.restored == rhs.restored);
+      (lhs.restored == rhs.restored) &&
+      (lhs.ready == rhs.ready);
 }
 
 inline bool operator!=(const AuthorityShareT &lhs, const AuthorityShareT &rhs) {
@@ -1090,6 +1348,7 @@
   { auto _e = tokens(); _o->tokens = _e; }
   { auto _e = demand(); _o->demand = _e; }
   { auto _e = restored(); _o->restored = _e; }
+  { auto _e = ready(); _o->ready = _e; }
 }
 
 inline flatbuffers::Offset<AuthorityShare> AuthorityShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1104,12 +1363,97 @@
   auto _tokens = _o->tokens;
   auto _demand = _o->demand;
   auto _restored = _o->restored;
+  auto _ready = _o->ready;
   return hawthornhollow::fb::CreateAuthorityShare(
       _fbb,
       _workspace,
       _tokens,
       _demand,
-      _restored);
+      _restored,
+      _ready);
+}
+
+
+inline bool operator==(const RememberedQuotaT &lhs, const RememberedQuotaT &rhs) {
+  return
+      (lhs.router == rhs.router) &&
+      (lhs.epoch == rhs.epoch) &&
+      (lhs.sequence == rhs.sequence) &&
+      (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &a, std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.boot == rhs.boot) &&
+      (lhs.written_us == rhs.written_us) &&
+      (lhs.ready_ms == rhs.ready_ms);
+}
+
+inline bool operator!=(const RememberedQuotaT &lhs, const RememberedQuotaT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline RememberedQuotaT::RememberedQuotaT(const RememberedQuotaT &o)
+      : router(o.router),
+        epoch(o.epoch),
+        sequence(o.sequence),
+        boot(o.boot),
+        written_us(o.written_us),
+        ready_ms(o.ready_ms) {
+  shares.reserve(o.shares.size());
+  for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new hawthornhollow::fb::AuthorityShareT(*shares_) : nullptr); }
+}
+
+inline RememberedQuotaT &RememberedQuotaT::operator=(RememberedQuotaT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(router, o.router);
+  std::swap(epoch, o.epoch);
+  std::swap(sequence, o.sequence);
+  std::swap(shares, o.shares);
+  std::swap(boot, o.boot);
+  std::swap(written_us, o.written_us);
+  std::swap(ready_ms, o.ready_ms);
+  return *this;
+}
+
+inline RememberedQuotaT *RememberedQuota::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RememberedQuotaT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RememberedQuota::UnPackTo(RememberedQuotaT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = router(); if (_e) _o->router = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<hawthornhollow::fb::AuthorityShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = boot(); if (_e) _o->boot = _e->str(); }
+  { auto _e = written_us(); _o->written_us = _e; }
+  { auto _e = ready_ms(); _o->ready_ms = _e; }
+}
+
+inline flatbuffers::Offset<RememberedQuota> RememberedQuota::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RememberedQuotaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRememberedQuota(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RememberedQuota> CreateRememberedQuota(flatbuffers::FlatBufferBuilder &_fbb, const RememberedQuotaT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RememberedQuotaT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _router = _o->router.empty() ? 0 : _fbb.CreateString(_o->router);
+  auto _epoch = _o->epoch;
+  auto _sequence = _o->sequence;
+  auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateAuthorityShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _boot = _o->boot.empty() ? 0 : _fbb.CreateString(_o->boot);
+  auto _written_us = _o->written_us;
+  auto _ready_ms = _o->ready_ms;
+  return hawthornhollow::fb::CreateRememberedQuota(
+      _fbb,
+      _router,
+      _epoch,
+      _sequence,
+      _shares,
+      _boot,
+      _written_us,
+      _ready_ms);
 }
 
 
@@ -1121,7 +1465,12 @@
       (lhs.address == rhs.address) &&
       (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &a, std::unique_ptr<hawthornhollow::fb::AuthorityShareT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.failure_domain == rhs.failure_domain) &&
-      (lhs.incomplete == rhs.incomplete);
+      (lhs.incomplete == rhs.incomplete) &&
+      (lhs.authorities_read == rhs.authorities_read) &&
+      (lhs.remembered.size() == rhs.remembered.size() && std::equal(lhs.remembered.cbegin(), lhs.remembered.cend(), rhs.remembered.cbegin(), [](std::unique_ptr<hawthornhollow::fb::RememberedQuotaT> const &a, std::unique_ptr<hawthornhollow::fb::RememberedQuotaT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.boot == rhs.boot) &&
+      (lhs.written_us == rhs.written_us) &&
+      (lhs.ready_ms == rhs.ready_ms);
 }
 
 inline bool operator!=(const AuthorityRecordT &lhs, const AuthorityRecordT &rhs) {
@@ -1135,9 +1484,15 @@
         sequence(o.sequence),
         address(o.address),
         failure_domain(o.failure_domain),
-        incomplete(o.incomplete) {
+        incomplete(o.incomplete),
+        authorities_read(o.authorities_read),
+        boot(o.boot),
+        written_us(o.written_us),
+        ready_ms(o.ready_ms) {
   shares.reserve(o.shares.size());
   for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new hawthornhollow::fb::AuthorityShareT(*shares_) : nullptr); }
+  remembered.reserve(o.remembered.size());
+  for (const auto &remembered_ : o.remembered) { remembered.emplace_back((remembered_) ? new hawthornhollow::fb::RememberedQuotaT(*remembered_) : nullptr); }
 }
 
 inline AuthorityRecordT &AuthorityRecordT::operator=(AuthorityRecordT o) FLATBUFFERS_NOEXCEPT {
@@ -1148,6 +1503,11 @@
   std::swap(shares, o.shares);
   std::swap(failure_domain, o.failure_domain);
   std::swap(incomplete, o.incomplete);
+  std::swap(authorities_read, o.authorities_read);
+  std::swap(remembered, o.remembered);
+  std::swap(boot, o.boot);
+  std::swap(written_us, o.written_us);
+  std::swap(ready_ms, o.ready_ms);
   return *this;
 }
 
@@ -1167,6 +1527,11 @@
   { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<hawthornhollow::fb::AuthorityShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
   { auto _e = incomplete(); _o->incomplete = _e; }
+  { auto _e = authorities_read(); _o->authorities_read = _e; }
+  { auto _e = remembered(); if (_e) { _o->remembered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->remembered[_i] = std::unique_ptr<hawthornhollow::fb::RememberedQuotaT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = boot(); if (_e) _o->boot = _e->str(); }
+  { auto _e = written_us(); _o->written_us = _e; }
+  { auto _e = ready_ms(); _o->ready_ms = _e; }
 }
 
 inline flatbuffers::Offset<AuthorityRecord> AuthorityRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuthorityRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1184,6 +1549,11 @@
   auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::AuthorityShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateAuthorityShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
   auto _incomplete = _o->incomplete;
+  auto _authorities_read = _o->authorities_read;
+  auto _remembered = _o->remembered.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::RememberedQuota>> (_o->remembered.size(), [](size_t i, _VectorArgs *__va) { return CreateRememberedQuota(*__va->__fbb, __va->__o->remembered[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _boot = _o->boot.empty() ? 0 : _fbb.CreateString(_o->boot);
+  auto _written_us = _o->written_us;
+  auto _ready_ms = _o->ready_ms;
   return hawthornhollow::fb::CreateAuthorityRecord(
       _fbb,
       _router,
@@ -1192,7 +1562,12 @@
       _address,
       _shares,
       _failure_domain,
-      _incomplete);
+      _incomplete,
+      _authorities_read,
+      _remembered,
+      _boot,
+      _written_us,
+      _ready_ms);
 }
 
 
@@ -1274,7 +1649,8 @@
       (lhs.written_us == rhs.written_us) &&
       (lhs.time_of_day_us == rhs.time_of_day_us) &&
       (lhs.final == rhs.final) &&
-      (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::LevelShareT> const &a, std::unique_ptr<hawthornhollow::fb::LevelShareT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.shares.size() == rhs.shares.size() && std::equal(lhs.shares.cbegin(), lhs.shares.cend(), rhs.shares.cbegin(), [](std::unique_ptr<hawthornhollow::fb::LevelShareT> const &a, std::unique_ptr<hawthornhollow::fb::LevelShareT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.authorities_read == rhs.authorities_read);
 }
 
 inline bool operator!=(const LevelRecordT &lhs, const LevelRecordT &rhs) {
@@ -1289,7 +1665,8 @@
         boot(o.boot),
         written_us(o.written_us),
         time_of_day_us(o.time_of_day_us),
-        final(o.final) {
+        final(o.final),
+        authorities_read(o.authorities_read) {
   shares.reserve(o.shares.size());
   for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new hawthornhollow::fb::LevelShareT(*shares_) : nullptr); }
 }
@@ -1303,6 +1680,7 @@
   std::swap(time_of_day_us, o.time_of_day_us);
   std::swap(final, o.final);
   std::swap(shares, o.shares);
+  std::swap(authorities_read, o.authorities_read);
   return *this;
 }
 
@@ -1323,6 +1701,7 @@
   { auto _e = time_of_day_us(); _o->time_of_day_us = _e; }
   { auto _e = final(); _o->final = _e; }
   { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<hawthornhollow::fb::LevelShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = authorities_read(); _o->authorities_read = _e; }
 }
 
 inline flatbuffers::Offset<LevelRecord> LevelRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LevelRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1341,6 +1720,7 @@
   auto _time_of_day_us = _o->time_of_day_us;
   auto _final = _o->final;
   auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<hawthornhollow::fb::LevelShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateLevelShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _authorities_read = _o->authorities_read;
   return hawthornhollow::fb::CreateLevelRecord(
       _fbb,
       _router,
@@ -1350,7 +1730,8 @@
       _written_us,
       _time_of_day_us,
       _final,
-      _shares);
+      _shares,
+      _authorities_read);
 }
 
 
--- a/hawthornhollow/totals/totals_options.h
+++ b/hawthornhollow/totals/totals_options.h
@@ -69,6 +69,18 @@
   // transfer_horizon alone needs more, that much is lent.
   double loan_share_of_total = 0.02;
   double loan_share_of_left = 0.1;
+  // Of a total, what a router may use of a raised quota before enough others
+  // have read the record. A router that is killed while the store loses its
+  // records is charged this much beyond what others remember.
+  double unknown_share_of_total = 0.02;
+  // While its newest authority record is younger than this, a router uses no
+  // more of its quota than the demand of this time needs, and is charged no
+  // more if others remember the record. The rest is for outages. Others have to
+  // read a record in this time, and read less often where there are many.
+  absl::Duration ready_horizon = absl::Seconds(4);
+  absl::Duration ready_horizon_per_router = absl::Milliseconds(120);
+  // At least this share of what is left of the quota, for demand that begins.
+  double ready_share_of_headroom = 0.125;
   // Time constant of the decaying average of demand.
   absl::Duration demand_decay = absl::Seconds(5);
   // A level record older than this shows that the store is unreachable. Its
--- a/hawthornhollow/totals/totals_random_test.cc
+++ b/hawthornhollow/totals/totals_random_test.cc
@@ -147,12 +147,78 @@
         LosePowerOnAllVms();
       for (Vm& vm : vms_)
         Step(vm);
-      if (counter_.spent > total_)
-        overdrawn_ = true;
-      CheckFinalRefusals();
+      CheckSpent();
     }
   }
 
+  void SetTotal(int64_t tokens) { total_ = tokens; }
+  // Calm, with requests, for `length`: nothing fails.
+  void RunCalm(absl::Duration length) {
+    calm_ = true;
+    for (const absl::Duration end = now_ + length; now_ < end;) {
+      now_ += kStep;
+      for (Vm& vm : vms_)
+        Step(vm);
+      CheckSpent();
+    }
+  }
+  // The store is away and comes back from a copy that is `age` old; the first
+  // `kills` routers are killed while it is away.
+  void DrillStore(absl::Duration age, size_t kills) {
+    const Store copy = store_;
+    RunCalm(age);
+    for (Vm& vm : vms_)
+      vm.store_cut_until = now_ + absl::Seconds(2.5);
+    RunCalm(absl::Seconds(1));
+    for (size_t i = 0; i < kills; ++i) {
+      Kill(vms_[i], /*power=*/false);
+      vms_[i].down_until = now_ + absl::Seconds(0.5);
+    }
+    RunCalm(absl::Seconds(1));
+    store_ = copy;
+    ++era_;
+  }
+  void LosePowerBriefly() {
+    for (Vm& vm : vms_) {
+      Kill(vm, /*power=*/true);
+      vm.down_until = now_ + absl::Seconds(1.5);
+    }
+  }
+  // The part of the total that no quota in the store covers and that some
+  // router takes for taken all the same. Routers read what others write a
+  // little later, so each is looked at for two seconds.
+  int64_t OutOfReach() {
+    std::map<std::string, int64_t> least;
+    for (int i = 0; i < 100; ++i) {
+      RunCalm(kStep);
+      const int64_t unassigned = UnassignedInStore();
+      for (const Vm& vm : vms_) {
+        const int64_t taken =
+            unassigned - vm.book->state(kWorkspace, ClockOf(vm)).unassigned;
+        const auto [found, is_new] = least.try_emplace(vm.name, taken);
+        found->second = std::min(found->second, taken);
+      }
+    }
+    return std::max_element(
+               least.begin(), least.end(),
+               [](const auto& a, const auto& b) { return a.second < b.second; })
+        ->second;
+  }
+  int64_t UnassignedInStore() const {
+    std::map<std::string, fb::AuthorityRecordT> newest;
+    for (const std::string& bytes : store_.authorities()) {
+      fb::AuthorityRecordT record = *DecodeAuthority(bytes);
+      const std::string router = record.router;
+      newest[router] = std::move(record);
+    }
+    int64_t unassigned = total_;
+    for (const auto& [router, record] : newest) {
+      if (const auto* share = FindShare(record, kWorkspace))
+        unassigned -= share->tokens;
+    }
+    return unassigned;
+  }
+
   // Whether a book ever said that a request can never be covered although used
   // tokens and requests in progress left enough for it.
   bool refused_finally_too_early() const { return refused_too_early_; }
@@ -202,6 +268,12 @@
     AskAhead(vm);
   }
 
+  void CheckSpent() {
+    if (counter_.spent > total_)
+      overdrawn_ = true;
+    CheckFinalRefusals();
+  }
+
   void CheckFinalRefusals() {
     int64_t in_progress = 0;
     for (const Vm& vm : vms_) {
@@ -275,6 +347,8 @@
   }
 
   void InjectFaults(Vm& vm) {
+    if (calm_)
+      return;
     if (Chance(0.002))
       vm.store_cut_until = now_ + UpTo(absl::Seconds(9));
     if (Chance(0.001))
@@ -397,6 +471,8 @@
       else
         vm.book->ApplyAuthority(*std::move(record));
     }
+    if (vm.book->started())
+      vm.book->ObserveAuthoritiesRead(vm.read);
     for (const auto& [router, bytes] : store_.levels()) {
       auto record = DecodeLevel(bytes);
       ASSERT_TRUE(record.ok());
@@ -408,10 +484,12 @@
     if (vm.book->other_routers_sums(kWorkspace) !=
         SumOfOtherRouters(vm.book->others(), kWorkspace))
       sums_differ_ = true;
-    if (!vm.book->started())
+    if (!vm.book->started()) {
       for (const InheritedCharge& charge :
            vm.book->Start(own, IncarnationStartOf(vm)))
         charged_ += charge.charged - charge.recorded;
+      vm.book->ObserveAuthoritiesRead(vm.read);
+    }
   }
 
   void Sync(Vm& vm) {
@@ -444,6 +522,7 @@
       return;  // the answer is lost
     if (done) {
       vm.read = store_.end();
+      vm.book->ObserveAuthoritiesRead(vm.read);
       vm.book->OnAuthorityDurable();
       vm.pending_authority.clear();
       return;
@@ -630,6 +709,7 @@
 
   std::mt19937_64 random_;
   const bool restores_;
+  bool calm_ = false;
   std::deque<Store> copies_;  // of the store, oldest first
   int64_t era_ = 0;
   std::vector<Vm> vms_;
@@ -706,6 +786,29 @@
   EXPECT_GT(peaks / static_cast<int64_t>(seeds), kTotal / 4);
 }
 
+// A quarter of the routers is killed while the store is away for a drill. What
+// no quota covered stayed out of reach of all of them, for good.
+TEST_P(TotalsRandomTest, KillDuringADrill_LeavesTheRestOfTheTotalInReach) {
+  const size_t vms = GetParam();
+  if (vms < 4)
+    return;
+  const uint64_t seeds = SeedsOr(vms > 4 ? 6 : 60);
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    SCOPED_TRACE(seed);
+    FaultSimulation simulation(seed, vms, /*restores=*/false);
+    simulation.SetTotal(kTotal * 4 * static_cast<int64_t>(vms));
+    simulation.RunCalm(absl::Milliseconds(500 + 100 * (seed % 9)));
+    simulation.DrillStore(absl::Milliseconds(200 * (seed % 11)), vms / 4);
+    simulation.RunCalm(absl::Seconds(8));
+    EXPECT_LE(simulation.OutOfReach(), 0);
+    // Nor does it, once everybody has lost power.
+    simulation.LosePowerBriefly();
+    simulation.RunCalm(absl::Seconds(8));
+    EXPECT_LE(simulation.OutOfReach(), 0);
+    EXPECT_FALSE(simulation.overdrawn());
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Routers, TotalsRandomTest, testing::Values(1, 4, 28));
 
 }  // namespace
--- a/hawthornhollow/totals/totals_records.cc
+++ b/hawthornhollow/totals/totals_records.cc
@@ -73,6 +73,44 @@
   return durable + std::min(wanted - durable, unassigned);
 }
 
+absl::Duration TotalsBook::ReadyHorizon() const {
+  return std::max(
+      options_.ready_horizon,
+      options_.ready_horizon_per_router * static_cast<int64_t>(router_count()));
+}
+
+int64_t TotalsBook::TargetReady(const LocalUsage& usage,
+                                int64_t quota,
+                                absl::Duration now) const {
+  const int64_t taken = usage.committed + usage.held;
+  const double demand = DemandRate(usage, now) * options_.demand_factor *
+                        absl::ToDoubleSeconds(ReadyHorizon());
+  const double idle =
+      static_cast<double>(quota - taken) * options_.ready_share_of_headroom;
+  const int64_t ready = taken + usage.waiting + usage.lending +
+                        static_cast<int64_t>(std::max(demand, idle));
+  return std::min(quota, ready);
+}
+
+bool TotalsBook::IsReadyRunningOut(const std::string& workspace,
+                                   const LocalUsage& usage,
+                                   absl::Duration now) const {
+  const fb::AuthorityShareT* share = FindShare(durable_authority_, workspace);
+  if (share == nullptr || share->ready >= share->tokens)
+    return false;
+  const int64_t taken = usage.committed + usage.held;
+  const int64_t wanted = TargetReady(usage, share->tokens, now) - taken;
+  return share->ready - taken < wanted / 2;
+}
+
+bool TotalsBook::IsNewestRecordYoung(absl::Duration now) const {
+  const std::optional<fb::AuthorityRecordT>& newest =
+      pending_authority_.has_value() ? pending_authority_ : durable_authority_;
+  return newest.has_value() && newest->boot == options_.boot &&
+         now - absl::Microseconds(newest->written_us) <
+             absl::Milliseconds(newest->ready_ms);
+}
+
 fb::AuthorityRecordT TotalsBook::MakeAuthority(absl::Duration now) {
   fb::AuthorityRecordT record;
   record.router = options_.router;
@@ -80,12 +118,21 @@
   record.sequence = ++authority_sequence_;
   record.address = options_.address;
   record.failure_domain = options_.failure_domain;
-  record.incomplete = incomplete_;
+  record.incomplete = quota_doubt_ != QuotaDoubt::kNone;
+  record.authorities_read = authorities_read_;
+  record.boot = options_.boot;
+  record.written_us = absl::ToInt64Microseconds(now);
+  record.ready_ms = absl::ToInt64Milliseconds(ReadyHorizon());
+  for (const std::string& router : RoutersToTellOf(now)) {
+    record.remembered.push_back(
+        std::make_unique<fb::RememberedQuotaT>(*Remember(router)));
+  }
   for (const auto& [workspace, usage] : usages_) {
     auto share = std::make_unique<fb::AuthorityShareT>();
     share->workspace = workspace;
     share->tokens = TargetAuthority(workspace, usage, now);
     share->demand = static_cast<int64_t>(OwnDemand(usage, now));
+    share->ready = TargetReady(usage, share->tokens, now);
     const auto restored = restored_quotas_.find(workspace);
     if (restored != restored_quotas_.end())
       share->restored = restored->second;
@@ -100,10 +147,16 @@
   durable_authority_ = std::move(pending_authority_);
   pending_authority_.reset();
   is_authority_replaced_ = false;
+  const size_t routers = KnownRouters();
+  confirmed_ready_.OnDurable(*durable_authority_, authorities_read_, routers);
+  confirmed_quotas_.OnDurable(*durable_authority_, authorities_read_, routers);
+  ConfirmQuotas();
+  LearnOwnQuota();
 }
 
 void TotalsBook::OnAuthorityRefused() {
   pending_authority_.reset();
+  LearnOwnQuota();
 }
 
 bool TotalsBook::NeedsAuthorityRecord(absl::Duration now) const {
@@ -113,10 +166,18 @@
     return false;
   if (!HasOwnAuthority() || is_authority_replaced_)
     return true;
+  if (NeedsCompleteRecord())
+    return true;
+  const std::vector<std::string> in_doubt = RoutersToTellOf(now);
+  if (!std::all_of(in_doubt.begin(), in_doubt.end(),
+                   [this](const auto& router) { return HasToldOf(router); }))
+    return true;
   return std::any_of(usages_.begin(), usages_.end(), [&](const auto& item) {
     const auto& [workspace, usage] = item;
     const int64_t spare =
         DurableAuthority(workspace) - usage.committed - usage.held;
+    if (IsReadyRunningOut(workspace, usage, now))
+      return true;
     const int64_t unassigned = state(workspace, now).unassigned;
     if (usage.waiting + usage.lending > spare && unassigned > 0 &&
         IsHolder(workspace))
@@ -161,7 +222,7 @@
   if (closing_)
     return share;
   const int64_t headroom =
-      EffectiveAuthority(workspace) - usage.committed - usage.held;
+      QuotaInForce(workspace) - usage.committed - usage.held;
   const double demand = DemandRate(usage, now) * options_.demand_factor;
   share.per_second = ScheduleRate(headroom, demand, options_.idle_horizon);
   share.burst = usage.lending + LevelBurst(usage, now);
@@ -185,8 +246,9 @@
   if (earliest_boot_ != absl::InfiniteFuture())
     record.time_of_day_us = absl::ToUnixMicros(earliest_boot_ + now);
   record.final = closing_;
+  record.authorities_read = authorities_read_;
   for (const auto& [workspace, usage] : usages_) {
-    if (EffectiveAuthority(workspace) != 0) {
+    if (QuotaInForce(workspace) != 0) {
       record.shares.push_back(std::make_unique<fb::LevelShareT>(
           MakeLevelShare(workspace, usage, now)));
     } else if (usage.used > 0) {
@@ -197,16 +259,21 @@
     }
   }
   pending_level_ = record;
+  is_level_after_learning_ = quota_doubt_ == QuotaDoubt::kLearned;
   return record;
 }
 
 void TotalsBook::OnLevelDurable() {
   durable_level_ = std::move(pending_level_);
   pending_level_.reset();
+  if (is_level_after_learning_)
+    quota_doubt_ = QuotaDoubt::kNone;
+  is_level_after_learning_ = false;
 }
 
 void TotalsBook::OnLevelRefused() {
   pending_level_.reset();
+  is_level_after_learning_ = false;
   ++epoch_;
   level_sequence_ = 0;
 }
@@ -218,16 +285,16 @@
     return true;
   if (!HasOwnAuthority())
     return false;
-  if (!durable_level_.has_value())
+  if (!durable_level_.has_value() || quota_doubt_ == QuotaDoubt::kLearned)
     return true;
   return std::any_of(usages_.begin(), usages_.end(), [&](const auto& item) {
     const auto& [workspace, usage] = item;
-    const int64_t authority = EffectiveAuthority(workspace);
+    const int64_t authority = QuotaInForce(workspace);
     if (authority == 0)
       return false;
     const fb::LevelShareT* share = FindShare(durable_level_, workspace);
     const bool waits_for_it = usage.waiting > 0 && !HasFreshLevel(now);
-    const int64_t room = CommitLimit(workspace, now) - usage.committed -
+    const int64_t room = RecordedLimit(workspace, now) - usage.committed -
                          usage.committing - usage.lending;
     if (share == nullptr || waits_for_it || room < 0)
       return true;
--- a/hawthornhollow/totals/totals_replay_routers_impl.h
+++ b/hawthornhollow/totals/totals_replay_routers_impl.h
@@ -181,6 +181,7 @@
     if (authorities_[router.read].router != router.name)
       router.book->ApplyAuthority(authorities_[router.read]);
   }
+  router.book->ObserveAuthoritiesRead(router.read);
   const absl::Duration interval =
       std::max(kReplayRecordInterval,
                absl::Milliseconds(40) * static_cast<int64_t>(routers_.size()));
@@ -214,10 +215,12 @@
     AtRouter(index, now_ + settings_.store_call / 2, [=, this] {
       Router& writer = routers_[index];
       writer.is_putting_authority = false;
-      if (is_put)
+      if (is_put) {
+        writer.book->ObserveAuthoritiesRead(read + 1);
         writer.book->OnAuthorityDurable();
-      else
+      } else {
         writer.book->OnAuthorityRefused();
+      }
       if (!is_put)
         writer.authority_put = -absl::InfiniteDuration();
       ServeWaiting(index);
--- a/hawthornhollow/totals/totals_restored.cc
+++ b/hawthornhollow/totals/totals_restored.cc
@@ -5,9 +5,10 @@
 // keeps to the smaller one of its durable record and the one in flight, and
 // writes both of its records again, the level first; its quota is certain then.
 // A quota is uncertain as long as its newest record is of an earlier era, and
-// for good (`incomplete`) if an incarnation has ended without writing it again:
-// nobody knows what it was raised to. Its successor is charged its whole quota,
-// as far as the store knows it.
+// (`incomplete`) if an incarnation has ended without writing it again: the
+// store does not know what it was raised to. Its successor is charged its whole
+// quota, as far as the store knows it, until others tell what they remember
+// (remembered_quotas.cc).
 //
 // While any quota is uncertain, and for kSettleTime, only this is assigned:
 // what was added to the total since the era began, and what quotas that were
@@ -39,7 +40,7 @@
                                     const fb::LevelShareT& share,
                                     const RouterRecords& previous,
                                     const RecordAge& record_age) const {
-  if (incomplete_ ||
+  if (quota_doubt_ != QuotaDoubt::kNone ||
       EraOf(previous.level->epoch) < EraOf(previous.authority->epoch))
     return authority.tokens;
   if (previous.level->final)
@@ -52,7 +53,12 @@
 void TotalsBook::BeginEra(int64_t era, absl::Duration now) {
   if (era <= era_)
     return;
+  if (started_)
+    RememberOthers();
   era_ = era;
+  authorities_read_ = 0;
+  confirmed_ready_.BeginEra();
+  confirmed_quotas_.BeginEra();
   others_certain_.reset();
   others_given_back_.clear();
   if (!started_)
@@ -60,10 +66,11 @@
   // Others may rely on the smaller one of the two.
   if (pending_authority_.has_value() && durable_authority_.has_value()) {
     for (auto& share : durable_authority_->shares)
-      share->tokens = EffectiveAuthority(share->workspace);
+      share->tokens = QuotaInForce(share->workspace);
   }
   pending_authority_.reset();
   pending_level_.reset();
+  is_level_after_learning_ = false;
   epoch_ = FirstEpochOf(era);
   authority_sequence_ = 0;
   level_sequence_ = 0;
@@ -89,24 +96,32 @@
 }
 
 bool TotalsBook::AreQuotasCertain(absl::Duration now) const {
-  if (now < settled_at_ || incomplete_)
+  if (now < settled_at_ || quota_doubt_ != QuotaDoubt::kNone)
     return false;
   if (!others_certain_.has_value())
     others_certain_ = AreOtherQuotasCertain();
   return *others_certain_;
 }
 
+bool TotalsBook::HasEnded(const RouterRecords& records) const {
+  return records.level.has_value() && records.level->final &&
+         records.authority.has_value() && !records.authority->incomplete &&
+         records.level->epoch >= records.authority->epoch;
+}
+
 bool TotalsBook::AreOtherQuotasCertain() const {
+  others_margins_.clear();
+  for (const auto& [router, records] : other_routers_) {
+    if (!records.authority.has_value() || IsQuotaCertain(records) ||
+        HasEnded(records))
+      continue;
+    if (!AddMargin(router))
+      return false;
+  }
+  const std::vector<std::string> only_told = RoutersOnlyTold();
   return std::all_of(
-      other_routers_.begin(), other_routers_.end(), [this](const auto& item) {
-        const RouterRecords& records = item.second;
-        const bool has_ended = records.level.has_value() &&
-                               records.level->final &&
-                               records.authority.has_value() &&
-                               records.level->epoch >= records.authority->epoch;
-        return !records.authority.has_value() || IsQuotaCertain(records) ||
-               (has_ended && !records.authority->incomplete);
-      });
+      only_told.begin(), only_told.end(),
+      [this](const std::string& router) { return AddMargin(router); });
 }
 
 int64_t TotalsBook::Assignable(const std::string& workspace,
@@ -114,8 +129,11 @@
   const int64_t unassigned = TotalOf(workspace) -
                              other_routers_sums(workspace).authority -
                              DurableAuthority(workspace);
-  if (AreQuotasCertain(now))
-    return unassigned;
+  if (AreQuotasCertain(now)) {
+    const auto margin = others_margins_.find(workspace);
+    return margin == others_margins_.end() ? unassigned
+                                           : unassigned - margin->second;
+  }
   const int64_t added = TotalOf(workspace) - restored_.TotalThen(workspace);
   return std::min(unassigned, added + GivenBack(workspace));
 }
--- a/hawthornhollow/totals/totals_state.h
+++ b/hawthornhollow/totals/totals_state.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace hawthornhollow {
 
@@ -28,6 +29,15 @@
   friend auto operator<=>(const TotalsSum&, const TotalsSum&) = default;
 };
 
+// Whether an earlier incarnation of this router may have had a larger quota
+// than the store tells, since the store came back from an older copy.
+enum class QuotaDoubt {
+  kNone,
+  kOpen,     // nobody knows
+  kLearned,  // other routers remember; the level record is yet to say so
+};
+std::string_view NameOf(QuotaDoubt doubt);
+
 // What a new incarnation is charged for the commitments of the previous one on
 // its VM.
 struct InheritedCharge {
--- a/hawthornhollow/totals/totals_transfers.cc
+++ b/hawthornhollow/totals/totals_transfers.cc
@@ -52,8 +52,8 @@
     return 0;
   // Tokens that nobody waits for are kept together as the total runs out.
   constexpr int64_t kQuotaDivisor = 16;
-  const int64_t quota_left =
-      EffectiveAuthority(question.workspace) - usage.committed - usage.held;
+  const int64_t quota_left = EffectiveAuthority(question.workspace, now) -
+                             usage.committed - usage.held;
   const int64_t waited_for = std::max(question.needed, question.waiting);
   const int64_t given = std::min(
       {question.wanted, spare,
