A status that promises "not run" is the router's to give, not a server's

Cause: the run's state was right (may_have_run), but a server's complete answer was passed on without asking it: from 500 on after the last try, below 500 at once, so 429 and 408 too.

Evidence: each such order has request.try_failed end=failed_answer detail="status 503" and one attempt. Ruled out: that the router takes the answer for "not run" (end=not_run), and a second try (attempts=1).

Change: for a request that may run once only, an answer with such a status is not passed on; its caller gets 502, without the server's seal. Requests that may be repeated get the server's answer as before.

The project's own deployment promises by the body's state, not by the status: not changed.

Cost: body and headers of such an answer don't reach the caller.

--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -118,6 +118,10 @@
   std::string_view message;
 };
 RelayErrorTraits TraitsOf(RelayError error);
+// Whether callers take this status for the promise that their request was not
+// executed and never will be. Only the router gives it: a server states that it
+// did not execute a request by ReplyHead::not_run, whatever its status.
+bool PromisesNotRun(int status);
 
 // ---------------------------------------------------------------------------
 // The outside world
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -171,6 +171,14 @@
   AttemptResult ReceiveBody(const PromptPlacement::Choice& choice,
                             const ReplyHead& reply);
 
+  // Whether the status of a server's answer may be the caller's. One that would
+  // promise that a request was not run, and may not be sent again, says so of a
+  // run that failed.
+  bool MayPassOnStatus(int status) const {
+    return may_repeat() || !PromisesNotRun(status);
+  }
+  void LogWithheld(int status) const;
+
   // Whether an answer continues the stream of which the caller has a part.
   bool GoesOn(const ReplyHead& reply) const {
     return reply.status == stream_status_ &&
--- a/hawthornhollow/relay/request_run_answer_impl.h
+++ b/hawthornhollow/relay/request_run_answer_impl.h
@@ -145,6 +145,11 @@
   const absl::Status status = ReadWhole(&answer.body);
   if (!status.ok())
     return FailedRead(status);
+  if (!MayPassOnStatus(reply.status)) {
+    detail_ = "status " + std::to_string(reply.status);
+    LogWithheld(reply.status);
+    return AttemptResult::kErrorAnswer;
+  }
   if (reply.status >= kServerError) {
     detail_ = "status " + std::to_string(reply.status);
     failed_answer_ = std::move(answer);
@@ -158,6 +163,14 @@
   return AttemptResult::kAnswered;
 }
 
+template <MessageCodec D>
+void RequestRun<D>::LogWithheld(int status) const {
+  LogEvent("answer.withheld", LogSeverity::kWarning)
+      .Add("request", request_.call.id)
+      .Add("server", summary_.server)
+      .Add("status", status);
+}
+
 template <MessageCodec D>
 absl::Status RequestRun<D>::ReadWhole(std::string* body) {
   HttpExchange* const exchange = caller_->exchange;
--- a/hawthornhollow/relay/routing_table.cc
+++ b/hawthornhollow/relay/routing_table.cc
@@ -125,4 +125,13 @@
   return {500, "internal_error", ""};
 }
 
+bool PromisesNotRun(int status) {
+  constexpr int kRequestTimeout = 408;
+  constexpr int kMisdirected = 421;
+  constexpr int kTooManyRequests = 429;
+  constexpr int kUnavailable = 503;
+  return status == kRequestTimeout || status == kMisdirected ||
+         status == kTooManyRequests || status == kUnavailable;
+}
+
 }  // namespace hawthornhollow
