A first part of prompts is not blamed for every crash of its route

Cause: the part that most crashes have in common is blamed, and a first part is in each crash of its route; the answers that would clear it are forgotten after 10 s. And nothing ever tried whether a quarantine was right.

Evidence: prompt.crash names a1,c; a1,dead; a1,dead, then prompt.quarantined part=a1 crashes=3. Ruled out: that the ordinary crash is told to be of the harmful part.

Change: a part further into the prompt that explains all crashes but one goes before a wider one; a part on which an answer went on in the last hour needs six crashes; at growing pauses one router lets one request through, and an answer that goes on lifts the quarantine everywhere. The memory of sound parts is bounded now also when all of them are recent.

--- a/hawthornhollow/relay/peer_codec.cc
+++ b/hawthornhollow/relay/peer_codec.cc
@@ -123,6 +123,8 @@
   record.crashes = part.crashes;
   record.until_us =
       absl::ToUnixMicros(TimeOfDayNow() + (part.until - SteadyNow()));
+  record.trials = part.trials;
+  record.lifted = part.is_lifted;
   return record;
 }
 
@@ -130,7 +132,9 @@
   return {.part = record.part,
           .crashes = record.crashes,
           .until = SteadyNow() +
-                   (absl::FromUnixMicros(record.until_us) - TimeOfDayNow())};
+                   (absl::FromUnixMicros(record.until_us) - TimeOfDayNow()),
+          .trials = record.trials,
+          .is_lifted = record.lifted};
 }
 
 namespace {
--- a/hawthornhollow/relay/peer_messages_generated.h
+++ b/hawthornhollow/relay/peer_messages_generated.h
@@ -895,6 +895,8 @@
   std::string part{};
   int64_t crashes = 0;
   int64_t until_us = 0;
+  int64_t trials = 0;
+  bool lifted = false;
 };
 
 struct QuarantineRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -904,7 +906,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_PART = 4,
     VT_CRASHES = 6,
-    VT_UNTIL_US = 8
+    VT_UNTIL_US = 8,
+    VT_TRIALS = 10,
+    VT_LIFTED = 12
   };
   const flatbuffers::String *part() const {
     return GetPointer<const flatbuffers::String *>(VT_PART);
@@ -915,12 +919,20 @@
   int64_t until_us() const {
     return GetField<int64_t>(VT_UNTIL_US, 0);
   }
+  int64_t trials() const {
+    return GetField<int64_t>(VT_TRIALS, 0);
+  }
+  bool lifted() const {
+    return GetField<uint8_t>(VT_LIFTED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_PART) &&
            verifier.VerifyString(part()) &&
            VerifyField<int64_t>(verifier, VT_CRASHES, 8) &&
            VerifyField<int64_t>(verifier, VT_UNTIL_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_TRIALS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LIFTED, 1) &&
            verifier.EndTable();
   }
   QuarantineRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -941,6 +953,12 @@
   void add_until_us(int64_t until_us) {
     fbb_.AddElement<int64_t>(QuarantineRecord::VT_UNTIL_US, until_us, 0);
   }
+  void add_trials(int64_t trials) {
+    fbb_.AddElement<int64_t>(QuarantineRecord::VT_TRIALS, trials, 0);
+  }
+  void add_lifted(bool lifted) {
+    fbb_.AddElement<uint8_t>(QuarantineRecord::VT_LIFTED, static_cast<uint8_t>(lifted), 0);
+  }
   explicit QuarantineRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -956,11 +974,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> part = 0,
     int64_t crashes = 0,
-    int64_t until_us = 0) {
+    int64_t until_us = 0,
+    int64_t trials = 0,
+    bool lifted = false) {
   QuarantineRecordBuilder builder_(_fbb);
+  builder_.add_trials(trials);
   builder_.add_until_us(until_us);
   builder_.add_crashes(crashes);
   builder_.add_part(part);
+  builder_.add_lifted(lifted);
   return builder_.Finish();
 }
 
@@ -973,13 +995,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *part = nullptr,
     int64_t crashes = 0,
-    int64_t until_us = 0) {
+    int64_t until_us = 0,
+    int64_t trials = 0,
+    bool lifted = false) {
   auto part__ = part ? _fbb.CreateString(part) : 0;
   return hawthornhollow::fb::CreateQuarantineRecord(
       _fbb,
       part__,
       crashes,
-      until_us);
+      until_us,
+      trials,
+      lifted);
 }
 
 flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2827,7 +2853,9 @@
   return
       (lhs.part == rhs.part) &&
       (lhs.crashes == rhs.crashes) &&
-      (lhs.until_us == rhs.until_us);
+      (lhs.until_us == rhs.until_us) &&
+      (lhs.trials == rhs.trials) &&
+      (lhs.lifted == rhs.lifted);
 }
 
 inline bool operator!=(const QuarantineRecordT &lhs, const QuarantineRecordT &rhs) {
@@ -2847,6 +2875,8 @@
   { auto _e = part(); if (_e) _o->part = _e->str(); }
   { auto _e = crashes(); _o->crashes = _e; }
   { auto _e = until_us(); _o->until_us = _e; }
+  { auto _e = trials(); _o->trials = _e; }
+  { auto _e = lifted(); _o->lifted = _e; }
 }
 
 inline flatbuffers::Offset<QuarantineRecord> QuarantineRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2860,11 +2890,15 @@
   auto _part = _o->part.empty() ? 0 : _fbb.CreateString(_o->part);
   auto _crashes = _o->crashes;
   auto _until_us = _o->until_us;
+  auto _trials = _o->trials;
+  auto _lifted = _o->lifted;
   return hawthornhollow::fb::CreateQuarantineRecord(
       _fbb,
       _part,
       _crashes,
-      _until_us);
+      _until_us,
+      _trials,
+      _lifted);
 }
 
 
--- a/hawthornhollow/relay/prompt_quarantine.cc
+++ b/hawthornhollow/relay/prompt_quarantine.cc
@@ -13,20 +13,30 @@
 //   - Of the parts that are left, the cause is the one that most crashes have
 //     in common. If several have all of them in common, they always came
 //     together, and the one furthest into the prompt is taken, since the
-//     earlier ones are shared more widely.
+//     earlier ones are shared more widely. A crash for another reason has in
+//     common with them only what all prompts of its route share, so a part
+//     further on that explains all but one goes before it: it is waited for.
+//   - A part on which answers went on earlier needs more crashes. On a quiet
+//     route that may be long ago.
 //   - Servers that crash at the same moment have a cause in common that is no
 //     request: a request needs time to reach the next server. They count once.
 //
 // A crash that a quarantined part explains is no evidence against others, nor
 // is what else broke off at that server at that time.
 //
+// A wrong quarantine ends by itself: at growing pauses one request with the
+// part is let through, by one router for all (the one that saves the trial in
+// the store), and any answer that goes on lifts it. A harmful part crashes one
+// more server by each.
+//
 // Bounds: a part is quarantined at the third crash that the router knows of, so
 // with reports that arrive, by all routers; at most twice `together_time` later
 // if crashes come without a pause. Requests sent before that may cause further
 // crashes. A sound part is quarantined only if requests with it were in
 // progress at three crashes and no answer on it went on, at any router, from
 // the first of them to the last, nor at the routers that reported them for
-// `sound_time` before. The time for a crash is linear in `max_crashes`.
+// `proven_time` before; with one in that time, at six. The time for a crash is
+// linear in `max_crashes`.
 
 #include "hawthornhollow/relay/prompt_quarantine.h"
 
@@ -51,6 +61,12 @@
     absl::Time now) {
   std::vector<std::string> cleared;
   for (std::string& part : SharedParts(prompt)) {
+    if (const auto found = quarantined_.find(part);
+        found != quarantined_.end()) {
+      QuarantinedPart lifted = found->second.part;
+      lifted.is_lifted = true;
+      lifted_[part] = std::move(lifted);
+    }
     if (MarkSound(part, now))
       cleared.push_back(std::move(part));
   }
@@ -64,16 +80,18 @@
 }
 
 bool PromptQuarantine::MarkSound(const std::string& part, absl::Time now) {
-  if (sound_.size() >= options_.max_sound_parts) {
-    std::erase_if(sound_, [&](const auto& item) {
-      return now - item.second > options_.sound_time;
-    });
+  if (sound_.size() >= options_.max_sound_parts && !sound_.contains(part)) {
+    const auto oldest = std::ranges::min_element(
+        sound_, {}, [](const auto& item) { return item.second; });
+    sound_.erase(oldest);
   }
   sound_[part] = now;
   size_t erased = 0;
   for (Evidence& evidence : evidence_)
     erased += std::erase(evidence.crash.parts, part);
-  return erased > 0;
+  const bool is_lifted = quarantined_.erase(part) > 0;
+  unsaved_.erase(part);
+  return erased > 0 || is_lifted;
 }
 
 std::vector<std::string> PromptQuarantine::Suspects(
@@ -113,6 +131,16 @@
   return found != sound_.end() && now - found->second <= options_.sound_time;
 }
 
+bool PromptQuarantine::IsProven(const std::string& part, absl::Time now) const {
+  const auto found = sound_.find(part);
+  return found != sound_.end() && now - found->second <= options_.proven_time;
+}
+
+int64_t PromptQuarantine::CrashesNeeded(const std::string& part,
+                                        absl::Time now) const {
+  return IsProven(part, now) ? options_.crashes_of_proven : options_.crashes;
+}
+
 void PromptQuarantine::DropSound(std::vector<std::string>* parts,
                                  absl::Time now) const {
   std::erase_if(*parts,
@@ -126,7 +154,7 @@
   const bool has_quarantined = std::any_of(
       crash.parts.begin(), crash.parts.end(), [&](const std::string& part) {
         const auto found = quarantined_.find(part);
-        return found != quarantined_.end() && found->second.until > now;
+        return found != quarantined_.end() && found->second.part.until > now;
       });
   if (has_quarantined)
     explained_[crash.server] = now;
@@ -178,13 +206,38 @@
   }
   if (most < options_.crashes)
     return;
+  for (std::string narrower = NarrowerCause(cause, most); !narrower.empty();
+       narrower = NarrowerCause(cause, most)) {
+    cause = narrower;
+    most = CrashesWith(narrower);
+  }
+  if (most < CrashesNeeded(cause, now))
+    return;
   const QuarantinedPart decided = {
       .part = cause, .crashes = most, .until = now + options_.duration};
-  Insert(decided);
+  Insert(decided, now);
   decided_.push_back(decided);
   unsaved_.insert(cause);
 }
 
+std::string PromptQuarantine::NarrowerCause(const std::string& part,
+                                            int64_t crashes) const {
+  std::string narrowest;
+  int64_t most = crashes - options_.unrelated_crashes;
+  for (const Evidence& evidence : evidence_) {
+    const std::vector<std::string>& parts = evidence.crash.parts;
+    auto next = std::ranges::find(parts, part);
+    while (next != parts.end() && ++next != parts.end()) {
+      const int64_t explained = CrashesWith(*next);
+      if (explained < most || *next == narrowest)
+        continue;
+      most = explained;
+      narrowest = *next;
+    }
+  }
+  return narrowest;
+}
+
 // What else broke off in the crashes that the part explains goes with them.
 void PromptQuarantine::DropExplained(const std::string& part) {
   std::vector<std::pair<std::string, absl::Time>> explained;
@@ -205,55 +258,140 @@
     explained_[server] = std::max(explained_[server], at);
 }
 
-void PromptQuarantine::Insert(QuarantinedPart part) {
+void PromptQuarantine::Insert(QuarantinedPart part, absl::Time now) {
   DropExplained(part.part);
   if (quarantined_.size() >= options_.max_quarantined) {
     const auto first_to_end =
         std::min_element(quarantined_.begin(), quarantined_.end(),
                          [](const auto& a, const auto& b) {
-                           return a.second.until < b.second.until;
+                           return a.second.part.until < b.second.part.until;
                          });
     quarantined_.erase(first_to_end);
   }
   std::string key = part.part;
-  quarantined_.insert_or_assign(std::move(key), std::move(part));
+  lifted_.erase(key);
+  Known known{.part = std::move(part)};
+  known.next_trial = now + TrialPause(known);
+  quarantined_.insert_or_assign(std::move(key), std::move(known));
+}
+
+absl::Duration PromptQuarantine::TrialPause(const Known& known) const {
+  absl::Duration pause =
+      known.is_wide ? options_.wide_trial_pause : options_.trial_pause;
+  for (int64_t i = 0; i < known.part.trials && pause < options_.max_trial_pause;
+       ++i)
+    pause *= options_.trial_growth;
+  return std::min(pause, options_.max_trial_pause);
+}
+
+// `follower` is the next part that requests may share; empty if there is none.
+void PromptQuarantine::NoteFollower(Known& known,
+                                    const std::string& follower,
+                                    absl::Time now) {
+  if (known.is_wide || follower.empty() || follower == known.follower)
+    return;
+  if (known.follower.empty()) {
+    known.follower = follower;
+    return;
+  }
+  known.is_wide = true;
+  known.next_trial = std::min(known.next_trial, now + TrialPause(known));
+}
+
+std::vector<QuarantinedPart> PromptQuarantine::DueTrials(absl::Time now) const {
+  std::vector<QuarantinedPart> due;
+  for (const auto& [id, known] : quarantined_) {
+    if (!known.is_asked_for || now < known.next_trial ||
+        known.part.until <= now)
+      continue;
+    due.push_back(known.part);
+    ++due.back().trials;
+  }
+  return due;
+}
+
+void PromptQuarantine::OnTrialSaved(const QuarantinedPart& part,
+                                    absl::Time now) {
+  const auto found = quarantined_.find(part.part);
+  if (found == quarantined_.end())
+    return;
+  Known& known = found->second;
+  known.part.trials = part.trials;
+  known.next_trial = now + TrialPause(known);
+  known.is_asked_for = false;
+  known.trial_until = now + options_.trial_time;
+  known.trial_request.clear();
+}
+
+bool PromptQuarantine::EndTrial(const std::vector<PromptPart>& prompt) {
+  bool was_trial = false;
+  for (const std::string& part : SharedParts(prompt)) {
+    const auto found = quarantined_.find(part);
+    if (found == quarantined_.end() || found->second.trial_request.empty())
+      continue;
+    found->second.trial_until = absl::InfinitePast();
+    found->second.trial_request.clear();
+    was_trial = true;
+  }
+  return was_trial;
 }
 
 bool PromptQuarantine::Adopt(const QuarantinedPart& part, absl::Time now) {
+  if (part.is_lifted) {
+    unsaved_.erase(part.part);
+    return quarantined_.erase(part.part) > 0;
+  }
   const absl::Time until = std::min(part.until, now + options_.duration);
   if (until <= now)
     return false;
   if (const auto found = quarantined_.find(part.part);
       found != quarantined_.end()) {
-    found->second.until = std::max(found->second.until, until);
+    Known& known = found->second;
+    known.part.until = std::max(known.part.until, until);
+    if (part.trials > known.part.trials) {
+      known.part.trials = part.trials;
+      known.next_trial = now + TrialPause(known);
+    }
     return false;
   }
-  if (IsSound(part.part, now))
+  if (part.crashes < CrashesNeeded(part.part, now) || IsSound(part.part, now))
     return false;
-  Insert({.part = part.part, .crashes = part.crashes, .until = until});
+  Insert({.part = part.part,
+          .crashes = part.crashes,
+          .until = until,
+          .trials = part.trials},
+         now);
   return true;
 }
 
 const QuarantinedPart* PromptQuarantine::Find(
     const std::vector<PromptPart>& prompt,
-    absl::Time now) {
+    absl::Time now,
+    const std::string& request) {
   if (quarantined_.empty())
     return nullptr;
   for (size_t i = 0; i + 1 < prompt.size(); ++i) {
     const auto found = quarantined_.find(prompt[i].id);
     if (found == quarantined_.end())
       continue;
-    QuarantinedPart& part = found->second;
-    if (part.until <= now) {
+    Known& known = found->second;
+    if (known.part.until <= now) {
       quarantined_.erase(found);
       continue;
     }
     // Prolonged seldom, because each time it is saved.
-    if (part.until - now < options_.duration / 2) {
-      part.until = now + options_.duration;
-      unsaved_.insert(part.part);
+    if (known.part.until - now < options_.duration / 2) {
+      known.part.until = now + options_.duration;
+      unsaved_.insert(known.part.part);
+    }
+    NoteFollower(known, i + 2 < prompt.size() ? prompt[i + 1].id : "", now);
+    known.is_asked_for = true;
+    if (now < known.trial_until && !request.empty() &&
+        (known.trial_request.empty() || known.trial_request == request)) {
+      known.trial_request = request;
+      continue;
     }
-    return &part;
+    return &known.part;
   }
   return nullptr;
 }
@@ -263,9 +401,11 @@
   for (const std::string& part : unsaved_) {
     const auto found = quarantined_.find(part);
     if (found != quarantined_.end())
-      parts.push_back(found->second);
+      parts.push_back(found->second.part);
   }
   unsaved_.clear();
+  for (auto& [id, part] : std::exchange(lifted_, {}))
+    parts.push_back(std::move(part));
   return parts;
 }
 
@@ -274,16 +414,16 @@
   if (found == quarantined_.end())
     return;
   // Routers decide the same at slightly different times.
-  if (part.until + options_.duration / 4 >= found->second.until)
+  if (part.until + options_.duration / 4 >= found->second.part.until)
     unsaved_.erase(part.part);
 }
 
 std::vector<QuarantinedPart> PromptQuarantine::quarantined(
     absl::Time now) const {
   std::vector<QuarantinedPart> parts;
-  for (const auto& [id, part] : quarantined_) {
-    if (part.until > now)
-      parts.push_back(part);
+  for (const auto& [id, known] : quarantined_) {
+    if (known.part.until > now)
+      parts.push_back(known.part);
   }
   return parts;
 }
--- a/hawthornhollow/relay/prompt_quarantine.h
+++ b/hawthornhollow/relay/prompt_quarantine.h
@@ -17,6 +17,9 @@
 //     Refuse();
 //   for (const QuarantinedPart& part : quarantine.TakeUnsaved())
 //     Save(part);                           // others call Adopt()
+//   for (const QuarantinedPart& part : quarantine.DueTrials(now))
+//     if (Save(part))
+//       quarantine.OnTrialSaved(part, now);
 
 #include <compare>
 #include <cstdint>
@@ -38,6 +41,15 @@
   // Crashes that a part must have in common with no other explanation. Two may
   // coincide when several servers crash for another reason.
   int64_t crashes = 3;
+  // The same for a part on which an answer has gone on before, though not since
+  // the first of these crashes. A part that crashes servers whatever else a
+  // prompt holds can hardly have had one.
+  int64_t crashes_of_proven = 6;
+  // How long answers on a part are remembered for that.
+  absl::Duration proven_time = absl::Hours(1);
+  // Crashes that may have happened for another reason among those that a part
+  // has in common: a narrower part that explains the others goes before it.
+  int64_t unrelated_crashes = 1;
   // A part on which an answer went on this recently is not the cause of a
   // crash.
   absl::Duration sound_time = absl::Seconds(10);
@@ -50,6 +62,16 @@
   absl::Duration together_time = absl::Milliseconds(50);
   // A quarantine ends this long after the last request with the part.
   absl::Duration duration = absl::Minutes(10);
+  // After this time one request of all routers is let through, and each further
+  // one after `trial_growth` times the pause: if its answer goes on, the
+  // quarantine was wrong. A part that comes with several others shuts out most,
+  // so it is tried sooner.
+  absl::Duration trial_pause = absl::Minutes(2);
+  absl::Duration wide_trial_pause = absl::Seconds(10);
+  int64_t trial_growth = 4;
+  absl::Duration max_trial_pause = absl::Hours(4);
+  // A trial that has had no outcome by then counts as none.
+  absl::Duration trial_time = absl::Seconds(30);
   // Bounds memory.
   size_t max_crashes = 256;
   size_t max_sound_parts = 4096;
@@ -83,6 +105,9 @@
   std::string part;
   int64_t crashes = 0;  // that it was found by
   absl::Time until;
+  int64_t trials = 0;  // requests that were let through
+  // An answer on it has gone on: it is quarantined no more.
+  bool is_lifted = false;
   friend auto operator<=>(const QuarantinedPart&,
                           const QuarantinedPart&) = default;
 };
@@ -115,21 +140,35 @@
   bool Adopt(const QuarantinedPart& part, absl::Time now);
 
   // Returns the quarantined part of this prompt, or null, and prolongs its
-  // quarantine. The last part is the request's own and never the cause.
+  // quarantine. The last part is the request's own and never the cause. If a
+  // trial is granted, the first request that asks is let through.
   const QuarantinedPart* Find(const std::vector<PromptPart>& prompt,
-                              absl::Time now);
+                              absl::Time now,
+                              const std::string& request = "");
+  // Returns the parts of which this router may try one request, as they are to
+  // be saved. The store lets one router save each.
+  std::vector<QuarantinedPart> DueTrials(absl::Time now) const;
+  void OnTrialSaved(const QuarantinedPart& part, absl::Time now);
+  // The connection to the server of a request broke off: if it was a trial, the
+  // request must not be sent again. Returns whether it was.
+  bool EndTrial(const std::vector<PromptPart>& prompt);
 
   // Returns the quarantines that were decided here since the last call.
   std::vector<QuarantinedPart> TakeDecided() {
     return std::exchange(decided_, {});
   }
-  // Returns those that were decided here, or have become much longer, since the
-  // last call.
+  // Returns those that were decided or lifted here, or have become much longer,
+  // since the last call.
   std::vector<QuarantinedPart> TakeUnsaved();
   // The store has this quarantine, whoever saved it.
   void OnSaved(const QuarantinedPart& part);
   // Saving failed; TakeUnsaved() returns it again.
   void MarkUnsaved(const std::string& part) { unsaved_.insert(part); }
+  // The same for the end of a quarantine.
+  void MarkLiftedUnsaved(const QuarantinedPart& part) {
+    if (!quarantined_.contains(part.part))
+      lifted_[part.part] = part;
+  }
   std::vector<QuarantinedPart> quarantined(absl::Time now) const;
 
  private:
@@ -138,16 +177,38 @@
     absl::Time at;
   };
 
+  // What this router knows of a quarantined part.
+  struct Known {
+    QuarantinedPart part;
+    absl::Time next_trial;
+    bool is_asked_for = false;  // since the last trial
+    // Another part that follows it, and whether there are several.
+    std::string follower;
+    bool is_wide = false;
+    // Until then a request may be let through, and which one was.
+    absl::Time trial_until = absl::InfinitePast();
+    std::string trial_request;
+  };
+
+  // An answer on the part has gone on in the last `sound_time`, or in the last
+  // `proven_time`.
   bool IsSound(const std::string& part, absl::Time now) const;
-  // Returns whether the part had been suspected.
+  bool IsProven(const std::string& part, absl::Time now) const;
+  int64_t CrashesNeeded(const std::string& part, absl::Time now) const;
+  absl::Duration TrialPause(const Known& known) const;
+  void NoteFollower(Known& known, const std::string& follower, absl::Time now);
+  // Returns whether the part had been suspected, or was quarantined.
   bool MarkSound(const std::string& part, absl::Time now);
   void DropSound(std::vector<std::string>* parts, absl::Time now) const;
   void Record(ServerCrash crash, absl::Time now);
   bool IsExplained(const ServerCrash& crash, absl::Time now);
   int64_t CrashesWith(const std::string& part) const;
   void QuarantineCause(const std::vector<std::string>& parts, absl::Time now);
+  // A part that comes after `part` in the text and explains nearly all of its
+  // `crashes`; empty if there is none.
+  std::string NarrowerCause(const std::string& part, int64_t crashes) const;
   void DropExplained(const std::string& part);
-  void Insert(QuarantinedPart part);
+  void Insert(QuarantinedPart part, absl::Time now);
 
   const PromptQuarantineOptions options_;
   std::deque<Evidence> evidence_;  // oldest first
@@ -155,7 +216,8 @@
   std::map<std::string, absl::Time> explained_;
   // Part -> when an answer on it last went on.
   std::map<std::string, absl::Time> sound_;
-  std::map<std::string, QuarantinedPart> quarantined_;  // keyed by part
+  std::map<std::string, Known> quarantined_;       // keyed by part
+  std::map<std::string, QuarantinedPart> lifted_;  // that are to be saved
   std::vector<QuarantinedPart> decided_;
   std::set<std::string> unsaved_;
 };
--- a/hawthornhollow/relay/prompt_quarantine_test.cc
+++ b/hawthornhollow/relay/prompt_quarantine_test.cc
@@ -190,6 +190,116 @@
   EXPECT_TRUE(quarantine_.TakeUnsaved().empty());
 }
 
+// review/9: on a quiet route one ordinary crash and two by a harmful part got
+// the first part of all its prompts quarantined.
+TEST_F(PromptQuarantineTest, QuietRoute_FirstPartIsNotBlamedForAllItsCrashes) {
+  Answer(0, "a,c");
+  Crash(11, "s1", "a,c");
+  Crash(14, "s2", "a,dead");
+  Crash(17, "s3", "a,dead");
+  EXPECT_FALSE(Refuses(17, "a,c"));
+  Crash(20, "s4", "a,dead");
+  EXPECT_TRUE(Refuses(20, "a,dead"));
+  EXPECT_FALSE(Refuses(20, "a,c"));
+}
+
+// The same on a route that has had no answer yet, whichever crash comes first.
+TEST_F(PromptQuarantineTest, NewRoute_FirstPartIsNotBlamedForAllItsCrashes) {
+  for (int ordinary = 0; ordinary < 3; ++ordinary) {
+    PromptQuarantine quarantine{PromptQuarantineOptions()};
+    const auto crash = [&](int at, const std::string& parts) {
+      quarantine.OnCrash(absl::StrCat("s", at), {Prompt(parts)}, At(at));
+    };
+    for (int i = 0; i < 3; ++i)
+      crash(3 * i, i == ordinary ? "a,c" : "a,dead");
+    EXPECT_EQ(quarantine.Find(Prompt("a,c"), At(9)), nullptr) << ordinary;
+    crash(9, "a,dead");
+    EXPECT_NE(quarantine.Find(Prompt("a,dead"), At(9)), nullptr) << ordinary;
+    EXPECT_EQ(quarantine.Find(Prompt("a,c"), At(9)), nullptr) << ordinary;
+  }
+}
+
+// Servers may have changed: it is not held sound for ever.
+TEST_F(PromptQuarantineTest, PartThatOnceWasAnswered_NeedsMoreCrashes) {
+  Answer(0, "a");
+  for (int i = 0; i < 5; ++i)
+    Crash(20 + i, absl::StrCat("s", i), "a");
+  EXPECT_FALSE(Refuses(25, "a"));
+  Crash(25, "s5", "a");
+  EXPECT_TRUE(Refuses(25, "a"));
+}
+
+class WrongQuarantineTest : public PromptQuarantineTest {
+ protected:
+  void SetUp() override {
+    for (int i = 0; i < 3; ++i)
+      Crash(i, absl::StrCat("s", i), absl::StrCat("a,b", i));
+    ASSERT_TRUE(Refuses(3, "a,c"));
+    quarantine_.TakeUnsaved();
+  }
+  bool Passes(double at, const std::string& parts, const std::string& id) {
+    return quarantine_.Find(Prompt(parts), At(at), id) == nullptr;
+  }
+  // Grants a trial, as a router whose record is taken does.
+  bool Grant(double at) {
+    const auto due = quarantine_.DueTrials(At(at));
+    for (const QuarantinedPart& part : due)
+      quarantine_.OnTrialSaved(part, At(at));
+    return !due.empty();
+  }
+};
+
+// review/9: each refused request prolonged it, and nothing was tried meanwhile.
+TEST_F(WrongQuarantineTest, AnswerOfATrial_LiftsItEverywhere) {
+  EXPECT_TRUE(Refuses(4, "a,d"));  // several others follow it
+  EXPECT_FALSE(Grant(10));
+  EXPECT_TRUE(Grant(15));
+  EXPECT_TRUE(Passes(15, "a,c", "first"));
+  EXPECT_TRUE(Passes(15, "a,c", "first"));
+  EXPECT_FALSE(Passes(15, "a,c", "second"));
+  EXPECT_EQ(quarantine_.OnAnswerWentOn(Prompt("a,c"), At(16)),
+            std::vector<std::string>({"a"}));
+  EXPECT_FALSE(Refuses(16, "a,c"));
+  const std::vector<QuarantinedPart> unsaved = quarantine_.TakeUnsaved();
+  ASSERT_EQ(unsaved.size(), 1);
+  EXPECT_TRUE(unsaved[0].is_lifted);
+  PromptQuarantine other{PromptQuarantineOptions()};
+  ASSERT_TRUE(
+      other.Adopt({.part = "a", .crashes = 3, .until = At(600)}, At(3)));
+  EXPECT_TRUE(other.Adopt(unsaved[0], At(17)));
+  EXPECT_EQ(other.Find(Prompt("a,c"), At(17)), nullptr);
+}
+
+TEST_F(WrongQuarantineTest, TrialThatCrashesAServer_IsFollowedByALongerPause) {
+  EXPECT_TRUE(Refuses(4, "a,d"));
+  ASSERT_TRUE(Grant(15));
+  EXPECT_TRUE(Passes(15, "a,c", "first"));
+  EXPECT_TRUE(quarantine_.EndTrial(Prompt("a,c")));
+  Crash(15.1, "s4", "a,c");
+  EXPECT_FALSE(Passes(15.2, "a,c", "first"));
+  EXPECT_FALSE(Grant(50));
+  EXPECT_TRUE(Grant(56));
+  EXPECT_TRUE(Refuses(57, "a,c"));  // another request's trial has no id
+  EXPECT_FALSE(Grant(200));
+}
+
+// How many requests with a harmful part reach servers in a day's time.
+TEST_F(WrongQuarantineTest, TrialsOfAHarmfulPart_AreFew) {
+  constexpr int kDay = 24 * 3600;
+  constexpr int kMaxTrials = 15;
+  int trials = 0;
+  for (int at = 4; at < kDay; at += 2) {
+    Refuses(at, "a,d");
+    if (!Grant(at))
+      continue;
+    ++trials;
+    Passes(at, "a,c", "id");
+    quarantine_.EndTrial(Prompt("a,c"));
+  }
+  EXPECT_GT(trials, 0);
+  EXPECT_LE(trials, kMaxTrials);
+}
+
 // Several routers with few requests each, servers that also crash for other
 // reasons, one harmful part at a random place of prompts.
 TEST_F(PromptQuarantineTest, RandomTraffic_OnlyTheHarmfulPartIsRefused) {
--- a/hawthornhollow/relay/quarantine_controller.h
+++ b/hawthornhollow/relay/quarantine_controller.h
@@ -105,7 +105,8 @@
 
   // Whether a part of the request's prompt must not reach servers.
   bool IsQuarantined(const RelayCall& call) {
-    const QuarantinedPart* found = quarantine_.Find(call.prompt, SteadyNow());
+    const QuarantinedPart* found =
+        quarantine_.Find(call.prompt, SteadyNow(), call.id);
     if (found == nullptr)
       return false;
     LogEvent("request.quarantined")
@@ -129,6 +130,11 @@
   void OnBrokeOff(const RelayCall& call,
                   const RelayServer& server,
                   BreakPoint point) {
+    if (quarantine_.EndTrial(call.prompt)) {
+      LogEvent("prompt.trial_failed", LogSeverity::kWarning)
+          .Add("request", call.id)
+          .Add("server", server.id);
+    }
     if (quarantine_.Suspects(call.prompt, SteadyNow()).empty())
       return;
     if (point == BreakPoint::kBeforeFirstPiece)
@@ -193,11 +199,31 @@
       SaveAllAgain();
     AdoptRecords();
     bool saved = true;
-    for (const QuarantinedPart& part : quarantine_.TakeUnsaved())
-      saved &= Save(part);
+    for (const QuarantinedPart& part : quarantine_.TakeUnsaved()) {
+      if (Save(part))
+        continue;
+      saved = false;
+      if (part.is_lifted)
+        quarantine_.MarkLiftedUnsaved(part);
+      else
+        quarantine_.MarkUnsaved(part.part);
+    }
+    SaveTrials();
     return saved;
   }
 
+  // Of all routers, the one whose record is taken lets a request through.
+  void SaveTrials() {
+    for (const QuarantinedPart& part : quarantine_.DueTrials(SteadyNow())) {
+      if (!Save(part))
+        return;
+      quarantine_.OnTrialSaved(part, SteadyNow());
+      LogEvent("prompt.trial_granted")
+          .Add("part", part.part)
+          .Add("trials", part.trials);
+    }
+  }
+
   // The store may have lost what it had saved. AdoptRecords() finds out what is
   // still there.
   void SaveAllAgain() {
@@ -211,6 +237,8 @@
     adopted_changes_ = records_.changes();
     for (const auto& [key, record] : records_.newest()) {
       const auto part = DecodeQuarantine(record);
+      if (part.ok() && part->is_lifted && !IsNews(key, record))
+        continue;
       if (part.ok()) {
         Adopt({*part}, "store");
         quarantine_.OnSaved(*part);
@@ -223,16 +251,20 @@
     }
   }
 
+  // The end of a quarantine is in force once: the part may be quarantined anew
+  // here while that record is still the newest.
+  bool IsNews(const std::string& key, const StoredValue& record) {
+    const std::pair place(records_.position().era, record.offset);
+    return std::exchange(lifted_at_[key], place) != place;
+  }
+
   // Other routers may write at the same time: then the record is read first,
   // and saved with the next round.
   bool Save(const QuarantinedPart& part) {
     const auto end = store_.AppendAt(
         StoreSubject::kQuarantine, part.part, EncodeQuarantine(part),
         records_.position().offset, options_.call_timeout);
-    if (end.ok())
-      return true;
-    quarantine_.MarkUnsaved(part.part);
-    return false;
+    return end.ok();
   }
 
   // Finds out whether a server has crashed to which connections broke off.
@@ -325,6 +357,13 @@
 
   static void LogQuarantined(const QuarantinedPart& part,
                              std::string_view source) {
+    if (part.is_lifted) {
+      LogEvent("prompt.lifted")
+          .Add("part", part.part)
+          .Add("trials", part.trials)
+          .Add("source", source);
+      return;
+    }
     LogEvent("prompt.quarantined", LogSeverity::kWarning)
         .Add("part", part.part)
         .Add("crashes", part.crashes)
@@ -339,6 +378,8 @@
   PromptQuarantine quarantine_;
   int64_t era_ = 0;  // of the store, when its records were last read
   uint64_t adopted_changes_ = 0;
+  // Era and offset of the newest record that ended a part's quarantine.
+  std::map<std::string, std::pair<int64_t, int64_t>> lifted_at_;
   absl::Time read_at_ = absl::InfinitePast();
   SecondLimit reports_;
   SecondLimit probes_;
