A server that asks for a rest gets no requests until its end

Cause: nothing read a server's Retry-After. A refusal counted for the one request.

Change: ServerStatement::rest_for, decoded once in platform/ (seconds with fractions; what can't be read is logged, more than an hour is an hour); RestingServers keeps it by server and lifetime. Resting servers are left out of each choice and looked at again right before a request is written, so what waits for a permit, is retried or resumed goes elsewhere too. If all rest: 503 servers_resting at once, with the time until the first is back, spread.

Not told to other routers: the word is to this one. A rest is no failure of the server, and doesn't change its placement later.

Cost: the server is out of use at this router for the time that it names, an hour at most; while all servers of a service rest, requests are refused untried.

--- a/hawthornhollow/relay/relay.h
+++ b/hawthornhollow/relay/relay.h
@@ -73,11 +73,14 @@
   // How much longer the server is cold; zero: it is not. Unset if this answer
   // says nothing of it.
   std::optional<absl::Duration> cold_for;
+  // It turned this request away, and wants none from this router for so long.
+  std::optional<absl::Duration> rest_for;
   // Why what it states of each cannot be used; empty if it can, or nothing is
   // stated.
   std::string bad_leaving;
   std::string bad_limit;
   std::string bad_cold;
+  std::string bad_rest;
   friend bool operator==(const ServerStatement&,
                          const ServerStatement&) = default;
 };
@@ -107,6 +110,7 @@
   kOutcomeUnknown,     // it may have been executed; there is no answer
   kServersFull,        // no server has room for it; not executed
   kServersLimited,     // servers take no more requests now; not executed
+  kServersResting,     // servers asked for a rest; not executed
   kDomainsEvacuated,   // all servers are in evacuated domains; not executed
   kStopping,           // the router stops before it could end; not executed
   kPromptQuarantined,  // a part of its prompt crashes servers; not executed
--- a/hawthornhollow/relay/relay_instance.h
+++ b/hawthornhollow/relay/relay_instance.h
@@ -170,6 +170,7 @@
   RelayMetrics metrics_;
   InstrumentedStore<Store> store_;
   LeavingServers leaving_;
+  RestingServers resting_;
   PromptPlacement placement_;
   LoadController load_;
   TotalsController<InstrumentedStore<Store>> totals_;
--- a/hawthornhollow/relay/relay_instance_impl.h
+++ b/hawthornhollow/relay/relay_instance_impl.h
@@ -57,6 +57,7 @@
                     },
                 .on_servers =
                     [this](const std::vector<RelayServer>& servers) {
+                      resting_.OnServers(servers);
                       placement_.SetServers(leaving_.Apply(servers));
                       load_.SetServers(servers);
                       server_limits_.KeepServers(servers);
@@ -138,6 +139,7 @@
       .limits = LimitCalls(),
       .load = &load_,
       .leaving = &leaving_,
+      .resting = &resting_,
       .callers = &running_,
       .retries = &retries_,
       .retry_ratio = settings.retry_ratio / 2};
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -48,7 +48,7 @@
   enum class AttemptResult {
     kAnswered,          // the request has ended
     kNotConnected,      // no connection was established
-    kEvacuated,         // not sent: the server's domain is evacuated meanwhile
+    kWithdrawn,         // not sent: the server must not get it any more
     kNotRun,            // the server reported that it did not execute it
     kErrorAnswer,       // the server answered with an error
     kIncompleteAnswer,  // the answer is incomplete or invalid
@@ -111,8 +111,21 @@
 
   bool EndWithoutServer();
 
-  // Servers that were not tried, because of their limits.
-  std::vector<std::string> LimitedServersLeft() const;
+  // Whether a request that was placed at this server may still be sent there.
+  bool MaySend(const RelayServer& server) const {
+    return !shared_.placement->IsEvacuated(server) &&
+           !shared_.resting->IsResting(server, SteadyNow());
+  }
+
+  // Of these servers, those that the request may go to and that were not tried.
+  std::vector<std::string> UntriedOf(const std::vector<std::string>& ids) const;
+  std::vector<std::string> LimitedServersLeft() const {
+    return UntriedOf(shared_.limits.limited_servers());
+  }
+  std::vector<std::string> RestingServersLeft() const {
+    const std::set<std::string> ids = shared_.resting->Ids(SteadyNow());
+    return UntriedOf({ids.begin(), ids.end()});
+  }
 
   bool Refuse(RelayError error) {
     return Refuse(error, options_.RetryAfter(error));
@@ -164,6 +177,9 @@
 
   void ReportLimit(const std::string& server, const ReplyHead& reply) const;
 
+  void ReportRest(const PromptPlacement::Choice& choice,
+                  const ReplyHead& reply) const;
+
   void ReportCold(const std::string& server, const ReplyHead& reply) const;
 
   AttemptResult FailedRead(const absl::Status& status);
--- a/hawthornhollow/relay/request_run_answer_impl.h
+++ b/hawthornhollow/relay/request_run_answer_impl.h
@@ -50,6 +50,7 @@
   ReportLeaving(choice, reply);
   ReportLimit(choice.server.id, reply);
   ReportCold(choice.server.id, reply);
+  ReportRest(choice, reply);
 }
 
 template <MessageCodec D>
@@ -95,6 +96,29 @@
   shared_.limits.on_answer(server, statement.requests_per_second, sent_at_);
 }
 
+template <MessageCodec D>
+void RequestRun<D>::ReportRest(const PromptPlacement::Choice& choice,
+                               const ReplyHead& reply) const {
+  const ServerStatement& statement = reply.statement;
+  if (!statement.bad_rest.empty()) {
+    LogEvent("server.rest_rejected", LogSeverity::kWarning)
+        .Add("request", request_.call.id)
+        .Add("server", choice.server.id)
+        .Add("reason", statement.bad_rest);
+  }
+  // It may have been something that is no server.
+  if (!statement.rest_for.has_value() || (!reply.sealed && !reply.not_run))
+    return;
+  const absl::Time now = SteadyNow();
+  if (!shared_.resting->OnStated(choice.server, now + *statement.rest_for, now))
+    return;
+  LogEvent("server.rest_stated")
+      .Add("request", request_.call.id)
+      .Add("server", choice.server.id)
+      .Add("for_ms", absl::ToInt64Milliseconds(*statement.rest_for))
+      .Add("in_flight", shared_.placement->in_flight(choice.server.id));
+}
+
 template <MessageCodec D>
 void RequestRun<D>::ReportCold(const std::string& server,
                                const ReplyHead& reply) const {
--- a/hawthornhollow/relay/request_run_impl.h
+++ b/hawthornhollow/relay/request_run_impl.h
@@ -73,7 +73,7 @@
     return true;
   excluded_servers_.insert(choice->server.id);
   const bool is_unsent = result == AttemptResult::kNotConnected ||
-                         result == AttemptResult::kEvacuated;
+                         result == AttemptResult::kWithdrawn;
   if (!is_unsent)
     ++summary_.attempts;
   if (!is_unsent && result != AttemptResult::kNotRun)
@@ -97,6 +97,7 @@
   for (int denials = 0;; ++denials) {
     std::set<std::string> excluded = excluded_servers_;
     excluded.merge(shared_.limits.blocked(urgency));
+    excluded.merge(shared_.resting->Ids(SteadyNow()));
     if (denials >= kMaxPermitsDenied) {
       for (const std::string& server : shared_.limits.limited_servers())
         excluded.insert(server);
@@ -105,9 +106,9 @@
     auto choice = ProposeByLoad(query);
     if (!choice.ok())
       return choice;
-    // A permit may be waited for, and the domain be evacuated meanwhile.
+    // A permit may be waited for, and the server be withdrawn meanwhile.
     if (shared_.limits.acquire(choice->server.id, urgency) &&
-        !shared_.placement->IsEvacuated(choice->server)) {
+        MaySend(choice->server)) {
       shared_.placement->Begin(*choice, query, SteadyNow());
       shared_.metrics->OnPlaced(placement_.placed_by_name(),
                                 placement_.messages, placement_.took);
@@ -189,7 +190,7 @@
   if (result == AttemptResult::kNotConnected ||
       result == AttemptResult::kNoResponse)
     outcome = Outcome::kNoResponse;
-  if (caller_->gone || result == AttemptResult::kEvacuated)
+  if (caller_->gone || result == AttemptResult::kWithdrawn)
     outcome = Outcome::kAbandoned;
   shared_.placement->OnFinished(choice, got_first_piece(), outcome,
                                 SteadyNow());
@@ -226,8 +227,8 @@
       return "answered";
     case AttemptResult::kNotConnected:
       return "not_sent";
-    case AttemptResult::kEvacuated:
-      return "evacuated";
+    case AttemptResult::kWithdrawn:
+      return "withdrawn";
     case AttemptResult::kNotRun:
       return "not_run";
     case AttemptResult::kErrorAnswer:
@@ -252,7 +253,7 @@
   if (streaming_ && summary_.events > 0 && !last_event_.has_value())
     return false;
   return result == AttemptResult::kNotConnected ||
-         result == AttemptResult::kEvacuated || RetryBudgetOf().TryRetry();
+         result == AttemptResult::kWithdrawn || RetryBudgetOf().TryRetry();
 }
 
 template <MessageCodec D>
@@ -289,20 +290,28 @@
   if (placement_.full_for.has_value())
     return Refuse(RelayError::kServersFull, *placement_.full_for);
   const std::vector<std::string> limited = LimitedServersLeft();
-  if (limited.empty())
+  if (!limited.empty()) {
+    return Refuse(RelayError::kServersLimited,
+                  shared_.limits.retry_after(limited, UrgencyOf(request_)));
+  }
+  const std::vector<std::string> resting = RestingServersLeft();
+  if (resting.empty())
     return Refuse(RelayError::kNoServer);
-  return Refuse(RelayError::kServersLimited,
-                shared_.limits.retry_after(limited, UrgencyOf(request_)));
+  // Callers return at different times after the first rest has ended.
+  const absl::Time now = SteadyNow();
+  return Refuse(RelayError::kServersResting,
+                std::max(options_.retry_after,
+                         shared_.resting->FirstEnd(resting, now) - now));
 }
 
 template <MessageCodec D>
-std::vector<std::string> RequestRun<D>::LimitedServersLeft() const {
+std::vector<std::string> RequestRun<D>::UntriedOf(
+    const std::vector<std::string>& ids) const {
   std::vector<std::string> usable =
       shared_.placement->ServersOf(request_.service);
-  const std::vector<std::string> limited = shared_.limits.limited_servers();
   std::erase_if(usable, [&](const std::string& server) {
     return excluded_servers_.contains(server) ||
-           std::find(limited.begin(), limited.end(), server) == limited.end();
+           std::find(ids.begin(), ids.end(), server) == ids.end();
   });
   return usable;
 }
@@ -341,7 +350,7 @@
   if (!opened.ok()) {
     detail_ = std::string(opened.status().message());
     if (opened.status().code() == absl::StatusCode::kCancelled)
-      return AttemptResult::kEvacuated;
+      return AttemptResult::kWithdrawn;
     return opened.status().code() == absl::StatusCode::kUnavailable
                ? AttemptResult::kNotConnected
                : AttemptResult::kIncompleteAnswer;
@@ -364,9 +373,9 @@
   const absl::Duration connect_timeout =
       shared_.link->ConnectTimeout(start_time);
   const absl::Duration time_left = TimeLeft();
-  auto opened = shared_.client->Open(
-      server.address, sent, time_left, connect_timeout,
-      [&] { return !shared_.placement->IsEvacuated(server); });
+  auto opened =
+      shared_.client->Open(server.address, sent, time_left, connect_timeout,
+                           [&] { return MaySend(server); });
   const absl::Time now = SteadyNow();
   if (opened.ok() && (*opened)->connect_time().has_value())
     ObserveConnection(server, /*made=*/true, *(*opened)->connect_time());
--- a/hawthornhollow/relay/routing_table.cc
+++ b/hawthornhollow/relay/routing_table.cc
@@ -108,6 +108,8 @@
     case RelayError::kServersLimited:
       return {503, "servers_limited",
               "the backend servers take no more requests a second"};
+    case RelayError::kServersResting:
+      return {503, "servers_resting", "the backend servers want a rest"};
     case RelayError::kDomainsEvacuated:
       return {503, "domains_evacuated",
               "all backend servers are in evacuated failure domains"};
--- a/hawthornhollow/relay/run_context.h
+++ b/hawthornhollow/relay/run_context.h
@@ -22,6 +22,7 @@
 #include "hawthornhollow/relay/prompt_quarantine.h"
 #include "hawthornhollow/relay/relay.h"
 #include "hawthornhollow/relay/relay_metrics.h"
+#include "hawthornhollow/relay/resting_servers.h"
 #include "hawthornhollow/scheduling/scheduling.h"
 
 namespace hawthornhollow {
@@ -116,6 +117,7 @@
   LimitWatch limits;
   LoadController* load = nullptr;
   LeavingServers* leaving = nullptr;
+  RestingServers* resting = nullptr;
   // Of the requests in progress.
   std::set<std::shared_ptr<CallerState>>* callers = nullptr;
   std::map<std::string, RetryBudget>* retries = nullptr;  // keyed by service
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -288,6 +288,8 @@
   if (faults.refuse) {
     HttpHeaders headers = AnswerHeaders("", id, faults);
     headers.emplace_back("Not-Executed", "1");
+    if (!faults.stated_rest.empty())
+      headers.emplace_back("Retry-After", faults.stated_rest);
     writer.Send({.status = kUnavailable, .headers = headers}).IgnoreError();
     return;
   }
