Tokens whose answer was lost come back to the holder that gave them

Cause (the part that is mended): a router whose link is full gives up on its question for tokens, and the answer, with all that its waiting requests need, comes too late. The holder has committed the tokens and nobody has them. The code took lost answers for rare and small.

Ruled out: levels that run ahead (the surplus would be the holders'), and tokens kept by routers that left a busy link (389 to 9,822 available there).

Change: questions are numbered; a router tells the holder which were not answered and takes none of them any more, and the holder takes the tokens back and gives none by these numbers. A question that arrives twice gets the same answer.

--- a/hawthornhollow/relay/peer_calls.cc
+++ b/hawthornhollow/relay/peer_calls.cc
@@ -52,6 +52,9 @@
   wanted.waiting = question.waiting;
   wanted.router = question.router;
   wanted.demand = question.demand;
+  wanted.incarnation = question.incarnation;
+  wanted.number = question.number;
+  wanted.unanswered = question.unanswered;
   const auto body = Ask(client, address,
                         {.method = "POST",
                          .target = kTransferTarget,
--- a/hawthornhollow/relay/peer_service.cc
+++ b/hawthornhollow/relay/peer_service.cc
@@ -40,12 +40,16 @@
       DecodeMessage<fb::TokensWanted>(request.body, request.peer);
   if (!wanted.ok())
     return Reject(request, wanted.status(), writer);
-  const TransferAnswer answer = handlers.give({.router = wanted->router,
-                                               .workspace = wanted->workspace,
-                                               .needed = wanted->needed,
-                                               .waiting = wanted->waiting,
-                                               .wanted = wanted->tokens,
-                                               .demand = wanted->demand});
+  const TransferAnswer answer =
+      handlers.give({.router = wanted->router,
+                     .workspace = wanted->workspace,
+                     .needed = wanted->needed,
+                     .waiting = wanted->waiting,
+                     .wanted = wanted->tokens,
+                     .demand = wanted->demand,
+                     .incarnation = wanted->incarnation,
+                     .number = wanted->number,
+                     .unanswered = wanted->unanswered});
   LogEvent("total.given")
       .Add("peer", wanted->router)
       .Add("workspace", wanted->workspace)
--- a/hawthornhollow/relay/token_borrower.h
+++ b/hawthornhollow/relay/token_borrower.h
@@ -20,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/random/random.h"
 #include "hawthornhollow/base/base.h"
 #include "hawthornhollow/relay/boot_clock.h"
 #include "hawthornhollow/relay/fiber_signal.h"
@@ -139,6 +140,21 @@
     });
   }
 
+  // Tells holders which of their answers were lost, so that they take the
+  // tokens back.
+  void TellUnanswered() {
+    for (const auto& [address, numbers] : unanswered_) {
+      if (numbers.empty() || is_telling_[address] ||
+          ask_paused_until_[address] > SteadyNow())
+        continue;
+      is_telling_[address] = true;
+      spawn_([this, address = address] {
+        Ask(address, {.router = book_.router()});
+        is_telling_[address] = false;
+      });
+    }
+  }
+
   // Hands over transferred tokens that are not needed, or all of them.
   void HandOverExcess(const std::string& workspace) {
     const std::string holder = HolderInReach(workspace);
@@ -154,6 +170,9 @@
   }
 
  private:
+  // Bounds memory and messages; what older questions gave stays lost.
+  static constexpr size_t kMaxUnanswered = 64;
+
   struct AskState {
     uint64_t begun = 0;
     uint64_t ended = 0;
@@ -207,17 +226,27 @@
   // Asks one holder and takes what it gives; returns nullopt if it does not
   // answer.
   std::optional<TransferAnswer> Ask(const std::string& address,
-                                    const TransferQuestion& question) {
+                                    TransferQuestion question) {
+    question.incarnation = incarnation_;
+    question.number = ++last_number_;
+    question.unanswered = unanswered_[address];
     metrics_.OnTokensAsked(/*ahead=*/question.waiting == 0 &&
                            question.needed == 0);
     const auto answer = calls_.ask(address, question);
     if (!answer.ok()) {
+      AddUnanswered(address, question.number);
       ask_paused_until_[address] = SteadyNow() + options_.ask_pause;
       LogEvent("total.ask_failed", LogSeverity::kWarning)
           .Add("peer", address)
           .Add("reason", answer.status());
       return std::nullopt;
     }
+    std::erase_if(unanswered_[address], [&](int64_t number) {
+      return std::ranges::find(question.unanswered, number) !=
+             question.unanswered.end();
+    });
+    if (question.workspace.empty())
+      return *answer;
     book_.ObserveUsed(question.workspace, answer->used);
     book_.ObserveLoan(question.workspace, answer->loan);
     if (answer->tokens > 0) {
@@ -227,6 +256,13 @@
     return *answer;
   }
 
+  void AddUnanswered(const std::string& address, int64_t number) {
+    std::vector<int64_t>& numbers = unanswered_[address];
+    if (numbers.size() >= kMaxUnanswered)
+      numbers.erase(numbers.begin());
+    numbers.push_back(number);
+  }
+
   // A holder that answered of late, after the first `skipped` of them in a
   // circle; empty if there is none.
   std::string HolderInReach(const std::string& workspace, size_t skipped = 0) {
@@ -264,6 +300,12 @@
   const std::function<int64_t(const std::string&)> first_waiting_;
   std::map<std::string, AskState> asking_;              // keyed by workspace
   std::map<std::string, absl::Time> ask_paused_until_;  // keyed by address
+  // Of this process: routers that restart number their questions anew.
+  const uint64_t incarnation_ = absl::Uniform<uint64_t>(absl::BitGen());
+  int64_t last_number_ = 0;
+  // Keyed by address: questions whose answers were lost, oldest first.
+  std::map<std::string, std::vector<int64_t>> unanswered_;
+  std::map<std::string, bool> is_telling_;  // keyed by address
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/token_borrower_test.cc
+++ b/hawthornhollow/relay/token_borrower_test.cc
@@ -121,6 +121,33 @@
   EXPECT_EQ(questions_.size(), 3);
 }
 
+// So that it takes back what it gave.
+TEST_F(TokenBorrowerTest, HolderWhoseAnswerWasLost_IsToldUntilItAnswers) {
+  answer_ = absl::DeadlineExceededError("the link is full");
+  RunOnFiber([&] {
+    book_.AddWaiting(kWorkspace, kRequestTokens);
+    borrower_.StartRound(kWorkspace);
+  });
+  ASSERT_EQ(questions_.size(), 3);
+  std::map<std::string, int64_t> lost;  // numbers by holder
+  for (const auto& [holder, question] : questions_)
+    lost[holder] = question.number;
+  questions_.clear();
+  answer_ = TransferAnswer{};
+  RunOnFiber([&] {
+    borrower_.TellUnanswered();  // not yet
+    hawthornhollow::SleepFor(TokenBorrowerOptions().ask_pause);
+    borrower_.TellUnanswered();
+  });
+  ASSERT_EQ(questions_.size(), 3);
+  for (const auto& [holder, question] : questions_) {
+    EXPECT_EQ(question.unanswered, std::vector<int64_t>({lost[holder]}));
+    EXPECT_EQ(question.wanted, 0);
+  }
+  RunOnFiber([&] { borrower_.TellUnanswered(); });
+  EXPECT_EQ(questions_.size(), 3);
+}
+
 // While all is known to be committed, questions would only load the links.
 TEST_F(TokenBorrowerTest, HoldersWithTooLittle_AreNotExpectedToGive) {
   answer_ = TransferAnswer{.left = kRequestTokens / 2};
--- a/hawthornhollow/relay/totals_controller.h
+++ b/hawthornhollow/relay/totals_controller.h
@@ -30,6 +30,7 @@
 #include "hawthornhollow/relay/token_hold.h"
 #include "hawthornhollow/relay/wait_queue.h"
 #include "hawthornhollow/totals/totals.h"
+#include "hawthornhollow/totals/transfer_journal.h"
 
 namespace hawthornhollow {
 
@@ -230,6 +231,7 @@
   // Transfers tokens to another router that asks for them. Waits briefly if a
   // new record would allow it.
   TransferAnswer GiveTokens(const TransferQuestion& question) {
+    TakeBackUnanswered(question);
     int64_t given = TryGive(question);
     if (given == 0 && question.needed > 0 &&
         book_.IsHolder(question.workspace)) {
@@ -296,6 +298,7 @@
         borrower_.HandOverExcess(workspace);
         borrower_.AskAhead(workspace);
       }
+      borrower_.TellUnanswered();
     }
   }
 
@@ -401,13 +404,32 @@
   }
 
   int64_t TryGive(const TransferQuestion& question) {
-    return book_.TransferOut(question, BootTime());
+    const bool is_numbered = question.number > 0;
+    if (const auto known = journal_.KnownAnswer(question);
+        is_numbered && known.has_value())
+      return *known;
+    const int64_t given = book_.TransferOut(question, BootTime());
+    if (is_numbered && given > 0)
+      journal_.OnGiven(question, given);
+    return given;
+  }
+
+  // Tokens that the asker was given and got no answer about.
+  void TakeBackUnanswered(const TransferQuestion& question) {
+    for (const TransferGrant& lost : journal_.TakeUnanswered(question)) {
+      LogEvent("total.taken_back")
+          .Add("peer", question.router)
+          .Add("workspace", lost.workspace)
+          .Add("tokens", lost.tokens);
+      TakeTokens(lost.workspace, lost.tokens);
+    }
   }
 
   RelayMetrics& metrics_;
   const TotalsControllerOptions options_;
   const std::function<void(std::function<void()>)> spawn_;
   TotalsBook book_;
+  TransferJournal journal_;
   RecordSynchronizer<Store> records_;
   std::map<std::string, WaitQueue> queues_;  // keyed by workspace
   TokenBorrower borrower_;
--- a/hawthornhollow/relay/totals_controller_test.cc
+++ b/hawthornhollow/relay/totals_controller_test.cc
@@ -224,6 +224,47 @@
   EXPECT_EQ(handed_over, kRequestTokens);
 }
 
+// A third of a large total was out of reach: routers with full links gave up on
+// questions that were then answered with all that their requests waited for.
+TEST_P(TotalsControllerTest, TransferWhoseAnswerIsLost_IsTakenBack) {
+  RunOnFiber([&] {
+    for (auto& controller : controllers_) {
+      runtime_->Spawn([&] { controller->RunAuthorityLoop(stop_); });
+      runtime_->Spawn([&] { controller->RunLevelLoop(stop_); });
+    }
+    TransferQuestion question{.router = "router-9",
+                              .workspace = kWorkspace,
+                              .needed = kRequestTokens,
+                              .waiting = kRequestTokens,
+                              .wanted = kRequestTokens,
+                              .incarnation = 7,
+                              .number = 1};
+    const absl::Time end = SteadyNow() + absl::Seconds(5);
+    TransferAnswer lost;
+    while (lost.tokens == 0 && SteadyNow() < end)
+      lost = controllers_[0]->GiveTokens(question);
+    ASSERT_GT(lost.tokens, 0);
+    // The question arrives once more, as a repeated message does.
+    EXPECT_EQ(controllers_[0]->GiveTokens(question).tokens, lost.tokens);
+    const TransferAnswer told =
+        controllers_[0]->GiveTokens({.router = "router-9",
+                                     .incarnation = 7,
+                                     .number = 2,
+                                     .unanswered = {1}});
+    EXPECT_EQ(told.tokens, 0);
+    question.number = 3;
+    question.needed = question.waiting = question.wanted = 1;
+    const TransferAnswer next = controllers_[0]->GiveTokens(question);
+    EXPECT_EQ(next.left + next.tokens, lost.left + lost.tokens);
+    // It arrives after its asker has given up.
+    question.number = 1;
+    EXPECT_EQ(controllers_[0]->GiveTokens(question).tokens, 0);
+    stop_ = true;
+    for (auto& controller : controllers_)
+      controller->Close();
+  });
+}
+
 TEST_P(TotalsControllerTest, WaitingRequestWhoseCallerDisconnects_IsCancelled) {
   RunOnFiber([&] {
     // The record loops do not run, so no tokens become available.
--- a/hawthornhollow/totals/totals_generated.h
+++ b/hawthornhollow/totals/totals_generated.h
@@ -934,6 +934,9 @@
   int64_t waiting = 0;
   std::string router{};
   int64_t demand = 0;
+  uint64_t incarnation = 0;
+  int64_t number = 0;
+  std::vector<int64_t> unanswered{};
 };
 
 struct TokensWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -946,7 +949,10 @@
     VT_NEEDED = 8,
     VT_WAITING = 10,
     VT_ROUTER = 12,
-    VT_DEMAND = 14
+    VT_DEMAND = 14,
+    VT_INCARNATION = 16,
+    VT_NUMBER = 18,
+    VT_UNANSWERED = 20
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -966,6 +972,15 @@
   int64_t demand() const {
     return GetField<int64_t>(VT_DEMAND, 0);
   }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  int64_t number() const {
+    return GetField<int64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::Vector<int64_t> *unanswered() const {
+    return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_UNANSWERED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
@@ -976,6 +991,10 @@
            VerifyOffset(verifier, VT_ROUTER) &&
            verifier.VerifyString(router()) &&
            VerifyField<int64_t>(verifier, VT_DEMAND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<int64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_UNANSWERED) &&
+           verifier.VerifyVector(unanswered()) &&
            verifier.EndTable();
   }
   TokensWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1005,6 +1024,15 @@
   void add_demand(int64_t demand) {
     fbb_.AddElement<int64_t>(TokensWanted::VT_DEMAND, demand, 0);
   }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(TokensWanted::VT_INCARNATION, incarnation, 0);
+  }
+  void add_number(int64_t number) {
+    fbb_.AddElement<int64_t>(TokensWanted::VT_NUMBER, number, 0);
+  }
+  void add_unanswered(flatbuffers::Offset<flatbuffers::Vector<int64_t>> unanswered) {
+    fbb_.AddOffset(TokensWanted::VT_UNANSWERED, unanswered);
+  }
   explicit TokensWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1023,12 +1051,18 @@
     int64_t needed = 0,
     int64_t waiting = 0,
     flatbuffers::Offset<flatbuffers::String> router = 0,
-    int64_t demand = 0) {
+    int64_t demand = 0,
+    uint64_t incarnation = 0,
+    int64_t number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<int64_t>> unanswered = 0) {
   TokensWantedBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_incarnation(incarnation);
   builder_.add_demand(demand);
   builder_.add_waiting(waiting);
   builder_.add_needed(needed);
   builder_.add_tokens(tokens);
+  builder_.add_unanswered(unanswered);
   builder_.add_router(router);
   builder_.add_workspace(workspace);
   return builder_.Finish();
@@ -1046,9 +1080,13 @@
     int64_t needed = 0,
     int64_t waiting = 0,
     const char *router = nullptr,
-    int64_t demand = 0) {
+    int64_t demand = 0,
+    uint64_t incarnation = 0,
+    int64_t number = 0,
+    const std::vector<int64_t> *unanswered = nullptr) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto router__ = router ? _fbb.CreateString(router) : 0;
+  auto unanswered__ = unanswered ? _fbb.CreateVector<int64_t>(*unanswered) : 0;
   return hawthornhollow::fb::CreateTokensWanted(
       _fbb,
       workspace__,
@@ -1056,7 +1094,10 @@
       needed,
       waiting,
       router__,
-      demand);
+      demand,
+      incarnation,
+      number,
+      unanswered__);
 }
 
 flatbuffers::Offset<TokensWanted> CreateTokensWanted(flatbuffers::FlatBufferBuilder &_fbb, const TokensWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1742,7 +1783,10 @@
       (lhs.needed == rhs.needed) &&
       (lhs.waiting == rhs.waiting) &&
       (lhs.router == rhs.router) &&
-      (lhs.demand == rhs.demand);
+      (lhs.demand == rhs.demand) &&
+      (lhs.incarnation == rhs.incarnation) &&
+      (lhs.number == rhs.number) &&
+      (lhs.unanswered == rhs.unanswered);
 }
 
 inline bool operator!=(const TokensWantedT &lhs, const TokensWantedT &rhs) {
@@ -1765,6 +1809,9 @@
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = router(); if (_e) _o->router = _e->str(); }
   { auto _e = demand(); _o->demand = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = unanswered(); if (_e) { _o->unanswered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unanswered[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<TokensWanted> TokensWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokensWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1781,6 +1828,9 @@
   auto _waiting = _o->waiting;
   auto _router = _o->router.empty() ? 0 : _fbb.CreateString(_o->router);
   auto _demand = _o->demand;
+  auto _incarnation = _o->incarnation;
+  auto _number = _o->number;
+  auto _unanswered = _o->unanswered.size() ? _fbb.CreateVector(_o->unanswered) : 0;
   return hawthornhollow::fb::CreateTokensWanted(
       _fbb,
       _workspace,
@@ -1788,7 +1838,10 @@
       _needed,
       _waiting,
       _router,
-      _demand);
+      _demand,
+      _incarnation,
+      _number,
+      _unanswered);
 }
 
 
--- a/hawthornhollow/totals/totals_random_test.cc
+++ b/hawthornhollow/totals/totals_random_test.cc
@@ -13,6 +13,7 @@
 
 #include "hawthornhollow/totals/shares_internal.h"
 #include "hawthornhollow/totals/totals.h"
+#include "hawthornhollow/totals/transfer_journal.h"
 
 namespace hawthornhollow {
 namespace {
@@ -96,6 +97,10 @@
   std::unique_ptr<TotalsBook> book;
   absl::Duration started_at;
   std::vector<RunningRequest> running_requests;
+  TransferJournal journal;
+  uint64_t incarnation = 1;
+  int64_t questions = 0;
+  std::map<std::string, std::vector<int64_t>> unanswered;  // keyed by router
   int64_t read = 0;               // offset up to which the store's log was read
   std::string pending_authority;  // serialized pending authority record
   int64_t pending_at = 0;
@@ -432,6 +437,10 @@
   // Requests in delivery at that moment remain counted at their worst case.
   void Kill(Vm& vm, bool power) {
     vm.book.reset();
+    vm.journal = TransferJournal();
+    ++vm.incarnation;
+    vm.questions = 0;
+    vm.unanswered.clear();
     vm.running_requests.clear();
     vm.pending_authority.clear();
     vm.pending_level.clear();
@@ -679,18 +688,35 @@
     ++loan_questions_;
   }
 
-  void Send(Vm& vm, Vm& other, const TransferQuestion& question) {
+  void Send(Vm& vm, Vm& other, TransferQuestion question) {
     if (&other == &vm || other.book == nullptr || now_ < other.suspended_until)
       return;
-    const int64_t given = other.book->TransferOut(question, ClockOf(other));
-    if (Chance(0.1))
+    std::vector<int64_t>& unanswered = vm.unanswered[other.name];
+    question.incarnation = vm.incarnation;
+    question.number = ++vm.questions;
+    question.unanswered = unanswered;
+    const int64_t given = Give(other, question);
+    if (Chance(0.1)) {  // the answer is lost
+      unanswered.push_back(question.number);
       return;
+    }
+    unanswered.clear();
     vm.book->ReceiveTransfer(kWorkspace, given);
     vm.book->ObserveUsed(kWorkspace, other.book->UsedByAll(kWorkspace));
     vm.book->ObserveLoan(kWorkspace,
                          other.book->LoanFor(question, ClockOf(other)));
   }
 
+  int64_t Give(Vm& holder, const TransferQuestion& question) {
+    for (const TransferGrant& lost : holder.journal.TakeUnanswered(question))
+      holder.book->ReceiveTransfer(lost.workspace, lost.tokens);
+    if (const auto known = holder.journal.KnownAnswer(question))
+      return *known;
+    const int64_t given = holder.book->TransferOut(question, ClockOf(holder));
+    holder.journal.OnGiven(question, given);
+    return given;
+  }
+
   // Hands tokens over to another router; they may not arrive.
   void HandOverExcess(Vm& vm) {
     Vm& other = vms_[Pick(0, static_cast<int64_t>(vms_.size()) - 1)];
--- a/hawthornhollow/totals/transfer_question.h
+++ b/hawthornhollow/totals/transfer_question.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace hawthornhollow {
 
@@ -18,6 +19,13 @@
   int64_t waiting = 0;  // needed by all requests that wait
   int64_t wanted = 0;   // at most this is transferred
   int64_t demand = 0;   // tokens per second that its requests need of late
+  // Of the asking process; and of the question, from 1 on among all of it. 0:
+  // the asker does not number its questions.
+  uint64_t incarnation = 0;
+  int64_t number = 0;
+  // Earlier questions to the same router that were not answered in time: their
+  // tokens are not taken any more.
+  std::vector<int64_t> unanswered;
   friend auto operator<=>(const TransferQuestion&,
                           const TransferQuestion&) = default;
 };
