Streams whose lines end with CR LF or CR are split into events, and charged

Cause: an event ended at LF LF only, while the check at the end of a stream knew the other line ends; so the stream was one complete rest without an event.

Ruled out: a charge that is given back at the end.

Change: EventSplitter reads lines that end with LF, CR LF or CR. A CR at the end of a piece waits for the next byte, or the end.

Cost: with CR alone an event goes on with the next one's first byte.

--- a/hawthornhollow/relay/event_splitter.h
+++ b/hawthornhollow/relay/event_splitter.h
@@ -27,8 +27,11 @@
 // pieces.
 class EventSplitter {
  public:
-  // Returns the events that are complete by now.
+  // Returns the events that are complete by now. Lines end with LF, CR LF or
+  // CR; after a CR the next byte tells.
   std::vector<StreamEvent> Feed(std::string_view piece);
+  // The stream has ended: returns the event that a last CR completes.
+  std::optional<StreamEvent> TakeLast();
   // Bytes of an incomplete event.
   const std::string& rest() const { return rest_; }
   // Whether a stream that ends with this `rest` ends inside an event, and not
@@ -36,8 +39,10 @@
   static bool IsInsideEvent(std::string_view rest);
 
  private:
+  static bool EndsWithBlankLine(std::string_view rest);
+
   std::string rest_;
-  size_t searched_ = 0;
+  size_t line_ = 0;  // where the line that is not complete begins in it
 };
 
 }  // namespace hawthornhollow
--- a/hawthornhollow/relay/event_splitter_test.cc
+++ b/hawthornhollow/relay/event_splitter_test.cc
@@ -62,12 +62,41 @@
     EXPECT_EQ(EventSplitter::IsInsideEvent(rest), is_inside) << rest;
 }
 
+// review/7: a service whose lines end with CR LF was not charged for.
+TEST_F(EventSplitterTest, LinesThatEndOtherwise_GiveTheSameEvents) {
+  for (const std::string end : {"\n", "\r\n", "\r"}) {
+    EventSplitter splitter;
+    const std::string first = "id: 3" + end + "data: a" + end + end;
+    const std::string second = ": waiting" + end + end;
+    const std::string third = "data: b" + end + end;
+    std::vector<StreamEvent> events = splitter.Feed(first + second + third);
+    if (const auto last = splitter.TakeLast())
+      events.push_back(*last);
+    EXPECT_THAT(events, ElementsAre(StreamEvent{3, first},
+                                    StreamEvent{std::nullopt, second, true},
+                                    StreamEvent{std::nullopt, third}));
+    EXPECT_EQ(splitter.rest(), "");
+  }
+}
+
+TEST_F(EventSplitterTest, StreamThatEndsInsideAnEvent_HasNoLastOne) {
+  for (const char* rest : {"", "\n", "id: 2\r", "id: 2\r\n", "data: b\n"}) {
+    EventSplitter splitter;
+    EXPECT_TRUE(splitter.Feed(rest).empty());
+    EXPECT_FALSE(splitter.TakeLast().has_value()) << rest;
+  }
+}
+
 TEST_F(EventSplitterTest, AnyDivisionIntoPieces_GivesTheSameEvents) {
   std::string stream;
-  for (int i = 0; i < 40; ++i)
-    stream +=
-        "id: " + std::to_string(i) + "\ndata: " + std::string(i, 'x') + "\n\n";
+  for (int i = 0; i < 40; ++i) {
+    const std::string end = i % 3 == 0 ? "\n" : i % 3 == 1 ? "\r\n" : "\r";
+    stream += "id: " + std::to_string(i) + end +
+              "data: " + std::string(i, 'x') + end + end;
+  }
+  stream += "data: last\n\n";
   const auto expected = EventSplitter().Feed(stream);
+  ASSERT_EQ(expected.size(), 41);
   std::mt19937_64 random(7);
   for (int round = 0; round < 200; ++round) {
     EventSplitter splitter;
--- a/hawthornhollow/relay/request_run.h
+++ b/hawthornhollow/relay/request_run.h
@@ -220,6 +220,11 @@
   AttemptResult RelayStream(const PromptPlacement::Choice& choice,
                             const ReplyHead& reply);
 
+  // Passes an event on. Returns how the attempt ends, if it does.
+  std::optional<AttemptResult> RelayEvent(const PromptPlacement::Choice& choice,
+                                          const ReplyHead& reply,
+                                          const StreamEvent& event);
+
   // Whether an event comes again, or one from before it: ids increase.
   bool StartsAnew(const StreamEvent& event) const {
     return streaming_ && event.id.has_value() && last_event_.has_value() &&
--- a/hawthornhollow/relay/request_run_answer_impl.h
+++ b/hawthornhollow/relay/request_run_answer_impl.h
@@ -251,32 +251,48 @@
     if (!piece.ok())
       return FailedRead(piece.status());
     if (piece->empty())
-      return FinishStream(reply, splitter.rest());
+      break;
     shared_.link_load->OnRelayed(piece->size(), SteadyNow());
     for (const StreamEvent& event : splitter.Feed(*piece)) {
-      if (StartsAnew(event)) {
-        detail_ = "the stream does not go on after its last event";
-        return AttemptResult::kIncompleteAnswer;
-      }
+      if (const auto end = RelayEvent(choice, reply, event))
+        return *end;
       if (!event.is_comment)
-        OnFirstPiece(choice);
-      if (got_first_piece() &&
-          SteadyNow() - *first_piece_at_ >= options_.sound_after)
-        OnAnswerWentOn();
-      if (!Deliver(reply, event.bytes))
-        return AttemptResult::kAnswered;
-      if (event.is_comment)
-        continue;
-      next_event_due = SteadyNow() + EventTimeout();
-      ++summary_.events;
-      if (event.id.has_value())
-        last_event_ = event.id;
+        next_event_due = SteadyNow() + EventTimeout();
     }
     if (splitter.rest().size() > options_.max_event_bytes) {
       detail_ = "an event is over the limit";
       return AttemptResult::kIncompleteAnswer;
     }
   }
+  if (const auto last = splitter.TakeLast()) {
+    if (const auto end = RelayEvent(choice, reply, *last))
+      return *end;
+  }
+  return FinishStream(reply, splitter.rest());
+}
+
+template <MessageCodec D>
+std::optional<typename RequestRun<D>::AttemptResult> RequestRun<D>::RelayEvent(
+    const PromptPlacement::Choice& choice,
+    const ReplyHead& reply,
+    const StreamEvent& event) {
+  if (StartsAnew(event)) {
+    detail_ = "the stream does not go on after its last event";
+    return AttemptResult::kIncompleteAnswer;
+  }
+  if (!event.is_comment)
+    OnFirstPiece(choice);
+  if (got_first_piece() &&
+      SteadyNow() - *first_piece_at_ >= options_.sound_after)
+    OnAnswerWentOn();
+  if (!Deliver(reply, event.bytes))
+    return AttemptResult::kAnswered;
+  if (event.is_comment)
+    return std::nullopt;
+  ++summary_.events;
+  if (event.id.has_value())
+    last_event_ = event.id;
+  return std::nullopt;
 }
 
 template <MessageCodec D>
