--- a/hawthornhollow/totals/remembered_quotas.cc
+++ b/hawthornhollow/totals/remembered_quotas.cc
@@ -29,6 +29,9 @@
 // if the router does not come back, each of the others adds to the quota in the
 // store what the bound exceeds it by.
 //
+// Routers of earlier versions use a raised quota at once and tell nothing. They
+// are not counted, and a doubt about the quota of one stays.
+//
 // Routers that nobody has heard of are outside the argument: one whose first
 // record was read by nobody who is left, or whose successor finds none of its
 // records in the copy. If fewer than TellersNeeded tell, the doubt stays.
@@ -46,6 +49,12 @@
   return std::pair(a.epoch, a.sequence) < std::pair(b.epoch, b.sequence);
 }
 
+// Whether the record is of a router that uses only what others know.
+template <typename Record>
+bool ConfirmsQuotas(const Record& record) {
+  return record.ready_ms > 0;
+}
+
 fb::RememberedQuotaT QuotaOf(const fb::AuthorityRecordT& record) {
   fb::RememberedQuotaT quota;
   quota.router = record.router;
@@ -97,7 +106,7 @@
 size_t TotalsBook::KnownRouters() const {
   size_t known = 1 + RoutersOnlyTold().size();
   for (const auto& [router, records] : other_routers_) {
-    if (records.authority.has_value() && EraOf(records.authority->epoch) >= 0)
+    if (records.authority.has_value() && ConfirmsQuotas(*records.authority))
       ++known;
   }
   return known;
@@ -234,6 +243,9 @@
   }
   if (tellers < TellersNeeded(KnownRouters()))
     return std::nullopt;
+  // It may have used what nobody had read.
+  if (newest->epoch != 0 && !ConfirmsQuotas(*newest))
+    return std::nullopt;
   return newest;
 }
 
--- a/hawthornhollow/totals/store_era_test.cc
+++ b/hawthornhollow/totals/store_era_test.cc
@@ -13,6 +13,8 @@
 constexpr int64_t kTotal = 100'000;
 constexpr int64_t kMuch = 1'000'000;  // more than the total
 constexpr int64_t kEra = 1;           // before the restore
+// A record of a version that confirms quotas tells this.
+constexpr int64_t kReadyMs = 4'000;
 // Living routers have written their records again by then.
 constexpr absl::Duration kSettled = absl::Seconds(4);
 // A top-up after this time was unknown to all routers at the restore.
@@ -39,6 +41,7 @@
     record.router = "router-2";
     record.address = "router-2";
     record.epoch = epoch;
+    record.ready_ms = kReadyMs;
     auto share = std::make_unique<fb::AuthorityShareT>();
     share->workspace = kWorkspace;
     share->tokens = tokens;
@@ -56,6 +59,7 @@
     record.router = "router-3";
     record.address = "router-3";
     record.epoch = epoch;
+    record.ready_ms = kReadyMs;
     return record;
   }
   // What a router tells of router-2's last quota before the restore.
@@ -64,6 +68,7 @@
     told->router = "router-2";
     told->epoch = FirstEpochOf(kEra);
     told->sequence = 9;
+    told->ready_ms = kReadyMs;
     auto share = std::make_unique<fb::AuthorityShareT>();
     share->workspace = kWorkspace;
     share->tokens = tokens;
@@ -165,6 +170,21 @@
   EXPECT_EQ(QuotaWanted(kSettled), kTotal - 35'000 - kAllowance);
 }
 
+// It may have used what nobody had read.
+TEST_F(StoreEraTest, LostQuotaOfAnEarlierVersion_StaysUncertain) {
+  ApplyThird(FirstEpochOf(kEra));
+  const int64_t quota = QuotaWanted(absl::ZeroDuration());
+  fb::AuthorityRecordT earlier = OtherQuota(FirstEpochOf(kEra) + 1, 20'000);
+  earlier.ready_ms = 0;
+  book_.ApplyAuthority(std::move(earlier));
+  book_.BeginEra(kEra + 1, absl::ZeroDuration());
+  Write(&book_, absl::ZeroDuration());
+  fb::AuthorityRecordT third = ThirdQuota(FirstEpochOf(kEra + 1));
+  Tell(third, 10'000);
+  book_.ApplyAuthority(std::move(third));
+  EXPECT_EQ(QuotaWanted(kSettled), quota);
+}
+
 // The same where its VM doesn't come back.
 TEST_F(StoreEraTest, RouterThatDoesNotComeBack_CostsWhatOthersRemember) {
   ApplyThird(FirstEpochOf(kEra));
--- a/hawthornhollow/totals/totals.h
+++ b/hawthornhollow/totals/totals.h
@@ -386,7 +386,7 @@
   // yet.
   int64_t UnknownAllowance(const std::string& workspace) const;
   // This router and those of which anybody in the store tells, but for routers
-  // of versions that did not know eras.
+  // of versions that neither confirm quotas nor tell of them.
   size_t KnownRouters() const;
   // How many routers have read all authority records before `end`.
   size_t ReadersOf(int64_t end) const;
--- a/hawthornhollow/totals/totals_book.cc
+++ b/hawthornhollow/totals/totals_book.cc
@@ -31,10 +31,12 @@
 // record of an earlier incarnation can be mistaken for its own, and no router
 // prefers an earlier incarnation's record to a newer one.
 //
-// The sender of a transfer commits the tokens before the receiver learns of it:
-// a lost answer strands the tokens, but nothing can duplicate them. The
-// receiver's records do not include transfers, so a receiver that dies loses
-// the transferred tokens that it has not used.
+// The sender of a transfer commits the tokens before the receiver learns of it,
+// so nothing can duplicate them. If the answer is lost, the receiver says so
+// later and takes them no more, and the sender takes them back
+// (transfer_journal.h); they are lost if either restarts before. The receiver's
+// records do not include transfers, so a receiver that dies loses the
+// transferred tokens that it has not used.
 //
 // A loan ahead of demand is such a transfer. Its size is no part of the
 // argument that a total is never overdrawn, only of what is lost: a borrower
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -92,7 +92,7 @@
     bool refuse = false;  // answers 503 and does not run
     // Asks for a rest of so many seconds as it refuses; empty: it doesn't.
     std::string stated_rest;
-    bool fail = false;    // runs and answers 500
+    bool fail = false;  // runs and answers 500
     // Crashes when it begins a stream whose prompt has this part.
     std::string deadly_part;
     CrashPoint crash_point = CrashPoint::kAfterHead;
