--- a/review/common-3/slow_replica.cc
+++ b/review/common-3/slow_replica.cc
@@ -10,6 +10,7 @@
 
 constexpr SocketOptions kSmallWindows = {.receive_buffer_bytes = 8 * 1024,
                                          .segment_bytes = 1'448};
+constexpr char kOneEvent[] = "id: 1\ndata: abcd\n\n";
 constexpr size_t kMaxHeadBytes = 64 * 1024;
 constexpr size_t kPieceBytes = 4 * 1024;
 constexpr auto kPiecePause = Milliseconds(50);
@@ -73,8 +74,9 @@
       runs_.push_back({call, Clock::now()});
     }
     const Headers headers = {{"Attempt-Id", call},
-                             {"Replica-Seal", "seal-" + id_}};
-    if (!SendAll(socket, ResponseBytes(200, headers, "done")))
+                             {"Replica-Seal", "seal-" + id_},
+                             {"Content-Type", "text/event-stream"}};
+    if (!SendAll(socket, ResponseBytes(200, headers, kOneEvent)))
       return;
   }
 }
