--- a/review/common-3/http.cc
+++ b/review/common-3/http.cc
@@ -116,10 +116,19 @@
 }
 
 int FreePort() {
-  const int listener = Listen(0, {});
-  const int port = PortOf(listener);
-  close(listener);
-  return port;
+  // Below those that the system gives to connections.
+  constexpr int kFirst = 20'000;
+  constexpr int kCount = 12'000;
+  constexpr int kApart = 97;
+  static std::atomic<int> next = getpid() * kApart;
+  while (true) {
+    const int port = kFirst + next++ % kCount;
+    const int listener = Listen(port, {});
+    if (listener < 0)
+      continue;
+    close(listener);
+    return port;
+  }
 }
 
 int ConnectTo(int port, const SocketOptions& options) {
--- a/review/common-3/router.cc
+++ b/review/common-3/router.cc
@@ -130,12 +130,12 @@
   return false;
 }
 
-long Router::PeakKilobytes() const {
+long Router::ResidentKilobytes() const {
   std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
   std::string word;
   long kilobytes = -1;
   while (status >> word) {
-    if (word == "VmHWM:")
+    if (word == "VmRSS:")
       status >> kilobytes;
   }
   return kilobytes;
--- a/review/common-3/router.h
+++ b/review/common-3/router.h
@@ -56,8 +56,8 @@
   int callers() const { return callers_; }
   bool IsReady() const;
   bool AwaitReady(Milliseconds timeout) const;
-  // The most memory that the process has had.
-  long PeakKilobytes() const;
+  // The process's memory now; -1 if it has ended.
+  long ResidentKilobytes() const;
 
  private:
   const RouterSettings settings_;
