--- a/review/common-3/deployment.cc
+++ b/review/common-3/deployment.cc
@@ -17,16 +17,21 @@
 
 }  // namespace
 
-void PutConfiguration(Store& store, const std::vector<Tenant>& tenants) {
+void PutConfiguration(Store& store,
+                      const std::vector<Tenant>& tenants,
+                      int booking_timeout_ms) {
   std::string list;
   for (const Tenant& tenant : tenants)
     list += (list.empty() ? "" : ",") + TenantText(tenant);
-  store.Put("keyed.op", "config", R"({"version":1,"routes":[
+  store.Put("keyed.op", "config",
+            R"({"version":1,"routes":[
     {"name":"permit-draft","host":"parade.example","path_prefix":"/draft/",
      "kind":"stream","timeout_ms":10000,"target_latency_ms":1000,"priority":0,
      "service":"lamp-llm","max_attempts":2,"resumable":true,"sticky":true},
     {"name":"kit-booking","host":"parade.example","path_prefix":"/booking/",
-     "kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":300,
+     "kind":"non_idempotent","timeout_ms":)" +
+                std::to_string(booking_timeout_ms) +
+                R"(,"target_latency_ms":300,
      "priority":2,"service":"depot-app","max_attempts":1},
     {"name":"kit-lookup","host":"parade.example","path_prefix":"/lookup/",
      "kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,
@@ -36,7 +41,8 @@
      {"name":"depot-app","health_path":"/health","max_conns":96}],
     "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
      "header_timeout_ms":5000,"idle_timeout_ms":60000},
-    "tenants":[)" + list + "]}");
+    "tenants":[)" +
+                list + "]}");
 }
 
 void PutServer(Store& store,
--- a/review/common-3/deployment.h
+++ b/review/common-3/deployment.h
@@ -29,7 +29,10 @@
   int64_t prepaid = 0;
 };
 
-void PutConfiguration(Store& store, const std::vector<Tenant>& tenants);
+// As on the sheet, but for the longest time that a booking may take.
+void PutConfiguration(Store& store,
+                      const std::vector<Tenant>& tenants,
+                      int booking_timeout_ms = 1500);
 
 // The entry that a server writes of itself.
 void PutServer(Store& store,
