--- a/review/common-3/router.cc
+++ b/review/common-3/router.cc
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 
 namespace review {
 namespace {
@@ -20,9 +21,8 @@
 }
 
 std::string TemporaryFolder() {
-  char name[] = "/tmp/review-3-XXXXXX";
-  const char* made = mkdtemp(name);
-  return made == nullptr ? "/tmp" : made;
+  std::string name = std::filesystem::temp_directory_path() / "review-3-XXXXXX";
+  return mkdtemp(name.data()) == nullptr ? "." : name;
 }
 
 }  // namespace
@@ -49,6 +49,14 @@
 Router::Router(RouterSettings settings)
     : settings_(std::move(settings)), folder_(TemporaryFolder()) {}
 
+Router::~Router() {
+  Kill();
+  std::error_code ignored;
+  std::filesystem::remove(folder_ + "/settings.json", ignored);
+  std::filesystem::remove(folder_ + "/log.txt", ignored);
+  std::filesystem::remove(folder_, ignored);
+}
+
 void Router::Start() {
   const std::string file = folder_ + "/settings.json";
   // As in the users' DEPLOY page, with the bounds of a small site.
--- a/review/common-3/router.h
+++ b/review/common-3/router.h
@@ -43,7 +43,7 @@
   explicit Router(RouterSettings settings);
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
-  ~Router() { Kill(); }
+  ~Router();
 
   void Start();
   // Ends the process at once, as a loss of power does.
