--- a/review/common-3/deployment.cc
+++ b/review/common-3/deployment.cc
@@ -106,7 +106,11 @@
 
 bool Replica::Serve(const Request& request, int socket) {
   if (request.Header("Expect-Replica") != id_) {
-    return SendAll(socket, ResponseBytes(421, {{"Not-Executed", "1"}}, ""));
+    return SendAll(socket,
+                   ResponseBytes(421,
+                                 {{"Attempt-Id", request.Header("Attempt-Id")},
+                                  {"Not-Executed", "1"}},
+                                 ""));
   }
   {
     const std::lock_guard lock(mutex_);
--- a/review/common-3/slow_replica.cc
+++ b/review/common-3/slow_replica.cc
@@ -65,7 +65,9 @@
       return;
     const std::string call = request.Header("Attempt-Id");
     if (request.Header("Expect-Replica") != id_) {
-      if (!SendAll(socket, ResponseBytes(421, {{"Not-Executed", "1"}}, "")))
+      if (!SendAll(socket,
+                   ResponseBytes(
+                       421, {{"Attempt-Id", call}, {"Not-Executed", "1"}}, "")))
         return;
       continue;
     }
